--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+PACKAGES := packages/core packages/daemon packages/client
+SEED ?= 1
+STEPS ?= 20000
+
+.PHONY: setup test lint format demo fuzz
+
+$(STAMP): requirements.txt $(PACKAGES:%=%/pyproject.toml)
+	test -d $(VENV) || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(PACKAGES:%=--editable %)
+	touch $(STAMP)
+
+setup: $(STAMP)
+
+test: $(STAMP)
+	$(BIN)/python -m tests
+
+lint: $(STAMP)
+	$(BIN)/black --check --quiet packages standins tests bench
+	$(BIN)/ruff check --quiet packages standins tests bench
+	$(BIN)/mypy packages/core/src packages/daemon/src packages/client/src
+
+format: $(STAMP)
+	$(BIN)/ruff check --quiet --fix packages standins tests bench
+	$(BIN)/black --quiet packages standins tests bench
+
+demo: $(STAMP)
+	$(BIN)/python -m standins.demo
+
+fuzz: $(STAMP)
+	FUZZ_SEED=$(SEED) FUZZ_STEPS=$(STEPS) $(BIN)/python -m tests --fuzz
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and experiments; ``python -m bench NAME`` runs one."""
--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,32 @@
+"""
+bench.report
+~~~~~~~~~~~~
+
+The one output format of all benchmarks: JSON lines with bench, seed, subject, metric, value, unit.
+"""
+
+import json
+
+
+def emit(bench: str, seed: int, subject: str, metric: str, value: float, unit: str) -> None:
+    """Print one figure as a JSON line."""
+    line = {
+        "bench": bench,
+        "seed": seed,
+        "subject": subject,
+        "metric": metric,
+        "value": value,
+        "unit": unit,
+    }
+    print(json.dumps(line), flush=True)
+
+
+def percentile(values: list[float], fraction: float) -> float:
+    """
+    Return the value at a fraction of the sorted list by nearest rank.
+
+    :param fraction: 0.5 for the median, 0.99 for p99.
+    """
+    ordered = sorted(values)
+    rank = min(len(ordered) - 1, max(0, round(fraction * len(ordered)) - 1))
+    return ordered[rank]
--- /dev/null
+++ b/packages/client/src/bulrushhollow/__init__.py
@@ -0,0 +1,6 @@
+"""
+bulrushhollow
+~~~~~~~~~~~~~
+
+Client library for callers and operators of the bulrushhollow scheduler.
+"""
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/actions.py
@@ -0,0 +1,60 @@
+"""
+bulrushhollow_core.actions
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Actions that every part of the core returns, and the shape that all parts share. Actions are
+carried out in the order of the list: whatever stands behind a :class:`Persist` happens only
+after its record is synced to disk.
+"""
+
+from typing import Protocol
+
+import msgspec
+
+from bulrushhollow_core.ids import InstanceId, Seconds
+
+
+class Send(msgspec.Struct, frozen=True):
+    """
+    Send a message to a peer; it may be lost, delayed, repeated or reordered.
+
+    :param to: the receiving instance.
+    :param message: a message type of the part that sends it.
+    """
+
+    to: InstanceId
+    message: msgspec.Struct
+
+
+class Persist(msgspec.Struct, frozen=True):
+    """
+    Append a record to the journal and sync it before any later action.
+
+    :param record: a journal record type of the part that writes it.
+    """
+
+    record: msgspec.Struct
+
+
+class Part(Protocol):
+    """A part of the core that talks to its peers on other instances."""
+
+    def receive(
+        self, source: InstanceId, message: msgspec.Struct, now: Seconds
+    ) -> list[msgspec.Struct]:
+        """
+        Take in one message of this part's own message types.
+
+        :return: actions in the order in which to carry them out.
+        """
+
+    def tick(self, now: Seconds) -> list[msgspec.Struct]:
+        """
+        Let time pass; called every :data:`TICK_INTERVAL` or more often.
+
+        :return: actions in the order in which to carry them out.
+        """
+
+
+TICK_INTERVAL = Seconds(0.05)
+"""Seconds between two ticks of a running daemon."""
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/endpoints.py
@@ -0,0 +1,63 @@
+"""
+bulrushhollow_core.endpoints
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+How endpoints announce themselves, and the HTTP names of the hop from an entry instance to an
+endpoint.
+"""
+
+import msgspec
+
+from bulrushhollow_core.ids import DataCentreId, EndpointId
+
+RUN_PATH = "/run"
+"""An entry posts a request's body to this path of the endpoint."""
+
+REQUEST_ID_HEADER = "request-id"
+"""Sent with each request; the endpoint's answer must repeat it."""
+
+PROFILE_HEADER = "profile"
+"""Name of the profile of the request."""
+
+NOT_RUN_HEADER = "not-run"
+"""An endpoint sets it to ``true`` on a 503 answer to say that no handler saw the request."""
+
+IDEMPOTENCY_KEY_HEADER = "idempotency-key"
+"""Set by a caller whose resends must not run twice."""
+
+DEADLINE_HEADER = "deadline-seconds"
+"""Set by a caller who can wait less long than the profile's deadline."""
+
+
+class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag="announcement"):
+    """
+    Sent by an endpoint to any entry instance: ``POST /v1/endpoints``.
+
+    :param incarnation: greater after each restart of the endpoint.
+    :param sequence: greater with each announcement of one incarnation.
+    :param address: IP number and port, ``127.0.0.1:9000``.
+    :param service: name that profiles ask for.
+    :param slots: requests it runs at once.
+    :param connections: connections it accepts at once.
+    :param leaving: True when it wants no new work.
+    """
+
+    endpoint: EndpointId
+    data_centre: DataCentreId
+    incarnation: int
+    sequence: int
+    address: str
+    service: str
+    slots: int
+    connections: int
+    leaving: bool = False
+
+
+class AnnouncementAnswer(msgspec.Struct, frozen=True):
+    """
+    Answer to an announcement.
+
+    :param announce_within: seconds within which to announce again.
+    """
+
+    announce_within: float
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/ids.py
@@ -0,0 +1,44 @@
+"""
+bulrushhollow_core.ids
+~~~~~~~~~~~~~~~~~~~~~~
+
+Identifiers and scalar quantities shared by every module of the core.
+"""
+
+from typing import NewType
+
+InstanceId = NewType("InstanceId", str)
+"""One incarnation of a daemon; an instance that lost its disk comes back under a new one."""
+
+DataCentreId = NewType("DataCentreId", str)
+WorkspaceId = NewType("WorkspaceId", str)
+ProfileName = NewType("ProfileName", str)
+GuaranteeName = NewType("GuaranteeName", str)
+EndpointId = NewType("EndpointId", str)
+WorkerId = NewType("WorkerId", str)
+RackId = NewType("RackId", str)
+JobId = NewType("JobId", str)
+RequestId = NewType("RequestId", str)
+ChangeId = NewType("ChangeId", str)
+IdempotencyKey = NewType("IdempotencyKey", str)
+
+Seconds = NewType("Seconds", float)
+"""A duration, or a reading of one process's monotonic clock."""
+
+Version = NewType("Version", int)
+"""Sequence number of an accepted configuration change; the first is 1."""
+
+Epoch = NewType("Epoch", int)
+"""Fencing token of a data centre's lease; a later holder always has a greater one."""
+
+Attempt = NewType("Attempt", int)
+"""Number of a start of one job; the first is 1."""
+
+Term = NewType("Term", int)
+LogIndex = NewType("LogIndex", int)
+
+TaskId = NewType("TaskId", str)
+"""One task of one attempt of a job: ``job/attempt/number``."""
+
+InstanceName = NewType("InstanceName", str)
+"""Name of a place in the settings that successive incarnations of an instance fill."""
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/platform.py
@@ -0,0 +1,145 @@
+"""
+bulrushhollow_core.platform
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The protocol towards the worker platform of one data centre. The holder of the data centre's
+lease sends batches of orders with its epoch; the platform refuses an epoch lower than the highest
+it has seen and reports what changed since the caller's cursor. A worker whose lease runs out
+stops all its tasks by itself.
+"""
+
+from enum import Enum
+
+import msgspec
+
+from bulrushhollow_core.ids import Attempt, Epoch, JobId, RackId, TaskId, WorkerId
+from bulrushhollow_core.models import Resources
+
+
+class TaskState(Enum):
+    """State of a task on its worker."""
+
+    RUNNING = "running"
+    CHECKPOINTING = "checkpointing"
+    CHECKPOINTED = "checkpointed"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    REFUSED = "refused"
+
+
+FINAL_TASK_STATES = frozenset(
+    {
+        TaskState.CHECKPOINTED,
+        TaskState.SUCCEEDED,
+        TaskState.FAILED,
+        TaskState.STOPPED,
+        TaskState.REFUSED,
+    }
+)
+"""States in which a task holds nothing on its worker any more."""
+
+
+class StartTask(msgspec.Struct, frozen=True, tag="start"):
+    """
+    Start one task; repeating it for a task the worker knows changes nothing.
+
+    :param not_after: seconds from receipt after which the worker refuses to start it.
+    :param resume: start from the job's last checkpoint.
+    """
+
+    worker: WorkerId
+    task: TaskId
+    job: JobId
+    attempt: Attempt
+    resources: Resources
+    not_after: float
+    resume: bool = False
+    payload: str = ""
+
+
+class StopTask(msgspec.Struct, frozen=True, tag="stop"):
+    """Stop one task at once; a task the worker does not know is then never started."""
+
+    worker: WorkerId
+    task: TaskId
+
+
+class CheckpointTask(msgspec.Struct, frozen=True, tag="checkpoint"):
+    """Write a checkpoint of one task and end it; a failed checkpoint leaves it running."""
+
+    worker: WorkerId
+    task: TaskId
+
+
+class ThrottleTask(msgspec.Struct, frozen=True, tag="throttle"):
+    """
+    Limit the processor share of one task.
+
+    :param share: from 0 to 1; 1 lifts the limit.
+    """
+
+    worker: WorkerId
+    task: TaskId
+    share: float
+
+
+Order = StartTask | StopTask | CheckpointTask | ThrottleTask
+
+
+class TaskReport(msgspec.Struct, frozen=True):
+    """What a worker says of one task; final states are repeated until acknowledged."""
+
+    task: TaskId
+    state: TaskState
+    detail: str = ""
+
+
+class WorkerReport(msgspec.Struct, frozen=True):
+    """
+    What the platform says of one worker.
+
+    :param capacity: what the worker has in all.
+    :param used: measured use, some seconds old; never a basis for admission.
+    :param ready: False while the platform knows the worker to be down.
+    """
+
+    worker: WorkerId
+    rack: RackId
+    capacity: Resources
+    used: Resources
+    tasks: tuple[TaskReport, ...] = ()
+    ready: bool = True
+
+
+class PlatformCall(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """
+    One batch from the holder of the data centre's lease: ``POST /v1/sync`` with a JSON body.
+
+    :param epoch: fencing token of the holder.
+    :param lease: seconds for which the lease of every worker is renewed on receipt; 0 renews none.
+    :param since: cursor of the last answer; 0 asks for everything.
+    :param acknowledged: tasks whose final state the caller has recorded.
+    """
+
+    epoch: Epoch
+    lease: float = 0.0
+    orders: tuple[Order, ...] = ()
+    since: int = 0
+    acknowledged: tuple[TaskId, ...] = ()
+
+
+class PlatformAnswer(msgspec.Struct, frozen=True):
+    """
+    Answer to a :class:`PlatformCall`.
+
+    :param highest_epoch: highest epoch seen; the call had no effect if its own was lower.
+    :param fenced: whether the call was refused for its epoch.
+    :param cursor: to be passed as ``since`` next time.
+    :param workers: workers whose report changed since the caller's cursor.
+    """
+
+    highest_epoch: Epoch
+    fenced: bool
+    cursor: int
+    workers: tuple[WorkerReport, ...] = ()
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems outside the product; for development only."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the workspace; ``python -m tests`` runs them all."""
