Add the answer structs of the HTTP API

Cause: the daemon and the client both need typed answers for jobs, data centres, endpoints and instances. Change: bulrushhollow_core.answers. Structs only, nothing measured.

--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/answers.py
@@ -0,0 +1,168 @@
+"""
+bulrushhollow_core.answers
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What the HTTP API takes and gives beside changes and refusals: the submission of a job, the state
+of jobs, and the status of data centres, endpoints and instances.
+"""
+
+from enum import Enum
+
+import msgspec
+
+from bulrushhollow_core.ids import (
+    Attempt,
+    DataCentreId,
+    EndpointId,
+    Epoch,
+    InstanceId,
+    InstanceName,
+    JobId,
+    LogIndex,
+    ProfileName,
+    Term,
+    Version,
+    WorkspaceId,
+)
+from bulrushhollow_core.models import Drain, Isolation, Service
+from bulrushhollow_core.outcomes import Execution, Reason
+
+
+class SubmitRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """
+    Submission of a job: ``POST /v1/jobs``.
+
+    :param job_id: chosen by the caller; a resend with the same id finds the same job.
+    :param payload: passed to each task as it is.
+    :param data_centre: where to run it; None leaves the choice to the scheduler.
+    """
+
+    job_id: JobId
+    profile: ProfileName
+    payload: str = ""
+    data_centre: DataCentreId | None = None
+
+
+class JobStage(Enum):
+    """How far a job has come."""
+
+    QUEUED = "queued"
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+    ENDED = "ended"
+
+
+class JobEnd(Enum):
+    """How a job ended."""
+
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    UNKNOWN = "unknown"
+
+
+class JobAnswer(msgspec.Struct, frozen=True):
+    """
+    State of one job.
+
+    :param data_centre: where it is committed to run, once that is decided.
+    :param attempt: number of the latest start; 0 before the first.
+    :param end: how it ended; None while it has not.
+    :param reason: why it waits, or why it ended without success.
+    :param detail: one plain sentence for a person.
+    :param execution: whether any task of it ran.
+    """
+
+    job: JobId
+    state: JobStage
+    data_centre: DataCentreId | None = None
+    attempt: Attempt = Attempt(0)
+    end: JobEnd | None = None
+    reason: Reason | None = None
+    detail: str = ""
+    execution: Execution = Execution.NOT_RUN
+    profile: ProfileName = ProfileName("")
+    workspace: WorkspaceId = WorkspaceId("")
+
+
+class DataCentreStatus(msgspec.Struct, frozen=True):
+    """
+    State of one data centre as the answering instance knows it: ``GET /v1/datacentres``.
+
+    :param holder: instance that holds the data centre's lease; None if nobody is known to.
+    :param epoch: fencing token of that lease.
+    :param service: the accepted service state.
+    :param in_force: whether that state is known to be in force inside the data centre.
+    :param unreachable_for: seconds since the data centre was last heard; 0 while it is reachable.
+    """
+
+    id: DataCentreId
+    service: Service
+    drain: Drain = Drain.FINISH
+    isolation: Isolation = Isolation.HOLD
+    in_force: bool = False
+    holder: InstanceId | None = None
+    epoch: Epoch = Epoch(0)
+    workers: int = 0
+    accelerators: int = 0
+    accelerators_used: int = 0
+    jobs_queued: int = 0
+    jobs_running: int = 0
+    unreachable_for: float = 0.0
+    note: str = ""
+
+
+class EndpointStatus(msgspec.Struct, frozen=True):
+    """
+    State of one endpoint as the answering instance knows it: ``GET /v1/endpoints``.
+
+    :param service_name: what the endpoint serves.
+    :param service: whether operators have it in service.
+    :param leaving: whether the endpoint said that it wants no new work.
+    :param ejected: whether it is kept from new work for failing.
+    :param heard_ago: seconds since its last announcement; None if it never announced itself.
+    """
+
+    id: EndpointId
+    service: Service
+    service_name: str = ""
+    data_centre: DataCentreId | None = None
+    address: str = ""
+    slots: int = 0
+    slots_used: int = 0
+    connections: int = 0
+    leaving: bool = False
+    ejected: bool = False
+    heard_ago: float | None = None
+
+
+class InstanceStatus(msgspec.Struct, frozen=True):
+    """
+    State of the answering instance: ``GET /v1/status``.
+
+    :param leader: leader of the replicated log, if known.
+    :param configuration_version: version that is in force on this instance.
+    :param holds_lease: whether it holds its data centre's lease.
+    :param voter: whether it votes in the replicated log.
+    """
+
+    name: InstanceName
+    instance: InstanceId
+    data_centre: DataCentreId
+    ready: bool
+    leader: InstanceId | None = None
+    term: Term = Term(0)
+    committed: LogIndex = LogIndex(0)
+    applied: LogIndex = LogIndex(0)
+    configuration_version: Version = Version(0)
+    voter: bool = False
+    holds_lease: bool = False
+    epoch: Epoch = Epoch(0)
+    requests_queued: int = 0
+    requests_in_flight: int = 0
+    jobs_queued: int = 0
+    jobs_running: int = 0
+    peers_reachable: tuple[InstanceName, ...] = ()
+    peers_unreachable: tuple[InstanceName, ...] = ()
+    shutting_down: bool = False
