--- /dev/null
+++ b/standins/worker_platform.py
@@ -0,0 +1,321 @@
+"""
+standins.worker_platform
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+The stand-in worker platform of one data centre without its sockets: it takes calls with the
+present time and answers as ``bulrushhollow_core.platform`` lays down. Tests drive it directly.
+"""
+
+import random
+from collections import Counter
+
+import msgspec
+
+from bulrushhollow_core.ids import DataCentreId, Epoch, JobId, Seconds, TaskId, WorkerId
+from bulrushhollow_core.models import Rack
+from bulrushhollow_core.platform import (
+    CheckpointTask,
+    Order,
+    PlatformAnswer,
+    PlatformCall,
+    StartTask,
+    StopTask,
+    TaskState,
+    ThrottleTask,
+)
+from standins._worker import LIVE_STATES, NEVER, RunRecord, Task, Worker, read_payload
+
+FAILED_START_SECONDS = 0.05
+"""Seconds from a start to its failure on a worker that fails every start."""
+
+
+class PlatformTimings(msgspec.Struct, frozen=True):
+    """
+    How the platform behaves in time, all in seconds.
+
+    :param run_seconds: run of a task whose payload does not say.
+    :param run_jitter: from 0 to 1; each run differs by up to this fraction.
+    :param checkpoint_seconds: from the order to the written checkpoint.
+    :param usage_lag: age of the reported use.
+    :param start_delay: from the receipt of a start to the start.
+    """
+
+    run_seconds: float = 2.0
+    run_jitter: float = 0.0
+    checkpoint_seconds: float = 0.2
+    usage_lag: float = 3.0
+    start_delay: float = 0.0
+
+
+class AttemptCount(msgspec.Struct, frozen=True):
+    """How many tasks were started for one attempt of a job."""
+
+    job: JobId
+    attempt: int
+    starts: int
+
+
+class PlatformCounts(msgspec.Struct, frozen=True):
+    """
+    What the platform ran, for oracles.
+
+    :param starts_fenced: start orders refused because of a stale epoch.
+    :param last_start_at: time of the last start in the data centre; None before the first.
+    """
+
+    data_centre: DataCentreId
+    starts_by_task: dict[TaskId, int]
+    starts_by_attempt: tuple[AttemptCount, ...]
+    starts_fenced: int
+    calls_fenced: int
+    most_accelerators_by_worker: dict[WorkerId, int]
+    last_start_at: Seconds | None
+    running: int
+
+
+class WorkerPlatform:
+    """
+    Workers under leases in declared racks.
+
+    Usage::
+
+        platform = WorkerPlatform(DataCentreId("north"), racks, seed=1)
+        answer = platform.sync(PlatformCall(epoch=Epoch(1), lease=5.0), now)
+
+    :param racks: workers are named ``rack-number``, the first number being 1.
+    :param seed: of the jitter of run times.
+    """
+
+    def __init__(
+        self,
+        data_centre: DataCentreId,
+        racks: tuple[Rack, ...],
+        seed: int,
+        timings: PlatformTimings | None = None,
+    ) -> None:
+        """Start with every worker up, without a lease and without tasks."""
+        self.data_centre = data_centre
+        self.timings = timings or PlatformTimings()
+        self.checkpoints_fail = False
+        self.workers_by_id = {worker.id: worker for rack in racks for worker in _workers_of(rack)}
+        self.records: list[RunRecord] = []
+        self._random = random.Random(seed)
+        self._revision = 1
+        self._highest_epoch = Epoch(0)
+        self._progress_by_checkpoint: dict[tuple[JobId, str], float] = {}
+        self._calls_fenced = 0
+        self._starts_fenced = 0
+
+    def sync(self, call: PlatformCall, now: Seconds) -> PlatformAnswer:
+        """
+        Take one call: renew leases, carry out orders in their order, report what changed.
+
+        :return: the answer; ``fenced`` if the call had no effect because of its epoch.
+        """
+        self.advance(now)
+        if call.epoch < self._highest_epoch:
+            self._calls_fenced += 1
+            self._starts_fenced += sum(isinstance(order, StartTask) for order in call.orders)
+            return PlatformAnswer(self._highest_epoch, fenced=True, cursor=call.since)
+        self._highest_epoch = call.epoch
+        self._acknowledge(call.acknowledged)
+        self._renew_leases(call.lease, now)
+        for order in call.orders:
+            self._carry_out(order, call.epoch, now)
+        return self._answer(call.since, now)
+
+    def advance(self, now: Seconds) -> None:
+        """Let time pass: starts, ends, checkpoints and lapsed leases happen at their own time."""
+        for worker in self.workers_by_id.values():
+            while (at := worker.next_event_at()) <= now:
+                self._let_happen(worker, worker.next_task(), at)
+            self._note_use(worker, now)
+
+    def next_event_at(self) -> Seconds:
+        """Return when something happens without a call; infinity if nothing will."""
+        return min(
+            (worker.next_event_at() for worker in self.workers_by_id.values()), default=NEVER
+        )
+
+    def running(self) -> list[RunRecord]:
+        """Return the records of the tasks that hold resources now."""
+        return [
+            task.record
+            for worker in self.workers_by_id.values()
+            for task in worker.live_tasks()
+            if task.record is not None
+        ]
+
+    def counts(self) -> PlatformCounts:
+        """Return what ran since the start of the platform."""
+        attempts = Counter((record.job, record.attempt) for record in self.records)
+        return PlatformCounts(
+            data_centre=self.data_centre,
+            starts_by_task=dict(Counter(record.task for record in self.records)),
+            starts_by_attempt=tuple(
+                AttemptCount(job, attempt, starts) for (job, attempt), starts in attempts.items()
+            ),
+            starts_fenced=self._starts_fenced,
+            calls_fenced=self._calls_fenced,
+            most_accelerators_by_worker={
+                worker.id: worker.most_accelerators for worker in self.workers_by_id.values()
+            },
+            last_start_at=max((record.started_at for record in self.records), default=None),
+            running=len(self.running()),
+        )
+
+    def fail_starts(self, worker_id: WorkerId, failing: bool) -> None:
+        """Make every later start on a worker fail, or lift that."""
+        self.workers_by_id[worker_id].fails_starts = failing
+
+    def take_down(self, worker_id: WorkerId, now: Seconds) -> None:
+        """Crash a worker: its tasks end, and the platform reports it as not ready."""
+        self.advance(now)
+        worker = self.workers_by_id[worker_id]
+        worker.down = True
+        for task in worker.tasks_by_id.values():
+            if task.state is None:
+                worker.end(task, TaskState.REFUSED, now, "the worker went down")
+            elif task.state in LIVE_STATES:
+                worker.end(task, TaskState.FAILED, now, "the worker went down")
+        self._changed(worker)
+
+    def bring_up(self, worker_id: WorkerId, now: Seconds) -> None:
+        """Undo :meth:`take_down` and :meth:`silence`."""
+        self.advance(now)
+        worker = self.workers_by_id[worker_id]
+        worker.down = False
+        worker.frozen = None
+        self._changed(worker)
+
+    def silence(self, worker_id: WorkerId, now: Seconds) -> None:
+        """
+        Cut a worker off from the platform: its tasks run until its lease ends, orders to it are
+        lost, and the platform goes on repeating its last report.
+        """
+        self.advance(now)
+        worker = self.workers_by_id[worker_id]
+        worker.frozen = worker.report(now, Seconds(self.timings.usage_lag))
+
+    def _changed(self, worker: Worker) -> None:
+        self._revision += 1
+        worker.revision = self._revision
+
+    def _acknowledge(self, task_ids: tuple[TaskId, ...]) -> None:
+        for worker in self.workers_by_id.values():
+            for task_id in task_ids:
+                worker.acknowledge(task_id)
+
+    def _renew_leases(self, lease: float, now: Seconds) -> None:
+        if lease <= 0:
+            return
+        for worker in self.workers_by_id.values():
+            if not worker.down and worker.frozen is None:
+                worker.lease_until = Seconds(max(worker.lease_until, now + lease))
+
+    def _carry_out(self, order: Order, epoch: Epoch, now: Seconds) -> None:
+        worker = self.workers_by_id.get(order.worker)
+        if worker is None or worker.frozen is not None:
+            return
+        task = worker.recall(order.task)
+        if isinstance(order, StartTask):
+            if task is None:
+                self._receive_start(worker, order, epoch, now)
+        elif isinstance(order, StopTask):
+            self._stop(worker, task, order.task, now)
+        elif task is not None and task.state in LIVE_STATES:
+            self._change_live(task, order, now)
+        self._changed(worker)
+
+    def _receive_start(self, worker: Worker, order: StartTask, epoch: Epoch, now: Seconds) -> None:
+        payload = read_payload(order.payload)
+        jitter = 1.0 + self.timings.run_jitter * self._random.uniform(-1.0, 1.0)
+        task = Task(
+            id=order.task,
+            state=None,
+            order=order,
+            epoch=epoch,
+            received_at=now,
+            starts_at=Seconds(now + self.timings.start_delay),
+            run_seconds=payload.run_seconds or self.timings.run_seconds * jitter,
+            fails=payload.fail,
+        )
+        if order.resume:
+            task.progress = self._progress_by_checkpoint.get(_checkpoint_key(task), 0.0)
+        worker.tasks_by_id[order.task] = task
+        if task.starts_at <= now:
+            self._start(worker, task, now)
+
+    def _start(self, worker: Worker, task: Task, at: Seconds) -> None:
+        if worker.fails_starts:
+            task.run_seconds = task.progress + FAILED_START_SECONDS
+            task.fails = True
+        record = worker.start(task, at)
+        if record is not None:
+            self.records.append(record)
+
+    def _stop(self, worker: Worker, task: Task | None, task_id: TaskId, now: Seconds) -> None:
+        if task is None:
+            worker.tasks_by_id[task_id] = Task(task_id, TaskState.STOPPED, detail="never started")
+        elif task.state is None or task.state in LIVE_STATES:
+            worker.end(task, TaskState.STOPPED, now, "stopped by order")
+
+    def _change_live(self, task: Task, order: CheckpointTask | ThrottleTask, now: Seconds) -> None:
+        if isinstance(order, ThrottleTask):
+            task.throttle(order.share, now)
+        elif task.state is TaskState.RUNNING:
+            task.state = TaskState.CHECKPOINTING
+            task.checkpoint_at = Seconds(now + self.timings.checkpoint_seconds)
+
+    def _let_happen(self, worker: Worker, task: Task, at: Seconds) -> None:
+        if task.state is None:
+            self._start(worker, task, at)
+        elif worker.lease_until <= at:
+            worker.end(task, TaskState.STOPPED, at, "the lease ran out")
+        elif task.checkpoint_at <= at:
+            self._finish_checkpoint(worker, task, at)
+        elif task.fails:
+            worker.end(task, TaskState.FAILED, at, "the task failed")
+        else:
+            worker.end(task, TaskState.SUCCEEDED, at)
+        self._changed(worker)
+
+    def _finish_checkpoint(self, worker: Worker, task: Task, at: Seconds) -> None:
+        task.checkpoint_at = NEVER
+        if self.checkpoints_fail:
+            task.state = TaskState.RUNNING
+            task.detail = "the checkpoint failed"
+            return
+        self._progress_by_checkpoint[_checkpoint_key(task)] = task.progress_until(at)
+        worker.end(task, TaskState.CHECKPOINTED, at)
+
+    def _note_use(self, worker: Worker, now: Seconds) -> None:
+        used = worker.used_at(Seconds(now - self.timings.usage_lag))
+        if used != worker.reported_use:
+            worker.reported_use = used
+            self._changed(worker)
+
+    def _answer(self, since: int, now: Seconds) -> PlatformAnswer:
+        lag = Seconds(self.timings.usage_lag)
+        everything = since <= 0 or since > self._revision
+        return PlatformAnswer(
+            highest_epoch=self._highest_epoch,
+            fenced=False,
+            cursor=self._revision,
+            workers=tuple(
+                worker.report(now, lag)
+                for worker in self.workers_by_id.values()
+                if everything or worker.revision > since or worker.has_ended_tasks()
+            ),
+        )
+
+
+def _workers_of(rack: Rack) -> list[Worker]:
+    names = [WorkerId(f"{rack.id}-{number}") for number in range(1, rack.workers + 1)]
+    return [Worker(name, rack.id, rack.per_worker, revision=1) for name in names]
+
+
+def _checkpoint_key(task: Task) -> tuple[JobId, str]:
+    """Checkpoints belong to the job and the number of the task, whatever the attempt."""
+    assert task.order is not None
+    return task.order.job, task.id.rsplit("/", 1)[-1]
