--- /dev/null
+++ b/packages/client/src/bulrushhollow/models.py
@@ -0,0 +1,140 @@
+"""
+bulrushhollow.models
+~~~~~~~~~~~~~~~~~~~~
+
+What the client library sends and gives back. The structs of jobs, status and configuration are
+those of ``bulrushhollow_core``; only the answer to a request is the client's own.
+"""
+
+from typing import Any
+
+import msgspec
+
+from bulrushhollow.exceptions import WorkFailedError
+from bulrushhollow_core.answers import (
+    DataCentreStatus,
+    EndpointStatus,
+    InstanceStatus,
+    JobAnswer,
+    JobEnd,
+    JobStage,
+    SubmitRequest,
+)
+from bulrushhollow_core.changes import (
+    ChangeAccepted,
+    ChangeConfiguration,
+    Edit,
+    PutDataCentre,
+    PutProfile,
+    PutWorkspace,
+    RemoveProfile,
+    RemoveWorkspace,
+    SetDataCentreService,
+    SetEndpointService,
+)
+from bulrushhollow_core.models import (
+    Adjacency,
+    Configuration,
+    DataCentre,
+    Drain,
+    Guarantee,
+    Isolation,
+    Profile,
+    Rack,
+    Resources,
+    Service,
+    Shape,
+    Urgency,
+    WorkKind,
+    Workspace,
+)
+from bulrushhollow_core.outcomes import Execution, Reason, Refusal
+
+FIRST_ERROR_STATUS = 400
+"""Lowest HTTP status by which an endpoint says that a request failed."""
+
+
+class Header(msgspec.Struct, frozen=True):
+    """One header of an answer; the name is in lower case."""
+
+    name: str
+    value: str
+
+
+class Response(msgspec.Struct, frozen=True):
+    """
+    The whole answer of an endpoint to one request, which ran.
+
+    :param status_code: HTTP status of the endpoint.
+    :param content: the body.
+    :param request_id: id under which the entry instance ran the request.
+    """
+
+    status_code: int
+    content: bytes
+    request_id: str = ""
+    headers: tuple[Header, ...] = ()
+
+    @property
+    def ok(self) -> bool:
+        """Whether the endpoint answered with a status below 400."""
+        return self.status_code < FIRST_ERROR_STATUS
+
+    @property
+    def text(self) -> str:
+        """The body as text."""
+        return self.content.decode("utf-8", errors="replace")
+
+    def json(self) -> Any:
+        """
+        Return the body decoded from JSON.
+
+        :raises msgspec.DecodeError: if it is not JSON.
+        """
+        return msgspec.json.decode(self.content)
+
+    def raise_for_status(self) -> None:
+        """:raises WorkFailedError: if the endpoint answered with a status from 400 on."""
+        if not self.ok:
+            detail = f"the endpoint answered with status {self.status_code}"
+            raise WorkFailedError(Refusal(Reason.ENDPOINT_FAILED, detail, Execution.RAN))
+
+
+__all__ = [
+    "Adjacency",
+    "ChangeAccepted",
+    "ChangeConfiguration",
+    "Configuration",
+    "DataCentre",
+    "DataCentreStatus",
+    "Drain",
+    "Edit",
+    "EndpointStatus",
+    "Execution",
+    "Guarantee",
+    "Header",
+    "InstanceStatus",
+    "Isolation",
+    "JobAnswer",
+    "JobEnd",
+    "JobStage",
+    "Profile",
+    "PutDataCentre",
+    "PutProfile",
+    "PutWorkspace",
+    "Rack",
+    "Reason",
+    "Refusal",
+    "RemoveProfile",
+    "RemoveWorkspace",
+    "Resources",
+    "Response",
+    "Service",
+    "SetDataCentreService",
+    "SetEndpointService",
+    "Shape",
+    "SubmitRequest",
+    "Urgency",
+    "WorkKind",
+    "Workspace",
+]
