--- /dev/null
+++ b/standins/_endpoint.py
@@ -0,0 +1,150 @@
+"""
+standins._endpoint
+~~~~~~~~~~~~~~~~~~
+
+The runs of a stand-in endpoint: bounded slots, faults, and counts for oracles.
+"""
+
+import random
+import time
+
+import anyio
+import msgspec
+
+from bulrushhollow_core.endpoints import NOT_RUN_HEADER, REQUEST_ID_HEADER, RUN_PATH
+from standins._http import Exchange, Reply
+
+MARKER_BYTES = 36
+"""The first bytes of a body by which runs are counted."""
+
+ANSWER_PREFIX = b"done "
+"""A good answer is this and the request's body."""
+
+OTHER_REQUEST_ID = "another-request"
+"""Request id of a crossed answer when there was no earlier request."""
+
+
+class EndpointControl(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """
+    How the endpoint behaves: ``POST /control`` replaces the whole of it.
+
+    :param slow: seconds that a run takes.
+    :param jitter: seconds by which a run may take longer.
+    :param fail_rate: share of runs that end with status 500.
+    :param refuse: answer 503 without running anything.
+    :param late: seconds from the end of a run to its answer.
+    :param crossed: answer with the id and the body of an earlier request.
+    :param cut: send only half of each answer and close.
+    :param malformed: leave out the request id.
+    :param leaving: announce that no new work is wanted.
+    :param silent: announce nothing.
+    """
+
+    slow: float = 0.0
+    jitter: float = 0.0
+    fail_rate: float = 0.0
+    refuse: bool = False
+    late: float = 0.0
+    crossed: bool = False
+    cut: bool = False
+    malformed: bool = False
+    leaving: bool = False
+    silent: bool = False
+
+
+class EndpointCounts(msgspec.Struct, frozen=True):
+    """
+    What the endpoint ran: ``GET /counts``.
+
+    :param runs_by_marker: runs by the first bytes of the request's body.
+    :param refused_full: requests that came while every slot was taken.
+    :param last_run_at: reading of the monotonic clock at the last run; None before the first.
+    """
+
+    runs_by_marker: dict[str, int]
+    runs: int
+    refused: int
+    refused_full: int
+    most_slots: int
+    most_connections: int
+    last_run_at: float | None
+
+
+class Endpoint:
+    """
+    Runs requests in a bounded number of slots.
+
+    :param seed: of the jitter and of the runs that fail.
+    """
+
+    def __init__(self, slots: int, seed: int, control: EndpointControl) -> None:
+        """Start with every slot free."""
+        self.slots = slots
+        self.control = control
+        self.in_flight = 0
+        self._runs_by_marker: dict[str, int] = {}
+        self._refused = 0
+        self._refused_full = 0
+        self._most_slots = 0
+        self._most_connections = 0
+        self._last_run_at: float | None = None
+        self._earlier = Exchange("POST", RUN_PATH, {REQUEST_ID_HEADER: OTHER_REQUEST_ID}, b"")
+        self._random = random.Random(seed)
+
+    def note_connections(self, count: int) -> None:
+        """Remember the greatest number of open connections."""
+        self._most_connections = max(self._most_connections, count)
+
+    async def run(self, exchange: Exchange) -> Reply:
+        """Run one request, or refuse it."""
+        if self.control.refuse:
+            self._refused += 1
+            return self._refusal(exchange)
+        if self.in_flight >= self.slots:
+            self._refused_full += 1
+            return self._refusal(exchange)
+        self.in_flight += 1
+        try:
+            return await self._run_in_slot(exchange)
+        finally:
+            self.in_flight -= 1
+
+    async def _run_in_slot(self, exchange: Exchange) -> Reply:
+        control = self.control
+        self._most_slots = max(self._most_slots, self.in_flight)
+        marker = exchange.body[:MARKER_BYTES].decode("latin-1")
+        self._runs_by_marker[marker] = self._runs_by_marker.get(marker, 0) + 1
+        self._last_run_at = time.monotonic()
+        earlier, self._earlier = self._earlier, exchange
+        failed = self._random.random() < control.fail_rate
+        await anyio.sleep(control.slow + control.jitter * self._random.random())
+        await anyio.sleep(control.late)
+        return self._answer(earlier if control.crossed else exchange, control, failed)
+
+    def _answer(self, exchange: Exchange, control: EndpointControl, failed: bool) -> Reply:
+        body = b"failed" if failed else ANSWER_PREFIX + exchange.body
+        return Reply(
+            status=500 if failed else 200,
+            body=body,
+            headers_by_name={} if control.malformed else _id_header(exchange),
+            sent=len(body) // 2 if control.cut else None,
+        )
+
+    def _refusal(self, exchange: Exchange) -> Reply:
+        return Reply(503, b"", {**_id_header(exchange), NOT_RUN_HEADER: "true"})
+
+    def counts(self) -> EndpointCounts:
+        """Return what ran since the start."""
+        return EndpointCounts(
+            runs_by_marker=dict(self._runs_by_marker),
+            runs=sum(self._runs_by_marker.values()),
+            refused=self._refused,
+            refused_full=self._refused_full,
+            most_slots=self._most_slots,
+            most_connections=self._most_connections,
+            last_run_at=self._last_run_at,
+        )
+
+
+def _id_header(exchange: Exchange) -> dict[str, str]:
+    return {REQUEST_ID_HEADER: exchange.headers_by_name.get(REQUEST_ID_HEADER, "")}
--- /dev/null
+++ b/standins/endpoint.py
@@ -0,0 +1,154 @@
+"""
+standins.endpoint
+~~~~~~~~~~~~~~~~~
+
+A stand-in endpoint: it announces itself, runs requests in its slots, misbehaves when told to,
+and counts what it ran.
+
+Usage::
+
+    python -m standins.endpoint --listen 127.0.0.1:0 --announce-to http://127.0.0.1:8000 \\
+        --id e1 --data-centre north --service orders --slots 8
+"""
+
+import argparse
+import sys
+import time
+
+import anyio
+
+from bulrushhollow_core.endpoints import (
+    RUN_PATH,
+    Announcement,
+)
+from bulrushhollow_core.ids import DataCentreId, EndpointId
+from standins._announcer import Announcer
+from standins._endpoint import Endpoint, EndpointControl
+from standins._http import (
+    Exchange,
+    Reply,
+    Server,
+    announce,
+    json_reply,
+    read_json,
+    split_addresses,
+    wait_for_stop_signal,
+)
+
+
+class EndpointService:
+    """
+    The endpoint as a process: its server, its announcements and its orderly end.
+
+    :param leave_seconds: for how long requests are still run after it said that it leaves.
+    """
+
+    def __init__(self, endpoint: Endpoint, listen: str, leave_seconds: float) -> None:
+        """Bind the socket."""
+        self._endpoint = endpoint
+        self._leave_seconds = leave_seconds
+        self._leaving = False
+        self.server = Server(self.handle, listen)
+
+    async def handle(self, exchange: Exchange) -> Reply:
+        """Answer one call."""
+        self._endpoint.note_connections(self.server.open_connections)
+        if exchange.path == RUN_PATH:
+            return await self._endpoint.run(exchange)
+        if exchange.path == "/control":
+            control = read_json(exchange, EndpointControl)
+            if isinstance(control, Reply):
+                return control
+            self._endpoint.control = control
+            return Reply(204)
+        if exchange.path == "/counts":
+            return json_reply(self._endpoint.counts())
+        return Reply(404)
+
+    async def serve(self, announcer: Announcer) -> None:
+        """Serve until the first stop signal, then say so, finish and return."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._keep_announcing, announcer)
+            tasks.start_soon(self._leave_on_signal, announcer)
+            await self.server.run_until_stopped()
+            tasks.cancel_scope.cancel()
+        await announcer.close()
+
+    async def _leave_on_signal(self, announcer: Announcer) -> None:
+        await wait_for_stop_signal()
+        self._leaving = True
+        await announcer.announce_to_all(leaving=True)
+        await anyio.sleep(self._leave_seconds)
+        self.server.stop()
+
+    async def _keep_announcing(self, announcer: Announcer) -> None:
+        while True:
+            if not self._endpoint.control.silent:
+                leaving = self._leaving or self._endpoint.control.leaving
+                await announcer.announce_to_next(leaving)
+            await anyio.sleep(announcer.interval)
+
+
+def parse_options(arguments: list[str]) -> argparse.Namespace:
+    """Read the command line."""
+    parser = argparse.ArgumentParser(prog="python -m standins.endpoint")
+    parser.add_argument("--listen", default="127.0.0.1:0")
+    parser.add_argument("--announce-to", required=True, help="base addresses, split by commas")
+    parser.add_argument("--id", required=True)
+    parser.add_argument("--data-centre", default="north")
+    parser.add_argument("--service", default="orders")
+    parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--connections", type=int, default=64)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--slow-ms", type=float, default=0.0)
+    parser.add_argument("--jitter-ms", type=float, default=0.0)
+    parser.add_argument("--fail-rate", type=float, default=0.0)
+    parser.add_argument("--late-ms", type=float, default=0.0)
+    parser.add_argument("--leave-seconds", type=float, default=3.0)
+    for flag in ("refuse", "crossed", "cut", "malformed", "leaving", "silent"):
+        parser.add_argument(f"--{flag}", action="store_true")
+    return parser.parse_args(arguments)
+
+
+def read_control(options: argparse.Namespace) -> EndpointControl:
+    """Take the behaviour from the command line."""
+    return EndpointControl(
+        slow=options.slow_ms / 1000,
+        jitter=options.jitter_ms / 1000,
+        fail_rate=options.fail_rate,
+        refuse=options.refuse,
+        late=options.late_ms / 1000,
+        crossed=options.crossed,
+        cut=options.cut,
+        malformed=options.malformed,
+        leaving=options.leaving,
+        silent=options.silent,
+    )
+
+
+async def serve(options: argparse.Namespace) -> None:
+    """Serve until the first stop signal."""
+    endpoint = Endpoint(options.slots, options.seed, read_control(options))
+    service = EndpointService(endpoint, options.listen, options.leave_seconds)
+    announcement = Announcement(
+        endpoint=EndpointId(options.id),
+        data_centre=DataCentreId(options.data_centre),
+        incarnation=time.time_ns(),
+        sequence=0,
+        address=service.server.address,
+        service=options.service,
+        slots=options.slots,
+        connections=options.connections,
+    )
+    announce("endpoint", service.server.address)
+    await service.serve(Announcer(announcement, tuple(split_addresses(options.announce_to))))
+
+
+def main(arguments: list[str]) -> int:
+    """Run the endpoint until it is told to stop."""
+    anyio.run(serve, parse_options(arguments))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
