--- /dev/null
+++ b/packages/client/src/bulrushhollow/_cli/__init__.py
@@ -0,0 +1,6 @@
+"""
+bulrushhollow._cli
+~~~~~~~~~~~~~~~~~~
+
+The subcommands of the ``bulrushhollow`` command.
+"""
--- a/packages/client/src/bulrushhollow/sessions.py
+++ b/packages/client/src/bulrushhollow/sessions.py
@@ -10,15 +10,16 @@
 from collections.abc import AsyncIterator, Callable, Sequence
 from types import TracebackType
 from typing import Self, TypeVar
-from urllib.parse import quote, urlsplit
+from urllib.parse import quote
 
 import anyio
 import msgspec
 
 from bulrushhollow import exceptions
 from bulrushhollow._answers import read_failure, read_response, read_struct
+from bulrushhollow._checks import DEFAULT_ENTRY, check_deadline, check_header, checked_entry
 from bulrushhollow._retries import MOST_ATTEMPTS, RETRY_PAUSE, Repeat, may_repeat, merge
-from bulrushhollow.adapters import Adapter, Call, HttpAdapter, TransportFailure, WholeAnswer
+from bulrushhollow.adapters import Adapter, Call, TransportFailure, WholeAnswer
 from bulrushhollow.models import Header, Response
 from bulrushhollow_core.answers import (
     DataCentreStatus,
@@ -41,9 +42,6 @@
 from bulrushhollow_core.models import Configuration
 from bulrushhollow_core.outcomes import Execution, Reason, Refusal
 
-DEFAULT_ENTRY = "http://127.0.0.1:8000"
-"""Address of an entry instance on the same machine."""
-
 API_TIMEOUT = 15.0
 """Seconds to wait for the answer to anything but a request, over all entry instances."""
 
@@ -78,8 +76,8 @@
 
     def __init__(self, entries: Sequence[str] = (), adapter: Adapter | None = None) -> None:
         """Check the addresses; connect to nothing yet."""
-        self.entries = tuple(_checked_entry(entry) for entry in entries or (DEFAULT_ENTRY,))
-        self.adapter = adapter or HttpAdapter()
+        self.entries = tuple(checked_entry(entry) for entry in entries or (DEFAULT_ENTRY,))
+        self.adapter = adapter or _default_adapter()
         self._turn = itertools.count()
 
     async def __aenter__(self) -> Self:
@@ -118,6 +116,7 @@
             again.
         :param deadline: seconds to wait; the profile's own deadline if that is shorter.
         :param headers: passed on, such as a trace context.
+        :raises InvalidCallError: if a header or the deadline cannot be sent.
         :raises RefusedError: if the work did not run.
         :raises OutcomeUnknownError: if the work may have run.
         """
@@ -125,7 +124,10 @@
         if idempotency_key is not None:
             extra.append(Header(IDEMPOTENCY_KEY_HEADER, IdempotencyKey(idempotency_key)))
         if deadline is not None:
+            check_deadline(deadline)
             extra.append(Header(DEADLINE_HEADER, f"{deadline:g}"))
+        for header in extra:
+            check_header(header)
         timeout = (deadline or DEFAULT_REQUEST_TIMEOUT) + DEADLINE_MARGIN
         harmless = idempotent or idempotency_key is not None
         return await self._carry(
@@ -288,6 +290,13 @@
         return attempts_left and in_time and may_repeat(last, repeat)
 
 
+def _default_adapter() -> Adapter:
+    """Import httpcore only where it is used; it takes longer than everything else here."""
+    from bulrushhollow.http import HttpAdapter
+
+    return HttpAdapter()
+
+
 def _exception_of(outcome: Refusal) -> exceptions.BulrushhollowError:
     never_connected = outcome.reason is Reason.INSTANCE_LOST
     if never_connected and outcome.execution is Execution.NOT_RUN:
@@ -301,15 +310,3 @@
 
 def _job_path(job_id: str) -> str:
     return f"/v1/jobs/{quote(job_id, safe='')}"
-
-
-def _checked_entry(entry: str) -> str:
-    try:
-        parts = urlsplit(entry)
-        valid = parts.scheme == "http" and bool(parts.hostname) and (parts.port or 80) > 0
-    except ValueError:
-        valid = False
-    if not valid or parts.path not in ("", "/") or parts.query:
-        detail = f"entry {entry!r} is not an address such as {DEFAULT_ENTRY}"
-        raise exceptions.InvalidCallError(Refusal(Reason.INVALID, detail))
-    return f"http://{parts.netloc}"
--- a/tests/test_client_sessions.py
+++ b/tests/test_client_sessions.py
@@ -1,5 +1,7 @@
+import math
 import unittest
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import TypeVar
 
 import anyio
@@ -7,45 +9,18 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 from bulrushhollow import exceptions
-from bulrushhollow.adapters import Call, HttpAdapter, TransportFailure, WholeAnswer
+from bulrushhollow.adapters import Call, TransportFailure, WholeAnswer
+from bulrushhollow.http import HttpAdapter
 from bulrushhollow.models import Header, Response
 from bulrushhollow.sessions import Session
 from bulrushhollow_core.answers import JobAnswer, JobStage
 from bulrushhollow_core.changes import ChangeAccepted, ChangeConfiguration, RemoveProfile
 from bulrushhollow_core.ids import JobId, ProfileName, Version
-from bulrushhollow_core.outcomes import Execution, Reason, Refusal
+from bulrushhollow_core.outcomes import Execution, Reason
+from tests.client_fakes import LOST, NOT_CONNECTED, RAN, FakeAdapter, Step, answered, refused
 
 FIRST, SECOND = "http://10.0.0.1:80", "http://10.0.0.2:80"
-NOT_CONNECTED = TransportFailure(Execution.NOT_RUN, "no route")
-LOST = TransportFailure(Execution.UNKNOWN, "cut")
-RAN = WholeAnswer(200, (Header("execution", "ran"), Header("request-id", "r1")), b"whole")
-
 T = TypeVar("T")
-Step = WholeAnswer | TransportFailure
-
-
-def refused(reason: Reason, execution: Execution = Execution.NOT_RUN) -> WholeAnswer:
-    body = msgspec.json.encode(Refusal(reason, "because", execution))
-    return WholeAnswer(503, (Header("execution", execution.value),), body)
-
-
-def answered(value: msgspec.Struct) -> WholeAnswer:
-    return WholeAnswer(200, (), msgspec.json.encode(value))
-
-
-class FakeAdapter:
-    """Answers calls with the steps it was given, in their order."""
-
-    def __init__(self, *steps: Step) -> None:
-        self.steps = list(steps)
-        self.calls: list[Call] = []
-
-    async def send(self, call: Call) -> WholeAnswer | TransportFailure:
-        self.calls.append(call)
-        return self.steps.pop(0)
-
-    async def close(self) -> None:
-        self.steps.clear()
 
 
 def carry(
@@ -161,7 +136,14 @@
         self.assertEqual("/v1/jobs/a%2Fb", adapter.calls[2].path)
 
 
-class AddressTest(unittest.TestCase):
+class InvalidCallTest(unittest.TestCase):
+    def test_values_that_cannot_be_sent_are_refused_before_anything_is_sent(self) -> None:
+        adapter = FakeAdapter()
+        for options in ({"idempotency_key": "a\nb"}, {"deadline": 0.0}, {"deadline": math.nan}):
+            with self.subTest(options), self.assertRaises(exceptions.InvalidCallError):
+                carry(adapter, partial(Session.request, profile="p", **options), (FIRST,))
+        self.assertEqual([], adapter.calls)
+
     def test_wrong_addresses_are_refused_before_anything_is_sent(self) -> None:
         for entry in ("", "10.0.0.1:80", "ftp://x", "http://h:99999", "http://h/path"):
             with self.subTest(entry), self.assertRaises(exceptions.InvalidCallError):
