Add the configuration ledger and the data-centre lease

Operators' changes and the authority to start work had types only. This adds the ledger with compare-and-set, change ids and validity checks, the packing check of guarantees, the rollout tracker, and the lease of a data centre with its witness vote, service switch and take-out answers.

--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/authority/__init__.py
@@ -0,0 +1,70 @@
+"""
+bulrushhollow_core.authority
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The lease of one data centre, which is the authority to start work there, and the service switch
+that its holder obeys.
+"""
+
+from bulrushhollow_core.authority._authority import Authority
+from bulrushhollow_core.authority._messages import (
+    AuthorityAsk,
+    AuthorityDenial,
+    AuthorityGrant,
+    AuthorityMessage,
+    AuthorityRelease,
+    LocalOrder,
+    WitnessAsk,
+    WitnessDenial,
+    WitnessGrant,
+    WitnessRelease,
+)
+from bulrushhollow_core.authority._outlook import (
+    InForceEverywhere,
+    InForceInside,
+    InForceLater,
+    NotYetInForce,
+    NotYetKnown,
+    Outlook,
+    describe_out,
+)
+from bulrushhollow_core.authority._status import AuthorityState, AuthorityStatus, Held
+from bulrushhollow_core.authority._switch import ServiceInForce, ServiceSwitch
+from bulrushhollow_core.authority._timing import (
+    HOLD_LIMIT,
+    ISOLATION_LIMIT,
+    QUORUM_AGE_LIMIT,
+    AuthorityTiming,
+)
+from bulrushhollow_core.authority._witness import Witness
+
+__all__ = [
+    "HOLD_LIMIT",
+    "ISOLATION_LIMIT",
+    "QUORUM_AGE_LIMIT",
+    "Authority",
+    "AuthorityAsk",
+    "AuthorityDenial",
+    "AuthorityGrant",
+    "AuthorityMessage",
+    "AuthorityRelease",
+    "AuthorityState",
+    "AuthorityStatus",
+    "AuthorityTiming",
+    "Held",
+    "InForceEverywhere",
+    "InForceInside",
+    "InForceLater",
+    "LocalOrder",
+    "NotYetInForce",
+    "NotYetKnown",
+    "Outlook",
+    "ServiceInForce",
+    "ServiceSwitch",
+    "Witness",
+    "WitnessAsk",
+    "WitnessDenial",
+    "WitnessGrant",
+    "WitnessRelease",
+    "describe_out",
+]
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/authority/_authority.py
@@ -0,0 +1,403 @@
+"""
+bulrushhollow_core.authority._authority
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The lease of one data centre as one of its instances sees it: voter, candidate and holder.
+"""
+
+import random
+
+import msgspec
+
+from bulrushhollow_core.actions import Send
+from bulrushhollow_core.authority._ballot import WITNESS, Ballot, majority
+from bulrushhollow_core.authority._candidacy import Candidacy, next_epoch
+from bulrushhollow_core.authority._messages import (
+    AuthorityAsk,
+    AuthorityDenial,
+    AuthorityGrant,
+    AuthorityRelease,
+    WitnessAsk,
+    WitnessDenial,
+    WitnessGrant,
+    WitnessRelease,
+)
+from bulrushhollow_core.authority._status import AuthorityState, AuthorityStatus, Held
+from bulrushhollow_core.authority._switch import ServiceSwitch
+from bulrushhollow_core.authority._timing import JITTER, AuthorityTiming
+from bulrushhollow_core.authority._voter import Voter
+from bulrushhollow_core.authority._witness import Witness
+from bulrushhollow_core.configuration import VersionHistory
+from bulrushhollow_core.ids import (
+    DataCentreId,
+    Epoch,
+    InstanceId,
+    InstanceName,
+    Seconds,
+    Version,
+    name_of,
+)
+
+Actions = list[msgspec.Struct]
+
+
+class Authority:
+    """
+    Authority to start work in one data centre: at most one instance holds it at any time.
+
+    Usage::
+
+        >>> authority = Authority(me, data_centre, members, rng, now)
+        >>> actions = authority.tick(now)
+        >>> held = authority.held(now)
+
+    :param me: this incarnation.
+    :param members: names of the data centre's own instances, this one among them.
+    :param timing: alike on every instance.
+    :param switch: take-outs given inside the data centre travel with the votes.
+    :param witness: this instance's own witness, asked when this instance leads the log itself.
+    """
+
+    def __init__(
+        self,
+        me: InstanceId,
+        data_centre: DataCentreId,
+        members: frozenset[InstanceName],
+        rng: random.Random,
+        now: Seconds,
+        timing: AuthorityTiming | None = None,
+        switch: ServiceSwitch | None = None,
+        witness: Witness | None = None,
+    ) -> None:
+        self._me = me
+        self._data_centre = data_centre
+        self._members = members
+        self._rng = rng
+        self._timing = timing or AuthorityTiming()
+        self._switch = switch
+        self._witness = witness
+        self._needed = majority(members)
+        self._has_witness = len(members) % 2 == 0
+        self._ready_at = Seconds(now + self._timing.promise)
+        self._voter = Voter(self._timing, self._ready_at)
+        self._instance_by_name: dict[InstanceName, InstanceId] = {}
+        self._leader: InstanceId | None = None
+        self._history = VersionHistory()
+        self._floor = Epoch(0)
+        self._candidacy: Candidacy | None = None
+        self._lease: Ballot | None = None
+        self._renewed_at = now
+        self._retired = False
+        self._known_holder: InstanceId | None = None
+        self._known_until = now
+        self._stand_at = self._jittered(self._ready_at)
+
+    # What the rest of the instance asks.
+
+    def held(self, now: Seconds) -> Held | None:
+        """
+        Tell whether this instance holds the lease.
+
+        :return: None as soon as the lease may have lapsed, also after a pause of the process.
+        """
+        if self._lease is None:
+            return None
+        since = self._lease.carried_since()
+        if since is None or now >= since + self._timing.lease:
+            return None
+        return Held(self._lease.epoch, Seconds(since + self._timing.lease))
+
+    def holder(self, now: Seconds) -> InstanceId | None:
+        """Return who holds the lease as far as this instance knows."""
+        if self.held(now) is not None:
+            return self._me
+        return self._known_holder if now < self._known_until else None
+
+    def status(self, now: Seconds) -> AuthorityStatus:
+        """Describe the state of the lease for an operator."""
+        held = self.held(now)
+        epoch = Epoch(max(self._voter.highest, self._floor))
+        if held is None or self._lease is None:
+            return AuthorityStatus(self._state(now), self.holder(now), epoch)
+        last_round = Seconds(self._renewed_at - self._timing.renew)
+        voters = self._lease.voters_since(last_round)
+        return AuthorityStatus(
+            AuthorityState.HOLDING,
+            self._me,
+            epoch,
+            Seconds(held.until - now),
+            tuple(sorted(voters - {WITNESS})),
+            WITNESS in voters,
+        )
+
+    # What the rest of the instance tells.
+
+    def connected(self, instance: InstanceId) -> None:
+        """Note which incarnation now fills a member's place."""
+        name = name_of(instance)
+        if name in self._members and instance != self._me:
+            self._instance_by_name[name] = instance
+
+    def disconnected(self, instance: InstanceId) -> None:
+        """Note that messages can't reach an incarnation."""
+        if self._instance_by_name.get(name_of(instance)) == instance:
+            del self._instance_by_name[name_of(instance)]
+
+    def set_log_leader(self, leader: InstanceId | None) -> None:
+        """Note which instance leads the replicated log and so may vote as the witness."""
+        self._leader = leader
+
+    def configuration_applied(self, version: Version, now: Seconds) -> None:
+        """
+        Note the configuration in force here. No vote goes to a candidate with an older one, and
+        after a lease time no renewal to a holder with an older one.
+        """
+        self._history.note(version, now)
+
+    def raise_floor(self, epoch: Epoch, now: Seconds) -> None:
+        """
+        Note an epoch that was used, as told by the platform or by the replicated log. A holder
+        whose own epoch is lower holds the lease no more and stands again at once.
+        """
+        self._floor = Epoch(max(self._floor, epoch))
+        self._voter.note(epoch)
+        if self._lease is not None and epoch > self._lease.epoch:
+            self._lease = None
+            self._stand_at = now
+
+    def renew(self, now: Seconds) -> Actions:
+        """Renew the lease before it is due, so that a local order reaches the members at once."""
+        if self.held(now) is None or self._candidacy is not None:
+            return []
+        return self._renew(now)
+
+    def release(self, now: Seconds) -> Actions:
+        """
+        Hand the lease over before a planned stop. This instance goes on to vote, and never stands
+        again.
+        """
+        self._retired = True
+        actions = [] if self._candidacy is None else self._abandon(now)
+        if self._lease is None:
+            return actions
+        successor = self._successor()
+        epoch = self._lease.epoch
+        self._lease = None
+        return actions + self._give_up(epoch, successor)
+
+    # Messages and time.
+
+    def tick(self, now: Seconds) -> Actions:
+        """Renew, stand for the lease or give up a try, whichever is due."""
+        if self._lease is not None and self.held(now) is None:
+            self._lease = None
+            self._stand_at = self._jittered(now)
+        if self._candidacy is not None:
+            return self._abandon(now) if self._candidacy.failed(now) else []
+        if self._may_stand(now):
+            return self._stand(now)
+        if self._lease is not None and now >= self._renewed_at + self._timing.renew:
+            return self._renew(now)
+        return []
+
+    def receive(self, source: InstanceId, message: msgspec.Struct, now: Seconds) -> Actions:
+        """Take in a message of this part; one from a stranger is ignored."""
+        match message:
+            case WitnessGrant() if source == self._leader:
+                return self._granted(WITNESS, message, now)
+            case WitnessDenial() if source == self._leader:
+                return self._denied(message, now)
+        if name_of(source) not in self._members:
+            return []
+        match message:
+            case AuthorityAsk():
+                return self._asked(source, message, now)
+            case AuthorityGrant():
+                if self._switch is not None:
+                    self._switch.learn(name_of(source), message.orders)
+                return self._granted(name_of(source), message, now)
+            case AuthorityDenial():
+                return self._denied(message, now)
+            case AuthorityRelease():
+                self._released(source, message, now)
+        return []
+
+    # Voter.
+
+    def _asked(self, source: InstanceId, ask: AuthorityAsk, now: Seconds) -> Actions:
+        if ask.data_centre != self._data_centre:
+            return []
+        if self._switch is not None:
+            self._switch.learn(name_of(source), ask.orders)
+        if ask.holding:
+            self._known_holder = source
+            self._known_until = Seconds(now + self._timing.lease)
+        if self._is_behind(ask, now):
+            return [Send(source, AuthorityDenial(ask.epoch, self._voter.highest))]
+        if ask.prepare:
+            vote = self._voter.prepare(source, now)
+        else:
+            vote = self._voter.vote(source, ask.epoch, now)
+        if not vote.granted:
+            return [Send(source, AuthorityDenial(ask.epoch, vote.highest, vote.wait))]
+        if not ask.prepare:
+            self._candidacy = None
+            self._stand_at = self._jittered(Seconds(now + self._timing.promise))
+        orders = () if self._switch is None else self._switch.orders()
+        grant = AuthorityGrant(ask.epoch, ask.sent_at, ask.prepare, vote.highest, orders)
+        return [Send(source, grant)]
+
+    def _is_behind(self, ask: AuthorityAsk, now: Seconds) -> bool:
+        required_since = Seconds(now - self._timing.lease) if ask.holding else now
+        return self._history.had(required_since) > ask.version
+
+    def _released(self, source: InstanceId, message: AuthorityRelease, now: Seconds) -> None:
+        self._voter.release(source, message.epoch)
+        if self._known_holder == source:
+            self._known_holder = None
+        if message.successor == self._me:
+            self._stand_at = now
+        elif message.successor is None:
+            self._stand_at = self._jittered(now)
+        else:
+            self._stand_at = self._jittered(Seconds(now + JITTER))
+
+    # Candidate.
+
+    def _may_stand(self, now: Seconds) -> bool:
+        free = self._voter.bound_for(self._me, now) <= 0
+        wanted = self._lease is None or self._floor > self._lease.epoch
+        return free and wanted and not self._retired and now >= self._stand_at
+
+    def _stand(self, now: Seconds) -> Actions:
+        self._candidacy = Candidacy(self._needed, now)
+        self._candidacy.willing.count(name_of(self._me), now)
+        actions = self._ask(self._voter.highest, now, prepare=True, witness=True)
+        return actions + self._count_willing(now)
+
+    def _count_willing(self, now: Seconds) -> Actions:
+        candidacy = self._candidacy
+        if candidacy is None or candidacy.votes is not None:
+            return []
+        if candidacy.willing.carried_since() is None:
+            return []
+        epoch = next_epoch(Epoch(max(self._floor, self._voter.highest)), self._rng)
+        votes = candidacy.ask_for_votes(epoch, now)
+        if self._voter.vote(self._me, epoch, now).granted:
+            votes.count(name_of(self._me), now)
+        actions = self._ask(epoch, now, prepare=False, witness=True)
+        self._count_votes(now)
+        return actions
+
+    def _count_votes(self, now: Seconds) -> None:
+        votes = self._candidacy.votes if self._candidacy is not None else None
+        if votes is None or votes.epoch <= self._floor:
+            return
+        since = votes.carried_since()
+        if since is None or now >= since + self._timing.lease:
+            return
+        self._lease = votes
+        self._candidacy = None
+        self._renewed_at = Seconds(now - self._timing.renew)
+
+    def _granted(
+        self, voter: InstanceName, grant: AuthorityGrant | WitnessGrant, now: Seconds
+    ) -> Actions:
+        self._floor = Epoch(max(self._floor, grant.highest)) if grant.prepare else self._floor
+        candidacy = self._candidacy
+        if grant.prepare:
+            if candidacy is not None and grant.sent_at == candidacy.asked_at:
+                candidacy.willing.count(voter, grant.sent_at)
+            return self._count_willing(now)
+        ballots = (self._lease, candidacy.votes if candidacy is not None else None)
+        for ballot in ballots:
+            if ballot is not None and ballot.epoch == grant.epoch:
+                ballot.count(voter, grant.sent_at)
+        self._count_votes(now)
+        return []
+
+    def _denied(self, denial: AuthorityDenial | WitnessDenial, now: Seconds) -> Actions:
+        if self._candidacy is not None:
+            self._candidacy.denied(denial.wait)
+        self._floor = Epoch(max(self._floor, denial.highest))
+        return []
+
+    def _abandon(self, now: Seconds) -> Actions:
+        """Free the votes of a try that failed; they may have been carrying the lease as well."""
+        candidacy = self._candidacy
+        self._candidacy = None
+        if candidacy is None:
+            return []
+        self._stand_at = self._jittered(Seconds(now + candidacy.wait))
+        if candidacy.votes is None:
+            return []
+        self._lease = None
+        return self._give_up(candidacy.votes.epoch, None)
+
+    # Holder.
+
+    def _renew(self, now: Seconds) -> Actions:
+        if self._lease is None:
+            return []
+        missing = self._members - self._lease.voters_since(self._renewed_at)
+        self._renewed_at = now
+        if self._voter.vote(self._me, self._lease.epoch, now).granted:
+            self._lease.count(name_of(self._me), now)
+        return self._ask(self._lease.epoch, now, prepare=False, witness=bool(missing))
+
+    def _successor(self) -> InstanceId | None:
+        """Pick a member that answered of late to stand first."""
+        if self._lease is None:
+            return None
+        answered = self._lease.voters_since(Seconds(self._renewed_at - self._timing.renew))
+        present = sorted(answered & self._instance_by_name.keys())
+        return self._instance_by_name[present[0]] if present else None
+
+    # Sending.
+
+    def _ask(self, epoch: Epoch, now: Seconds, prepare: bool, witness: bool) -> Actions:
+        ask = AuthorityAsk(
+            self._data_centre,
+            epoch,
+            now,
+            prepare,
+            holding=self.held(now) is not None,
+            version=self._history.newest,
+            orders=() if self._switch is None else self._switch.orders(),
+        )
+        actions: Actions = [Send(peer, ask) for peer in self._instance_by_name.values()]
+        if witness and self._has_witness:
+            actions += self._ask_witness(WitnessAsk(self._data_centre, epoch, now, prepare), now)
+        return actions
+
+    def _ask_witness(self, ask: WitnessAsk, now: Seconds) -> Actions:
+        if self._leader is None:
+            return []
+        if self._leader != self._me:
+            return [Send(self._leader, ask)]
+        answer = self._witness.vote(self._me, ask, now) if self._witness is not None else None
+        return [] if answer is None else self.receive(self._me, answer, now)
+
+    def _give_up(self, epoch: Epoch, successor: InstanceId | None) -> Actions:
+        self._voter.release(self._me, epoch)
+        release = AuthorityRelease(epoch, successor)
+        actions: Actions = [Send(peer, release) for peer in self._instance_by_name.values()]
+        if not self._has_witness or self._leader is None:
+            return actions
+        to_witness = WitnessRelease(self._data_centre, epoch)
+        if self._leader != self._me:
+            return [*actions, Send(self._leader, to_witness)]
+        if self._witness is not None:
+            self._witness.release(self._me, to_witness)
+        return actions
+
+    def _jittered(self, at: Seconds) -> Seconds:
+        return Seconds(at + self._rng.uniform(0.0, JITTER))
+
+    def _state(self, now: Seconds) -> AuthorityState:
+        if self._retired:
+            return AuthorityState.RETIRED
+        if now < self._ready_at:
+            return AuthorityState.WAITING
+        standing = self._candidacy is not None
+        return AuthorityState.STANDING if standing else AuthorityState.FOLLOWING
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/authority/_messages.py
@@ -0,0 +1,128 @@
+"""
+bulrushhollow_core.authority._messages
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Messages between the instances of one data centre, and between them and the log's leader, by which
+the data centre's lease is granted.
+"""
+
+import msgspec
+
+from bulrushhollow_core.changes import ChangeConfiguration
+from bulrushhollow_core.ids import DataCentreId, Epoch, InstanceId, Seconds, Version
+
+
+class LocalOrder(msgspec.Struct, frozen=True):
+    """
+    A take-out given inside a data centre while the log is out of its reach.
+
+    :param change: takes the data centre or an endpoint out; to be proposed to the log later.
+    :param given_at: version that was in force when it was given.
+    """
+
+    change: ChangeConfiguration
+    given_at: Version
+
+
+class AuthorityAsk(msgspec.Struct, frozen=True, tag="authority_ask", omit_defaults=True):
+    """
+    Ask a member for its vote, or for the renewal of it.
+
+    :param sent_at: the sender's clock, given back with the vote; the lease counts from it.
+    :param prepare: only ask whether the vote would be given.
+    :param holding: whether the sender holds the lease.
+    :param version: configuration that the sender has applied.
+    :param orders: take-outs given inside the data centre that the sender knows.
+    """
+
+    data_centre: DataCentreId
+    epoch: Epoch
+    sent_at: Seconds
+    prepare: bool = False
+    holding: bool = False
+    version: Version = Version(0)
+    orders: tuple[LocalOrder, ...] = ()
+
+
+class AuthorityGrant(msgspec.Struct, frozen=True, tag="authority_grant", omit_defaults=True):
+    """
+    A vote, or with ``prepare`` the word that it would be given.
+
+    :param highest: highest epoch that the voter has seen.
+    :param orders: take-outs that the voter knows, including those of the ask.
+    """
+
+    epoch: Epoch
+    sent_at: Seconds
+    prepare: bool = False
+    highest: Epoch = Epoch(0)
+    orders: tuple[LocalOrder, ...] = ()
+
+
+class AuthorityDenial(msgspec.Struct, frozen=True, tag="authority_denial", omit_defaults=True):
+    """
+    No vote.
+
+    :param epoch: the epoch that was asked for.
+    :param wait: seconds for which the voter stays bound.
+    """
+
+    epoch: Epoch
+    highest: Epoch = Epoch(0)
+    wait: Seconds = Seconds(0.0)
+
+
+class AuthorityRelease(msgspec.Struct, frozen=True, tag="authority_release", omit_defaults=True):
+    """
+    The sender gives up an epoch for good; votes for it are free at once.
+
+    :param successor: who is to stand first, if anybody.
+    """
+
+    epoch: Epoch
+    successor: InstanceId | None = None
+
+
+class WitnessAsk(msgspec.Struct, frozen=True, tag="witness_ask", omit_defaults=True):
+    """Ask the log's leader for the witness vote of a data centre; see :class:`AuthorityAsk`."""
+
+    data_centre: DataCentreId
+    epoch: Epoch
+    sent_at: Seconds
+    prepare: bool = False
+
+
+class WitnessGrant(msgspec.Struct, frozen=True, tag="witness_grant", omit_defaults=True):
+    """The witness vote; see :class:`AuthorityGrant`."""
+
+    epoch: Epoch
+    sent_at: Seconds
+    prepare: bool = False
+    highest: Epoch = Epoch(0)
+
+
+class WitnessDenial(msgspec.Struct, frozen=True, tag="witness_denial", omit_defaults=True):
+    """No witness vote; see :class:`AuthorityDenial`."""
+
+    epoch: Epoch
+    highest: Epoch = Epoch(0)
+    wait: Seconds = Seconds(0.0)
+
+
+class WitnessRelease(msgspec.Struct, frozen=True, tag="witness_release"):
+    """The sender gives up an epoch of a data centre for good."""
+
+    data_centre: DataCentreId
+    epoch: Epoch
+
+
+AuthorityMessage = (
+    AuthorityAsk
+    | AuthorityGrant
+    | AuthorityDenial
+    | AuthorityRelease
+    | WitnessAsk
+    | WitnessGrant
+    | WitnessDenial
+    | WitnessRelease
+)
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/authority/_outlook.py
@@ -0,0 +1,105 @@
+"""
+bulrushhollow_core.authority._outlook
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The true answer to an operator who took a data centre out: where the change is in force, and when
+it will be where it is not.
+"""
+
+import msgspec
+
+from bulrushhollow_core.authority._ballot import majority
+from bulrushhollow_core.authority._timing import HOLD_LIMIT, AuthorityTiming
+from bulrushhollow_core.configuration import Rollout
+from bulrushhollow_core.ids import InstanceName, Seconds, Version
+from bulrushhollow_core.models import Isolation
+
+CUT_OFF_LIMIT = Seconds(3.0)
+"""Seconds of silence after which a data centre is said to be cut off."""
+
+
+class InForceEverywhere(msgspec.Struct, frozen=True, tag="in_force_everywhere"):
+    """Every instance has applied the change."""
+
+
+class InForceInside(msgspec.Struct, frozen=True, tag="in_force_inside"):
+    """
+    The data centre starts no more work; some instances have not applied the change.
+
+    :param by_hold: because the data centre holds without the log, not because it applied it.
+    """
+
+    not_yet_in: tuple[InstanceName, ...]
+    by_hold: bool = False
+
+
+class InForceLater(msgspec.Struct, frozen=True, tag="in_force_later"):
+    """
+    Recorded; in force in the data centre within some seconds even if it is cut off, because it
+    holds without the log.
+
+    :param within: seconds from now.
+    """
+
+    within: Seconds
+
+
+class NotYetInForce(msgspec.Struct, frozen=True, tag="not_yet_in_force"):
+    """
+    Recorded and not in force in the data centre, which is cut off and may go on starting work.
+
+    :param cut_off_for: seconds since any of its instances was last heard.
+    """
+
+    cut_off_for: Seconds
+
+
+class NotYetKnown(msgspec.Struct, frozen=True, tag="not_yet_known"):
+    """Recorded; the data centre is in reach and has not confirmed it yet."""
+
+
+Outlook = InForceEverywhere | InForceInside | InForceLater | NotYetInForce | NotYetKnown
+
+
+def describe_out(
+    version: Version,
+    recorded_at: Seconds,
+    members: frozenset[InstanceName],
+    isolation: Isolation,
+    rollout: Rollout,
+    now: Seconds,
+) -> Outlook:
+    """
+    Tell where the take-out of a data centre is in force.
+
+    :param version: the version that takes it out.
+    :param recorded_at: reading of this process's clock at which the version was known to be
+        committed, or later.
+    :param members: names of the data centre's own instances.
+    :param isolation: what the data centre did without the log before this version.
+    """
+    missing = rollout.in_force(version).not_yet_in
+    if not missing:
+        return InForceEverywhere()
+    if _applied_inside(version, members, rollout, now):
+        return InForceInside(missing)
+    if isolation is Isolation.HOLD:
+        within = Seconds(recorded_at + HOLD_LIMIT - now)
+        return InForceLater(within) if within > 0 else InForceInside(missing, by_hold=True)
+    silence = min((now - rollout.last_heard(name, now) for name in members), default=0.0)
+    return NotYetInForce(Seconds(silence)) if silence > CUT_OFF_LIMIT else NotYetKnown()
+
+
+def _applied_inside(
+    version: Version, members: frozenset[InstanceName], rollout: Rollout, now: Seconds
+) -> bool:
+    """
+    Tell whether neither the present holder nor any later one lacks a version. Members that have
+    it vote for nobody who has not, and after a lease time renew nobody's lease who has not.
+    """
+    known = (rollout.applied_since(name, version) for name in members)
+    times = sorted(time for time in known if time is not None)
+    if len(times) == len(members):
+        return True
+    needed = majority(members)
+    return len(times) >= needed and now > times[needed - 1] + AuthorityTiming().settle
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/authority/_timing.py
@@ -0,0 +1,64 @@
+"""
+bulrushhollow_core.authority._timing
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Durations of the data-centre lease. All of them are read from monotonic clocks that go on while a
+machine is suspended; wall clocks decide nothing.
+"""
+
+import msgspec
+
+from bulrushhollow_core.ids import Seconds
+
+ISOLATION_LIMIT = Seconds(2.0)
+"""Seconds without the log's majority after which a data centre that holds starts no job."""
+
+QUORUM_AGE_LIMIT = Seconds(1.0)
+"""Oldest proof of its quorum, in seconds, with which the log's leader counts as leading."""
+
+LEADING_FLAG_LIMIT = Seconds(0.25)
+"""Seconds for which a witness relies on what it was last told about the log's leader."""
+
+CANDIDACY_LIMIT = Seconds(0.5)
+"""Seconds within which a candidate must have its votes."""
+
+JITTER = Seconds(0.3)
+"""Widest random wait before an instance stands for the lease."""
+
+START_LIMIT = Seconds(1.0)
+"""Seconds that a start order sent just before a hold may still take to begin."""
+
+
+class AuthorityTiming(msgspec.Struct, frozen=True):
+    """
+    What every instance of a data centre must have alike.
+
+    :param lease: seconds for which a vote is given.
+    :param renew: seconds between two renewals.
+    :param drift: largest relative error between the clocks of two instances.
+    """
+
+    lease: Seconds = Seconds(3.0)
+    renew: Seconds = Seconds(1.0)
+    drift: float = 0.05
+
+    @property
+    def promise(self) -> Seconds:
+        """Seconds for which a voter keeps its vote, on whatever clock."""
+        return Seconds(self.lease * (1 + self.drift))
+
+    @property
+    def settle(self) -> Seconds:
+        """Seconds after which no holder lacks a version that a majority has applied."""
+        return Seconds(2 * self.lease * (1 + self.drift))
+
+    @property
+    def witness_wait(self) -> Seconds:
+        """Seconds for which a new leader of the log may not yet vote as the witness."""
+        earlier_leader = QUORUM_AGE_LIMIT + LEADING_FLAG_LIMIT
+        return Seconds((self.lease + earlier_leader) * (1 + self.drift))
+
+
+HOLD_LIMIT = Seconds(ISOLATION_LIMIT * (1 + AuthorityTiming().drift) + START_LIMIT)
+"""Seconds after a change was recorded within which a data centre that holds starts no more jobs,
+whether or not the change has reached it."""
--- a/packages/core/src/bulrushhollow_core/ids.py
+++ b/packages/core/src/bulrushhollow_core/ids.py
@@ -42,3 +42,8 @@
 
 InstanceName = NewType("InstanceName", str)
 """Name of a place in the settings that successive incarnations of an instance fill."""
+
+
+def name_of(instance: InstanceId) -> InstanceName:
+    """Return the name whose place this incarnation fills."""
+    return InstanceName(instance.rpartition(".")[0])
--- /dev/null
+++ b/tests/test_authority.py
@@ -0,0 +1,140 @@
+import random
+import unittest
+
+from bulrushhollow_core.authority import Authority, AuthorityState, AuthorityTiming
+from bulrushhollow_core.ids import Epoch, InstanceId, InstanceName, Seconds, Version
+from tests.authority_net import NORTH, Net, Node
+
+LEASE = AuthorityTiming().lease
+
+
+class LeaseTest(unittest.TestCase):
+    def settled(self, size: int, leader: bool = True) -> tuple[Net, Node]:
+        net = Net(size, seed=size)
+        if leader:
+            net.set_leader(net.nodes[-1])
+        net.run(12)
+        self.assertEqual(1, len(net.holders()))
+        return net, net.holders()[0]
+
+    def assert_taken_over(self, net: Net, earlier: Node, within: float) -> Node:
+        epoch = earlier.authority.status(earlier.clock(net.time)).epoch
+        net.run(within)
+        others = [node for node in net.holders() if node is not earlier]
+        self.assertEqual(1, len(others))
+        held = others[0].held(net.time)
+        assert held is not None
+        self.assertGreater(held.epoch, epoch)
+        return others[0]
+
+    def test_a_single_instance_holds_after_one_lease_time(self) -> None:
+        me = InstanceId("a1.00000000")
+        members = frozenset({InstanceName("a1")})
+        authority = Authority(me, NORTH, members, random.Random(1), Seconds(100.0))
+        self.assertEqual([], authority.tick(Seconds(103.0)))
+        self.assertIsNone(authority.held(Seconds(103.0)))
+        authority.tick(Seconds(103.5))
+        self.assertIsNotNone(authority.held(Seconds(103.5)))
+        self.assertEqual(me, authority.holder(Seconds(103.5)))
+
+    def test_one_holds_and_all_know_it(self) -> None:
+        for size in (1, 2, 3, 4, 5):
+            net, holder = self.settled(size, leader=False)
+            known = {node.authority.holder(node.clock(net.time)) for node in net.nodes}
+            self.assertEqual({holder.id}, known)
+
+    def test_another_takes_over_within_four_seconds_when_the_holder_dies(self) -> None:
+        for size in (2, 3, 4, 5):
+            net, holder = self.settled(size)
+            net.set_leader(next(node for node in net.nodes if node is not holder))
+            net.run(6)
+            holder.paused = True
+            self.assert_taken_over(net, holder, 4.0)
+
+    def test_a_paused_holder_wakes_up_without_the_lease(self) -> None:
+        net, holder = self.settled(3)
+        holder.paused = True
+        net.run(10)
+        self.assertIsNone(holder.held(net.time))
+
+    def test_a_holder_cut_off_silently_loses_the_lease_before_another_has_it(self) -> None:
+        net, holder = self.settled(3)
+        net.isolate(holder)
+        net.on_step = lambda: self.assertLessEqual(len(net.holders()), 1)
+        self.assert_taken_over(net, holder, 4.5)
+        net.cuts.clear()
+        net.run(5)
+        self.assertEqual(1, len(net.holders()))
+
+    def test_two_instances_cut_from_each_other_and_from_the_leader_both_stop(self) -> None:
+        net, holder = self.settled(2, leader=False)
+        net.isolate(holder)
+        net.run(8)
+        self.assertEqual([], net.holders())
+
+    def test_the_witness_waits_out_the_votes_of_an_earlier_leader(self) -> None:
+        net, holder = self.settled(2, leader=False)
+        other = next(node for node in net.nodes if node is not holder)
+        holder.paused = True
+        net.run(4)
+        net.set_leader(other)
+        net.run(AuthorityTiming().witness_wait - 0.5)
+        self.assertEqual([], net.holders())
+        net.run(1.5)
+        self.assertEqual([other], net.holders())
+
+    def test_a_planned_stop_hands_the_lease_over_at_once(self) -> None:
+        net, holder = self.settled(3)
+        net.send(holder, holder.authority.release(holder.clock(net.time)))
+        self.assertIsNone(holder.held(net.time))
+        self.assert_taken_over(net, holder, 0.5)
+        net.run(10)
+        state = holder.authority.status(holder.clock(net.time)).state
+        self.assertEqual(AuthorityState.RETIRED, state)
+
+    def test_a_higher_epoch_told_by_the_platform_is_outbid_at_once(self) -> None:
+        net, holder = self.settled(3)
+        told = Epoch(7_000_000)
+        holder.authority.raise_floor(told, holder.clock(net.time))
+        self.assertIsNone(holder.held(net.time))
+        net.run(4)
+        held = net.holders()[0].held(net.time)
+        assert held is not None
+        self.assertGreater(held.epoch, told)
+
+    def test_epochs_are_told_apart_even_if_every_voter_forgot_them(self) -> None:
+        epochs = set()
+        for _ in range(5):
+            net, holder = self.settled(3)
+            net.rng.seed(len(epochs))
+            for node in net.nodes:
+                net.reboot(node)
+            net.run(8)
+            epochs |= {node.authority.status(node.clock(net.time)).epoch for node in net.holders()}
+        self.assertEqual(5, len(epochs))
+
+    def test_the_lease_does_not_go_to_an_instance_with_an_older_configuration(self) -> None:
+        net, holder = self.settled(3)
+        newer = next(node for node in net.nodes if node is not holder)
+        for node in (holder, newer):
+            node.authority.configuration_applied(Version(5), node.clock(net.time))
+        holder.paused = True
+        self.assertEqual(newer, self.assert_taken_over(net, holder, 8.0))
+
+    def test_a_holder_that_stays_behind_in_configuration_loses_the_lease(self) -> None:
+        net, holder = self.settled(3)
+        others = [node for node in net.nodes if node is not holder]
+        for node in others:
+            node.authority.configuration_applied(Version(5), node.clock(net.time))
+        net.run(1)
+        self.assertEqual([holder], net.holders())
+        net.run(AuthorityTiming().settle + 1)
+        self.assertIn(net.holders()[0], others)
+
+    def test_an_idle_data_centre_sends_one_ask_to_each_member_a_second(self) -> None:
+        net, holder = self.settled(3)
+        sent: list[object] = []
+        carry = net.send
+        net.send = lambda node, actions: (sent.extend(actions), carry(node, actions))[1]  # type: ignore[method-assign]
+        net.run(10)
+        self.assertLessEqual(len(sent), 10 * 2 * 2 + 4)
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,220 @@
+import unittest
+
+from bulrushhollow_core.changes import (
+    ChangeAccepted,
+    ChangeConfiguration,
+    Edit,
+    PutDataCentre,
+    PutProfile,
+    PutWorkspace,
+    RemoveProfile,
+    RemoveWorkspace,
+    SetDataCentreService,
+    SetEndpointService,
+)
+from bulrushhollow_core.configuration import (
+    ANSWERS_KEPT,
+    ConfigurationLedger,
+    check,
+    edited,
+)
+from bulrushhollow_core.ids import (
+    ChangeId,
+    DataCentreId,
+    EndpointId,
+    GuaranteeName,
+    LogIndex,
+    ProfileName,
+    RackId,
+    Version,
+    WorkspaceId,
+)
+from bulrushhollow_core.models import (
+    Adjacency,
+    Configuration,
+    DataCentre,
+    Drain,
+    Guarantee,
+    Profile,
+    Rack,
+    Resources,
+    Service,
+    Shape,
+    WorkKind,
+    Workspace,
+)
+from bulrushhollow_core.outcomes import Reason, Refusal
+
+NORTH = DataCentreId("north")
+LARGE = Shape(4, Resources(8, 8, 1_000), Adjacency.RACK)
+WORKER = Resources(8, 64, 256_000)
+
+
+def rack(name: str, workers: int = 6, per_worker: Resources = WORKER) -> Rack:
+    return Rack(RackId(name), workers, per_worker)
+
+
+def workspace(name: str, *guarantees: Guarantee, quota: int | None = None) -> Workspace:
+    return Workspace(WorkspaceId(name), accelerator_quota=quota, guarantees=guarantees)
+
+
+def guarantee(name: str = "large", shape: Shape = LARGE, count: int = 1) -> Guarantee:
+    return Guarantee(GuaranteeName(name), NORTH, shape, count)
+
+
+def job(name: str = "grip", **fields: object) -> Profile:
+    defaults: dict[str, object] = {
+        "kind": WorkKind.JOB,
+        "workspace": "crews",
+        "shape": LARGE,
+        "guarantee": "large",
+    }
+    return Profile(ProfileName(name), **(defaults | fields))  # type: ignore[arg-type]
+
+
+def configured(*edits: Edit) -> Configuration:
+    configuration = Configuration()
+    for edit in edits:
+        refusal = check(edit, configuration)
+        assert refusal is None, refusal
+        configuration = edited(edit, configuration)
+    return configuration
+
+
+BASE = configured(
+    PutDataCentre(DataCentre(NORTH, racks=(rack("r1"), rack("r2")))),
+    PutWorkspace(workspace("crews", guarantee())),
+    PutProfile(job()),
+)
+
+
+class CheckTest(unittest.TestCase):
+    def refused(self, edit: Edit, reason: Reason = Reason.INVALID) -> None:
+        refusal = check(edit, BASE)
+        self.assertIsNotNone(refusal, edit)
+        assert refusal is not None
+        self.assertEqual(reason, refusal.reason, refusal.detail)
+
+    def test_profiles_that_can_not_be(self) -> None:
+        self.refused(PutProfile(job("a/b")))
+        self.refused(PutProfile(job("x" * 65)))
+        self.refused(PutProfile(job(deadline=float("nan"))))
+        self.refused(PutProfile(job(run_limit=0.0)))
+        self.refused(PutProfile(job(expected_run=float("inf"))))
+        self.refused(PutProfile(job(service="orders")))
+        self.refused(PutProfile(job(shape=Shape(0, WORKER), guarantee=None)))
+        self.refused(PutProfile(job(shape=Shape(1, Resources(-1, 4)), guarantee=None)))
+        self.refused(PutProfile(job(shape=Shape(1, Resources()), guarantee=None)))
+        self.refused(PutProfile(job(guarantee="other")))
+        self.refused(PutProfile(job(shape=Shape(3, LARGE.per_task, Adjacency.RACK))))
+        self.refused(PutProfile(job(workspace="nobody")), Reason.NO_SUCH_WORKSPACE)
+        self.refused(PutProfile(job(kind=WorkKind.REQUEST, service="orders")))
+        self.refused(PutProfile(job(kind=WorkKind.REQUEST, guarantee=None)))
+        self.refused(RemoveProfile(ProfileName("none")), Reason.NO_SUCH_PROFILE)
+
+    def test_workspaces_that_can_not_be(self) -> None:
+        self.refused(PutWorkspace(workspace("")))
+        self.refused(PutWorkspace(Workspace(WorkspaceId("crews"), weight=0)))
+        self.refused(PutWorkspace(workspace("crews", guarantee(), guarantee())))
+        self.refused(PutWorkspace(workspace("crews", guarantee(), quota=31)))
+        self.refused(PutWorkspace(workspace("crews", guarantee(count=0))))
+        elsewhere = Guarantee(GuaranteeName("large"), DataCentreId("moon"), LARGE)
+        self.refused(PutWorkspace(workspace("crews", elsewhere)), Reason.NO_SUCH_DATA_CENTRE)
+        self.refused(RemoveWorkspace(WorkspaceId("none")), Reason.NO_SUCH_WORKSPACE)
+
+    def test_what_is_in_use_stays(self) -> None:
+        self.refused(RemoveWorkspace(WorkspaceId("crews")), Reason.STILL_IN_USE)
+        self.refused(PutWorkspace(workspace("crews")), Reason.STILL_IN_USE)
+        smaller = guarantee(shape=Shape(2, LARGE.per_task, Adjacency.RACK))
+        self.refused(PutWorkspace(workspace("crews", smaller)), Reason.STILL_IN_USE)
+
+    def test_guarantees_must_fit_together(self) -> None:
+        third = PutWorkspace(workspace("other", guarantee(count=2)))
+        self.refused(third, Reason.GUARANTEES_DO_NOT_FIT)
+        self.assertIsNone(check(PutWorkspace(workspace("other", guarantee())), BASE))
+        shrunk = PutDataCentre(DataCentre(NORTH, racks=(rack("r1", 3), rack("r2", 3))))
+        self.refused(shrunk, Reason.GUARANTEES_DO_NOT_FIT)
+
+    def test_data_centres_that_can_not_be(self) -> None:
+        self.refused(PutDataCentre(DataCentre(NORTH, racks=(rack("r1"), rack("r1")))))
+        self.refused(PutDataCentre(DataCentre(NORTH, racks=(rack("r1", 0),))))
+        self.refused(PutDataCentre(DataCentre(NORTH, racks=(rack("r1", 6, Resources(-8, 1)),))))
+        unknown = SetDataCentreService(DataCentreId("moon"), Service.OUT)
+        self.refused(unknown, Reason.NO_SUCH_DATA_CENTRE)
+        self.refused(SetEndpointService(EndpointId("a b"), Service.OUT))
+
+
+class EditTest(unittest.TestCase):
+    def test_a_new_declaration_does_not_put_a_data_centre_back_in_service(self) -> None:
+        out = edited(SetDataCentreService(NORTH, Service.OUT, Drain.CHECKPOINT), BASE)
+        declared = DataCentre(NORTH, racks=(rack("r1"), rack("r3")))
+        after = edited(PutDataCentre(declared), out).data_centres_by_id[NORTH]
+        self.assertEqual((Service.OUT, Drain.CHECKPOINT), (after.service, after.drain))
+        self.assertEqual(declared.racks, after.racks)
+
+    def test_endpoints_go_out_and_in(self) -> None:
+        endpoint = EndpointId("e1")
+        out = edited(SetEndpointService(endpoint, Service.OUT), BASE)
+        self.assertEqual({endpoint}, out.out_endpoints)
+        back = edited(SetEndpointService(endpoint, Service.IN), out)
+        self.assertEqual((frozenset(), BASE.version + 2), (back.out_endpoints, back.version))
+
+
+class LedgerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.ledger = ConfigurationLedger()
+        self.index = 0
+
+    def apply(self, change_id: str, edit: Edit, base: int | None) -> ChangeAccepted | Refusal:
+        self.index += 1
+        version = None if base is None else Version(base)
+        command = ChangeConfiguration(ChangeId(change_id), edit, version)
+        return self.ledger.apply(LogIndex(self.index), command)
+
+    def reason(self, answer: ChangeAccepted | Refusal) -> Reason | None:
+        return answer.reason if isinstance(answer, Refusal) else None
+
+    def test_two_operators_with_equal_numbers_get_one_winner_and_one_conflict(self) -> None:
+        self.assertEqual(
+            ChangeAccepted(Version(1)), self.apply("a", PutWorkspace(workspace("a")), 0)
+        )
+        lost = self.apply("b", PutWorkspace(workspace("b")), 0)
+        self.assertEqual(Reason.VERSION_CONFLICT, self.reason(lost))
+        self.assertIn("present version is 1", lost.detail if isinstance(lost, Refusal) else "")
+        self.assertNotIn("b", self.ledger.configuration.workspaces_by_id)
+
+    def test_a_resend_gets_the_first_answer_also_after_other_changes_and_a_restore(self) -> None:
+        first = self.apply("a", PutWorkspace(workspace("a")), 0)
+        conflict = self.apply("b", PutWorkspace(workspace("b")), 0)
+        self.apply("c", RemoveWorkspace(WorkspaceId("a")), 1)
+        self.ledger = ConfigurationLedger.restore(self.ledger.snapshot())
+        self.assertEqual(first, self.apply("a", PutWorkspace(workspace("a")), 0))
+        self.assertEqual(conflict, self.apply("b", PutWorkspace(workspace("b")), 0))
+        self.assertEqual({}, self.ledger.configuration.workspaces_by_id)
+        self.assertEqual(2, self.ledger.configuration.version)
+
+    def test_a_change_id_with_another_edit_is_refused(self) -> None:
+        self.apply("a", PutWorkspace(workspace("a")), 0)
+        reused = self.apply("a", PutWorkspace(workspace("b")), 1)
+        self.assertEqual(Reason.CHANGE_ID_REUSED, self.reason(reused))
+
+    def test_only_service_states_can_be_set_without_a_version(self) -> None:
+        edit = PutWorkspace(workspace("a"))
+        self.assertEqual(Reason.INVALID, self.reason(self.apply("a", edit, None)))
+        accepted = self.apply("b", SetEndpointService(EndpointId("e"), Service.OUT), None)
+        self.assertEqual(ChangeAccepted(Version(1)), accepted)
+
+    def test_an_invalid_change_makes_no_version(self) -> None:
+        refused = self.apply("a", RemoveProfile(ProfileName("none")), 0)
+        self.assertEqual(Reason.NO_SUCH_PROFILE, self.reason(refused))
+        self.assertEqual(0, self.ledger.configuration.version)
+
+    def test_a_forgotten_change_with_a_version_still_can_not_apply_twice(self) -> None:
+        self.apply("a", PutWorkspace(workspace("a")), 0)
+        self.apply("b", RemoveWorkspace(WorkspaceId("a")), 1)
+        for number in range(ANSWERS_KEPT):
+            self.apply(f"c{number}", SetEndpointService(EndpointId("e"), Service.OUT), None)
+        self.assertEqual(ANSWERS_KEPT, len(self.ledger.snapshot().answered))
+        late = self.apply("a", PutWorkspace(workspace("a")), 0)
+        self.assertEqual(Reason.VERSION_CONFLICT, self.reason(late))
+        self.assertNotIn("a", self.ledger.configuration.workspaces_by_id)
