--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/consensus/__init__.py
@@ -0,0 +1,87 @@
+"""
+bulrushhollow_core.consensus
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The replicated log: leader election with pre-vote and check-quorum, log replication with group
+commit, snapshots, learners, membership changes one at a time and hand-over of leadership.
+"""
+
+from bulrushhollow_core.consensus._consensus import Consensus
+from bulrushhollow_core.consensus._messages import (
+    Append,
+    AppendAnswer,
+    ConsensusMessage,
+    RequestVote,
+    SnapshotAnswer,
+    SnapshotChunk,
+    Stamp,
+    TimeoutNow,
+    VoteAnswer,
+)
+from bulrushhollow_core.consensus._records import (
+    ConsensusRecord,
+    EntriesRecord,
+    Restorer,
+    SnapshotRecord,
+    TermRecord,
+)
+from bulrushhollow_core.consensus._results import (
+    Committed,
+    ConsensusStatus,
+    ForcedRecovery,
+    MemberChangeReason,
+    MemberChangeRefused,
+    NotLeader,
+    Proposed,
+    RewriteJournal,
+    Role,
+    SnapshotRestored,
+    TooLarge,
+)
+from bulrushhollow_core.consensus._types import (
+    EntryKind,
+    LogEntry,
+    LogId,
+    Members,
+    Restored,
+    Snapshot,
+    Timing,
+    instance_name,
+)
+
+__all__ = [
+    "Append",
+    "AppendAnswer",
+    "Committed",
+    "Consensus",
+    "ConsensusMessage",
+    "ConsensusRecord",
+    "ConsensusStatus",
+    "EntriesRecord",
+    "EntryKind",
+    "ForcedRecovery",
+    "LogEntry",
+    "LogId",
+    "MemberChangeReason",
+    "MemberChangeRefused",
+    "Members",
+    "NotLeader",
+    "Proposed",
+    "RequestVote",
+    "Restored",
+    "Restorer",
+    "RewriteJournal",
+    "Role",
+    "Snapshot",
+    "SnapshotAnswer",
+    "SnapshotChunk",
+    "SnapshotRecord",
+    "SnapshotRestored",
+    "Stamp",
+    "TermRecord",
+    "TimeoutNow",
+    "Timing",
+    "TooLarge",
+    "VoteAnswer",
+    "instance_name",
+]
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/consensus/_members.py
@@ -0,0 +1,72 @@
+"""
+bulrushhollow_core.consensus._members
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Which change of members is due: one at a time, learners before voters, and a dead incarnation
+goes just before its caught-up successor counts, so that no majority ever grows by a dead voter.
+"""
+
+from collections.abc import Iterable
+
+from bulrushhollow_core.consensus._progress import Flow, Progress
+from bulrushhollow_core.consensus._types import Members, instance_name
+from bulrushhollow_core.ids import InstanceId, LogIndex, Seconds
+
+CAUGHT_UP_LAG = 16
+"""Most entries by which a learner's log may trail the commit index when it becomes a voter."""
+
+
+def with_learner(members: Members, peer: InstanceId) -> Members:
+    """Return the members with a new learner in place of earlier incarnations of it."""
+    name = instance_name(peer)
+    others = {learner for learner in members.learners if instance_name(learner) != name}
+    return Members(members.voters, frozenset(others | {peer}))
+
+
+def with_voter(members: Members, learner: InstanceId) -> Members:
+    """Return the members with a learner made voter."""
+    return Members(members.voters | {learner}, members.learners - {learner})
+
+
+def without(members: Members, instance: InstanceId) -> Members:
+    """Return the members without one of them."""
+    return Members(members.voters - {instance}, members.learners - {instance})
+
+
+def former_voter(members: Members, peer: InstanceId) -> InstanceId | None:
+    """Return the voter that is an earlier incarnation of a peer, if there is one."""
+    name = instance_name(peer)
+    return next((v for v in sorted(members.voters) if instance_name(v) == name), None)
+
+
+def has_caught_up(progress: Progress, commit_index: LogIndex) -> bool:
+    """Return whether a learner's log is as good as a voter's."""
+    return progress.flow is Flow.STREAM and progress.match_index + CAUGHT_UP_LAG >= commit_index
+
+
+def due_change(
+    members: Members,
+    candidates: Iterable[InstanceId],
+    progress_by_id: dict[InstanceId, Progress],
+    commit_index: LogIndex,
+    silent_before: Seconds,
+) -> Members | None:
+    """
+    Return the next change that makes reachable peers with a disk voters.
+
+    :param candidates: reachable peers with a disk.
+    :param silent_before: a voter not heard since then may give way to its successor.
+    :return: None if nothing is due.
+    """
+    for peer in sorted(set(candidates) - members.voters):
+        if peer not in members.learners:
+            return with_learner(members, peer)
+        if not has_caught_up(progress_by_id[peer], commit_index):
+            continue
+        former = former_voter(members, peer)
+        if former is None:
+            return with_voter(members, peer)
+        former_progress = progress_by_id.get(former)
+        if former_progress and former_progress.heard_at < silent_before:
+            return without(members, former)
+    return None
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/consensus/_records.py
@@ -0,0 +1,83 @@
+"""
+bulrushhollow_core.consensus._records
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Journal records of the log, and how a restart folds them back into its state.
+"""
+
+import msgspec
+
+from bulrushhollow_core.consensus._types import LogEntry, LogId, Restored, Snapshot
+from bulrushhollow_core.ids import InstanceId, LogIndex, Term
+
+
+class TermRecord(msgspec.Struct, frozen=True, array_like=True, tag="consensus_term"):
+    """The present term and the vote given in it."""
+
+    log_id: LogId
+    term: Term
+    voted_for: InstanceId | None
+
+
+class EntriesRecord(msgspec.Struct, frozen=True, array_like=True, tag="consensus_entries"):
+    """Entries that replace everything from the first one's index on."""
+
+    entries: tuple[LogEntry, ...]
+
+
+class SnapshotRecord(msgspec.Struct, frozen=True, array_like=True, tag="consensus_snapshot_state"):
+    """A snapshot in place of all entries up to its index."""
+
+    snapshot: Snapshot
+
+
+ConsensusRecord = TermRecord | EntriesRecord | SnapshotRecord
+
+
+class Restorer:
+    """
+    Folds journal records, in the order in which they were written, into :class:`Restored`.
+
+    Usage::
+
+        >>> restorer = Restorer()
+        >>> for record in journal.replay():
+        ...     restorer.take(record)
+        >>> restored = restorer.restored()
+    """
+
+    def __init__(self) -> None:
+        """Begin with nothing."""
+        self._term: TermRecord | None = None
+        self._snapshot: Snapshot | None = None
+        self._entries: list[LogEntry] = []
+
+    def take(self, record: ConsensusRecord) -> None:
+        """Take the next record."""
+        if isinstance(record, TermRecord):
+            self._term = record
+        elif isinstance(record, SnapshotRecord):
+            self._snapshot = record.snapshot
+            self._entries = [e for e in self._entries if e.index > record.snapshot.index]
+        elif record.entries:
+            del self._entries[record.entries[0].index - self._first_index() :]
+            self._entries.extend(record.entries)
+
+    def restored(self) -> Restored | None:
+        """
+        Return what all records together say.
+
+        :return: None if there was no record.
+        """
+        if self._term is None:
+            return None
+        return Restored(
+            log_id=self._term.log_id,
+            term=self._term.term,
+            voted_for=self._term.voted_for,
+            snapshot=self._snapshot,
+            entries=tuple(self._entries),
+        )
+
+    def _first_index(self) -> LogIndex:
+        return LogIndex(self._snapshot.index + 1) if self._snapshot else LogIndex(1)
