--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,247 @@
+"""
+standins.demo
+~~~~~~~~~~~~~
+
+The main job on one machine: one daemon, a stand-in endpoint and a stand-in worker platform. Each
+step prints its command and what came back; the exit code is 0 only if every step gave what it
+should.
+"""
+
+import shlex
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from contextlib import ExitStack
+from pathlib import Path
+from typing import TypeVar
+
+import httpcore
+import msgspec
+
+from bulrushhollow_core.answers import DataCentreStatus, EndpointStatus, JobAnswer, JobStage
+from standins._children import POLL_INTERVAL, Child, ChildError, free_address, program
+from standins.worker_platform import PlatformCounts
+
+READY_SECONDS = 30.0
+"""Seconds that the daemon has to become ready."""
+
+STEP_SECONDS = 60.0
+"""Seconds that one step may take."""
+
+QUEUED_SECONDS = 3.0
+"""Seconds for which a job is watched to stay queued while its data centre is out."""
+
+DATA_CENTRE = "north"
+WORKERS = 2
+ACCELERATORS = 8
+
+RACK = f"id=r1,workers={WORKERS},accelerators={ACCELERATORS},cores=64,memory_mb=262144"
+GUARANTEE = (
+    f"name=big,data_centre={DATA_CENTRE},tasks={WORKERS},accelerators={ACCELERATORS},adjacency=rack"
+)
+REQUEST_PROFILE = (
+    "--kind request --workspace tamarin --service orders --urgency urgent"
+    " --idempotent --deadline 10"
+)
+JOB_PROFILE = (
+    f"--kind job --workspace tamarin --guarantee big --checkpointable --expected-run 2"
+    f" --tasks {WORKERS} --accelerators {ACCELERATORS} --adjacency rack"
+)
+
+
+T = TypeVar("T")
+
+
+class StepError(Exception):
+    """A step did not give what it should."""
+
+
+class Demo:
+    """
+    Walks through the steps against a running daemon.
+
+    :param entry: base address of the daemon.
+    :param platform: base address of the stand-in platform.
+    """
+
+    def __init__(self, entry: str, platform: str) -> None:
+        """Send nothing yet."""
+        self._entry = entry
+        self._platform = platform
+
+    def walk(self) -> None:
+        """Carry out every step in turn."""
+        self._configure()
+        self._answer_a_request()
+        self._run_a_gang()
+        self._take_the_data_centre_out_and_back()
+        self.run("status")
+
+    def _configure(self) -> None:
+        title("A data centre, a workspace with a guarantee, and two profiles")
+        self.run(f"datacentre put {DATA_CENTRE} --rack {RACK}")
+        self.run(f"workspace put tamarin --guarantee {GUARANTEE}")
+        self.run(f"profile put labels {REQUEST_PROFILE}")
+        self.run(f"profile put grip-model {JOB_PROFILE}")
+        self.run("profile list")
+
+    def _answer_a_request(self) -> None:
+        title("A request, answered by the endpoint")
+        wait_until("the endpoint is known", lambda: bool(self._endpoints()))
+        answer = self.run("request labels --body 'stall 7'")
+        expect("the whole answer to this request", answer == "done stall 7")
+
+    def _run_a_gang(self) -> None:
+        title("A gang job, placed on both workers of the rack, run and finished")
+        self.run("job submit grip-model --job-id survey-1 --wait")
+        counts = self._counts()
+        starts = [each.starts for each in counts.starts_by_attempt if each.job == "survey-1"]
+        expect("one attempt with every task started once", starts == [WORKERS])
+        used = list(counts.most_accelerators_by_worker.values())
+        print(f"accelerators used at once on each worker: {used}")
+        expect("a whole worker for each task", used == [ACCELERATORS] * WORKERS)
+
+    def _take_the_data_centre_out_and_back(self) -> None:
+        title("The data centre is taken out: a job stays queued")
+        self.run(f"datacentre out {DATA_CENTRE}")
+        wait_until("that is in force", lambda: self._data_centre().in_force)
+        before = len(self._counts().starts_by_task)
+        self.run("job submit grip-model --job-id survey-2")
+        time.sleep(QUEUED_SECONDS)
+        self.run("job show survey-2")
+        expect("the job is still queued", self._job("survey-2").state is JobStage.QUEUED)
+        expect("no task was started", len(self._counts().starts_by_task) == before)
+        title("The data centre is back in: the job runs")
+        self.run(f"datacentre in {DATA_CENTRE}")
+        self.run("job wait survey-2")
+        expect("its tasks were started", len(self._counts().starts_by_task) == before + WORKERS)
+
+    def run(self, line: str) -> str:
+        """
+        Run one command, print it and what came back.
+
+        :return: what it printed.
+        """
+        print(f"$ bulrushhollow {line}", flush=True)
+        output = self._command(*shlex.split(line))
+        print(output.rstrip("\n"), flush=True)
+        return output
+
+    def _command(self, *arguments: str) -> str:
+        command = [program("bulrushhollow"), *arguments, "--entry", self._entry]
+        done = subprocess.run(command, stdout=subprocess.PIPE, timeout=STEP_SECONDS, check=False)
+        output = done.stdout.decode()
+        if done.returncode != 0:
+            print(output, flush=True)
+            raise StepError(f"the command ended with code {done.returncode}")
+        return output
+
+    def _json(self, kind: type[T], *arguments: str) -> T:
+        return msgspec.json.decode(self._command(*arguments, "--json"), type=kind)
+
+    def _endpoints(self) -> list[EndpointStatus]:
+        return self._json(list[EndpointStatus], "endpoint", "list")
+
+    def _data_centre(self) -> DataCentreStatus:
+        return self._json(DataCentreStatus, "datacentre", "show", DATA_CENTRE)
+
+    def _job(self, job_id: str) -> JobAnswer:
+        return self._json(JobAnswer, "job", "show", job_id)
+
+    def _counts(self) -> PlatformCounts:
+        answer = httpcore.request("GET", f"{self._platform}/counts")
+        return msgspec.json.decode(answer.content, type=PlatformCounts)
+
+
+def title(text: str) -> None:
+    """Print what the next commands show."""
+    print(f"\n# {text}", flush=True)
+
+
+def expect(what: str, held: bool) -> None:
+    """Print whether something holds, and end the demo if it does not."""
+    print(f"  {'ok' if held else 'FAILED'}: {what}", flush=True)
+    if not held:
+        raise StepError(what)
+
+
+def wait_until(what: str, holds: Callable[[], bool]) -> None:
+    """Wait for something to hold."""
+    give_up_at = time.monotonic() + STEP_SECONDS
+    while not holds():
+        if time.monotonic() > give_up_at:
+            raise StepError(f"{what}: not within {STEP_SECONDS:g} s")
+        time.sleep(POLL_INTERVAL)
+    expect(what, True)
+
+
+def start_platform() -> Child:
+    """Start the worker platform of the data centre."""
+    options = ["--data-centre", DATA_CENTRE, "--racks", f"r1:{WORKERS}", "--run-seconds", "2"]
+    return Child("platform", [sys.executable, "-m", "standins.platform", *options])
+
+
+def start_daemon(http: str, platform: str, folder: Path) -> Child:
+    """Start a daemon that founds a site of its own."""
+    options = ["--name", "a1", "--data-centre", DATA_CENTRE, "--http", http, "--found"]
+    addresses = ["--peer-listen", free_address(), "--platform", f"{DATA_CENTRE}={platform}"]
+    command = [program("bulrushhollowd"), *options, *addresses]
+    return Child("daemon", [*command, "--data-folder", str(folder / "data")], folder / "log")
+
+
+def start_endpoint(entry: str) -> Child:
+    """Start an endpoint that announces itself to the daemon."""
+    options = ["--id", "e1", "--data-centre", DATA_CENTRE, "--service", "orders"]
+    command = [sys.executable, "-m", "standins.endpoint", *options]
+    return Child("endpoint", [*command, "--announce-to", entry, "--leave-seconds", "1"])
+
+
+def stop_all(children: list[Child]) -> None:
+    """Stop each child by its graceful shutdown."""
+    title("Everything is stopped by a graceful shutdown")
+    for child in children:
+        code = child.stop()
+        expect(f"the {child.name} ended with code {code}", code == 0)
+
+
+def run_demo(folder: Path) -> None:
+    """Start the processes, walk through the steps and stop the processes."""
+    with ExitStack() as stack:
+        platform = stack.enter_context(start_platform())
+        platform_url = f"http://{platform.address()}"
+        http = free_address()
+        entry = f"http://{http}"
+        title("One daemon with a data folder, a stand-in platform and a stand-in endpoint")
+        daemon = stack.enter_context(start_daemon(http, platform_url, folder))
+        daemon.wait_until_ready(entry, READY_SECONDS)
+        endpoint = stack.enter_context(start_endpoint(entry))
+        print(f"daemon {entry}, platform {platform_url}, endpoint http://{endpoint.address()}")
+        Demo(entry, platform_url).walk()
+        stop_all([endpoint, daemon, platform])
+
+
+def main() -> int:
+    """Run the demo in a folder of its own."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        try:
+            run_demo(folder)
+        except (StepError, ChildError, subprocess.TimeoutExpired) as failure:
+            print(f"\nThe demo failed: {failure}", flush=True)
+            print_log(folder / "log")
+            return 1
+    print("\nThe demo passed.", flush=True)
+    return 0
+
+
+def print_log(path: Path) -> None:
+    """Print the last lines of the daemon's log."""
+    if path.exists():
+        lines = path.read_text(encoding="utf-8", errors="replace").splitlines()
+        print("\n".join(["The daemon's log ends with:", *lines[-20:]]), flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
