Route requests: directory, slot shares, key ledger and router

Cause: callers need true outcomes and endpoints must not get more than their slots while they and the instances come and go. Change: bulrushhollow_core.requests with Directory, SlotShares, KeyLedger and Router.

--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/requests/__init__.py
@@ -0,0 +1,101 @@
+"""
+bulrushhollow_core.requests
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Requests from arrival to final answer: the directory of endpoints, the sharing of their slots
+between instances, idempotency keys, and the router of one entry instance.
+"""
+
+from bulrushhollow_core.requests._admission import RouterSettings
+from bulrushhollow_core.requests._directory import (
+    ANNOUNCE_WITHIN,
+    SILENT_AFTER,
+    Announced,
+    Directory,
+    RemoteInstance,
+)
+from bulrushhollow_core.requests._gossip import (
+    Described,
+    DirectoryMessage,
+    EndpointNews,
+    EndpointQuestion,
+    Heard,
+    ServiceLoad,
+)
+from bulrushhollow_core.requests._granter import ShareSettings
+from bulrushhollow_core.requests._key_commands import (
+    MAX_KEPT_BODY,
+    KeyCommand,
+    LoseOwner,
+    ReserveKey,
+    SettleKey,
+)
+from bulrushhollow_core.requests._keys import (
+    MAX_BODY_BYTES,
+    MAX_KEYS,
+    KeyLedger,
+    KeyRecord,
+    KeysSnapshot,
+    OwnerLost,
+)
+from bulrushhollow_core.requests._messages import (
+    Answered,
+    Arrival,
+    AttemptEnd,
+    AttemptResult,
+    Dispatch,
+    Finish,
+    Forward,
+    ReserveKeyNow,
+    RouterAction,
+    Settle,
+)
+from bulrushhollow_core.requests._router import MAX_ATTEMPTS, Router
+from bulrushhollow_core.requests._share_messages import ShareGrant, ShareMessage, ShareReport
+from bulrushhollow_core.requests._shares import SlotShares
+from bulrushhollow_core.requests._status import RouterStatus, ServiceStatus
+
+__all__ = [
+    "ANNOUNCE_WITHIN",
+    "MAX_ATTEMPTS",
+    "MAX_BODY_BYTES",
+    "MAX_KEPT_BODY",
+    "MAX_KEYS",
+    "SILENT_AFTER",
+    "Announced",
+    "Answered",
+    "Arrival",
+    "AttemptEnd",
+    "AttemptResult",
+    "Described",
+    "Directory",
+    "DirectoryMessage",
+    "Dispatch",
+    "EndpointNews",
+    "EndpointQuestion",
+    "Finish",
+    "Forward",
+    "Heard",
+    "KeyCommand",
+    "KeyLedger",
+    "KeyRecord",
+    "KeysSnapshot",
+    "LoseOwner",
+    "OwnerLost",
+    "RemoteInstance",
+    "ReserveKey",
+    "ReserveKeyNow",
+    "Router",
+    "RouterAction",
+    "RouterSettings",
+    "RouterStatus",
+    "ServiceLoad",
+    "ServiceStatus",
+    "Settle",
+    "SettleKey",
+    "ShareGrant",
+    "ShareMessage",
+    "ShareReport",
+    "ShareSettings",
+    "SlotShares",
+]
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/requests/_admission.py
@@ -0,0 +1,132 @@
+"""
+bulrushhollow_core.requests._admission
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Whether a request is taken in: its profile, the bounds of the queue, and whether it can be answered
+by its deadline with what is ahead of it.
+"""
+
+import msgspec
+
+from bulrushhollow_core.ids import DataCentreId, Seconds
+from bulrushhollow_core.models import Configuration, Profile, WorkKind
+from bulrushhollow_core.outcomes import Reason, Refusal
+from bulrushhollow_core.requests._choice import Chooser
+from bulrushhollow_core.requests._directory import Directory
+from bulrushhollow_core.requests._estimates import ServiceTimes
+from bulrushhollow_core.requests._messages import Arrival
+from bulrushhollow_core.requests._pending import Pending
+from bulrushhollow_core.requests._queue import FairQueue, Waiting
+
+NO_ENDPOINT_RETRY = Seconds(1.0)
+"""Seconds after which to ask again where there is no endpoint; they announce that often."""
+
+LEAST_RETRY = Seconds(0.1)
+"""Seconds after which to ask again at the soonest."""
+
+
+class RouterSettings(msgspec.Struct, frozen=True):
+    """
+    Bounds of a router.
+
+    :param queued_requests: requests in the queue of one service.
+    :param queued_bytes: bytes of their bodies.
+    """
+
+    queued_requests: int = 512
+    queued_bytes: int = 32 * 1024 * 1024
+
+
+class Admission:
+    """Admits or refuses arrivals of one router, and keeps its queues."""
+
+    def __init__(
+        self,
+        data_centre: DataCentreId,
+        directory: Directory,
+        chooser: Chooser,
+        times: ServiceTimes,
+        settings: RouterSettings,
+    ) -> None:
+        self._data_centre = data_centre
+        self._directory = directory
+        self._chooser = chooser
+        self._times = times
+        self._settings = settings
+        self._queues_by_service: dict[str, FairQueue] = {}
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """All services that requests have asked for."""
+        return tuple(self._queues_by_service)
+
+    def queue(self, service: str) -> FairQueue:
+        """Return the queue of a service."""
+        queue = self._queues_by_service.get(service)
+        if queue is None:
+            settings = self._settings
+            queue = FairQueue(settings.queued_requests, settings.queued_bytes)
+            self._queues_by_service[service] = queue
+        return queue
+
+    def profile(self, arrival: Arrival, configuration: Configuration) -> Profile | Refusal:
+        """Return the profile that an arrival asks for."""
+        profile = configuration.profiles_by_name.get(arrival.profile_name)
+        if profile is None:
+            return Refusal(Reason.NO_SUCH_PROFILE, f"no profile {arrival.profile_name}")
+        if profile.kind is not WorkKind.REQUEST:
+            return Refusal(Reason.WRONG_KIND, f"{profile.name} is not a profile of requests")
+        return profile
+
+    def admit(self, pending: Pending, now: Seconds) -> tuple[Waiting, ...] | Refusal:
+        """
+        Decide whether to take a request in.
+
+        :return: the queued requests that give way to it, or why it is refused.
+        """
+        if pending.deadline <= now:
+            return Refusal(Reason.DEADLINE, "the deadline has passed")
+        service = pending.profile.service
+        usable = self._directory.usable(service, now)
+        remotes = () if pending.arrival.forwarded else self._directory.remotes(service, now)
+        if not usable and not remotes:
+            return self.no_endpoint()
+        cost = self._times.cost(pending.profile.name)
+        waits = [remote.load.wait for remote in remotes]
+        if usable:
+            waits.append(self.wait(pending, now))
+        left = pending.deadline - now
+        if min(waits) + cost > left and self._times.known(pending.profile.name) is not None:
+            retry_after = max(LEAST_RETRY, min(waits) + cost - left)
+            detail = "it could not be answered before its deadline"
+            return Refusal(Reason.OVERLOADED, detail, retry_after=retry_after)
+        evicted = self.queue(service).make_room(pending.waiting(cost))
+        if evicted is None:
+            retry_after = max(LEAST_RETRY, min(waits))
+            return Refusal(Reason.QUEUE_FULL, "the queue is full", retry_after=retry_after)
+        return tuple(evicted)
+
+    def wait(self, pending: Pending, now: Seconds) -> Seconds:
+        """Return the seconds that a request is expected to wait for a local slot."""
+        service = pending.profile.service
+        if self._chooser.free(service, now) > 0 and not len(self.queue(service)):
+            return Seconds(0.0)
+        cost = self._times.cost(pending.profile.name)
+        ahead = self.queue(service).cost_ahead(pending.waiting(cost)) + cost
+        return Seconds(ahead / max(1, self._chooser.capacity(service, now)))
+
+    def queue_wait(self, service: str, now: Seconds) -> Seconds:
+        """Return the seconds that all of a queue is expected to take."""
+        capacity = max(1, self._chooser.capacity(service, now))
+        return Seconds(self.queue(service).cost() / capacity)
+
+    def no_endpoint(self) -> Refusal:
+        """Return the refusal of a request for which there is no endpoint."""
+        if not self._directory.in_service(self._data_centre):
+            return Refusal(
+                Reason.DATA_CENTRE_OUT,
+                f"{self._data_centre} is out and no other data centre can take the request",
+                retry_after=NO_ENDPOINT_RETRY,
+            )
+        detail = "no endpoint of the service can be reached"
+        return Refusal(Reason.NO_ENDPOINT, detail, retry_after=NO_ENDPOINT_RETRY)
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/requests/_choice.py
@@ -0,0 +1,117 @@
+"""
+bulrushhollow_core.requests._choice
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Where the next request goes: to an endpoint of the own data centre, or to an entry instance of
+another one that has slots to spare.
+"""
+
+import random
+from collections import Counter
+
+from bulrushhollow_core.endpoints import Announcement
+from bulrushhollow_core.ids import InstanceName, Seconds
+from bulrushhollow_core.models import Urgency
+from bulrushhollow_core.requests._directory import Directory, RemoteInstance
+from bulrushhollow_core.requests._health import HealthBook
+from bulrushhollow_core.requests._pending import Pending
+from bulrushhollow_core.requests._shares import SlotShares
+
+OVERNIGHT_SHARE = 0.8
+"""Part of this instance's slots that overnight requests may take, so that urgent ones find one."""
+
+SPILL_AFTER = Seconds(0.1)
+"""Expected seconds in the own queue from which on slots of other data centres are used."""
+
+ALTERNATIVES = 2
+"""Endpoints that are drawn at random and compared."""
+
+
+class Chooser:
+    """Chooses endpoints and remote instances by load, health and chance."""
+
+    def __init__(
+        self, directory: Directory, shares: SlotShares, health: HealthBook, rng: random.Random
+    ) -> None:
+        self._directory = directory
+        self._shares = shares
+        self._health = health
+        self._rng = rng
+        self.overnight_by_service: Counter[str] = Counter()
+        self.forwarded_by_instance: Counter[InstanceName] = Counter()
+
+    def capacity(self, service: str, now: Seconds) -> int:
+        """Return how many requests of a service this instance may have in flight here."""
+        return sum(
+            self._shares.in_use(endpoint.endpoint) + self._free(endpoint, now)
+            for endpoint in self._directory.usable(service, now)
+            if not self._health.get(endpoint.endpoint).is_ejected(now)
+        )
+
+    def free(self, service: str, now: Seconds) -> int:
+        """Return how many more requests of a service could be started here."""
+        return sum(self._free(endpoint, now) for endpoint in self._directory.usable(service, now))
+
+    def endpoint(self, pending: Pending, now: Seconds) -> Announcement | None:
+        """Return a local endpoint that can take the request now."""
+        service = pending.profile.service
+        if pending.profile.urgency is Urgency.OVERNIGHT:
+            limit = max(1, int(self.capacity(service, now) * OVERNIGHT_SHARE))
+            if self.overnight_by_service[service] >= limit:
+                return None
+        open_endpoints = [
+            endpoint
+            for endpoint in self._directory.usable(service, now)
+            if self._free(endpoint, now) > 0
+        ]
+        steady = [
+            endpoint
+            for endpoint in open_endpoints
+            if not self._health.get(endpoint.endpoint).is_probing(now)
+        ]
+        if not pending.profile.idempotent:
+            open_endpoints = steady or open_endpoints
+        untried = [one for one in open_endpoints if one.endpoint not in pending.tried]
+        return self._best(untried or open_endpoints)
+
+    def remote(self, pending: Pending, queue_wait: float, now: Seconds) -> RemoteInstance | None:
+        """
+        Return an instance of another data centre to which to forward the request.
+
+        :param queue_wait: seconds that the own queue is expected to take.
+        """
+        if pending.arrival.forwarded:
+            return None
+        service = pending.profile.service
+        remotes = self._directory.remotes(service, now)
+        if not remotes:
+            return None
+        spare = [remote for remote in remotes if self._spare(remote) > 0]
+        has_local = bool(self._directory.usable(service, now))
+        if has_local and (queue_wait < SPILL_AFTER or not spare):
+            return None
+        return min(
+            spare or remotes,
+            key=lambda remote: (remote.load.wait, -self._spare(remote), self._rng.random()),
+        )
+
+    def _spare(self, remote: RemoteInstance) -> int:
+        if remote.load.queued:
+            return 0
+        return remote.load.free - self.forwarded_by_instance[remote.instance]
+
+    def _free(self, endpoint: Announcement, now: Seconds) -> int:
+        in_use = self._shares.in_use(endpoint.endpoint)
+        if not self._health.get(endpoint.endpoint).allows(in_use, now):
+            return 0
+        return self._shares.free(endpoint, now)
+
+    def _best(self, endpoints: list[Announcement]) -> Announcement | None:
+        if not endpoints:
+            return None
+        drawn = self._rng.sample(endpoints, min(ALTERNATIVES, len(endpoints)))
+        return min(drawn, key=self._score)
+
+    def _score(self, endpoint: Announcement) -> float:
+        in_use = self._shares.in_use(endpoint.endpoint)
+        return self._health.get(endpoint.endpoint).score(in_use, endpoint.slots)
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/requests/_gossip.py
@@ -0,0 +1,93 @@
+"""
+bulrushhollow_core.requests._gossip
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Messages by which the instances share what they know of endpoints. A message's ages count back from
+the receiver's own reading ``echo``, so that a message that was held up on its way can't make old
+news look fresh.
+"""
+
+import msgspec
+
+from bulrushhollow_core.endpoints import Announcement
+from bulrushhollow_core.ids import EndpointId, Seconds
+
+
+class Heard(msgspec.Struct, frozen=True, array_like=True):
+    """
+    The latest announcement of one endpoint, without its content.
+
+    :param content: checksum of all of the announcement but its sequence.
+    :param age: seconds since it was heard.
+    """
+
+    endpoint: EndpointId
+    incarnation: int
+    sequence: int
+    content: int
+    age: Seconds
+
+
+class Described(msgspec.Struct, frozen=True, array_like=True):
+    """
+    The latest announcement of one endpoint.
+
+    :param age: seconds since it was heard.
+    """
+
+    announcement: Announcement
+    age: Seconds
+
+
+class ServiceLoad(msgspec.Struct, frozen=True, array_like=True):
+    """
+    What one instance can do for a service in its data centre.
+
+    :param endpoints: endpoints that take new work.
+    :param free: slots that it could fill at once.
+    :param queued: requests that wait in its queue.
+    :param wait: seconds that a new request of normal urgency is expected to wait.
+    """
+
+    service: str
+    endpoints: int
+    free: int
+    queued: int
+    wait: Seconds
+
+
+class EndpointNews(msgspec.Struct, frozen=True, tag="requests_news"):
+    """
+    Sent at every gossip round.
+
+    :param stamp: the sender's clock, to be echoed.
+    :param echo: the last stamp that the sender got from the receiver, or None; ages count back
+        from there.
+    :param described: announcements that the receiver may not have.
+    :param heard: announcements whose content the receiver should have.
+    :param digest: checksum over the endpoints of the receiver's data centre that the sender knows;
+        0 between data centres.
+    :param load: what the sender can do for each service; between data centres only.
+    """
+
+    stamp: Seconds
+    echo: Seconds | None
+    described: tuple[Described, ...] = ()
+    heard: tuple[Heard, ...] = ()
+    digest: int = 0
+    load: tuple[ServiceLoad, ...] = ()
+
+
+class EndpointQuestion(msgspec.Struct, frozen=True, tag="requests_question"):
+    """
+    Ask what the receiver knows of endpoints of the sender's data centre.
+
+    :param stamp: the sender's clock, to be echoed.
+    :param endpoints: the endpoints; empty asks for all.
+    """
+
+    stamp: Seconds
+    endpoints: tuple[EndpointId, ...] = ()
+
+
+DirectoryMessage = EndpointNews | EndpointQuestion
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/requests/_messages.py
@@ -0,0 +1,155 @@
+"""
+bulrushhollow_core.requests._messages
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What goes into the routing of requests and what comes out of it: arrivals, actions and the results
+of attempts. Bodies stay outside the core: only their sizes and digests appear here.
+"""
+
+from enum import Enum
+
+import msgspec
+
+from bulrushhollow_core.ids import (
+    Attempt,
+    DataCentreId,
+    EndpointId,
+    IdempotencyKey,
+    InstanceName,
+    ProfileName,
+    RequestId,
+    Seconds,
+)
+from bulrushhollow_core.outcomes import Execution, Reason, Refusal
+from bulrushhollow_core.requests._key_commands import KeyCommand
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """
+    A request that a caller, or another entry instance, sent to this one.
+
+    :param size: bytes of its body.
+    :param deadline: absolute time by which it must have its final answer.
+    :param key: idempotency key, if the caller set one.
+    :param digest: digest of profile and body; needed with a key only.
+    :param forwarded: whether another data centre's entry instance sent it; such a request is not
+        sent on again.
+    """
+
+    request_id: RequestId
+    profile_name: ProfileName
+    size: int
+    deadline: Seconds
+    key: IdempotencyKey | None = None
+    digest: str = ""
+    forwarded: bool = False
+
+
+class Dispatch(msgspec.Struct, frozen=True, tag="requests_dispatch"):
+    """
+    Send a request to an endpoint, once.
+
+    :param timeout: seconds after which the attempt is given up and its connection closed.
+    :param connections: most connections, idle ones included, to keep open to this endpoint.
+    """
+
+    request_id: RequestId
+    attempt: Attempt
+    endpoint: EndpointId
+    address: str
+    timeout: Seconds
+    connections: int
+
+
+class Forward(msgspec.Struct, frozen=True, tag="requests_forward"):
+    """
+    Send a request to an entry instance of another data centre, once.
+
+    :param timeout: seconds after which the attempt is given up and its connection closed.
+    """
+
+    request_id: RequestId
+    attempt: Attempt
+    instance: InstanceName
+    data_centre: DataCentreId
+    timeout: Seconds
+
+
+class ReserveKeyNow(msgspec.Struct, frozen=True, tag="requests_reserve"):
+    """Commit the command to the log and report what it returned with ``key_reserved``."""
+
+    request_id: RequestId
+    command: KeyCommand
+
+
+class Settle(msgspec.Struct, frozen=True, tag="requests_settle"):
+    """
+    Commit the command to the log; propose it again until it is committed.
+
+    :param request_id: the request whose answer's body, if any, is to be put into the command.
+    """
+
+    request_id: RequestId
+    command: KeyCommand
+
+
+class Answered(msgspec.Struct, frozen=True, tag="requests_answered"):
+    """
+    The request's own whole answer.
+
+    :param status: HTTP status of the endpoint's answer.
+    :param attempt: the attempt whose answer's body is the caller's; None if the outcome of an
+        earlier request with the same key is given again.
+    :param body: that earlier outcome's body, if it was short enough to be kept.
+    """
+
+    status: int
+    attempt: Attempt | None = None
+    body: bytes | None = None
+
+
+class Finish(msgspec.Struct, frozen=True, tag="requests_finish"):
+    """Give the caller the final answer; there is exactly one for each arrival."""
+
+    request_id: RequestId
+    result: Answered | Refusal
+
+
+RouterAction = Dispatch | Forward | ReserveKeyNow | Settle | Finish
+
+
+class AttemptEnd(Enum):
+    """How an attempt ended, as far as the sender can prove it."""
+
+    WHOLE = "whole"
+    NOT_WRITTEN = "not_written"
+    REFUSED = "refused"
+    LOST = "lost"
+
+
+class AttemptResult(msgspec.Struct, frozen=True):
+    """
+    Result of one attempt.
+
+    :param end: ``WHOLE`` for a whole answer to this very request; ``NOT_WRITTEN`` if no byte of it
+        was written; ``REFUSED`` if the receiver itself said that no handler saw it; ``LOST`` for
+        everything else.
+    :param status: HTTP status of a whole answer.
+    :param reason: why there is no whole answer.
+    :param retry_after: seconds, if the receiver named them.
+    """
+
+    end: AttemptEnd
+    status: int = 0
+    reason: Reason = Reason.ANSWER_LOST
+    detail: str = ""
+    retry_after: float | None = None
+
+    @property
+    def execution(self) -> Execution:
+        """What the attempt alone proves about the request."""
+        if self.end is AttemptEnd.WHOLE:
+            return Execution.RAN
+        if self.end is AttemptEnd.LOST:
+            return Execution.UNKNOWN
+        return Execution.NOT_RUN
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/requests/_outcome.py
@@ -0,0 +1,64 @@
+"""
+bulrushhollow_core.requests._outcome
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What a caller is told and what is recorded with its key, from what the attempts of a request have
+shown.
+"""
+
+from bulrushhollow_core.ids import InstanceId
+from bulrushhollow_core.outcomes import Execution, Reason, Refusal
+from bulrushhollow_core.requests._key_commands import ReserveKey, SettleKey
+from bulrushhollow_core.requests._keys import KeyRecord
+from bulrushhollow_core.requests._messages import Answered, AttemptEnd, AttemptResult
+from bulrushhollow_core.requests._pending import Pending
+
+REFUSED_RETRY = 0.2
+"""Seconds after which to ask again after an endpoint's refusal that names none."""
+
+
+def reservation(pending: Pending, owner: InstanceId) -> ReserveKey:
+    """Return the command that claims the key of a request."""
+    assert pending.arrival.key is not None
+    return ReserveKey(
+        pending.arrival.key,
+        pending.profile.workspace,
+        pending.arrival.digest,
+        owner,
+        pending.arrival.request_id,
+    )
+
+
+def settlement(pending: Pending, owner: InstanceId) -> SettleKey | None:
+    """Return the command that records how a request ended, if it has a key."""
+    if pending.arrival.key is None:
+        return None
+    answer = pending.last_answer
+    return SettleKey(
+        pending.arrival.key,
+        pending.profile.workspace,
+        owner,
+        pending.arrival.request_id,
+        pending.execution,
+        0 if answer is None else answer.status,
+    )
+
+
+def first_outcome(record: KeyRecord) -> Answered | Refusal:
+    """Return the outcome of an earlier request with the same key."""
+    if record.body is not None:
+        return Answered(record.status, None, record.body)
+    return Refusal(
+        Reason.ANSWER_LOST,
+        f"the first request was answered with {record.status}; the answer is not kept",
+        Execution.RAN,
+    )
+
+
+def refusal_of(pending: Pending, result: AttemptResult) -> Refusal:
+    """Return what a caller is told if this attempt was the last."""
+    execution = pending.execution
+    retry_after = result.retry_after
+    if result.end is AttemptEnd.REFUSED and retry_after is None:
+        retry_after = REFUSED_RETRY
+    return Refusal(result.reason, result.detail, execution, retry_after)
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/requests/_pending.py
@@ -0,0 +1,91 @@
+"""
+bulrushhollow_core.requests._pending
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What a router remembers of a request that has not ended, and of an attempt that is in flight.
+"""
+
+from enum import Enum
+
+import msgspec
+
+from bulrushhollow_core.ids import Attempt, EndpointId, InstanceName, Seconds
+from bulrushhollow_core.models import Profile
+from bulrushhollow_core.outcomes import Execution, Refusal
+from bulrushhollow_core.requests._messages import Answered, Arrival
+from bulrushhollow_core.requests._queue import Waiting
+
+
+class Stage(Enum):
+    """Where a request is."""
+
+    RESERVING = "reserving"
+    QUEUED = "queued"
+    BACKING_OFF = "backing_off"
+    IN_FLIGHT = "in_flight"
+
+
+class Flight(msgspec.Struct, frozen=True):
+    """
+    An attempt in flight.
+
+    :param endpoint: the endpoint, or None if it was forwarded.
+    :param slots: slots of the endpoint when the attempt was sent.
+    :param instance: the entry instance of another data centre, or None.
+    :param gone_at: time after which its result is taken as lost even if nobody reported it.
+    """
+
+    attempt: Attempt
+    sent_at: Seconds
+    gone_at: Seconds
+    endpoint: EndpointId | None = None
+    slots: int = 0
+    instance: InstanceName | None = None
+
+
+class Pending:
+    """
+    A request that has no final answer yet, or whose attempt is still in flight.
+
+    :param deadline: time by which it gets its final answer.
+    :param weight: weight of its workspace.
+    """
+
+    def __init__(
+        self, arrival: Arrival, profile: Profile, deadline: Seconds, weight: int, now: Seconds
+    ) -> None:
+        self.arrival = arrival
+        self.profile = profile
+        self.deadline = deadline
+        self.weight = weight
+        self.arrived_at = now
+        self.stage = Stage.QUEUED
+        self.attempts = 0
+        self.retries = 0
+        self.tried: set[EndpointId] = set()
+        self.flight: Flight | None = None
+        self.finished = False
+        self.may_have_run = False
+        self.last_answer: Answered | None = None
+        self.last_refusal: Refusal | None = None
+
+    def waiting(self, cost: Seconds) -> Waiting:
+        """Return its entry in a queue."""
+        return Waiting(
+            self.arrival.request_id,
+            self.profile.workspace,
+            self.profile.urgency,
+            self.deadline,
+            self.arrival.size,
+            self.weight,
+            cost,
+        )
+
+    @property
+    def execution(self) -> Execution:
+        """What is known if nothing more is heard of it."""
+        if self.last_answer is not None:
+            return Execution.RAN
+        if self.may_have_run or self.flight is not None:
+            return Execution.UNKNOWN
+        return Execution.NOT_RUN
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/requests/_router.py
@@ -0,0 +1,421 @@
+"""
+bulrushhollow_core.requests._router
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Routes the requests that arrive at one entry instance: admits or refuses them, queues them, chooses
+where they go, retries what may run twice, and gives each exactly one final answer by its deadline.
+"""
+
+import heapq
+import random
+
+import msgspec
+
+from bulrushhollow_core.endpoints import Announcement
+from bulrushhollow_core.ids import (
+    Attempt,
+    DataCentreId,
+    InstanceId,
+    RequestId,
+    Seconds,
+)
+from bulrushhollow_core.models import Configuration, Urgency
+from bulrushhollow_core.outcomes import Reason, Refusal
+from bulrushhollow_core.requests._admission import Admission, RouterSettings
+from bulrushhollow_core.requests._budget import RetryBudget, backoff
+from bulrushhollow_core.requests._choice import Chooser
+from bulrushhollow_core.requests._directory import Directory, RemoteInstance
+from bulrushhollow_core.requests._estimates import ServiceTimes
+from bulrushhollow_core.requests._gossip import ServiceLoad
+from bulrushhollow_core.requests._health import SERVER_ERROR, HealthBook
+from bulrushhollow_core.requests._keys import KeyRecord
+from bulrushhollow_core.requests._messages import (
+    Answered,
+    Arrival,
+    AttemptEnd,
+    AttemptResult,
+    Dispatch,
+    Finish,
+    Forward,
+    ReserveKeyNow,
+    RouterAction,
+    Settle,
+)
+from bulrushhollow_core.requests._outcome import (
+    first_outcome,
+    refusal_of,
+    reservation,
+    settlement,
+)
+from bulrushhollow_core.requests._pending import Flight, Pending, Stage
+from bulrushhollow_core.requests._queue import Waiting
+from bulrushhollow_core.requests._shares import SlotShares
+from bulrushhollow_core.requests._status import RouterStatus, ServiceStatus
+
+MAX_ATTEMPTS = 4
+"""Attempts of one request at most."""
+
+HOPELESS_BELOW = 0.5
+"""Part of the usual time below which what is left until the deadline is not worth an attempt."""
+
+IMPATIENT_ABOVE = 8.0
+"""Multiple of the usual time from which on an idempotent attempt gets only half the time left."""
+
+UNREPORTED_AFTER = Seconds(5.0)
+"""Seconds after its timeout at which an attempt without a result is taken as lost."""
+
+KEY_REASONS = frozenset(
+    {Reason.KEY_BODY_DIFFERS, Reason.KEY_IN_PROGRESS, Reason.KEY_OUTCOME_UNKNOWN}
+)
+"""Refusals by which the log says that the key belongs to another request."""
+
+Target = Announcement | RemoteInstance
+
+
+class Router:
+    """
+    Router of one entry instance.
+
+    Usage::
+
+        actions = router.arrive(arrival, now)
+        # carry out each Dispatch, then
+        actions = router.answered(request_id, attempt, result, now)
+
+    :param me: this incarnation.
+    :param directory: the endpoints.
+    :param shares: this instance's share of their slots.
+    """
+
+    def __init__(
+        self,
+        me: InstanceId,
+        data_centre: DataCentreId,
+        directory: Directory,
+        shares: SlotShares,
+        rng: random.Random,
+        settings: RouterSettings,
+        now: Seconds,
+    ) -> None:
+        self._me = me
+        self._directory = directory
+        self._shares = shares
+        self._rng = rng
+        self._configuration = Configuration()
+        self._draining = False
+        self._health = HealthBook(rng)
+        self._times = ServiceTimes()
+        self._chooser = Chooser(directory, shares, self._health, rng)
+        self._admission = Admission(data_centre, directory, self._chooser, self._times, settings)
+        self._pending_by_id: dict[RequestId, Pending] = {}
+        self._budgets_by_service: dict[str, RetryBudget] = {}
+        self._deadlines: list[tuple[Seconds, RequestId]] = []
+        self._retries: list[tuple[Seconds, RequestId]] = []
+
+    def configure(self, configuration: Configuration, now: Seconds) -> None:
+        """Take over the profiles of a newer configuration; requests under way keep theirs."""
+        self._configuration = configuration
+        self._times.keep(set(configuration.profiles_by_name))
+
+    def arrive(self, arrival: Arrival, now: Seconds) -> list[RouterAction]:
+        """
+        Take in a request; its identifier must be new.
+
+        :return: its refusal, or what is to be done for it.
+        """
+        if self._draining:
+            refusal = Refusal(Reason.SHUTTING_DOWN, "this instance is stopping")
+            return [Finish(arrival.request_id, refusal)]
+        profile = self._admission.profile(arrival, self._configuration)
+        if isinstance(profile, Refusal):
+            return [Finish(arrival.request_id, profile)]
+        workspace = self._configuration.workspaces_by_id.get(profile.workspace)
+        weight = 1 if workspace is None else max(1, workspace.weight)
+        deadline = Seconds(min(arrival.deadline, now + profile.deadline))
+        pending = Pending(arrival, profile, deadline, weight, now)
+        admitted = self._admission.admit(pending, now)
+        if isinstance(admitted, Refusal):
+            return [Finish(arrival.request_id, admitted)]
+        self._pending_by_id[arrival.request_id] = pending
+        heapq.heappush(self._deadlines, (deadline, arrival.request_id))
+        actions = [action for waiting in admitted for action in self._evict(waiting)]
+        if arrival.key is None:
+            return actions + self._enqueue(pending, now)
+        pending.stage = Stage.RESERVING
+        return [*actions, ReserveKeyNow(arrival.request_id, reservation(pending, self._me))]
+
+    def key_reserved(
+        self, request_id: RequestId, result: KeyRecord | Refusal, now: Seconds
+    ) -> list[RouterAction]:
+        """Take in what the log said to a :class:`ReserveKeyNow`."""
+        pending = self._pending_by_id.get(request_id)
+        if pending is None or pending.stage is not Stage.RESERVING:
+            return []
+        if isinstance(result, KeyRecord) and result.outcome is None:
+            return self._enqueue(pending, now)
+        if isinstance(result, Refusal) and result.reason not in KEY_REASONS:
+            return self._finish(pending, result)
+        known = result if isinstance(result, Refusal) else first_outcome(result)
+        del self._pending_by_id[request_id]
+        return [Finish(request_id, known)]
+
+    def answered(
+        self, request_id: RequestId, attempt: Attempt, result: AttemptResult, now: Seconds
+    ) -> list[RouterAction]:
+        """Take in the result of an attempt."""
+        pending = self._pending_by_id.get(request_id)
+        if pending is None or pending.flight is None or pending.flight.attempt != attempt:
+            return []
+        flight = pending.flight
+        pending.flight = None
+        self._land(pending, flight, result, now)
+        if result.end is AttemptEnd.LOST:
+            pending.may_have_run = True
+        elif result.end is AttemptEnd.WHOLE:
+            pending.last_answer = Answered(result.status, attempt)
+        actions = self._decide(pending, flight, result, now)
+        return actions + self._pump(pending.profile.service, now)
+
+    def cancel(self, request_id: RequestId, now: Seconds) -> list[RouterAction]:
+        """Take in that the caller has gone; an attempt in flight is left to end."""
+        pending = self._pending_by_id.get(request_id)
+        if pending is None or pending.finished:
+            return []
+        refusal = Refusal(Reason.CALLER_GONE, "the caller went away", pending.execution)
+        return self._finish(pending, refusal)
+
+    def tick(self, now: Seconds) -> list[RouterAction]:
+        """Let time pass: deadlines, retries, and slots that came from elsewhere."""
+        actions: list[RouterAction] = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, request_id = heapq.heappop(self._deadlines)
+            actions += self._expire(request_id)
+        while self._retries and self._retries[0][0] <= now:
+            _, request_id = heapq.heappop(self._retries)
+            pending = self._pending_by_id.get(request_id)
+            if pending is not None and pending.stage is Stage.BACKING_OFF:
+                actions += self._enqueue(pending, now)
+        actions += self._take_as_lost(now)
+        for service in self._admission.services:
+            actions += self._pump(service, now)
+        self._report_load(now)
+        return actions
+
+    def drain(self, now: Seconds) -> None:
+        """Refuse new requests from now on and let the others end."""
+        self._draining = True
+
+    def idle(self) -> bool:
+        """Return whether no request is waiting or in flight."""
+        return not self._pending_by_id
+
+    def status(self, now: Seconds) -> RouterStatus:
+        """Return figures for operators and metrics."""
+        services = sorted(self._admission.services)
+        return RouterStatus(
+            queued=sum(len(self._admission.queue(service)) for service in services),
+            in_flight=sum(one.flight is not None for one in self._pending_by_id.values()),
+            services=tuple(
+                ServiceStatus(
+                    service,
+                    len(self._admission.queue(service)),
+                    self._chooser.capacity(service, now),
+                    self._chooser.free(service, now),
+                )
+                for service in services
+            ),
+            endpoints=tuple(
+                msgspec.structs.replace(
+                    endpoint,
+                    slots_used=self._shares.in_use(endpoint.id),
+                    ejected=self._health.get(endpoint.id).is_ejected(now),
+                )
+                for endpoint in self._directory.status(now)
+            ),
+        )
+
+    def _enqueue(self, pending: Pending, now: Seconds) -> list[RouterAction]:
+        pending.stage = Stage.QUEUED
+        service = pending.profile.service
+        cost = self._times.cost(pending.profile.name)
+        self._admission.queue(service).push(pending.waiting(cost))
+        return self._pump(service, now)
+
+    def _pump(self, service: str, now: Seconds) -> list[RouterAction]:
+        """Start queued requests as long as there is somewhere to send one."""
+        actions: list[RouterAction] = []
+        queue = self._admission.queue(service)
+        target: Target | None = None
+
+        def accepts(waiting: Waiting) -> bool:
+            nonlocal target
+            target = self._target(self._pending_by_id[waiting.request_id], now)
+            return target is not None
+
+        while len(queue):
+            waiting = queue.pop(accepts)
+            if waiting is None or target is None:
+                break
+            actions += self._start(self._pending_by_id[waiting.request_id], target, now)
+        return actions
+
+    def _target(self, pending: Pending, now: Seconds) -> Target | None:
+        endpoint = self._chooser.endpoint(pending, now)
+        if endpoint is not None:
+            return endpoint
+        queue_wait = self._admission.queue_wait(pending.profile.service, now)
+        return self._chooser.remote(pending, queue_wait, now)
+
+    def _start(self, pending: Pending, target: Target, now: Seconds) -> list[RouterAction]:
+        left = pending.deadline - now
+        usual = self._times.known(pending.profile.name)
+        if left <= 0 or (usual is not None and left < HOPELESS_BELOW * usual):
+            return self._give_up(pending, Reason.DEADLINE, "too little time was left to run it")
+        timeout = Seconds(left)
+        if pending.profile.idempotent and usual is not None and left > IMPATIENT_ABOVE * usual:
+            timeout = Seconds(left / 2)
+        if pending.attempts == 0:
+            self._budget(pending).earn()
+        pending.attempts += 1
+        pending.stage = Stage.IN_FLIGHT
+        attempt = Attempt(pending.attempts)
+        gone_at = Seconds(now + timeout + UNREPORTED_AFTER)
+        request_id = pending.arrival.request_id
+        if isinstance(target, RemoteInstance):
+            self._chooser.forwarded_by_instance[target.instance] += 1
+            pending.flight = Flight(attempt, now, gone_at, instance=target.instance)
+            return [Forward(request_id, attempt, target.instance, target.data_centre, timeout)]
+        self._shares.take(target, now)
+        if pending.profile.urgency is Urgency.OVERNIGHT:
+            self._chooser.overnight_by_service[pending.profile.service] += 1
+        pending.tried.add(target.endpoint)
+        pending.flight = Flight(attempt, now, gone_at, target.endpoint, target.slots)
+        connections = self._shares.connections(target)
+        return [
+            Dispatch(request_id, attempt, target.endpoint, target.address, timeout, connections)
+        ]
+
+    def _land(self, pending: Pending, flight: Flight, result: AttemptResult, now: Seconds) -> None:
+        """Give back what an attempt held and learn from it."""
+        seconds = now - flight.sent_at
+        profile = pending.profile
+        if flight.instance is not None:
+            self._chooser.forwarded_by_instance[flight.instance] -= 1
+            return
+        assert flight.endpoint is not None
+        if profile.urgency is Urgency.OVERNIGHT:
+            self._chooser.overnight_by_service[profile.service] -= 1
+        in_use = self._shares.in_use(flight.endpoint)
+        ended = result.end is not AttemptEnd.LOST
+        self._shares.give_back(flight.endpoint, now, ended)
+        slowness = self._times.slowness(profile.name, seconds)
+        if result.end is AttemptEnd.WHOLE and result.status < SERVER_ERROR:
+            self._times.record(profile.name, seconds)
+        health = self._health.get(flight.endpoint)
+        if health.record(result, in_use, flight.slots, slowness):
+            peers = self._directory.usable(profile.service, now)
+            self._health.eject(flight.endpoint, (peer.endpoint for peer in peers), now)
+
+    def _decide(
+        self, pending: Pending, flight: Flight, result: AttemptResult, now: Seconds
+    ) -> list[RouterAction]:
+        """Finish a request, or try it again if that can't make it run twice unduly."""
+        if pending.finished:
+            return self._settle(pending)
+        is_error = result.end is AttemptEnd.WHOLE and result.status >= SERVER_ERROR
+        if result.end is AttemptEnd.WHOLE and not (is_error and pending.profile.idempotent):
+            return self._finish_last(pending, result)
+        if self._may_retry(pending, flight, result, now):
+            pending.stage = Stage.BACKING_OFF
+            at = Seconds(now + backoff(pending.retries, self._rng))
+            pending.retries += 1
+            heapq.heappush(self._retries, (at, pending.arrival.request_id))
+            return []
+        return self._finish_last(pending, result)
+
+    def _may_retry(
+        self, pending: Pending, flight: Flight, result: AttemptResult, now: Seconds
+    ) -> bool:
+        usual = self._times.known(pending.profile.name) or 0.0
+        if pending.attempts >= MAX_ATTEMPTS or now + usual >= pending.deadline:
+            return False
+        if result.end is AttemptEnd.NOT_WRITTEN:
+            return True
+        by_instance = flight.instance is not None and result.reason is not Reason.ENDPOINT_REFUSED
+        if result.end is AttemptEnd.REFUSED and by_instance:
+            return True
+        return pending.profile.idempotent and self._budget(pending).spend()
+
+    def _finish_last(self, pending: Pending, result: AttemptResult) -> list[RouterAction]:
+        answer = pending.last_answer
+        return self._finish(pending, refusal_of(pending, result) if answer is None else answer)
+
+    def _give_up(self, pending: Pending, reason: Reason, detail: str) -> list[RouterAction]:
+        if pending.last_answer is not None:
+            return self._finish(pending, pending.last_answer)
+        return self._finish(pending, Refusal(reason, detail, pending.execution))
+
+    def _finish(self, pending: Pending, result: Answered | Refusal) -> list[RouterAction]:
+        """Give the one final answer; what is in flight stays known until it ends."""
+        pending.finished = True
+        request_id = pending.arrival.request_id
+        self._admission.queue(pending.profile.service).remove(request_id)
+        finish = Finish(request_id, result)
+        if pending.flight is not None:
+            return [finish]
+        return [*self._settle(pending), finish]
+
+    def _settle(self, pending: Pending) -> list[RouterAction]:
+        """Forget a request that has ended, and record how with its key."""
+        del self._pending_by_id[pending.arrival.request_id]
+        command = settlement(pending, self._me)
+        return [] if command is None else [Settle(pending.arrival.request_id, command)]
+
+    def _evict(self, waiting: Waiting) -> list[RouterAction]:
+        pending = self._pending_by_id[waiting.request_id]
+        return self._give_up(pending, Reason.QUEUE_FULL, "more urgent work took its place")
+
+    def _expire(self, request_id: RequestId) -> list[RouterAction]:
+        pending = self._pending_by_id.get(request_id)
+        if pending is None or pending.finished:
+            return []
+        return self._give_up(pending, Reason.DEADLINE, "the deadline passed")
+
+    def _take_as_lost(self, now: Seconds) -> list[RouterAction]:
+        overdue = [
+            (request_id, pending.flight.attempt)
+            for request_id, pending in self._pending_by_id.items()
+            if pending.flight is not None and pending.flight.gone_at <= now
+        ]
+        lost = AttemptResult(AttemptEnd.LOST, reason=Reason.DEADLINE)
+        return [
+            action
+            for request_id, attempt in overdue
+            for action in self.answered(request_id, attempt, lost, now)
+        ]
+
+    def _budget(self, pending: Pending) -> RetryBudget:
+        return self._budgets_by_service.setdefault(pending.profile.service, RetryBudget())
+
+    def _report_load(self, now: Seconds) -> None:
+        """Tell the sharing of slots and the other data centres how much there is to do."""
+        demand_by_service = {
+            service: len(self._admission.queue(service)) for service in self._admission.services
+        }
+        for pending in self._pending_by_id.values():
+            if pending.flight is not None and pending.flight.endpoint is not None:
+                demand_by_service[pending.profile.service] += 1
+        self._shares.set_demand(demand_by_service)
+        services = {endpoint.service for endpoint in self._directory.local(now)}
+        self._directory.set_load(
+            tuple(self._service_load(service, now) for service in sorted(services))
+        )
+
+    def _service_load(self, service: str, now: Seconds) -> ServiceLoad:
+        return ServiceLoad(
+            service,
+            len(self._directory.usable(service, now)),
+            self._chooser.free(service, now),
+            len(self._admission.queue(service)),
+            self._admission.queue_wait(service, now),
+        )
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/requests/_status.py
@@ -0,0 +1,39 @@
+"""
+bulrushhollow_core.requests._status
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Figures of a router for operators and metrics.
+"""
+
+import msgspec
+
+from bulrushhollow_core.answers import EndpointStatus
+
+
+class ServiceStatus(msgspec.Struct, frozen=True):
+    """
+    Figures of one service at one instance.
+
+    :param queued: requests in its queue.
+    :param capacity: requests that this instance may have in flight in its own data centre.
+    :param free: how many of those it could start now.
+    """
+
+    service: str
+    queued: int
+    capacity: int
+    free: int
+
+
+class RouterStatus(msgspec.Struct, frozen=True):
+    """
+    Figures of one router.
+
+    :param queued: requests in all queues.
+    :param in_flight: attempts in flight.
+    """
+
+    queued: int
+    in_flight: int
+    services: tuple[ServiceStatus, ...] = ()
+    endpoints: tuple[EndpointStatus, ...] = ()
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/requests/_table.py
@@ -0,0 +1,118 @@
+"""
+bulrushhollow_core.requests._table
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The endpoints that one instance knows, each with the latest announcement and the time before which
+it was certainly not made.
+"""
+
+import zlib
+from collections.abc import Iterator
+
+import msgspec
+
+from bulrushhollow_core.endpoints import Announcement
+from bulrushhollow_core.ids import DataCentreId, EndpointId, Seconds
+from bulrushhollow_core.requests._gossip import Heard
+
+FORGET_AFTER = Seconds(60.0)
+"""Seconds of silence after which an endpoint is forgotten altogether."""
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """
+    One endpoint.
+
+    :param announcement: the latest one, by incarnation and sequence.
+    :param heard_at: a time at or before which it was made, on this instance's clock.
+    """
+
+    announcement: Announcement
+    heard_at: Seconds
+
+
+class EndpointTable:
+    """Keeps the latest announcement of each endpoint."""
+
+    def __init__(self) -> None:
+        self._by_id: dict[EndpointId, Entry] = {}
+
+    def get(self, endpoint: EndpointId) -> Entry | None:
+        """Return what is known of an endpoint."""
+        return self._by_id.get(endpoint)
+
+    def entries(self) -> Iterator[Entry]:
+        """Return all entries in the order in which they were first heard."""
+        return iter(self._by_id.values())
+
+    def put(self, announcement: Announcement, heard_at: Seconds) -> bool:
+        """
+        Take in an announcement.
+
+        :return: whether it is newer than the one known.
+        """
+        known = self._by_id.get(announcement.endpoint)
+        if known is not None:
+            order = _order(announcement)
+            if order < _order(known.announcement):
+                return False
+            if order == _order(known.announcement):
+                self._refresh(known, heard_at)
+                return False
+            heard_at = max(known.heard_at, heard_at)
+        self._by_id[announcement.endpoint] = Entry(announcement, heard_at)
+        return True
+
+    def refresh(self, heard: Heard, heard_at: Seconds) -> bool:
+        """
+        Take in that an announcement was heard whose content has not changed.
+
+        :return: False if the content of that announcement is not known here.
+        """
+        known = self._by_id.get(heard.endpoint)
+        if known is None:
+            return False
+        if (heard.incarnation, heard.sequence) < _order(known.announcement):
+            return True
+        if content_checksum(known.announcement) != heard.content:
+            return False
+        announcement = msgspec.structs.replace(known.announcement, sequence=heard.sequence)
+        self._by_id[heard.endpoint] = Entry(announcement, max(known.heard_at, heard_at))
+        return True
+
+    def forget(self, now: Seconds) -> None:
+        """Drop endpoints that have been silent for :data:`FORGET_AFTER`."""
+        silent = [
+            endpoint
+            for endpoint, entry in self._by_id.items()
+            if now - entry.heard_at > FORGET_AFTER
+        ]
+        for endpoint in silent:
+            del self._by_id[endpoint]
+
+    def digest(self, data_centre: DataCentreId, heard_after: Seconds) -> int:
+        """
+        Checksum over the incarnations of a data centre's endpoints heard after some time.
+
+        :return: never 0.
+        """
+        known = sorted(
+            f"{entry.announcement.endpoint}/{entry.announcement.incarnation}"
+            for entry in self.entries()
+            if entry.announcement.data_centre == data_centre and entry.heard_at > heard_after
+        )
+        return zlib.crc32(" ".join(known).encode()) or 1
+
+    def _refresh(self, known: Entry, heard_at: Seconds) -> None:
+        if heard_at > known.heard_at:
+            self._by_id[known.announcement.endpoint] = Entry(known.announcement, heard_at)
+
+
+def content_checksum(announcement: Announcement) -> int:
+    """Return a checksum over all of an announcement but its sequence."""
+    content = msgspec.structs.replace(announcement, sequence=0)
+    return zlib.crc32(msgspec.msgpack.encode(content))
+
+
+def _order(announcement: Announcement) -> tuple[int, int]:
+    return announcement.incarnation, announcement.sequence
