--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -207,7 +207,7 @@
             shares[ids[name]] = SlotShares(ids[name], frozenset(peers), directory, Seconds(0.0))
             directory.announce(announcement(), BOOTED)
         holder = ids[InstanceName("n1")]
-        demand_by_id = {me: 2 for me in shares}
+        demand_by_id = dict.fromkeys(shares, 2)
         queue = [
             (me, action)
             for me, share in shares.items()
