Tell other data centres where to forward requests

Cause: spilling to another data centre needs the address of an entry instance there, and shares followed a falling demand too slowly. Change: instances tell their HTTP address with their load; a reported demand falls by half every 0.25 s.

--- a/packages/core/src/bulrushhollow_core/endpoints.py
+++ b/packages/core/src/bulrushhollow_core/endpoints.py
@@ -28,6 +28,18 @@
 DEADLINE_HEADER = "deadline-seconds"
 """Set by a caller who can wait less long than the profile's deadline."""
 
+REQUEST_PATH = "/v1/requests/"
+"""Callers and other entry instances post a request to this path and the name of its profile."""
+
+FORWARDED_HEADER = "forwarded-by"
+"""
+Name of the entry instance of another data centre that sends a request on. Such a request is not
+sent on again, and the answer repeats the ``request-id`` header that came with it.
+"""
+
+EXECUTION_HEADER = "execution"
+"""Set by an entry instance on the answer to a request: whether the work ran."""
+
 
 class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag="announcement"):
     """
--- a/packages/core/src/bulrushhollow_core/requests/_directory.py
+++ b/packages/core/src/bulrushhollow_core/requests/_directory.py
@@ -21,6 +21,7 @@
     InstanceId,
     InstanceName,
     Seconds,
+    name_of,
 )
 from bulrushhollow_core.models import Configuration, Service
 from bulrushhollow_core.outcomes import Reason, Refusal
@@ -31,7 +32,6 @@
     Heard,
     ServiceLoad,
 )
-from bulrushhollow_core.requests._names import name_of
 from bulrushhollow_core.requests._table import EndpointTable, Entry, content_checksum
 
 ANNOUNCE_WITHIN = Seconds(1.0)
@@ -73,6 +73,7 @@
 
     instance: InstanceName
     data_centre: DataCentreId
+    address: str
     load: ServiceLoad
 
 
@@ -91,6 +92,7 @@
         self.other_digest = False
         self.load_by_service: dict[str, ServiceLoad] = {}
         self.load_at = UNDATED
+        self.address = ""
 
     def meet(self, instance: InstanceId) -> None:
         """Start anew with an incarnation of the peer."""
@@ -108,6 +110,8 @@
     :param me: this instance's name.
     :param data_centre: this instance's data centre.
     :param peers_by_name: data centre of every other instance.
+    :param http_address: IP number and port at which this instance takes requests, told to the
+        other data centres so that they can forward some; empty if they shall not.
     """
 
     def __init__(
@@ -117,9 +121,10 @@
         peers_by_name: dict[InstanceName, DataCentreId],
         rng: random.Random,
         now: Seconds,
+        http_address: str = "",
     ) -> None:
-        self._me = me
         self._data_centre = data_centre
+        self._http_address = http_address
         self._rng = rng
         self._table = EndpointTable()
         self._configuration = Configuration()
@@ -226,9 +231,10 @@
     def remotes(self, service: str, now: Seconds) -> tuple[RemoteInstance, ...]:
         """Return the entry instances of other data centres that have endpoints of a service."""
         return tuple(
-            RemoteInstance(peer.name, peer.data_centre, load)
+            RemoteInstance(peer.name, peer.data_centre, peer.address, load)
             for peer in self._peers_by_name.values()
             if peer.data_centre != self._data_centre
+            and peer.address
             and now - peer.load_at <= SILENT_AFTER
             and self.in_service(peer.data_centre)
             and (load := peer.load_by_service.get(service)) is not None
@@ -299,6 +305,7 @@
             heard=tuple(heard),
             digest=self._digest(now) if near else 0,
             load=() if near else self._load,
+            address="" if near else self._http_address,
         )
         return [Send(peer.instance, news)]
 
@@ -316,6 +323,7 @@
         if peer.data_centre != self._data_centre:
             peer.load_by_service = {load.service: load for load in news.load}
             peer.load_at = echo
+            peer.address = news.address
         other_digest = news.digest not in (0, self._digest(now))
         ask_all = other_digest and peer.other_digest
         peer.other_digest = other_digest and not ask_all
@@ -357,7 +365,9 @@
         described = tuple(
             Described(entry.announcement, Seconds(now - entry.heard_at)) for entry in entries
         )
-        return [Send(peer.instance, EndpointNews(now, question.stamp, described, load=self._load))]
+        news = EndpointNews(now, question.stamp, described, load=self._load)
+        news = msgspec.structs.replace(news, address=self._http_address)
+        return [Send(peer.instance, news)]
 
     def _digest(self, now: Seconds) -> int:
         return self._table.digest(self._data_centre, Seconds(now - SILENT_AFTER))
--- a/packages/core/src/bulrushhollow_core/requests/_gossip.py
+++ b/packages/core/src/bulrushhollow_core/requests/_gossip.py
@@ -68,6 +68,7 @@
     :param digest: checksum over the endpoints of the receiver's data centre that the sender knows;
         0 between data centres.
     :param load: what the sender can do for each service; between data centres only.
+    :param address: where the sender takes requests that are forwarded to it; empty if it does not.
     """
 
     stamp: Seconds
@@ -76,6 +77,7 @@
     heard: tuple[Heard, ...] = ()
     digest: int = 0
     load: tuple[ServiceLoad, ...] = ()
+    address: str = ""
 
 
 class EndpointQuestion(msgspec.Struct, frozen=True, tag="requests_question"):
--- a/packages/core/src/bulrushhollow_core/requests/_granter.py
+++ b/packages/core/src/bulrushhollow_core/requests/_granter.py
@@ -11,8 +11,7 @@
 
 import msgspec
 
-from bulrushhollow_core.ids import EndpointId, Epoch, InstanceId, InstanceName, Seconds
-from bulrushhollow_core.requests._names import name_of
+from bulrushhollow_core.ids import EndpointId, Epoch, InstanceId, InstanceName, Seconds, name_of
 from bulrushhollow_core.requests._share_messages import ShareGrant, ShareReport, SlotGrant
 
 LIVE_FOR = Seconds(1.5)
@@ -21,9 +20,6 @@
 CLOCK_MARGIN = 1.05
 """Factor by which the holder waits longer than the receiver of a grant may use it."""
 
-DEMAND_MEMORY = 0.5
-"""Weight of the past in the smoothed demand of an instance."""
-
 
 class ShareSettings(msgspec.Struct, frozen=True):
     """
@@ -65,7 +61,7 @@
         self.started_at = Seconds(0.0)
         self.may_start_until = Seconds(0.0)
         self.bounds_by_endpoint: dict[EndpointId, int] = {}
-        self.demand_by_service: dict[str, float] = {}
+        self.demand_by_service: dict[str, int] = {}
 
     def take(self, report: ShareReport, now: Seconds) -> None:
         """Take in a report; it tells all that the member has, as no older grant counts any more."""
@@ -73,13 +69,7 @@
         self.heard_at = now
         self.started_at = Seconds(now - report.up_for)
         self.bounds_by_endpoint = {use.endpoint: use.held for use in report.uses}
-        demand_by_service = {demand.service: demand.requests for demand in report.demand}
-        services = {*demand_by_service, *self.demand_by_service}
-        self.demand_by_service = {
-            service: DEMAND_MEMORY * self.demand_by_service.get(service, 0.0)
-            + (1 - DEMAND_MEMORY) * demand_by_service.get(service, 0)
-            for service in services
-        }
+        self.demand_by_service = {demand.service: demand.requests for demand in report.demand}
 
 
 class Granter:
@@ -167,8 +157,7 @@
             member for member in self._members_by_id.values() if now - member.heard_at <= LIVE_FOR
         ]
         weights = {
-            member.instance: 1.0 + member.demand_by_service.get(pool.service, 0.0)
-            for member in live
+            member.instance: 1 + member.demand_by_service.get(pool.service, 0) for member in live
         }
         total = sum(weights.values())
         exact = {instance: pool.slots * weight / total for instance, weight in weights.items()}
--- a/packages/core/src/bulrushhollow_core/requests/_messages.py
+++ b/packages/core/src/bulrushhollow_core/requests/_messages.py
@@ -72,6 +72,7 @@
     attempt: Attempt
     instance: InstanceName
     data_centre: DataCentreId
+    address: str
     timeout: Seconds
 
 
--- a/packages/core/src/bulrushhollow_core/requests/_router.py
+++ b/packages/core/src/bulrushhollow_core/requests/_router.py
@@ -284,7 +284,16 @@
         if isinstance(target, RemoteInstance):
             self._chooser.forwarded_by_instance[target.instance] += 1
             pending.flight = Flight(attempt, now, gone_at, instance=target.instance)
-            return [Forward(request_id, attempt, target.instance, target.data_centre, timeout)]
+            return [
+                Forward(
+                    request_id,
+                    attempt,
+                    target.instance,
+                    target.data_centre,
+                    target.address,
+                    timeout,
+                )
+            ]
         self._shares.take(target, now)
         if pending.profile.urgency is Urgency.OVERNIGHT:
             self._chooser.overnight_by_service[pending.profile.service] += 1
@@ -405,7 +414,7 @@
         for pending in self._pending_by_id.values():
             if pending.flight is not None and pending.flight.endpoint is not None:
                 demand_by_service[pending.profile.service] += 1
-        self._shares.set_demand(demand_by_service)
+        self._shares.set_demand(demand_by_service, now)
         services = {endpoint.service for endpoint in self._directory.local(now)}
         self._directory.set_load(
             tuple(self._service_load(service, now) for service in sorted(services))
--- a/packages/core/src/bulrushhollow_core/requests/_shares.py
+++ b/packages/core/src/bulrushhollow_core/requests/_shares.py
@@ -15,11 +15,10 @@
 
 from bulrushhollow_core.actions import Send
 from bulrushhollow_core.endpoints import Announcement
-from bulrushhollow_core.ids import EndpointId, Epoch, InstanceId, InstanceName, Seconds
+from bulrushhollow_core.ids import EndpointId, Epoch, InstanceId, InstanceName, Seconds, name_of
 from bulrushhollow_core.models import Configuration, WorkKind
 from bulrushhollow_core.requests._directory import Directory
 from bulrushhollow_core.requests._granter import Granter, Pool, ShareSettings
-from bulrushhollow_core.requests._names import name_of
 from bulrushhollow_core.requests._share_messages import (
     ServiceDemand,
     ShareGrant,
@@ -30,6 +29,9 @@
 SLOTS_PER_OWN = 2
 """An endpoint needs so many slots per instance for every instance to have one of its own."""
 
+DEMAND_HALF_LIFE = Seconds(0.25)
+"""Seconds in which a demand that is gone counts half."""
+
 LONGEST_ATTEMPT = Seconds(30.0)
 """Seconds that an attempt may take while no profile says otherwise."""
 
@@ -77,7 +79,8 @@
         self._may_start_until = now
         self._held: dict[EndpointId, int] = {}
         self._in_use: Counter[EndpointId] = Counter()
-        self._demand_by_service: dict[str, int] = {}
+        self._demand_by_service: dict[str, float] = {}
+        self._demand_at = now
         self._later: list[tuple[Seconds, EndpointId]] = []
 
     @property
@@ -140,9 +143,18 @@
             return []
         return self._report(now)
 
-    def set_demand(self, demand_by_service: dict[str, int]) -> None:
-        """Set how many requests are in flight and queued here for each service."""
-        self._demand_by_service = demand_by_service
+    def set_demand(self, demand_by_service: dict[str, int], now: Seconds) -> None:
+        """
+        Set how many requests are in flight and queued here for each service.
+
+        What is reported rises at once and falls slowly, so that shares don't follow every gap.
+        """
+        kept = 0.5 ** ((now - self._demand_at) / DEMAND_HALF_LIFE)
+        self._demand_at = now
+        self._demand_by_service = {
+            service: max(requests, kept * self._demand_by_service.get(service, 0.0))
+            for service, requests in demand_by_service.items()
+        }
 
     def free(self, endpoint: Announcement, now: Seconds) -> int:
         """Return how many more requests may be started on a usable endpoint."""
@@ -238,7 +250,7 @@
 
     def _demand(self) -> tuple[ServiceDemand, ...]:
         return tuple(
-            ServiceDemand(service, requests)
+            ServiceDemand(service, round(requests))
             for service, requests in sorted(self._demand_by_service.items())
         )
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -219,7 +219,7 @@
             if step == 30:
                 demand_by_id = {ids[InstanceName("n1")]: 0, ids[InstanceName("n2")]: 20}
             for me, share in shares.items():
-                share.set_demand({"grip": demand_by_id[me]})
+                share.set_demand({"grip": demand_by_id[me]}, now)
                 queue += [(me, action) for action in share.tick(now)]
             while queue:
                 source, action = queue.pop(0)
