Add the job ledger and the scheduler of a data centre

Cause: jobs need a replicated record, a choice of data centre and a holder that starts gangs whole, keeps guarantees reclaimable and tells the log the truth about each attempt. Calls to the platform carry a number that answers repeat, so that a late answer is never taken for the last one.

--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/jobs/__init__.py
@@ -0,0 +1,75 @@
+"""
+bulrushhollow_core.jobs
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Jobs: their ledger in the replicated log, the choice of a data centre, and the scheduler that the
+holder of a data centre's lease runs.
+"""
+
+from bulrushhollow_core.jobs._choice import choose_data_centre, shape_fits
+from bulrushhollow_core.jobs._commands import (
+    CancelJob,
+    EndJob,
+    IntendStart,
+    JobCommand,
+    JobEnd,
+    MoveJob,
+    RequeueJob,
+    RequeueProof,
+    SubmitJob,
+)
+from bulrushhollow_core.jobs._departures import queued_moves
+from bulrushhollow_core.jobs._fleet import Fleet
+from bulrushhollow_core.jobs._fragmentation import fragmentation, largest_shape
+from bulrushhollow_core.jobs._ledger import (
+    ENDED_JOBS_KEPT,
+    JobLedger,
+    JobLedgerSnapshot,
+    JobRecord,
+    JobState,
+)
+from bulrushhollow_core.jobs._scheduler import Scheduler
+from bulrushhollow_core.jobs._views import (
+    SYNC_INTERVAL,
+    DataCentreLoad,
+    Fenced,
+    LackingGuarantee,
+    ProposeJob,
+    QueueLength,
+    SchedulerAction,
+    SchedulerSettings,
+    SchedulerStatus,
+)
+
+__all__ = [
+    "ENDED_JOBS_KEPT",
+    "SYNC_INTERVAL",
+    "CancelJob",
+    "DataCentreLoad",
+    "EndJob",
+    "Fenced",
+    "Fleet",
+    "IntendStart",
+    "JobCommand",
+    "JobEnd",
+    "JobLedger",
+    "JobLedgerSnapshot",
+    "JobRecord",
+    "JobState",
+    "LackingGuarantee",
+    "MoveJob",
+    "ProposeJob",
+    "QueueLength",
+    "RequeueJob",
+    "RequeueProof",
+    "Scheduler",
+    "SchedulerAction",
+    "SchedulerSettings",
+    "SchedulerStatus",
+    "SubmitJob",
+    "choose_data_centre",
+    "fragmentation",
+    "largest_shape",
+    "queued_moves",
+    "shape_fits",
+]
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/jobs/_calls.py
@@ -0,0 +1,147 @@
+"""
+bulrushhollow_core.jobs._calls
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Puts together the calls to the platform and recognises the answers that count.
+"""
+
+import itertools
+from collections.abc import Iterable, Iterator
+
+from bulrushhollow_core.ids import Epoch, Seconds, TaskId
+from bulrushhollow_core.jobs._runs import GangTask, Phase, Run
+from bulrushhollow_core.jobs._views import SchedulerSettings
+from bulrushhollow_core.platform import (
+    FINAL_TASK_STATES,
+    CheckpointTask,
+    Order,
+    PlatformAnswer,
+    PlatformCall,
+    StartTask,
+    StopTask,
+    TaskState,
+    ThrottleTask,
+)
+
+THROTTLED_SHARE = 0.2
+"""Processor share of a task whose checkpoint failed, until the next one is done."""
+
+
+class Calls:
+    """The calls of one holder under one epoch."""
+
+    def __init__(self, settings: SchedulerSettings) -> None:
+        self._settings = settings
+        self._cursor = 0
+        self._number = 0
+        self._answered = 0
+        self._sent_at_by_number: dict[int, Seconds] = {}
+        self._whole_number: int | None = None
+        self._acknowledged: dict[TaskId, None] = {}
+        self._strangers: list[StopTask] = []
+
+    def acknowledge(self, task: TaskId) -> None:
+        """Tell the platform that a final state is recorded."""
+        self._acknowledged[task] = None
+
+    def stop_stranger(self, order: StopTask) -> None:
+        """Stop a task that belongs to no live attempt."""
+        self._strangers.append(order)
+
+    def assemble(
+        self, epoch: Epoch, runs: Iterable[Run], permitted: bool, lease_left: Seconds, now: Seconds
+    ) -> PlatformCall:
+        """
+        Return the next call.
+
+        :param runs: attempts that need orders.
+        :param lease_left: seconds for which the holder's own lease lasts at least.
+        """
+        orders = itertools.chain.from_iterable(
+            self._orders(run, permitted, lease_left, now) for run in runs
+        )
+        self._number += 1
+        self._sent_at_by_number[self._number] = now
+        if self._cursor == 0:
+            self._whole_number = self._number
+        call = PlatformCall(
+            epoch=epoch,
+            lease=self._settings.worker_lease if lease_left > 0 else 0.0,
+            orders=(*self._strangers, *orders),
+            since=self._cursor,
+            acknowledged=tuple(self._acknowledged),
+            number=self._number,
+        )
+        self._strangers.clear()
+        return call
+
+    def accept(self, answer: PlatformAnswer) -> Seconds | None:
+        """
+        Check an answer.
+
+        :return: when its call was sent, or None if the answer is old, repeated or unusable.
+        """
+        number = answer.number or self._number
+        if number <= self._answered or number not in self._sent_at_by_number:
+            return None
+        sent_at = self._sent_at_by_number[number]
+        self._answered = number
+        for old in [n for n in self._sent_at_by_number if n <= number]:
+            del self._sent_at_by_number[old]
+        if answer.cursor < self._cursor:
+            self._cursor = 0
+            return None
+        self._cursor = answer.cursor
+        self._acknowledged.clear()
+        return sent_at
+
+    def is_whole(self, answer: PlatformAnswer) -> bool:
+        """Return whether an accepted answer lists every worker."""
+        whole = self._whole_number
+        if whole is None or (answer.number and answer.number != whole):
+            return False
+        self._whole_number = None
+        return True
+
+    def _orders(
+        self, run: Run, permitted: bool, lease_left: Seconds, now: Seconds
+    ) -> Iterator[Order]:
+        match run.phase:
+            case Phase.STARTING:
+                not_after = min(run.deadline - now, lease_left)
+                if permitted and not_after > 0:
+                    run.sent = True
+                    yield from _starts(run, not_after)
+            case Phase.CHECKPOINTING:
+                for task in run.tasks_by_id.values():
+                    yield from self._checkpoint(task, now)
+            case Phase.STOPPING:
+                for task in run.tasks_by_id.values():
+                    if not task.gone:
+                        yield StopTask(task.worker, task.id)
+
+    def _checkpoint(self, task: GangTask, now: Seconds) -> Iterator[Order]:
+        if task.state in FINAL_TASK_STATES or task.state is TaskState.CHECKPOINTING:
+            return
+        if now - task.asked_at < self._settings.checkpoint_retry:
+            return
+        if task.asked_at > float("-inf") and not task.throttled:
+            task.throttled = True
+            yield ThrottleTask(task.worker, task.id, THROTTLED_SHARE)
+        task.asked_at = now
+        yield CheckpointTask(task.worker, task.id)
+
+
+def _starts(run: Run, not_after: float) -> Iterator[StartTask]:
+    for task in run.tasks_by_id.values():
+        if task.state is None:
+            yield StartTask(
+                worker=task.worker,
+                task=task.id,
+                job=run.job,
+                attempt=run.attempt,
+                resources=run.need,
+                not_after=not_after,
+                resume=run.record.resume,
+                payload=run.record.payload,
+            )
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/jobs/_choice.py
@@ -0,0 +1,112 @@
+"""
+bulrushhollow_core.jobs._choice
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Chooses the data centre of a job.
+"""
+
+from collections.abc import Iterable
+
+from bulrushhollow_core.ids import DataCentreId
+from bulrushhollow_core.jobs._packing import fits_empty
+from bulrushhollow_core.jobs._views import DataCentreLoad
+from bulrushhollow_core.models import (
+    Configuration,
+    DataCentre,
+    Profile,
+    Resources,
+    Service,
+    Shape,
+)
+from bulrushhollow_core.outcomes import Reason, Refusal
+
+
+def choose_data_centre(
+    profile: Profile,
+    configuration: Configuration,
+    loads_by_data_centre: dict[DataCentreId, DataCentreLoad],
+) -> DataCentreId | Refusal:
+    """
+    Choose where a job is queued: where its guarantee is, or else the least loaded data centre in
+    service into which its shape fits.
+
+    :param loads_by_data_centre: what is known of the load; a data centre may be missing.
+    :return: the data centre, or why the job can't be accepted.
+    """
+    fitting = [
+        data_centre
+        for data_centre in configuration.data_centres_by_id.values()
+        if shape_fits(profile.shape, data_centre)
+    ]
+    if not fitting:
+        return Refusal(Reason.NEVER_FITS, _misfit(profile.shape, configuration))
+    quota = _quota(profile, configuration)
+    size = profile.shape.tasks * profile.shape.per_task.accelerators
+    if quota is not None and size > quota:
+        return Refusal(Reason.QUOTA, f"the gang needs {size} accelerators, the quota is {quota}")
+    in_service = [dc for dc in fitting if dc.service is Service.IN]
+    if not in_service:
+        return Refusal(Reason.DATA_CENTRE_OUT, "every data centre that could run it is out")
+    home = _home(profile, configuration)
+    if any(data_centre.id == home for data_centre in in_service):
+        assert home is not None
+        return home
+    loads = (loads_by_data_centre.get(dc.id, DataCentreLoad(dc.id)) for dc in in_service)
+    return min(loads, key=lambda load: _pressure(load, size)).data_centre
+
+
+def shape_fits(shape: Shape, data_centre: DataCentre) -> bool:
+    """Return whether a gang fits into the declared racks of a data centre when they are empty."""
+    racks = ((rack.workers, tasks_per_worker(rack.per_worker, shape)) for rack in data_centre.racks)
+    return fits_empty(shape, racks)
+
+
+def tasks_per_worker(capacity: Resources, shape: Shape) -> int:
+    """Return how many tasks of a gang an empty worker takes."""
+    need = shape.per_task
+    pairs = (
+        (capacity.accelerators, need.accelerators),
+        (capacity.cores, need.cores),
+        (capacity.memory_mb, need.memory_mb),
+    )
+    return min((has // needs for has, needs in pairs if needs), default=shape.tasks)
+
+
+def _home(profile: Profile, configuration: Configuration) -> DataCentreId | None:
+    workspace = configuration.workspaces_by_id.get(profile.workspace)
+    if workspace is None or profile.guarantee is None:
+        return None
+    homes: Iterable[DataCentreId] = (
+        guarantee.data_centre
+        for guarantee in workspace.guarantees
+        if guarantee.name == profile.guarantee
+    )
+    return next(iter(homes), None)
+
+
+def _quota(profile: Profile, configuration: Configuration) -> int | None:
+    workspace = configuration.workspaces_by_id.get(profile.workspace)
+    return None if workspace is None else workspace.accelerator_quota
+
+
+def _pressure(load: DataCentreLoad, size: int) -> tuple[bool, bool, float, float, DataCentreId]:
+    accelerators = max(1, load.accelerators)
+    waits = load.free < size or load.queued > 0
+    return (
+        not load.heard,
+        waits,
+        load.queued / accelerators,
+        -load.free / accelerators,
+        load.data_centre,
+    )
+
+
+def _misfit(shape: Shape, configuration: Configuration) -> str:
+    need = shape.per_task
+    wanted = (
+        f"{shape.tasks} tasks of {need.accelerators} accelerators, {need.cores} cores and "
+        f"{need.memory_mb} MB in one {shape.adjacency.value.replace('_', ' ')}"
+    )
+    if not configuration.data_centres_by_id:
+        return f"no data centre is declared; asked for {wanted}"
+    return f"no declared data centre holds {wanted} even when it is empty"
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/jobs/_fragmentation.py
@@ -0,0 +1,47 @@
+"""
+bulrushhollow_core.jobs._fragmentation
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The measure of fragmentation: the share of the free accelerators that the largest shape can't use.
+"""
+
+from collections.abc import Iterable
+
+from bulrushhollow_core.jobs._fleet import Fleet, RackSums
+from bulrushhollow_core.models import Adjacency, Shape
+
+
+def fragmentation(fleet: Fleet, shape: Shape) -> float:
+    """
+    Return the share of free accelerators that can't serve a shape, 0 if none is free.
+
+    :param shape: the largest shape of all profiles.
+    """
+    size = shape.tasks * shape.per_task.accelerators
+    free = fleet.free_accelerators
+    if free <= 0 or size == 0:
+        return 0.0
+    if shape.adjacency is Adjacency.DATA_CENTRE:
+        fit = sum(_fit(rack, shape) for rack in fleet.racks_by_id.values()) // shape.tasks
+    elif shape.adjacency is Adjacency.RACK:
+        fit = sum(_fit(rack, shape) // shape.tasks for rack in fleet.racks_by_id.values())
+    else:
+        fit = sum(
+            worker.free.tasks_of(shape.per_task) // shape.tasks for worker in fleet.usable_workers()
+        )
+    return max(0.0, 1.0 - fit * size / free)
+
+
+def largest_shape(shapes: Iterable[Shape]) -> Shape:
+    """Return the shape with the most accelerators, the closest adjacency among equals."""
+    closeness = list(Adjacency)
+
+    def size(shape: Shape) -> tuple[int, int, int]:
+        total = shape.tasks * shape.per_task.accelerators
+        return (total, -closeness.index(shape.adjacency), shape.tasks)
+
+    return max(shapes, key=size, default=Shape())
+
+
+def _fit(rack: RackSums, shape: Shape) -> int:
+    return sum(w.free.tasks_of(shape.per_task) for w in rack.workers_by_id.values())
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/jobs/_health.py
@@ -0,0 +1,144 @@
+"""
+bulrushhollow_core.jobs._health
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Tells workers on which everything fails from jobs that fail everywhere. A worker is quarantined
+when several different jobs in a row failed on it and none of those is known to fail elsewhere;
+after a while it gets one job as a probe, whose outcome decides.
+"""
+
+import msgspec
+
+from bulrushhollow_core.ids import JobId, Seconds, WorkerId
+from bulrushhollow_core.jobs._views import SchedulerSettings
+
+PROBATION = Seconds(600.0)
+"""A worker for which no probe turns up within this time is used again without one."""
+
+
+class _Record(msgspec.Struct):
+    """
+    Failures of one worker since anything last succeeded on it.
+
+    :param failed_jobs: different jobs, in the order in which they failed.
+    :param spells: quarantines in a row.
+    :param until: end of the present quarantine.
+    :param probing: whether the quarantine is over but not yet lifted by a success.
+    """
+
+    failed_jobs: dict[JobId, None] = {}
+    spells: int = 0
+    until: Seconds | None = None
+    probing: bool = False
+    probing_since: Seconds = Seconds(0.0)
+
+
+class Health:
+    """Which workers are fit for work."""
+
+    def __init__(self, settings: SchedulerSettings) -> None:
+        self._settings = settings
+        self._records_by_worker: dict[WorkerId, _Record] = {}
+        self._workers_by_job: dict[JobId, set[WorkerId]] = {}
+
+    def is_quarantined(self, worker: WorkerId) -> bool:
+        """Return whether a worker is in quarantine or on probation."""
+        record = self._records_by_worker.get(worker)
+        return record is not None and (record.probing or record.until is not None)
+
+    @property
+    def quarantined(self) -> tuple[WorkerId, ...]:
+        """Return the workers that get no work at present."""
+        records = self._records_by_worker.items()
+        return tuple(sorted(worker for worker, record in records if record.until is not None))
+
+    def is_on_probation(self, worker: WorkerId) -> bool:
+        """Return whether a worker has to prove itself with one job at a time."""
+        record = self._records_by_worker.get(worker)
+        return record is not None and record.probing
+
+    @property
+    def on_probation(self) -> list[WorkerId]:
+        """Return the workers that have to prove themselves."""
+        records = self._records_by_worker.items()
+        return [worker for worker, record in records if record.probing]
+
+    def is_suspect(self, worker: WorkerId) -> bool:
+        """Return whether a failure on this worker says little about the job."""
+        record = self._records_by_worker.get(worker)
+        if record is None:
+            return False
+        return record.probing or record.until is not None or len(record.failed_jobs) > 1
+
+    def workers_failed_by(self, job: JobId) -> frozenset[WorkerId]:
+        """Return the workers on which a live job has failed before."""
+        return frozenset(self._workers_by_job.get(job, ()))
+
+    def failed(self, worker: WorkerId, job: JobId, now: Seconds) -> bool:
+        """
+        Note that a job failed on a worker.
+
+        :return: whether the worker goes into quarantine by it.
+        """
+        record = self._records_by_worker.setdefault(worker, _Record())
+        record.failed_jobs[job] = None
+        workers = self._workers_by_job.setdefault(job, set())
+        workers.add(worker)
+        if len(workers) > 1:
+            self._acquit(job, workers)
+        limit = 1 if record.probing else self._settings.suspect_failures
+        if record.until is not None or len(record.failed_jobs) < limit:
+            return False
+        self._quarantine(record, now)
+        return True
+
+    def succeeded(self, worker: WorkerId) -> None:
+        """Note that a task ran well on a worker; it does not shorten a quarantine."""
+        record = self._records_by_worker.get(worker)
+        if record is not None and record.until is None:
+            del self._records_by_worker[worker]
+
+    def job_ended(self, job: JobId) -> None:
+        """Forget a job that will not be started again."""
+        self._workers_by_job.pop(job, None)
+
+    def ended_quarantines(self, now: Seconds) -> list[WorkerId]:
+        """Return workers whose quarantine is over by now; each is then on probation."""
+        over = [
+            worker
+            for worker, record in self._records_by_worker.items()
+            if record.until is not None and record.until <= now
+        ]
+        for worker in over:
+            record = self._records_by_worker[worker]
+            record.until = None
+            record.probing = True
+            record.probing_since = now
+            record.failed_jobs = {}
+        return over
+
+    def overdue_probations(self, now: Seconds) -> list[WorkerId]:
+        """Return workers that waited in vain for a probe and are used again with reserve."""
+        return [
+            worker
+            for worker, record in self._records_by_worker.items()
+            if record.probing and now - record.probing_since >= PROBATION
+        ]
+
+    def forget_worker(self, worker: WorkerId) -> None:
+        """Forget a worker that the platform no longer lists."""
+        self._records_by_worker.pop(worker, None)
+
+    def _acquit(self, job: JobId, workers: set[WorkerId]) -> None:
+        """A job that fails on several sound workers is no evidence against any of them."""
+        sound = [worker for worker in workers if not self.is_suspect(worker)]
+        if len(sound) < 2:
+            return
+        for worker in sound:
+            self._records_by_worker[worker].failed_jobs.pop(job, None)
+
+    def _quarantine(self, record: _Record, now: Seconds) -> None:
+        length = self._settings.quarantine * 2**record.spells
+        record.until = Seconds(now + min(length, self._settings.longest_quarantine))
+        record.spells += 1
+        record.probing = False
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/jobs/_ledger.py
@@ -0,0 +1,337 @@
+"""
+bulrushhollow_core.jobs._ledger
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The state of all jobs as the replicated log makes it. Every instance applies the same commands in
+the same order and so holds the same ledger; nothing here reads a time.
+"""
+
+import hashlib
+from enum import Enum
+
+import msgspec
+
+from bulrushhollow_core.ids import Attempt, DataCentreId, Epoch, JobId, LogIndex, WorkerId
+from bulrushhollow_core.jobs._commands import (
+    CancelJob,
+    EndJob,
+    IntendStart,
+    JobCommand,
+    JobEnd,
+    MoveJob,
+    RequeueJob,
+    RequeueProof,
+    SubmitJob,
+)
+from bulrushhollow_core.models import Profile
+from bulrushhollow_core.outcomes import Execution, Reason, Refusal
+
+ENDED_JOBS_KEPT = 8_000
+"""Ended jobs that are remembered; the ones that ended first are forgotten first."""
+
+FIRST_EPOCH = Epoch(0)
+
+
+class JobState(Enum):
+    """Where a job stands in the log."""
+
+    QUEUED = "queued"
+    STARTED = "started"
+    ENDED = "ended"
+
+
+class JobRecord(msgspec.Struct, frozen=True):
+    """
+    One job.
+
+    :param submitted: log index of its submission.
+    :param attempt: the last attempt for which a start was recorded; 0 before the first.
+    :param epoch: epoch of the holder that recorded that start.
+    :param placement: workers of the tasks of a started attempt.
+    :param resume: whether the next attempt, or the started one, starts from a checkpoint.
+    :param cancelled: whether a cancellation was accepted.
+    :param may_have_run: whether any task may have run in an attempt before the present one.
+    :param failures: attempts whose loss the job itself is suspected of.
+    :param end: how it ended, once it has.
+    :param execution: whether it ran, once it has ended.
+    :param payload: passed to tasks; dropped when the job ends.
+    :param digest: digest of the payload, by which a repeated submission is known.
+    """
+
+    job: JobId
+    profile: Profile
+    data_centre: DataCentreId
+    submitted: LogIndex
+    state: JobState = JobState.QUEUED
+    attempt: Attempt = Attempt(0)
+    epoch: Epoch = FIRST_EPOCH
+    placement: tuple[WorkerId, ...] = ()
+    resume: bool = False
+    cancelled: bool = False
+    may_have_run: bool = False
+    failures: int = 0
+    end: JobEnd | None = None
+    reason: Reason | None = None
+    detail: str = ""
+    execution: Execution = Execution.NOT_RUN
+    payload: str = ""
+    digest: str = ""
+
+
+class JobLedgerSnapshot(msgspec.Struct, frozen=True):
+    """The whole ledger as of one log index; ended jobs stand in the order in which they ended."""
+
+    live: tuple[JobRecord, ...] = ()
+    ended: tuple[JobRecord, ...] = ()
+    epochs_by_data_centre: dict[DataCentreId, Epoch] = {}
+
+
+class JobLedger:
+    """
+    All jobs, changed only by commands of the log.
+
+    :param ended_kept: how many ended jobs are remembered; the same on every instance.
+
+    Usage::
+
+        ledger = JobLedger()
+        outcome = ledger.apply(index, SubmitJob(job, profile, data_centre))
+    """
+
+    def __init__(self, ended_kept: int = ENDED_JOBS_KEPT) -> None:
+        self.jobs_by_id: dict[JobId, JobRecord] = {}
+        self.queued_by_data_centre: dict[DataCentreId, dict[JobId, None]] = {}
+        self.started_by_data_centre: dict[DataCentreId, dict[JobId, None]] = {}
+        self._ended: dict[JobId, None] = {}
+        self._ended_kept = ended_kept
+        self._epochs_by_data_centre: dict[DataCentreId, Epoch] = {}
+        self._profiles: dict[Profile, Profile] = {}
+
+    def apply(self, index: LogIndex, command: JobCommand) -> JobRecord | Refusal:
+        """
+        Apply one committed command.
+
+        :param index: its place in the log.
+        :return: the job as it now is, or why the command changed nothing.
+        """
+        match command:
+            case SubmitJob():
+                return self._submit(index, command)
+            case IntendStart():
+                return self._intend_start(command)
+            case EndJob():
+                return self._end(command)
+            case RequeueJob():
+                return self._requeue(command)
+            case CancelJob():
+                return self._cancel(command)
+            case MoveJob():
+                return self._move(command)
+
+    def live_records(self, data_centre: DataCentreId) -> list[JobRecord]:
+        """Return the queued and started jobs of a data centre in the order of submission."""
+        ids = [
+            *self.queued_by_data_centre.get(data_centre, ()),
+            *self.started_by_data_centre.get(data_centre, ()),
+        ]
+        return sorted((self.jobs_by_id[job] for job in ids), key=lambda record: record.submitted)
+
+    def snapshot(self) -> JobLedgerSnapshot:
+        """Return the whole state for a log snapshot."""
+        live = tuple(r for r in self.jobs_by_id.values() if r.state is not JobState.ENDED)
+        ended = tuple(self.jobs_by_id[job] for job in self._ended)
+        return JobLedgerSnapshot(live, ended, dict(self._epochs_by_data_centre))
+
+    @classmethod
+    def restore(cls, snapshot: JobLedgerSnapshot, ended_kept: int = ENDED_JOBS_KEPT) -> "JobLedger":
+        """Build the ledger that a snapshot was taken of."""
+        ledger = cls(ended_kept)
+        ledger._epochs_by_data_centre = dict(snapshot.epochs_by_data_centre)
+        for record in (*snapshot.live, *snapshot.ended):
+            shared = msgspec.structs.replace(record, profile=ledger._shared(record.profile))
+            ledger._put(shared)
+        return ledger
+
+    def _submit(self, index: LogIndex, command: SubmitJob) -> JobRecord | Refusal:
+        digest = hashlib.blake2b(command.payload.encode(), digest_size=8).hexdigest()
+        known = self.jobs_by_id.get(command.job)
+        if known is None:
+            return self._put(
+                JobRecord(
+                    job=command.job,
+                    profile=self._shared(command.profile),
+                    data_centre=command.data_centre,
+                    submitted=index,
+                    payload=command.payload,
+                    digest=digest,
+                )
+            )
+        if known.profile.name == command.profile.name and known.digest == digest:
+            return known
+        return Refusal(Reason.CHANGE_ID_REUSED, "another job was submitted under this id")
+
+    def _intend_start(self, command: IntendStart) -> JobRecord | Refusal:
+        record = self.jobs_by_id.get(command.job)
+        if record is None:
+            return _no_such_job(command.job)
+        if record.data_centre != command.data_centre:
+            return Refusal(Reason.INVALID, "the job was moved to another data centre")
+        if record.state is not JobState.QUEUED or record.cancelled:
+            return Refusal(Reason.INVALID, "the job is not queued")
+        if command.attempt != record.attempt + 1:
+            return Refusal(Reason.INVALID, "the attempt is not the next one")
+        if self._is_fenced(record.data_centre, command.epoch):
+            return _fenced()
+        return self._put(
+            msgspec.structs.replace(
+                record,
+                state=JobState.STARTED,
+                attempt=command.attempt,
+                epoch=command.epoch,
+                placement=command.placement,
+            )
+        )
+
+    def _end(self, command: EndJob) -> JobRecord | Refusal:
+        record = self._record_of_attempt(command.job, command.attempt, command.epoch)
+        if isinstance(record, Refusal):
+            return record
+        if record.state is JobState.QUEUED and command.end is JobEnd.SUCCEEDED:
+            return Refusal(Reason.INVALID, "a queued job can't have succeeded")
+        ran = _execution(record, command.execution)
+        return self._put_ended(record, command.end, command.reason, command.detail, ran)
+
+    def _requeue(self, command: RequeueJob) -> JobRecord | Refusal:
+        record = self._record_of_attempt(command.job, command.attempt, command.epoch)
+        if isinstance(record, Refusal):
+            return record
+        if record.state is not JobState.STARTED:
+            return Refusal(Reason.INVALID, "the job is not started")
+        never_started = command.proof is RequeueProof.NEVER_STARTED
+        if record.cancelled:
+            ran = _execution(record, Execution.NOT_RUN if never_started else Execution.UNKNOWN)
+            return self._put_ended(record, JobEnd.CANCELLED, Reason.CANCELLED, "", ran)
+        if command.proof is RequeueProof.NONE and not record.profile.idempotent:
+            detail = "the attempt was lost after it may have begun"
+            return self._put_ended(
+                record, JobEnd.UNKNOWN, command.reason, detail, Execution.UNKNOWN
+            )
+        return self._put(
+            msgspec.structs.replace(
+                record,
+                state=JobState.QUEUED,
+                placement=(),
+                resume=command.resume or (record.resume and never_started),
+                may_have_run=record.may_have_run or not never_started,
+                failures=record.failures + command.blame,
+                reason=command.reason,
+            )
+        )
+
+    def _cancel(self, command: CancelJob) -> JobRecord | Refusal:
+        record = self.jobs_by_id.get(command.job)
+        if record is None:
+            return _no_such_job(command.job)
+        if record.state is JobState.ENDED:
+            return record
+        if record.state is JobState.STARTED:
+            return self._put(msgspec.structs.replace(record, cancelled=True))
+        ran = _execution(record, Execution.NOT_RUN)
+        cancelled = msgspec.structs.replace(record, cancelled=True)
+        return self._put_ended(cancelled, JobEnd.CANCELLED, Reason.CANCELLED, "", ran)
+
+    def _move(self, command: MoveJob) -> JobRecord | Refusal:
+        record = self.jobs_by_id.get(command.job)
+        if record is None:
+            return _no_such_job(command.job)
+        if record.state is not JobState.QUEUED:
+            return Refusal(Reason.INVALID, "only a queued job can be moved")
+        if record.data_centre == command.data_centre:
+            return record
+        if command.epoch is not None and self._is_fenced(record.data_centre, command.epoch):
+            return _fenced()
+        return self._put(msgspec.structs.replace(record, data_centre=command.data_centre))
+
+    def _record_of_attempt(
+        self, job: JobId, attempt: Attempt, epoch: Epoch | None
+    ) -> JobRecord | Refusal:
+        record = self.jobs_by_id.get(job)
+        if record is None:
+            return _no_such_job(job)
+        if record.state is JobState.ENDED:
+            return Refusal(Reason.INVALID, "the job has ended")
+        if record.attempt != attempt:
+            return Refusal(Reason.INVALID, "another attempt is the present one")
+        if epoch is not None and self._is_fenced(record.data_centre, epoch):
+            return _fenced()
+        return record
+
+    def _is_fenced(self, data_centre: DataCentreId, epoch: Epoch) -> bool:
+        highest = self._epochs_by_data_centre.get(data_centre, FIRST_EPOCH)
+        if epoch < highest:
+            return True
+        self._epochs_by_data_centre[data_centre] = epoch
+        return False
+
+    def _put_ended(
+        self, record: JobRecord, end: JobEnd, reason: Reason | None, detail: str, ran: Execution
+    ) -> JobRecord:
+        return self._put(
+            msgspec.structs.replace(
+                record,
+                state=JobState.ENDED,
+                end=end,
+                reason=reason,
+                detail=detail,
+                execution=ran,
+                payload="",
+                placement=(),
+            )
+        )
+
+    def _put(self, record: JobRecord) -> JobRecord:
+        before = self.jobs_by_id.get(record.job)
+        if before is not None:
+            self._unindex(before)
+        self.jobs_by_id[record.job] = record
+        match record.state:
+            case JobState.QUEUED:
+                self.queued_by_data_centre.setdefault(record.data_centre, {})[record.job] = None
+            case JobState.STARTED:
+                self.started_by_data_centre.setdefault(record.data_centre, {})[record.job] = None
+            case JobState.ENDED:
+                self._ended[record.job] = None
+                self._forget_oldest()
+        return record
+
+    def _unindex(self, record: JobRecord) -> None:
+        self.queued_by_data_centre.get(record.data_centre, {}).pop(record.job, None)
+        self.started_by_data_centre.get(record.data_centre, {}).pop(record.job, None)
+
+    def _forget_oldest(self) -> None:
+        while len(self._ended) > self._ended_kept:
+            oldest = next(iter(self._ended))
+            del self._ended[oldest]
+            del self.jobs_by_id[oldest]
+
+    def _shared(self, profile: Profile) -> Profile:
+        if len(self._profiles) > self._ended_kept:
+            self._profiles.clear()
+        return self._profiles.setdefault(profile, profile)
+
+
+def _execution(record: JobRecord, last: Execution) -> Execution:
+    """Return whether a job ran, given what is known of its last attempt."""
+    if record.state is JobState.QUEUED:
+        last = Execution.NOT_RUN
+    if last is Execution.NOT_RUN and record.may_have_run:
+        return Execution.UNKNOWN
+    return last
+
+
+def _no_such_job(job: JobId) -> Refusal:
+    return Refusal(Reason.NO_SUCH_JOB, f"no job {job} is known")
+
+
+def _fenced() -> Refusal:
+    return Refusal(Reason.INVALID, "a later holder of the data centre's lease has acted")
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/jobs/_planner.py
@@ -0,0 +1,328 @@
+"""
+bulrushhollow_core.jobs._planner
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Decides which queued job starts next and where.
+"""
+
+import heapq
+from collections.abc import Callable
+
+from bulrushhollow_core.ids import JobId, Seconds, WorkerId
+from bulrushhollow_core.jobs._estimates import Estimates
+from bulrushhollow_core.jobs._eviction import Eviction, EvictionFinder
+from bulrushhollow_core.jobs._fleet import Fleet, Placement
+from bulrushhollow_core.jobs._gangs import Gangs
+from bulrushhollow_core.jobs._health import Health
+from bulrushhollow_core.jobs._ledger import JobRecord
+from bulrushhollow_core.jobs._packing import (
+    Room,
+    find_free_worker,
+    find_place,
+    firm_room,
+    free_room,
+    without,
+)
+from bulrushhollow_core.jobs._queue import (
+    RETRY_BLOCKED,
+    URGENCY_RANKS,
+    JobQueue,
+    Lane,
+    Shares,
+)
+from bulrushhollow_core.jobs._reservations import Reservations
+from bulrushhollow_core.jobs._runs import Cause, Phase, Run, Standing
+from bulrushhollow_core.jobs._views import SchedulerSettings
+from bulrushhollow_core.jobs._witness import UnitKey, Witness
+from bulrushhollow_core.models import Adjacency, Profile, Shape, Urgency, Workspace
+
+WORTH_MOVING = 0.25
+"""Work may be moved aside for a gang if that wastes at most this share of the gang's own work."""
+
+SMALLER = 0.5
+"""Only jobs of at most this share of a gang's accelerators are moved aside for it."""
+
+
+class Planner:
+    """
+    The decisions of one data centre about its queue.
+
+    :param gangs: carries the decisions out.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        witness: Witness,
+        gangs: Gangs,
+        queue: JobQueue,
+        shares: Shares,
+        estimates: Estimates,
+        health: Health,
+        settings: SchedulerSettings,
+    ) -> None:
+        self._fleet = fleet
+        self._witness = witness
+        self._gangs = gangs
+        self._queue = queue
+        self._shares = shares
+        self._estimates = estimates
+        self._health = health
+        self._settings = settings
+        self._finder = EvictionFinder(fleet, gangs.runs_by_job)
+        self._reservations = Reservations(
+            fleet, gangs.runs_by_job, estimates, settings.reservations
+        )
+        self._evictions_by_job: dict[JobId, int] = {}
+        self._quotas: dict[str, int | None] = {}
+
+    def configure(self, workspaces: list[Workspace]) -> None:
+        """Take over the quotas of all workspaces."""
+        self._quotas = {workspace.id: workspace.accelerator_quota for workspace in workspaces}
+
+    def forget(self, job: JobId) -> None:
+        """Forget a job that will not be started here again."""
+        self._reservations.drop(job)
+        self._evictions_by_job.pop(job, None)
+
+    def plan(self, now: Seconds) -> None:
+        """Go through the queue once, the first job of each lane at a time."""
+        self._probe_workers(now)
+        heads: list[tuple[tuple[int, float, int], JobId, Lane]] = []
+        for lane in list(self._queue.lanes_by_profile.values()):
+            self._push_head(heads, lane, now)
+        heapq.heapify(heads)
+        misfits: set[tuple[Shape, Standing]] = set()
+        while heads:
+            _, job, lane = heapq.heappop(heads)
+            record = self._queue.records_by_job[job]
+            if self._start(record, misfits, now):
+                self._queue.remove(job)
+                self._reservations.drop(job)
+                self._push_head(heads, lane, now, heapq.heappush)
+            else:
+                lane.blocked_at = self._fleet.releases
+                lane.blocked_until = Seconds(now + RETRY_BLOCKED)
+
+    def _push_head(
+        self,
+        heads: list[tuple[tuple[int, float, int], JobId, Lane]],
+        lane: Lane,
+        now: Seconds,
+        push: Callable[..., None] = lambda heads, item: heads.append(item),
+    ) -> None:
+        record = self._queue.first_of(lane)
+        if record is None:
+            return
+        if lane.blocked_at == self._fleet.releases and now < lane.blocked_until:
+            return
+        order = self._queue.order(record, self._fleet.accelerators, now)
+        push(heads, (order, record.job, lane))
+
+    def _start(self, record: JobRecord, misfits: set[tuple[Shape, Standing]], now: Seconds) -> bool:
+        profile = record.profile
+        if profile.guarantee is not None:
+            unit = self._witness.claimable(profile.workspace, profile.guarantee)
+            if unit is not None and self._witness.place_of(unit) is not None:
+                return self._claim(record, unit, now)
+        if self._is_over_quota(profile):
+            return False
+        if profile.idempotent or profile.checkpointable:
+            return self._borrow(record, misfits, now)
+        return self._start_firm(record, misfits, now)
+
+    def _claim(self, record: JobRecord, unit: UnitKey, now: Seconds) -> bool:
+        shape = record.profile.shape
+        kept = self._witness.place_of(unit)
+        assert kept is not None
+        free = self._find(shape, without(free_room(shape), self._failed_on(record)))
+        if free is not None and self._witness.claim(unit, free):
+            self._gangs.open(record, free, Standing.CLAIM, unit, now)
+            return True
+        cheapest = self._finder.cheapest(shape, _is_borrowed, now)
+        at_kept = self._finder.victims_at(kept, shape, _is_borrowed, now)
+        better = at_kept is None or (cheapest is not None and cheapest.cost < at_kept.cost)
+        if cheapest is not None and better and self._witness.claim(unit, cheapest.place):
+            self._open(record, cheapest, Standing.CLAIM, unit, now)
+            return True
+        if at_kept is None:
+            return False
+        self._witness.claim(unit, kept)
+        self._open(record, at_kept, Standing.CLAIM, unit, now)
+        return True
+
+    def _start_firm(
+        self, record: JobRecord, misfits: set[tuple[Shape, Standing]], now: Seconds
+    ) -> bool:
+        shape = record.profile.shape
+        if self._witness.is_lacking or (shape, Standing.FIRM) in misfits:
+            return False
+        closed = self._closed_to(record, now)
+        place = self._find(shape, without(firm_room(shape), closed))
+        if place is None:
+            place = self._find(shape, without(free_room(shape), closed))
+        if place is not None and self._witness.admit(place, shape.per_task):
+            self._gangs.open(record, place, Standing.FIRM, None, now)
+            return True
+        eviction = self._eviction_for(record, now)
+        if eviction is not None and self._witness.admit(eviction.place, shape.per_task):
+            self._open(record, eviction, Standing.FIRM, None, now)
+            return True
+        self._note_misfit(record, Standing.FIRM, closed, misfits)
+        self._reserve_if_starving(record, now)
+        return False
+
+    def _borrow(
+        self, record: JobRecord, misfits: set[tuple[Shape, Standing]], now: Seconds
+    ) -> bool:
+        shape = record.profile.shape
+        closed = self._closed_to(record, now)
+        if (shape, Standing.BORROWED) not in misfits:
+            place = self._find(shape, without(free_room(shape), closed))
+            if place is not None:
+                self._gangs.open(record, place, Standing.BORROWED, None, now)
+                return True
+            self._note_misfit(record, Standing.BORROWED, closed, misfits)
+        eviction = self._eviction_for(record, now)
+        if eviction is not None:
+            self._open(record, eviction, Standing.BORROWED, None, now)
+            return True
+        self._reserve_if_starving(record, now)
+        return False
+
+    def _open(
+        self,
+        record: JobRecord,
+        eviction: Eviction,
+        standing: Standing,
+        unit: UnitKey | None,
+        now: Seconds,
+    ) -> None:
+        self._gangs.open(record, eviction.place, standing, unit, now)
+        for victim in sorted(eviction.victims):
+            if standing is not Standing.CLAIM:
+                moved = self._evictions_by_job.get(victim, 0)
+                self._evictions_by_job[victim] = moved + 1
+            self._gangs.evict(victim, Cause.PREEMPTED, now)
+
+    def _eviction_for(self, record: JobRecord, now: Seconds) -> Eviction | None:
+        """Return work to move aside for a job without a claim, if that is worth it."""
+        profile = record.profile
+        if profile.urgency is Urgency.URGENT:
+            return self._finder.cheapest(profile.shape, self._less_urgent_than(profile), now)
+        if not is_large(profile.shape):
+            return None
+        if self._queue.waited(record.job, now) < self._settings.eviction_age:
+            return None
+        eviction = self._finder.cheapest(profile.shape, self._movable_for(record, now), now)
+        if eviction is None:
+            return None
+        size = profile.shape.tasks * profile.shape.per_task.accelerators
+        worth = self._estimates.expected(profile) * size * WORTH_MOVING
+        return eviction if eviction.cost <= worth else None
+
+    def _less_urgent_than(self, profile: Profile) -> Callable[[Run], bool]:
+        rank = URGENCY_RANKS[profile.urgency]
+        return lambda run: (
+            run.is_borrowed
+            and run.is_safe_to_move
+            and URGENCY_RANKS[run.record.profile.urgency] > rank
+        )
+
+    def _movable_for(self, record: JobRecord, now: Seconds) -> Callable[[Run], bool]:
+        profile = record.profile
+        rank = self._queue.rank(record, now)
+        most = profile.shape.tasks * profile.shape.per_task.accelerators * SMALLER
+        limit = self._settings.evictions_per_job
+
+        def is_movable(run: Run) -> bool:
+            settled = run.running_since is not None and (
+                now - run.running_since >= self._settings.settled_run
+            )
+            return (
+                run.is_borrowed
+                and run.phase is Phase.RUNNING
+                and settled
+                and run.is_safe_to_move
+                and run.record.profile.checkpointable
+                and run.accelerators <= most
+                and URGENCY_RANKS[run.record.profile.urgency] >= rank
+                and self._evictions_by_job.get(run.job, 0) < limit
+            )
+
+        return is_movable
+
+    def _reserve_if_starving(self, record: JobRecord, now: Seconds) -> None:
+        if not is_large(record.profile.shape) or self._reservations.holds(record.job, now):
+            return
+        if self._queue.waited(record.job, now) < self._settings.starvation_age:
+            return
+        self._reservations.drop(record.job)
+        if self._reservations.has_room:
+            self._reservations.reserve(record, now)
+
+    def _note_misfit(
+        self,
+        record: JobRecord,
+        standing: Standing,
+        closed: frozenset[WorkerId],
+        misfits: set[tuple[Shape, Standing]],
+    ) -> None:
+        if not closed:
+            misfits.add((record.profile.shape, standing))
+
+    def _closed_to(self, record: JobRecord, now: Seconds) -> frozenset[WorkerId]:
+        expected = self._estimates.expected(record.profile)
+        reserved = self._reservations.closed_to(record, expected, now)
+        return reserved | self._failed_on(record)
+
+    def _failed_on(self, record: JobRecord) -> frozenset[WorkerId]:
+        return self._health.workers_failed_by(record.job)
+
+    def _find(self, shape: Shape, room: Room) -> Placement | None:
+        if shape.adjacency is Adjacency.WORKER or shape.tasks == 1:
+            return find_free_worker(self._fleet, shape, room)
+        return find_place(self._fleet, shape, room)
+
+    def _is_over_quota(self, profile: Profile) -> bool:
+        quota = self._quotas.get(profile.workspace)
+        if quota is None:
+            return False
+        size = profile.shape.tasks * profile.shape.per_task.accelerators
+        return self._shares.held(profile.workspace) + size > quota
+
+    def _probe_workers(self, now: Seconds) -> None:
+        """Give each worker on probation one small idempotent job."""
+        for worker_id in self._health.on_probation:
+            worker = self._fleet.workers_by_id.get(worker_id)
+            if worker is None or not worker.ready or worker.tasks_by_job:
+                continue
+            record = self._probe_for(worker_id)
+            if record is not None:
+                self._queue.remove(record.job)
+                place = (worker_id,) * record.profile.shape.tasks
+                self._gangs.open(record, place, Standing.BORROWED, None, now)
+
+    def _probe_for(self, worker: WorkerId) -> JobRecord | None:
+        free = self._fleet.workers_by_id[worker].free
+        for lane in list(self._queue.lanes_by_profile.values()):
+            record = self._queue.first_of(lane)
+            if record is None or not record.profile.idempotent:
+                continue
+            if worker in self._health.workers_failed_by(record.job):
+                continue
+            shape = record.profile.shape
+            if shape.adjacency is not Adjacency.WORKER and shape.tasks > 1:
+                continue
+            if free.tasks_of(shape.per_task) >= shape.tasks:
+                return record
+        return None
+
+
+def is_large(shape: Shape) -> bool:
+    """Return whether a gang needs more than one worker or a whole group of tasks at once."""
+    return shape.tasks > 1 and shape.tasks * shape.per_task.accelerators > 1
+
+
+def _is_borrowed(run: Run) -> bool:
+    return run.is_borrowed
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/jobs/_verdicts.py
@@ -0,0 +1,107 @@
+"""
+bulrushhollow_core.jobs._verdicts
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What the log is told of an attempt of which no task can run any more.
+"""
+
+from bulrushhollow_core.ids import Epoch
+from bulrushhollow_core.jobs._commands import EndJob, JobEnd, RequeueJob, RequeueProof
+from bulrushhollow_core.jobs._runs import Cause, Run
+from bulrushhollow_core.jobs._views import SchedulerSettings
+from bulrushhollow_core.outcomes import Execution, Reason
+from bulrushhollow_core.platform import TaskState
+
+REASONS_BY_CAUSE = {
+    Cause.CANCELLED: Reason.CANCELLED,
+    Cause.RUN_LIMIT: Reason.RUN_LIMIT,
+    Cause.TASK_FAILED: Reason.TASK_FAILED,
+    Cause.WORKER_LOST: Reason.WORKER_LOST,
+}
+
+DONE = (TaskState.CHECKPOINTED, TaskState.SUCCEEDED)
+
+
+def judge(run: Run, epoch: Epoch, settings: SchedulerSettings) -> EndJob | RequeueJob:
+    """
+    Decide what becomes of a job whose attempt is over.
+
+    :param run: an attempt all of whose tasks are gone.
+    :return: the command to commit.
+    """
+    if run.all_in(TaskState.SUCCEEDED):
+        return _end(run, epoch, JobEnd.SUCCEEDED)
+    if run.record.cancelled or run.cause is Cause.CANCELLED:
+        return _end(run, epoch, JobEnd.CANCELLED)
+    if run.cause is Cause.RUN_LIMIT:
+        return _end(run, epoch, JobEnd.FAILED)
+    if _never_started(run):
+        return _requeue_or_give_up(run, epoch, settings, RequeueProof.NEVER_STARTED)
+    if run.all_in(TaskState.CHECKPOINTED) or (_is_repeatable(run) and run.all_in(*DONE)):
+        return _requeue(run, epoch, RequeueProof.CHECKPOINTED, resume=True)
+    if _is_repeatable(run):
+        return _requeue_or_give_up(run, epoch, settings, RequeueProof.NONE)
+    if run.any_in(TaskState.FAILED):
+        return _end(run, epoch, JobEnd.FAILED)
+    return _end(run, epoch, JobEnd.UNKNOWN)
+
+
+def execution_of(run: Run) -> Execution:
+    """Return whether any task of an attempt ran, as far as the reports tell."""
+    if _never_started(run):
+        return Execution.NOT_RUN
+    if any(task.ran for task in run.tasks_by_id.values()):
+        return Execution.RAN
+    return Execution.UNKNOWN
+
+
+def _is_repeatable(run: Run) -> bool:
+    return run.record.profile.idempotent
+
+
+def _never_started(run: Run) -> bool:
+    return not run.sent or run.all_in(TaskState.REFUSED)
+
+
+def _requeue_or_give_up(
+    run: Run, epoch: Epoch, settings: SchedulerSettings, proof: RequeueProof
+) -> EndJob | RequeueJob:
+    blame = run.job_suspected
+    if run.record.failures + blame >= settings.failure_limit:
+        return _end(run, epoch, JobEnd.FAILED)
+    if run.attempt >= settings.attempt_limit:
+        return _end(run, epoch, JobEnd.FAILED)
+    return _requeue(run, epoch, proof, resume=run.record.resume, blame=blame)
+
+
+def _requeue(
+    run: Run, epoch: Epoch, proof: RequeueProof, resume: bool, blame: bool = False
+) -> RequeueJob:
+    return RequeueJob(
+        job=run.job,
+        attempt=run.attempt,
+        resume=resume,
+        reason=_reason_of(run),
+        proof=proof,
+        blame=blame,
+        epoch=epoch,
+    )
+
+
+def _end(run: Run, epoch: Epoch, end: JobEnd) -> EndJob:
+    succeeded = end is JobEnd.SUCCEEDED
+    return EndJob(
+        job=run.job,
+        attempt=run.attempt,
+        end=end,
+        reason=None if succeeded else _reason_of(run),
+        detail=run.detail,
+        execution=execution_of(run),
+        epoch=epoch,
+    )
+
+
+def _reason_of(run: Run) -> Reason | None:
+    if run.cause is None:
+        return None
+    return REASONS_BY_CAUSE.get(run.cause)
--- a/packages/core/src/bulrushhollow_core/platform.py
+++ b/packages/core/src/bulrushhollow_core/platform.py
@@ -120,6 +120,7 @@
     :param lease: seconds for which the lease of every worker is renewed on receipt; 0 renews none.
     :param since: cursor of the last answer; 0 asks for everything.
     :param acknowledged: tasks whose final state the caller has recorded.
+    :param number: counts the calls of one holder; the answer repeats it.
     """
 
     epoch: Epoch
@@ -127,6 +128,7 @@
     orders: tuple[Order, ...] = ()
     since: int = 0
     acknowledged: tuple[TaskId, ...] = ()
+    number: int = 0
 
 
 class PlatformAnswer(msgspec.Struct, frozen=True):
@@ -137,9 +139,11 @@
     :param fenced: whether the call was refused for its epoch.
     :param cursor: to be passed as ``since`` next time.
     :param workers: workers whose report changed since the caller's cursor.
+    :param number: that of the call; 0 from a platform that does not repeat it.
     """
 
     highest_epoch: Epoch
     fenced: bool
     cursor: int
     workers: tuple[WorkerReport, ...] = ()
+    number: int = 0
