--- a/packages/core/src/bulrushhollow_core/answers.py
+++ b/packages/core/src/bulrushhollow_core/answers.py
@@ -59,6 +59,7 @@
     SUCCEEDED = "succeeded"
     FAILED = "failed"
     CANCELLED = "cancelled"
+    REFUSED = "refused"
     UNKNOWN = "unknown"
 
 
