--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/node/_events.py
@@ -0,0 +1,164 @@
+"""
+bulrushhollow_core.node._events
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What a node takes in. A call carries an id chosen by the daemon, and its answer comes back as a
+:class:`~bulrushhollow_core.node.Reply` with that id.
+"""
+
+from typing import NewType
+
+import msgspec
+
+from bulrushhollow_core.answers import SubmitRequest
+from bulrushhollow_core.changes import ChangeConfiguration
+from bulrushhollow_core.endpoints import Announcement
+from bulrushhollow_core.ids import (
+    DataCentreId,
+    InstanceId,
+    InstanceName,
+    JobId,
+    RequestId,
+    Seconds,
+)
+from bulrushhollow_core.node._messages import PeerMessage
+from bulrushhollow_core.platform import PlatformAnswer
+from bulrushhollow_core.requests import Arrival, AttemptResult
+
+CallId = NewType("CallId", int)
+
+
+class Tick(msgspec.Struct, frozen=True, tag="tick"):
+    """Time passed."""
+
+
+class PeerConnected(msgspec.Struct, frozen=True, tag="peer_connected"):
+    """
+    A stream to an incarnation of a peer is open.
+
+    :param belongs: whether the peer belongs to a log.
+    """
+
+    instance: InstanceId
+    has_disk: bool
+    belongs: bool
+
+
+class PeerDisconnected(msgspec.Struct, frozen=True, tag="peer_disconnected"):
+    """The stream to an incarnation of a peer is gone."""
+
+    instance: InstanceId
+
+
+class PeerSaid(msgspec.Struct, frozen=True, tag="peer_said"):
+    """A message of a peer arrived."""
+
+    source: InstanceId
+    message: PeerMessage
+
+
+class ChangeAsked(msgspec.Struct, frozen=True, tag="change_asked"):
+    """An operator wants a change of configuration."""
+
+    call: CallId
+    change: ChangeConfiguration
+
+
+class SubmitAsked(msgspec.Struct, frozen=True, tag="submit_asked"):
+    """A caller submits a job."""
+
+    call: CallId
+    submit: SubmitRequest
+
+
+class CancelAsked(msgspec.Struct, frozen=True, tag="cancel_asked"):
+    """A caller cancels a job."""
+
+    call: CallId
+    job: JobId
+
+
+class WaitAsked(msgspec.Struct, frozen=True, tag="wait_asked"):
+    """
+    A caller waits until a job has ended.
+
+    :param within: seconds after which the present state is the answer.
+    """
+
+    call: CallId
+    job: JobId
+    within: Seconds
+
+
+class AnnounceAsked(msgspec.Struct, frozen=True, tag="announce_asked"):
+    """An endpoint announces itself."""
+
+    call: CallId
+    announcement: Announcement
+
+
+class RecoverAsked(msgspec.Struct, frozen=True, tag="recover_asked"):
+    """An operator makes this instance the only voter after the quorum is lost for good."""
+
+    call: CallId
+
+
+class RequestArrived(msgspec.Struct, frozen=True, tag="request_arrived"):
+    """A caller's request arrived whole; its body stays with the daemon."""
+
+    arrival: Arrival
+
+
+class RequestAnswered(msgspec.Struct, frozen=True, tag="request_answered"):
+    """An attempt at a request ended."""
+
+    request: RequestId
+    attempt: int
+    result: AttemptResult
+
+
+class CallerGone(msgspec.Struct, frozen=True, tag="caller_gone"):
+    """A caller closed its connection before its answer."""
+
+    request: RequestId
+
+
+class PlatformAnswered(msgspec.Struct, frozen=True, tag="platform_answered"):
+    """
+    The worker platform answered the call in flight.
+
+    :param answer: None if the call failed or timed out.
+    """
+
+    answer: PlatformAnswer | None
+
+
+class StopAsked(msgspec.Struct, frozen=True, tag="stop_asked"):
+    """A planned stop begins: no new work, hand over what is held."""
+
+
+Event = (
+    Tick
+    | PeerConnected
+    | PeerDisconnected
+    | PeerSaid
+    | ChangeAsked
+    | SubmitAsked
+    | CancelAsked
+    | WaitAsked
+    | AnnounceAsked
+    | RecoverAsked
+    | RequestArrived
+    | RequestAnswered
+    | CallerGone
+    | PlatformAnswered
+    | StopAsked
+)
+
+
+class Peer(msgspec.Struct, frozen=True):
+    """An instance named in the settings."""
+
+    name: InstanceName
+    data_centre: DataCentreId
+    has_disk: bool
--- /dev/null
+++ b/packages/daemon/src/bulrushhollow_daemon/transport.py
@@ -0,0 +1,275 @@
+"""
+bulrushhollow_daemon.transport
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Messages between instances: one long-lived gRPC stream for each pair, opened by the instance whose
+name sorts first. Messages may be lost when a stream breaks or its queue is full; the core allows
+for that.
+"""
+
+import logging
+from collections.abc import AsyncIterator, Callable, Iterable
+from contextlib import asynccontextmanager
+from typing import Any, Protocol
+
+import anyio
+import grpclib.client
+import grpclib.server
+import msgspec
+from anyio.abc import TaskGroup
+from grpclib.const import Cardinality, Handler
+from grpclib.encoding.base import CodecBase
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from bulrushhollow_core.ids import DataCentreId, InstanceId, InstanceName
+from bulrushhollow_core.node import PeerMessage
+from bulrushhollow_daemon.exceptions import PeerRefused
+from bulrushhollow_daemon.settings import PeerAddress, Settings
+
+METHOD = "/bulrushhollow.Peer/Exchange"
+KEEPALIVE_INTERVAL = 1.0
+"""Seconds after which an idle stream carries an empty envelope."""
+SILENCE_LIMIT = 3.5
+"""Seconds without any envelope after which a stream counts as broken."""
+REDIAL_INTERVAL = 0.5
+"""Seconds between two tries to open a stream."""
+OUTBOX_LIMIT = 4096
+"""Messages that may wait for one stream; the oldest are dropped beyond that."""
+ENVELOPE_MESSAGES = 256
+"""Most messages in one envelope."""
+GRACE = 0.2
+"""Seconds given to streams to send what waits when the transport closes."""
+
+logger = logging.getLogger(__name__)
+
+
+class Hello(msgspec.Struct, frozen=True):
+    """
+    First words of each side of a stream.
+
+    :param belongs: whether the sender belongs to a log.
+    """
+
+    instance: InstanceId
+    name: InstanceName
+    data_centre: DataCentreId
+    has_disk: bool
+    belongs: bool
+
+
+class Envelope(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What one gRPC message carries."""
+
+    hello: Hello | None = None
+    messages: tuple[PeerMessage, ...] = ()
+
+
+class EnvelopeCodec(CodecBase):
+    """Encodes envelopes as MessagePack."""
+
+    __content_subtype__ = "msgpack"
+
+    def __init__(self) -> None:
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Envelope)
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        """Encode one envelope."""
+        return self._encoder.encode(message)
+
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        """
+        Decode one envelope.
+
+        :raises msgspec.DecodeError: if the bytes are no envelope; the stream then ends.
+        """
+        return self._decoder.decode(data)
+
+
+class Observer(Protocol):
+    """Told of what happens on the streams."""
+
+    def peer_connected(self, hello: Hello) -> None:
+        """A stream is open and the peer has introduced itself."""
+
+    def peer_disconnected(self, instance: InstanceId) -> None:
+        """The stream to this incarnation is gone."""
+
+    def peer_said(self, source: InstanceId, messages: tuple[PeerMessage, ...]) -> None:
+        """Messages arrived."""
+
+
+class _Link:
+    """The messages waiting for one stream."""
+
+    def __init__(self, hello: Hello) -> None:
+        self.hello = hello
+        self.heard = anyio.current_time()
+        self._outbox: list[PeerMessage] = []
+        self._wake = anyio.Event()
+        self.dropped = 0
+
+    def put(self, message: PeerMessage) -> None:
+        """Queue one message."""
+        if len(self._outbox) >= OUTBOX_LIMIT:
+            self._outbox.pop(0)
+            self.dropped += 1
+        self._outbox.append(message)
+        self._wake.set()
+
+    async def take(self) -> tuple[PeerMessage, ...]:
+        """Wait for messages, or return none after the keep-alive interval."""
+        if not self._outbox:
+            self._wake = anyio.Event()
+            with anyio.move_on_after(KEEPALIVE_INTERVAL):
+                await self._wake.wait()
+        batch = tuple(self._outbox[:ENVELOPE_MESSAGES])
+        del self._outbox[:ENVELOPE_MESSAGES]
+        return batch
+
+
+class Transport:
+    """The streams to all peers."""
+
+    def __init__(self, settings: Settings, hello: Callable[[], Hello], observer: Observer) -> None:
+        self._settings = settings
+        self._hello = hello
+        self._observer = observer
+        self._peers_by_name = {peer.name: peer for peer in settings.peers}
+        self._links_by_name: dict[InstanceName, _Link] = {}
+        self._codec = EnvelopeCodec()
+        self._server: grpclib.server.Server | None = None
+        self.cut: frozenset[InstanceName] = frozenset()
+        self.port = 0
+
+    @asynccontextmanager
+    async def open(self) -> AsyncIterator["Transport"]:
+        """Listen and dial until the context is left."""
+        self._server = grpclib.server.Server([self], codec=self._codec)
+        listen = self._settings.peer_listen
+        await self._server.start(listen.host, listen.port)
+        async with anyio.create_task_group() as group:
+            self._start_dialling(group)
+            yield self
+            with anyio.move_on_after(GRACE):
+                while any(link._outbox for link in self._links_by_name.values()):
+                    await anyio.sleep(GRACE / 10)
+            group.cancel_scope.cancel()
+        self._server.close()
+        await self._server.wait_closed()
+
+    def _start_dialling(self, group: TaskGroup) -> None:
+        for peer in self._settings.peers:
+            if self._settings.name < peer.name:
+                group.start_soon(self._keep_dialling, peer)
+
+    def send(self, to: InstanceId, message: PeerMessage) -> None:
+        """Queue a message if a stream to exactly this incarnation is open."""
+        link = self._links_by_name.get(name_of(to))
+        if link is not None and link.hello.instance == to and link.hello.name not in self.cut:
+            link.put(message)
+
+    def links(self) -> Iterable[Hello]:
+        """Return what each connected peer said of itself."""
+        return [link.hello for link in self._links_by_name.values()]
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Name the one gRPC method, in the form that grpclib's server asks for."""
+        return {METHOD: Handler(self._accept, Cardinality.STREAM_STREAM, Envelope, Envelope)}
+
+    async def _accept(self, stream: "grpclib.server.Stream[Envelope, Envelope]") -> None:
+        try:
+            await self._exchange(stream, _remote_host(stream))
+        except (PeerRefused, msgspec.DecodeError) as error:
+            logger.warning("peer_refused", extra={"detail": str(error)})
+
+    async def _keep_dialling(self, peer: PeerAddress) -> None:
+        while True:
+            if peer.name not in self.cut:
+                await self._dial(peer)
+            await anyio.sleep(REDIAL_INTERVAL)
+
+    async def _dial(self, peer: PeerAddress) -> None:
+        address = peer.address
+        channel = grpclib.client.Channel(address.host, address.port, codec=self._codec)
+        method = grpclib.client.StreamStreamMethod(channel, METHOD, Envelope, Envelope)
+        try:
+            async with method.open() as stream:
+                await stream.send_request()
+                await self._exchange(stream, address.host)
+        except (OSError, GRPCError, StreamTerminatedError, ProtocolError, PeerRefused) as error:
+            logger.debug("stream_ended", extra={"peer": peer.name, "detail": repr(error)})
+        except msgspec.DecodeError as error:
+            logger.warning("peer_refused", extra={"peer": peer.name, "detail": str(error)})
+        finally:
+            channel.close()
+
+    async def _exchange(self, stream: Any, remote_host: str | None) -> None:
+        """Introduce both sides, then carry messages until the stream breaks."""
+        await stream.send_message(Envelope(hello=self._hello()))
+        with anyio.move_on_after(SILENCE_LIMIT):
+            first = await stream.recv_message()
+            link = self._admit(first, remote_host)
+            await self._carry(stream, link)
+
+    def _admit(self, first: Envelope | None, remote_host: str | None) -> _Link:
+        if first is None or first.hello is None:
+            raise PeerRefused("the stream did not begin with an introduction")
+        hello = first.hello
+        peer = self._peers_by_name.get(hello.name)
+        if peer is None or peer.data_centre != hello.data_centre:
+            raise PeerRefused(f"{hello.name} of {hello.data_centre} is not in the settings")
+        if remote_host is not None and remote_host != peer.address.host:
+            raise PeerRefused(f"{hello.name} called from {remote_host}")
+        if name_of(hello.instance) != hello.name:
+            raise PeerRefused(f"{hello.instance} is no incarnation of {hello.name}")
+        present = self._links_by_name.get(hello.name)
+        if present is not None and present.hello.instance != hello.instance:
+            raise PeerRefused(f"two instances are named {hello.name}")
+        return _Link(hello)
+
+    async def _carry(self, stream: Any, link: _Link) -> None:
+        hello = link.hello
+        self._links_by_name[hello.name] = link
+        self._observer.peer_connected(hello)
+        logger.info("peer_connected", extra={"peer": hello.instance})
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._write, stream, link, group.cancel_scope)
+                await self._read(stream, link)
+                group.cancel_scope.cancel()
+        finally:
+            if self._links_by_name.get(hello.name) is link:
+                del self._links_by_name[hello.name]
+                self._observer.peer_disconnected(hello.instance)
+                logger.info("peer_disconnected", extra={"peer": hello.instance})
+
+    async def _write(self, stream: Any, link: _Link, scope: anyio.CancelScope) -> None:
+        try:
+            while True:
+                batch = await link.take()
+                if link.hello.name not in self.cut:
+                    await stream.send_message(Envelope(messages=batch))
+        except (OSError, GRPCError, StreamTerminatedError, ProtocolError):
+            scope.cancel()
+
+    async def _read(self, stream: Any, link: _Link) -> None:
+        name = link.hello.name
+        while True:
+            envelope = None
+            with anyio.move_on_after(SILENCE_LIMIT):
+                envelope = await stream.recv_message()
+            if envelope is None:
+                return
+            if envelope.messages and name not in self.cut:
+                self._observer.peer_said(link.hello.instance, envelope.messages)
+
+
+def name_of(instance: InstanceId) -> InstanceName:
+    """Return the name whose place this incarnation fills."""
+    return InstanceName(instance.rpartition(".")[0])
+
+
+def _remote_host(stream: Any) -> str | None:
+    address = stream.peer.addr()
+    return address[0] if address else None
