--- /dev/null
+++ b/packages/daemon/src/bulrushhollow_daemon/api/__init__.py
@@ -0,0 +1,11 @@
+"""
+bulrushhollow_daemon.api
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+The HTTP API for callers, operators, endpoints and the platform's balancer, as an ASGI application.
+"""
+
+from bulrushhollow_daemon.api._app import Api
+from bulrushhollow_daemon.api._backend import Backend, Delivery, RequestCall
+
+__all__ = ["Api", "Backend", "Delivery", "RequestCall"]
--- /dev/null
+++ b/packages/daemon/src/bulrushhollow_daemon/api/_http.py
@@ -0,0 +1,138 @@
+"""
+bulrushhollow_daemon.api._http
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Reading of whole, bounded requests and writing of answers over ASGI.
+"""
+
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any
+from urllib.parse import parse_qs
+
+import anyio
+import msgspec
+
+from bulrushhollow_core.outcomes import Execution, Reason, Refusal
+
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+
+JSON = "application/json"
+
+STATUS_BY_REASON = {
+    Reason.MALFORMED: 400,
+    Reason.INVALID: 422,
+    Reason.WRONG_KIND: 422,
+    Reason.NEVER_FITS: 422,
+    Reason.GUARANTEES_DO_NOT_FIT: 422,
+    Reason.TOO_LARGE: 413,
+    Reason.NO_SUCH_PROFILE: 404,
+    Reason.NO_SUCH_WORKSPACE: 404,
+    Reason.NO_SUCH_DATA_CENTRE: 404,
+    Reason.NO_SUCH_ENDPOINT: 404,
+    Reason.NO_SUCH_JOB: 404,
+    Reason.VERSION_CONFLICT: 409,
+    Reason.CHANGE_ID_REUSED: 409,
+    Reason.STILL_IN_USE: 409,
+    Reason.KEY_IN_PROGRESS: 409,
+    Reason.KEY_BODY_DIFFERS: 409,
+    Reason.KEY_OUTCOME_UNKNOWN: 409,
+    Reason.ENDPOINT_FAILED: 502,
+    Reason.ANSWER_LOST: 502,
+    Reason.ANSWER_MALFORMED: 502,
+    Reason.INSTANCE_LOST: 502,
+    Reason.DEADLINE: 504,
+}
+"""HTTP status of each refusal; every other reason is 503: ask again later."""
+
+UNAVAILABLE = 503
+
+
+class Gone(Exception):
+    """The caller closed its connection before its request was whole."""
+
+
+class Request:
+    """One HTTP request."""
+
+    def __init__(self, scope: Scope, receive: Receive) -> None:
+        self.method: str = scope["method"]
+        self.path: str = scope["path"]
+        self._receive = receive
+        self._headers = scope["headers"]
+        self._query: bytes = scope["query_string"]
+
+    def header(self, name: str) -> str | None:
+        """Return the first header of this lower-case name."""
+        wanted = name.encode()
+        return next((v.decode("latin-1") for k, v in self._headers if k == wanted), None)
+
+    def query(self, name: str) -> str | None:
+        """Return the first value of a query parameter."""
+        values = parse_qs(self._query.decode("latin-1")).get(name)
+        return values[0] if values else None
+
+    async def body(self, limit: int, timeout: float) -> bytes | Refusal:
+        """
+        Read the whole body.
+
+        :param limit: largest body in bytes.
+        :param timeout: seconds within which it must have arrived.
+        :raises Gone: if the caller closed its connection.
+        """
+        length = self.header("content-length")
+        if length is not None and length.isdigit() and int(length) > limit:
+            return Refusal(Reason.TOO_LARGE, f"the body may have {limit} bytes at most")
+        body = bytearray()
+        with anyio.move_on_after(timeout):
+            while True:
+                message = await self._receive()
+                if message["type"] == "http.disconnect":
+                    raise Gone
+                body += message.get("body", b"")
+                if len(body) > limit:
+                    return Refusal(Reason.TOO_LARGE, f"the body may have {limit} bytes at most")
+                if not message.get("more_body", False):
+                    return bytes(body)
+        return Refusal(Reason.DEADLINE, f"the body did not arrive within {timeout} s")
+
+    async def wait_gone(self) -> None:
+        """Return when the caller closes its connection; call after the body is read."""
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+
+
+class Response(msgspec.Struct, frozen=True):
+    """One HTTP answer."""
+
+    status: int
+    body: bytes
+    content_type: str = JSON
+    headers: tuple[tuple[str, str], ...] = ()
+
+    async def send(self, send: Send) -> None:
+        """Write it whole."""
+        fixed = (("content-type", self.content_type), ("content-length", str(len(self.body))))
+        headers = [(k.encode(), v.encode("latin-1")) for k, v in fixed + self.headers]
+        await send({"type": "http.response.start", "status": self.status, "headers": headers})
+        await send({"type": "http.response.body", "body": self.body})
+
+
+def to_response(answer: object) -> Response:
+    """Turn an answer of the core, or a refusal, into JSON with a fitting status."""
+    if isinstance(answer, Refusal):
+        return refusal_response(answer)
+    return Response(200, msgspec.json.encode(answer))
+
+
+def refusal_response(refusal: Refusal) -> Response:
+    """Turn a refusal into JSON that also says in headers whether the work ran."""
+    status = STATUS_BY_REASON.get(refusal.reason, UNAVAILABLE)
+    headers = [("execution", refusal.execution.value), ("reason", refusal.reason.value)]
+    if refusal.retry_after is not None:
+        headers.append(("retry-after", str(max(1, round(refusal.retry_after)))))
+    return Response(status, msgspec.json.encode(refusal), headers=tuple(headers))
+
+
+RAN_HEADER = ("execution", Execution.RAN.value)
--- a/packages/daemon/src/bulrushhollow_daemon/transport.py
+++ b/packages/daemon/src/bulrushhollow_daemon/transport.py
@@ -207,10 +207,11 @@
     async def _exchange(self, stream: Any, remote_host: str | None) -> None:
         """Introduce both sides, then carry messages until the stream breaks."""
         await stream.send_message(Envelope(hello=self._hello()))
+        first = None
         with anyio.move_on_after(SILENCE_LIMIT):
             first = await stream.recv_message()
-            link = self._admit(first, remote_host)
-            await self._carry(stream, link)
+        link = self._admit(first, remote_host)
+        await self._carry(stream, link)
 
     def _admit(self, first: Envelope | None, remote_host: str | None) -> _Link:
         if first is None or first.hello is None:
