--- a/packages/core/src/bulrushhollow_core/endpoints.py
+++ b/packages/core/src/bulrushhollow_core/endpoints.py
@@ -34,12 +34,15 @@
 FORWARDED_HEADER = "forwarded-by"
 """
 Name of the entry instance of another data centre that sends a request on. Such a request is not
-sent on again, and the answer repeats the ``request-id`` header that came with it.
+sent on again, and the answer, a refusal too, repeats the ``request-id`` header that came with it.
 """
 
 EXECUTION_HEADER = "execution"
 """Set by an entry instance on the answer to a request: whether the work ran."""
 
+REASON_HEADER = "reason"
+"""Set by an entry instance on a refusal; an endpoint's own answer does not have it."""
+
 
 class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag="announcement"):
     """
