--- a/packages/core/src/bulrushhollow_core/consensus/_consensus.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_consensus.py
@@ -5,6 +5,7 @@
 The replicated log as one part of an instance: its role and the calls of its owner.
 """
 
+import math
 import random
 from typing import cast
 
@@ -259,12 +260,20 @@
             members=log.members,
             quorum_age=leading.quorum_age(now) if leading else self._follower.quorum_age(now),
             foreign=self._foreign,
+            caught_up_age=self._caught_up_age(now),
         )
 
     def records(self) -> tuple[ConsensusRecord, ...]:
         """Return the whole state of the log as journal records."""
         return self._replica.records()
 
+    def _caught_up_age(self, now: Seconds) -> Seconds:
+        leading = self._leader
+        if leading is None:
+            return self._follower.caught_up_age(now)
+        has_committed_own_term = self._replica.commit_index >= leading.first_index
+        return leading.quorum_age(now) if has_committed_own_term else Seconds(math.inf)
+
     def _role(self) -> Role:
         if self._leader:
             return Role.LEADER
@@ -375,6 +384,7 @@
     def _step_down(self, now: Seconds) -> None:
         if self._leader:
             self._follower.note_quorum(Seconds(now - self._leader.quorum_age(now)))
+            self._follower.note_caught_up(Seconds(now - self._caught_up_age(now)))
             self._leader = None
         self._follower.forget_leader()
         self._election.stop(now)
--- a/packages/core/src/bulrushhollow_core/consensus/_follower.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_follower.py
@@ -60,6 +60,7 @@
         self._boot = boot
         self._incoming: IncomingSnapshot | None = None
         self._quorum_at = Seconds(-math.inf)
+        self._caught_up_at = Seconds(-math.inf)
         self.leader: InstanceId | None = None
         self.heard_at = Seconds(-math.inf)
 
@@ -67,6 +68,10 @@
         """Return seconds since a majority was last known to follow the leader."""
         return Seconds(now - self._quorum_at)
 
+    def caught_up_age(self, now: Seconds) -> Seconds:
+        """Return seconds since this instance last had all that a majority had committed."""
+        return Seconds(now - self._caught_up_at)
+
     def forget_leader(self) -> None:
         """Note that the present term has no known leader."""
         self.leader = None
@@ -76,6 +81,10 @@
         """Note that a majority was heard at a time of this instance's clock."""
         self._quorum_at = max(self._quorum_at, at)
 
+    def note_caught_up(self, at: Seconds) -> None:
+        """Note that all entries committed up to a time of this instance's clock are here."""
+        self._caught_up_at = max(self._caught_up_at, at)
+
     def receive_append(self, source: InstanceId, message: Append, now: Seconds) -> None:
         """Take over the entries of the present leader and answer."""
         self._hear(source, message.echo, message.quorum_age, now)
@@ -85,6 +94,8 @@
             self._replica.accept(entries)
             index = LogIndex(previous_index + len(entries))
             self._replica.advance_commit(min(message.commit, index))
+            if message.commit <= self._replica.commit_index:
+                self.note_caught_up(self._proved_at(message.echo, message.quorum_age, now))
         else:
             index = self._replica.log.conflict_hint(previous_index)
         answer = AppendAnswer(
@@ -136,8 +147,13 @@
             self._incoming = None
         self.leader = source
         self.heard_at = now
+        self.note_quorum(self._proved_at(echo, quorum_age, now))
+
+    def _proved_at(self, echo: Stamp | None, quorum_age: Seconds, now: Seconds) -> Seconds:
+        """Return the latest time of this clock at which the leader surely had its quorum."""
         if echo and echo.boot == self._boot and echo.at <= now:
-            self.note_quorum(Seconds(echo.at - quorum_age))
+            return Seconds(echo.at - quorum_age)
+        return Seconds(-math.inf)
 
     def _without_committed(self, message: Append) -> tuple[LogIndex, tuple[LogEntry, ...]]:
         committed = max(0, self._replica.commit_index - message.previous_index)
--- a/packages/core/src/bulrushhollow_core/consensus/_results.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_results.py
@@ -5,6 +5,7 @@
 What the log hands to its owner: actions, results of proposals and its status.
 """
 
+import math
 from enum import Enum
 
 import msgspec
@@ -122,6 +123,8 @@
         leader by its own count, elsewhere by the leader's word less the longest possible delay
         of that word; infinite if never.
     :param foreign: peers that follow another log.
+    :param caught_up_age: seconds since this instance had surely committed all that any majority
+        had; infinite if never.
     """
 
     role: Role
@@ -133,3 +136,4 @@
     members: Members
     quorum_age: Seconds
     foreign: frozenset[InstanceId] = frozenset()
+    caught_up_age: Seconds = Seconds(math.inf)
--- a/packages/core/src/bulrushhollow_core/platform.py
+++ b/packages/core/src/bulrushhollow_core/platform.py
@@ -121,6 +121,8 @@
     :param since: cursor of the last answer; 0 asks for everything.
     :param acknowledged: tasks whose final state the caller has recorded.
     :param number: counts the calls of one holder; the answer repeats it.
+    :param valid_until: reading of the platform's clock after which it refuses the call, as one
+        that was held up on its way; 0 sets no limit.
     """
 
     epoch: Epoch
@@ -129,6 +131,7 @@
     since: int = 0
     acknowledged: tuple[TaskId, ...] = ()
     number: int = 0
+    valid_until: float = 0.0
 
 
 class PlatformAnswer(msgspec.Struct, frozen=True):
@@ -140,6 +143,8 @@
     :param cursor: to be passed as ``since`` next time.
     :param workers: workers whose report changed since the caller's cursor.
     :param number: that of the call; 0 from a platform that does not repeat it.
+    :param clock: reading of the platform's own monotonic clock, in seconds.
+    :param late: whether the call was refused for its ``valid_until``.
     """
 
     highest_epoch: Epoch
@@ -147,3 +152,5 @@
     cursor: int
     workers: tuple[WorkerReport, ...] = ()
     number: int = 0
+    clock: float = 0.0
+    late: bool = False
