--- a/packages/core/src/bulrushhollow_core/answers.py
+++ b/packages/core/src/bulrushhollow_core/answers.py
@@ -166,3 +166,17 @@
     peers_reachable: tuple[InstanceName, ...] = ()
     peers_unreachable: tuple[InstanceName, ...] = ()
     shutting_down: bool = False
+
+
+class RecoveryAnswer(msgspec.Struct, frozen=True, tag="recovered"):
+    """
+    The answering instance is now the only voter of the log: ``POST /v1/recover``.
+
+    :param last_index: changes acknowledged after this log entry, if any, are lost.
+    :param commit_index: entries after this one were not known to be acknowledged and now count.
+    :param former_voters: instances whose data folders must be emptied before they start again.
+    """
+
+    last_index: LogIndex
+    commit_index: LogIndex
+    former_voters: tuple[InstanceId, ...]
--- a/packages/core/src/bulrushhollow_core/authority/__init__.py
+++ b/packages/core/src/bulrushhollow_core/authority/__init__.py
@@ -28,7 +28,7 @@
     Outlook,
     describe_out,
 )
-from bulrushhollow_core.authority._status import AuthorityState, AuthorityStatus, Held
+from bulrushhollow_core.authority._status import AuthorityState, AuthorityStatus, Held, KnownLease
 from bulrushhollow_core.authority._switch import ServiceInForce, ServiceSwitch
 from bulrushhollow_core.authority._timing import (
     HOLD_LIMIT,
@@ -55,6 +55,7 @@
     "InForceEverywhere",
     "InForceInside",
     "InForceLater",
+    "KnownLease",
     "LocalOrder",
     "NotYetInForce",
     "NotYetKnown",
--- a/packages/core/src/bulrushhollow_core/authority/_authority.py
+++ b/packages/core/src/bulrushhollow_core/authority/_authority.py
@@ -22,7 +22,7 @@
     WitnessGrant,
     WitnessRelease,
 )
-from bulrushhollow_core.authority._status import AuthorityState, AuthorityStatus, Held
+from bulrushhollow_core.authority._status import AuthorityState, AuthorityStatus, Held, KnownLease
 from bulrushhollow_core.authority._switch import ServiceSwitch
 from bulrushhollow_core.authority._timing import JITTER, AuthorityTiming
 from bulrushhollow_core.authority._voter import Voter
@@ -88,7 +88,7 @@
         self._lease: Ballot | None = None
         self._renewed_at = now
         self._retired = False
-        self._known_holder: InstanceId | None = None
+        self._known = KnownLease()
         self._known_until = now
         self._stand_at = self._jittered(self._ready_at)
 
@@ -109,9 +109,14 @@
 
     def holder(self, now: Seconds) -> InstanceId | None:
         """Return who holds the lease as far as this instance knows."""
-        if self.held(now) is not None:
-            return self._me
-        return self._known_holder if now < self._known_until else None
+        return self.lease(now).holder
+
+    def lease(self, now: Seconds) -> KnownLease:
+        """Return who holds the lease as far as this instance knows, and under which epoch."""
+        held = self.held(now)
+        if held is not None:
+            return KnownLease(self._me, held.epoch)
+        return self._known if now < self._known_until else KnownLease()
 
     def status(self, now: Seconds) -> AuthorityStatus:
         """Describe the state of the lease for an operator."""
@@ -230,7 +235,7 @@
         if self._switch is not None:
             self._switch.learn(name_of(source), ask.orders)
         if ask.holding:
-            self._known_holder = source
+            self._known = KnownLease(source, ask.epoch)
             self._known_until = Seconds(now + self._timing.lease)
         if self._is_behind(ask, now):
             return [Send(source, AuthorityDenial(ask.epoch, self._voter.highest))]
@@ -253,8 +258,8 @@
 
     def _released(self, source: InstanceId, message: AuthorityRelease, now: Seconds) -> None:
         self._voter.release(source, message.epoch)
-        if self._known_holder == source:
-            self._known_holder = None
+        if self._known.holder == source:
+            self._known = KnownLease()
         if message.successor == self._me:
             self._stand_at = now
         elif message.successor is None:
--- a/packages/core/src/bulrushhollow_core/authority/_messages.py
+++ b/packages/core/src/bulrushhollow_core/authority/_messages.py
@@ -24,7 +24,7 @@
     given_at: Version
 
 
-class AuthorityAsk(msgspec.Struct, frozen=True, tag="authority_ask", omit_defaults=True):
+class AuthorityAsk(msgspec.Struct, frozen=True, array_like=True, tag="authority_ask"):
     """
     Ask a member for its vote, or for the renewal of it.
 
@@ -44,7 +44,7 @@
     orders: tuple[LocalOrder, ...] = ()
 
 
-class AuthorityGrant(msgspec.Struct, frozen=True, tag="authority_grant", omit_defaults=True):
+class AuthorityGrant(msgspec.Struct, frozen=True, array_like=True, tag="authority_grant"):
     """
     A vote, or with ``prepare`` the word that it would be given.
 
@@ -59,7 +59,7 @@
     orders: tuple[LocalOrder, ...] = ()
 
 
-class AuthorityDenial(msgspec.Struct, frozen=True, tag="authority_denial", omit_defaults=True):
+class AuthorityDenial(msgspec.Struct, frozen=True, array_like=True, tag="authority_denial"):
     """
     No vote.
 
@@ -72,7 +72,7 @@
     wait: Seconds = Seconds(0.0)
 
 
-class AuthorityRelease(msgspec.Struct, frozen=True, tag="authority_release", omit_defaults=True):
+class AuthorityRelease(msgspec.Struct, frozen=True, array_like=True, tag="authority_release"):
     """
     The sender gives up an epoch for good; votes for it are free at once.
 
@@ -83,7 +83,7 @@
     successor: InstanceId | None = None
 
 
-class WitnessAsk(msgspec.Struct, frozen=True, tag="witness_ask", omit_defaults=True):
+class WitnessAsk(msgspec.Struct, frozen=True, array_like=True, tag="witness_ask"):
     """Ask the log's leader for the witness vote of a data centre; see :class:`AuthorityAsk`."""
 
     data_centre: DataCentreId
@@ -92,7 +92,7 @@
     prepare: bool = False
 
 
-class WitnessGrant(msgspec.Struct, frozen=True, tag="witness_grant", omit_defaults=True):
+class WitnessGrant(msgspec.Struct, frozen=True, array_like=True, tag="witness_grant"):
     """The witness vote; see :class:`AuthorityGrant`."""
 
     epoch: Epoch
@@ -101,7 +101,7 @@
     highest: Epoch = Epoch(0)
 
 
-class WitnessDenial(msgspec.Struct, frozen=True, tag="witness_denial", omit_defaults=True):
+class WitnessDenial(msgspec.Struct, frozen=True, array_like=True, tag="witness_denial"):
     """No witness vote; see :class:`AuthorityDenial`."""
 
     epoch: Epoch
@@ -109,7 +109,7 @@
     wait: Seconds = Seconds(0.0)
 
 
-class WitnessRelease(msgspec.Struct, frozen=True, tag="witness_release"):
+class WitnessRelease(msgspec.Struct, frozen=True, array_like=True, tag="witness_release"):
     """The sender gives up an epoch of a data centre for good."""
 
     data_centre: DataCentreId
--- a/packages/core/src/bulrushhollow_core/authority/_status.py
+++ b/packages/core/src/bulrushhollow_core/authority/_status.py
@@ -23,6 +23,17 @@
     until: Seconds
 
 
+class KnownLease(msgspec.Struct, frozen=True):
+    """
+    Who holds the lease as far as an instance knows.
+
+    :param holder: None while nobody is known to.
+    """
+
+    holder: InstanceId | None = None
+    epoch: Epoch = Epoch(0)
+
+
 class AuthorityState(Enum):
     """What an instance does about its data centre's lease."""
 
--- a/packages/core/src/bulrushhollow_core/authority/_switch.py
+++ b/packages/core/src/bulrushhollow_core/authority/_switch.py
@@ -77,6 +77,11 @@
             return ServiceInForce.HOLD
         return ServiceInForce.IN
 
+    @property
+    def is_ordered_out(self) -> bool:
+        """Whether a take-out of the data centre was given inside and waits for the log."""
+        return self._ordered_out()
+
     def drain(self) -> Drain:
         """Tell what happens to running tasks while the data centre is out."""
         drains = [
--- a/packages/core/src/bulrushhollow_core/configuration/_rollout.py
+++ b/packages/core/src/bulrushhollow_core/configuration/_rollout.py
@@ -16,7 +16,7 @@
 """Seconds between two reports to a peer while nothing changes."""
 
 
-class AppliedVersion(msgspec.Struct, frozen=True, tag="configuration_applied"):
+class AppliedVersion(msgspec.Struct, frozen=True, array_like=True, tag="configuration_applied"):
     """Sent by every instance to every other: what the sender has applied."""
 
     version: Version
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/node/_actions.py
@@ -0,0 +1,37 @@
+"""
+bulrushhollow_core.node._actions
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What a node asks of the daemon beside the actions that its parts share.
+"""
+
+import msgspec
+
+from bulrushhollow_core.actions import Persist, Send
+from bulrushhollow_core.consensus import RewriteJournal
+from bulrushhollow_core.node._events import CallId
+from bulrushhollow_core.platform import PlatformCall
+from bulrushhollow_core.requests import Dispatch, Finish, Forward, Settle
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """
+    The final answer to a call.
+
+    :param answer: a struct of :mod:`bulrushhollow_core.answers` or
+        :mod:`bulrushhollow_core.changes`, or a refusal.
+    """
+
+    call: CallId
+    answer: msgspec.Struct
+
+
+class CallPlatform(msgspec.Struct, frozen=True):
+    """Post one call to the worker platform and feed back what it answered."""
+
+    call: PlatformCall
+
+
+Action = (
+    Send | Persist | RewriteJournal | Reply | CallPlatform | Dispatch | Forward | Settle | Finish
+)
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/node/_effective.py
@@ -0,0 +1,48 @@
+"""
+bulrushhollow_core.node._effective
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The configuration that an instance acts on: the accepted one, with the take-outs on top that were
+given inside its data centre while the log was out of reach.
+"""
+
+import msgspec
+
+from bulrushhollow_core.authority import LocalOrder, ServiceSwitch
+from bulrushhollow_core.ids import DataCentreId
+from bulrushhollow_core.models import Configuration, Service
+
+
+class Effective:
+    """
+    Follows the accepted configuration and the local orders.
+
+    :param data_centre: the data centre that the orders are about.
+    """
+
+    def __init__(self, data_centre: DataCentreId) -> None:
+        self._data_centre = data_centre
+        self._accepted: Configuration | None = None
+        self._orders: tuple[LocalOrder, ...] = ()
+
+    def follow(self, accepted: Configuration, switch: ServiceSwitch) -> Configuration | None:
+        """Return the configuration to act on if it has changed since the last call."""
+        orders = switch.orders()
+        if accepted is self._accepted and orders == self._orders:
+            return None
+        self._accepted = accepted
+        self._orders = orders
+        return self._with_orders(accepted, switch) if orders else accepted
+
+    def _with_orders(self, accepted: Configuration, switch: ServiceSwitch) -> Configuration:
+        data_centres_by_id = dict(accepted.data_centres_by_id)
+        declared = data_centres_by_id.get(self._data_centre)
+        if declared is not None and switch.is_ordered_out:
+            data_centres_by_id[declared.id] = msgspec.structs.replace(
+                declared, service=Service.OUT, drain=switch.drain()
+            )
+        return msgspec.structs.replace(
+            accepted,
+            data_centres_by_id=data_centres_by_id,
+            out_endpoints=switch.out_endpoints(),
+        )
--- a/packages/core/src/bulrushhollow_core/node/_events.py
+++ b/packages/core/src/bulrushhollow_core/node/_events.py
@@ -14,16 +14,15 @@
 from bulrushhollow_core.changes import ChangeConfiguration
 from bulrushhollow_core.endpoints import Announcement
 from bulrushhollow_core.ids import (
-    DataCentreId,
+    Attempt,
     InstanceId,
-    InstanceName,
     JobId,
     RequestId,
     Seconds,
 )
 from bulrushhollow_core.node._messages import PeerMessage
 from bulrushhollow_core.platform import PlatformAnswer
-from bulrushhollow_core.requests import Arrival, AttemptResult
+from bulrushhollow_core.requests import Arrival, AttemptResult, KeyCommand
 
 CallId = NewType("CallId", int)
 
@@ -113,10 +112,20 @@
     """An attempt at a request ended."""
 
     request: RequestId
-    attempt: int
+    attempt: Attempt
     result: AttemptResult
 
 
+class OutcomeReady(msgspec.Struct, frozen=True, tag="outcome_ready"):
+    """
+    The outcome of a request with a key is ready to be recorded, its answer's body filled in.
+
+    :param command: what to commit.
+    """
+
+    command: KeyCommand
+
+
 class CallerGone(msgspec.Struct, frozen=True, tag="caller_gone"):
     """A caller closed its connection before its answer."""
 
@@ -150,15 +159,8 @@
     | RecoverAsked
     | RequestArrived
     | RequestAnswered
+    | OutcomeReady
     | CallerGone
     | PlatformAnswered
     | StopAsked
 )
-
-
-class Peer(msgspec.Struct, frozen=True):
-    """An instance named in the settings."""
-
-    name: InstanceName
-    data_centre: DataCentreId
-    has_disk: bool
--- a/packages/core/src/bulrushhollow_core/requests/_gossip.py
+++ b/packages/core/src/bulrushhollow_core/requests/_gossip.py
@@ -56,7 +56,7 @@
     wait: Seconds
 
 
-class EndpointNews(msgspec.Struct, frozen=True, tag="requests_news"):
+class EndpointNews(msgspec.Struct, frozen=True, array_like=True, tag="requests_news"):
     """
     Sent at every gossip round.
 
@@ -80,7 +80,7 @@
     address: str = ""
 
 
-class EndpointQuestion(msgspec.Struct, frozen=True, tag="requests_question"):
+class EndpointQuestion(msgspec.Struct, frozen=True, array_like=True, tag="requests_question"):
     """
     Ask what the receiver knows of endpoints of the sender's data centre.
 
--- a/packages/core/src/bulrushhollow_core/requests/_share_messages.py
+++ b/packages/core/src/bulrushhollow_core/requests/_share_messages.py
@@ -32,7 +32,7 @@
     requests: int
 
 
-class ShareReport(msgspec.Struct, frozen=True, tag="requests_share_report"):
+class ShareReport(msgspec.Struct, frozen=True, array_like=True, tag="requests_share_report"):
     """
     Sent by each instance to the holder of its data centre's lease.
 
@@ -60,7 +60,7 @@
     slots: int
 
 
-class ShareGrant(msgspec.Struct, frozen=True, tag="requests_share_grant"):
+class ShareGrant(msgspec.Struct, frozen=True, array_like=True, tag="requests_share_grant"):
     """
     Answer to a :class:`ShareReport`; it holds for the grant time from when that report was sent.
 
--- a/packages/daemon/src/bulrushhollow_daemon/api/_app.py
+++ b/packages/daemon/src/bulrushhollow_daemon/api/_app.py
@@ -17,6 +17,7 @@
 from bulrushhollow_core.changes import ChangeConfiguration
 from bulrushhollow_core.endpoints import (
     DEADLINE_HEADER,
+    FORWARDED_HEADER,
     IDEMPOTENCY_KEY_HEADER,
     REQUEST_ID_HEADER,
     Announcement,
@@ -40,9 +41,8 @@
 from bulrushhollow_core.outcomes import Execution, Reason, Refusal
 from bulrushhollow_daemon.api._backend import Backend, Delivery, RequestCall
 from bulrushhollow_daemon.api._http import (
-    JSON,
     RAN_HEADER,
-    Gone,
+    CallerGoneError,
     Receive,
     Request,
     Response,
@@ -125,7 +125,7 @@
         request = Request(scope, receive)
         try:
             response = await self._respond(request)
-        except Gone:
+        except CallerGoneError:
             return
         await response.send(send)
 
@@ -135,7 +135,7 @@
             return Response(404, b'{"error":"no such resource"}')
         try:
             return await handler(request)
-        except Gone:
+        except CallerGoneError:
             raise
         except Exception:
             logger.exception("handler_failed", extra={"path": request.path})
@@ -149,9 +149,7 @@
         parent, _, last = request.path.rpartition("/")
         return self._handlers_by_route.get(f"{request.method} {parent}/") if last else None
 
-    async def _decode(
-        self, request: Request, decoder: "msgspec.json.Decoder[T]"
-    ) -> T | Refusal:
+    async def _decode(self, request: Request, decoder: "msgspec.json.Decoder[T]") -> T | Refusal:
         body = await request.body(self._limits.control_bytes, self._limits.body_timeout)
         if isinstance(body, Refusal):
             return body
@@ -239,9 +237,11 @@
         if isinstance(call, Refusal):
             return to_response(call)
         result = await self._carry(request, call)
+        answered_id = (REQUEST_ID_HEADER, call.forwarded_as or call.request)
         if isinstance(result, Refusal):
-            return to_response(result)
-        headers = ((REQUEST_ID_HEADER, result.request), RAN_HEADER)
+            refused = to_response(result)
+            return msgspec.structs.replace(refused, headers=(answered_id, *refused.headers))
+        headers = (answered_id, RAN_HEADER)
         return Response(result.status, result.body, result.content_type, headers)
 
     async def _read_call(self, request: Request) -> RequestCall | Refusal:
@@ -264,6 +264,7 @@
             body=body,
             key=IdempotencyKey(key) if key is not None else None,
             patience=patience,
+            forwarded_as=_forwarded_as(request),
             trace=request.header("traceparent"),
         )
 
@@ -283,10 +284,17 @@
             group.start_soon(carry)
             group.start_soon(watch)
         if not results:
-            raise Gone
+            raise CallerGoneError
         return results[0]
 
 
+def _forwarded_as(request: Request) -> RequestId | None:
+    """Return the id of a request that another data centre's entry instance sent on."""
+    if request.header(FORWARDED_HEADER) is None:
+        return None
+    return RequestId(request.header(REQUEST_ID_HEADER) or "")
+
+
 def _last_part(request: Request) -> str:
     return request.path.rpartition("/")[2]
 
@@ -299,6 +307,3 @@
     if not 0 <= value <= 1e6:
         return Refusal(Reason.MALFORMED, f"{text!r} is not a number of seconds")
     return value
-
-
-__all__ = ["JSON", "Api"]
--- a/packages/daemon/src/bulrushhollow_daemon/api/_backend.py
+++ b/packages/daemon/src/bulrushhollow_daemon/api/_backend.py
@@ -28,6 +28,7 @@
 
     :param request: chosen by the entry instance; unique.
     :param patience: seconds the caller can wait, if it said so.
+    :param forwarded_as: the id under which another data centre's entry instance sent it on.
     :param trace: W3C ``traceparent`` of the caller, if it sent one.
     """
 
@@ -36,6 +37,7 @@
     body: bytes
     key: IdempotencyKey | None = None
     patience: float | None = None
+    forwarded_as: RequestId | None = None
     trace: str | None = None
 
 
@@ -61,7 +63,7 @@
     async def request(self, call: RequestCall) -> Delivery | Refusal:
         """Carry one request to its end."""
 
-    def configuration(self) -> Configuration | Refusal:
+    def configuration(self) -> Configuration:
         """Return the configuration in force on this instance."""
 
     def data_centres(self) -> tuple[DataCentreStatus, ...]:
--- a/packages/daemon/src/bulrushhollow_daemon/api/_http.py
+++ b/packages/daemon/src/bulrushhollow_daemon/api/_http.py
@@ -49,7 +49,7 @@
 UNAVAILABLE = 503
 
 
-class Gone(Exception):
+class CallerGoneError(Exception):
     """The caller closed its connection before its request was whole."""
 
 
@@ -79,7 +79,7 @@
 
         :param limit: largest body in bytes.
         :param timeout: seconds within which it must have arrived.
-        :raises Gone: if the caller closed its connection.
+        :raises CallerGoneError: if the caller closed its connection.
         """
         length = self.header("content-length")
         if length is not None and length.isdigit() and int(length) > limit:
@@ -89,7 +89,7 @@
             while True:
                 message = await self._receive()
                 if message["type"] == "http.disconnect":
-                    raise Gone
+                    raise CallerGoneError
                 body += message.get("body", b"")
                 if len(body) > limit:
                     return Refusal(Reason.TOO_LARGE, f"the body may have {limit} bytes at most")
--- a/packages/daemon/src/bulrushhollow_daemon/exceptions.py
+++ b/packages/daemon/src/bulrushhollow_daemon/exceptions.py
@@ -24,9 +24,9 @@
         self.allowed = allowed
 
 
-class PeerRefused(DaemonError):
+class PeerRefusedError(DaemonError):
     """A stream was opened by an instance that is not among the settings' peers."""
 
 
-class PlatformUnreachable(DaemonError):
+class PlatformUnreachableError(DaemonError):
     """The worker platform did not give a whole answer."""
--- a/packages/daemon/src/bulrushhollow_daemon/main.py
+++ b/packages/daemon/src/bulrushhollow_daemon/main.py
@@ -159,7 +159,9 @@
     :return: the checked settings, or the exit code if there is nothing to run.
     """
     try:
-        result = app(arguments, exit_on_error=False, print_error=False, result_action="return_value")
+        result = app(
+            arguments, exit_on_error=False, print_error=False, result_action="return_value"
+        )
     except CycloptsError as error:
         print(f"bulrushhollowd: {' '.join(str(error).split())}", file=sys.stderr)
         return USAGE_ERROR
--- a/packages/daemon/src/bulrushhollow_daemon/platform_client.py
+++ b/packages/daemon/src/bulrushhollow_daemon/platform_client.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from bulrushhollow_core.platform import PlatformAnswer, PlatformCall
-from bulrushhollow_daemon.exceptions import PlatformUnreachable
+from bulrushhollow_daemon.exceptions import PlatformUnreachableError
 
 SYNC_PATH = "/v1/sync"
 TIMEOUT = 2.0
@@ -34,7 +34,8 @@
         """
         Post one batch.
 
-        :raises PlatformUnreachable: if there was no whole answer; the batch may have been obeyed.
+        :raises PlatformUnreachableError: if there was no whole answer; the batch may have been
+            obeyed.
         """
         timeouts = {"connect": TIMEOUT, "read": TIMEOUT, "write": TIMEOUT, "pool": TIMEOUT}
         try:
@@ -47,20 +48,20 @@
             ) as response:
                 body = await self._read(response)
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
-            raise PlatformUnreachable(repr(error)) from error
+            raise PlatformUnreachableError(repr(error)) from error
         if response.status != 200:
-            raise PlatformUnreachable(f"status {response.status}")
+            raise PlatformUnreachableError(f"status {response.status}")
         try:
             return self._decoder.decode(body)
         except msgspec.DecodeError as error:
-            raise PlatformUnreachable(str(error)) from error
+            raise PlatformUnreachableError(str(error)) from error
 
     async def _read(self, response: httpcore.Response) -> bytes:
         body = bytearray()
         async for chunk in response.aiter_stream():
             body += chunk
             if len(body) > ANSWER_LIMIT:
-                raise PlatformUnreachable("the answer is too long")
+                raise PlatformUnreachableError("the answer is too long")
         return bytes(body)
 
     async def close(self) -> None:
--- a/packages/daemon/src/bulrushhollow_daemon/transport.py
+++ b/packages/daemon/src/bulrushhollow_daemon/transport.py
@@ -8,6 +8,7 @@
 """
 
 import logging
+import socket
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
 from typing import Any, Protocol
@@ -21,12 +22,14 @@
 from grpclib.encoding.base import CodecBase
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
-from bulrushhollow_core.ids import DataCentreId, InstanceId, InstanceName
+from bulrushhollow_core.ids import DataCentreId, InstanceId, InstanceName, name_of
 from bulrushhollow_core.node import PeerMessage
-from bulrushhollow_daemon.exceptions import PeerRefused
+from bulrushhollow_daemon.exceptions import PeerRefusedError
 from bulrushhollow_daemon.settings import PeerAddress, Settings
 
 METHOD = "/bulrushhollow.Peer/Exchange"
+BROKEN = (OSError, GRPCError, StreamTerminatedError, ProtocolError)
+"""What a stream raises when it breaks."""
 KEEPALIVE_INTERVAL = 1.0
 """Seconds after which an idle stream carries an empty envelope."""
 SILENCE_LIMIT = 3.5
@@ -147,7 +150,9 @@
         """Listen and dial until the context is left."""
         self._server = grpclib.server.Server([self], codec=self._codec)
         listen = self._settings.peer_listen
-        await self._server.start(listen.host, listen.port)
+        sock = socket.create_server((listen.host, listen.port), family=_family(listen.host))
+        self.port = sock.getsockname()[1]
+        await self._server.start(sock=sock)
         async with anyio.create_task_group() as group:
             self._start_dialling(group)
             yield self
@@ -180,7 +185,7 @@
     async def _accept(self, stream: "grpclib.server.Stream[Envelope, Envelope]") -> None:
         try:
             await self._exchange(stream, _remote_host(stream))
-        except (PeerRefused, msgspec.DecodeError) as error:
+        except (PeerRefusedError, msgspec.DecodeError) as error:
             logger.warning("peer_refused", extra={"detail": str(error)})
 
     async def _keep_dialling(self, peer: PeerAddress) -> None:
@@ -197,7 +202,13 @@
             async with method.open() as stream:
                 await stream.send_request()
                 await self._exchange(stream, address.host)
-        except (OSError, GRPCError, StreamTerminatedError, ProtocolError, PeerRefused) as error:
+        except (
+            OSError,
+            GRPCError,
+            StreamTerminatedError,
+            ProtocolError,
+            PeerRefusedError,
+        ) as error:
             logger.debug("stream_ended", extra={"peer": peer.name, "detail": repr(error)})
         except msgspec.DecodeError as error:
             logger.warning("peer_refused", extra={"peer": peer.name, "detail": str(error)})
@@ -215,18 +226,18 @@
 
     def _admit(self, first: Envelope | None, remote_host: str | None) -> _Link:
         if first is None or first.hello is None:
-            raise PeerRefused("the stream did not begin with an introduction")
+            raise PeerRefusedError("the stream did not begin with an introduction")
         hello = first.hello
         peer = self._peers_by_name.get(hello.name)
         if peer is None or peer.data_centre != hello.data_centre:
-            raise PeerRefused(f"{hello.name} of {hello.data_centre} is not in the settings")
+            raise PeerRefusedError(f"{hello.name} of {hello.data_centre} is not in the settings")
         if remote_host is not None and remote_host != peer.address.host:
-            raise PeerRefused(f"{hello.name} called from {remote_host}")
+            raise PeerRefusedError(f"{hello.name} called from {remote_host}")
         if name_of(hello.instance) != hello.name:
-            raise PeerRefused(f"{hello.instance} is no incarnation of {hello.name}")
+            raise PeerRefusedError(f"{hello.instance} is no incarnation of {hello.name}")
         present = self._links_by_name.get(hello.name)
         if present is not None and present.hello.instance != hello.instance:
-            raise PeerRefused(f"two instances are named {hello.name}")
+            raise PeerRefusedError(f"two instances are named {hello.name}")
         return _Link(hello)
 
     async def _carry(self, stream: Any, link: _Link) -> None:
@@ -251,7 +262,7 @@
                 batch = await link.take()
                 if link.hello.name not in self.cut:
                     await stream.send_message(Envelope(messages=batch))
-        except (OSError, GRPCError, StreamTerminatedError, ProtocolError):
+        except BROKEN:
             scope.cancel()
 
     async def _read(self, stream: Any, link: _Link) -> None:
@@ -266,9 +277,8 @@
                 self._observer.peer_said(link.hello.instance, envelope.messages)
 
 
-def name_of(instance: InstanceId) -> InstanceName:
-    """Return the name whose place this incarnation fills."""
-    return InstanceName(instance.rpartition(".")[0])
+def _family(host: str) -> socket.AddressFamily:
+    return socket.AF_INET6 if ":" in host else socket.AF_INET
 
 
 def _remote_host(stream: Any) -> str | None:
--- a/standins/worker_platform.py
+++ b/standins/worker_platform.py
@@ -116,13 +116,15 @@
         if call.epoch < self._highest_epoch:
             self._calls_fenced += 1
             self._starts_fenced += sum(isinstance(order, StartTask) for order in call.orders)
-            return PlatformAnswer(self._highest_epoch, fenced=True, cursor=call.since)
+            return self._refused(call, now, fenced=True)
+        if call.valid_until and now > call.valid_until:
+            return self._refused(call, now, fenced=False)
         self._highest_epoch = call.epoch
         self._acknowledge(call.acknowledged)
         self._renew_leases(call.lease, now)
         for order in call.orders:
             self._carry_out(order, call.epoch, now)
-        return self._answer(call.since, now)
+        return self._answer(call, now)
 
     def advance(self, now: Seconds) -> None:
         """Let time pass: starts, ends, checkpoints and lapsed leases happen at their own time."""
@@ -295,8 +297,19 @@
             worker.reported_use = used
             self._changed(worker)
 
-    def _answer(self, since: int, now: Seconds) -> PlatformAnswer:
+    def _refused(self, call: PlatformCall, now: Seconds, fenced: bool) -> PlatformAnswer:
+        return PlatformAnswer(
+            highest_epoch=self._highest_epoch,
+            fenced=fenced,
+            cursor=call.since,
+            number=call.number,
+            clock=now,
+            late=not fenced,
+        )
+
+    def _answer(self, call: PlatformCall, now: Seconds) -> PlatformAnswer:
         lag = Seconds(self.timings.usage_lag)
+        since = call.since
         everything = since <= 0 or since > self._revision
         return PlatformAnswer(
             highest_epoch=self._highest_epoch,
@@ -307,6 +320,8 @@
                 for worker in self.workers_by_id.values()
                 if everything or worker.revision > since or worker.has_ended_tasks()
             ),
+            number=call.number,
+            clock=now,
         )
 
 
