--- a/standins/demo.py
+++ b/standins/demo.py
@@ -186,7 +186,7 @@
 def start_daemon(http: str, platform: str, folder: Path) -> Child:
     """Start a daemon that founds a site of its own."""
     options = ["--name", "a1", "--data-centre", DATA_CENTRE, "--http", http, "--found"]
-    addresses = ["--peer-listen", free_address(), "--platform", f"{DATA_CENTRE}={platform}"]
+    addresses = ["--peer-listen", free_address(), "--platform", platform]
     command = [program("bulrushhollowd"), *options, *addresses]
     return Child("daemon", [*command, "--data-folder", str(folder / "data")], folder / "log")
 
