Keep a submission unknown when only an instance refused its resend

Cause: a resend after a lost answer may reach an instance that lags behind the log and refuses by what it knows (its data centre out, the profile unknown), while the first attempt was taken; the client then said not run. Change: only reasons that the log gives for an id settle an earlier attempt. The named test fails with the old rule.

--- a/packages/client/src/bulrushhollow/_retries.py
+++ b/packages/client/src/bulrushhollow/_retries.py
@@ -40,12 +40,16 @@
 )
 """Reasons for which another entry instance may take the same call."""
 
-UNDECIDED_REASONS = TRANSIENT_REASONS | {
-    Reason.DEADLINE,
-    Reason.DATA_CENTRE_ISOLATED,
-    Reason.INSTANCE_LOST,
-}
-"""Reasons that say nothing of what an earlier attempt of the same id did."""
+DECIDED_REASONS = frozenset(
+    {
+        Reason.VERSION_CONFLICT,
+        Reason.CHANGE_ID_REUSED,
+        Reason.GUARANTEES_DO_NOT_FIT,
+        Reason.STILL_IN_USE,
+        Reason.INVALID,
+    }
+)
+"""Reasons that the log gives for an id, and that hold for earlier attempts of the id as well."""
 
 
 def may_repeat(refusal: Refusal, repeat: Repeat) -> bool:
@@ -74,7 +78,7 @@
     """
     if earlier is None or last.execution is not Execution.NOT_RUN:
         return last
-    if repeat is Repeat.DEDUPLICATED and last.reason not in UNDECIDED_REASONS:
+    if repeat is Repeat.DEDUPLICATED and last.reason in DECIDED_REASONS:
         return last
     detail = f"{earlier.detail}; then: {last.detail or last.reason.value}"
     return Refusal(earlier.reason, detail, Execution.UNKNOWN, last.retry_after)
--- a/tests/test_client_sessions.py
+++ b/tests/test_client_sessions.py
@@ -123,6 +123,13 @@
 
 
 class JobTest(unittest.TestCase):
+    def test_refusal_of_one_instance_after_a_lost_answer_stays_unknown(self) -> None:
+        """An instance that lags behind the log refuses by what it knows, not by the log."""
+        for reason in (Reason.DATA_CENTRE_OUT, Reason.NO_SUCH_PROFILE, Reason.QUOTA):
+            adapter = FakeAdapter(LOST, refused(reason))
+            with self.subTest(reason), self.assertRaises(exceptions.OutcomeUnknownError):
+                carry(adapter, lambda session: session.submit("grip", job_id="a"), (FIRST, SECOND))
+
     def test_submission_keeps_its_job_id_and_quotes_it(self) -> None:
         answer = answered(JobAnswer(JobId("a/b"), JobStage.QUEUED))
         adapter = FakeAdapter(LOST, answer, answer)
