--- a/packages/core/src/bulrushhollow_core/node/_jobs.py
+++ b/packages/core/src/bulrushhollow_core/node/_jobs.py
@@ -18,7 +18,7 @@
     choose_data_centre,
     shape_fits,
 )
-from bulrushhollow_core.models import Configuration, Profile, WorkKind
+from bulrushhollow_core.models import Configuration, Profile, Service, WorkKind
 from bulrushhollow_core.node._actions import Reply
 from bulrushhollow_core.node._events import CallId
 from bulrushhollow_core.outcomes import Execution, Reason, Refusal
@@ -107,7 +107,7 @@
 ) -> DataCentreId | Refusal:
     wanted = submit.data_centre
     if wanted is None:
-        return choose_data_centre(profile, configuration, loads_by_data_centre)
+        return _choose(profile, configuration, loads_by_data_centre)
     declared = configuration.data_centres_by_id.get(wanted)
     if declared is None:
         return Refusal(Reason.NO_SUCH_DATA_CENTRE, f"no data centre {wanted} is known")
@@ -116,6 +116,23 @@
     return wanted
 
 
+def _choose(
+    profile: Profile,
+    configuration: Configuration,
+    loads_by_data_centre: dict[DataCentreId, DataCentreLoad],
+) -> DataCentreId | Refusal:
+    """Choose a data centre in service, or else one that is out, where the job waits for it."""
+    chosen = choose_data_centre(profile, configuration, loads_by_data_centre)
+    if not isinstance(chosen, Refusal) or chosen.reason is not Reason.DATA_CENTRE_OUT:
+        return chosen
+    back_in = {
+        place.id: msgspec.structs.replace(place, service=Service.IN)
+        for place in configuration.data_centres_by_id.values()
+    }
+    later = msgspec.structs.replace(configuration, data_centres_by_id=back_in)
+    return choose_data_centre(profile, later, loads_by_data_centre)
+
+
 def _has_ended(job: JobId, ledger: JobLedger) -> bool:
     record = ledger.jobs_by_id.get(job)
     return record is None or record.state is JobState.ENDED
