Test the replicated log by a state machine

Cause: single scenarios do not reach the interleavings that lose entries.

Change: random crashes between actions, lost disks, pauses, partitions and a network that drops, delays, repeats and reorders, checked against one list of committed entries, one leader per term, single membership changes and the age of the quorum.

--- a/tests/consensus_cluster.py
+++ b/tests/consensus_cluster.py
@@ -80,6 +80,7 @@
         self.applied_index = LogIndex(0)
         self.proposed_by_index: dict[LogIndex, tuple[Term, bytes]] = {}
         self.paused_until = Seconds(0.0)
+        self.actions_left: int | None = None
 
     def boot(self, now: Seconds) -> None:
         restorer = Restorer()
@@ -90,6 +91,7 @@
         self.core = Consensus(self.me, self.has_disk, restorer.restored(), rng, now)
         self.applied, self.applied_index = [], LogIndex(0)
         self.proposed_by_index = {}
+        self.actions_left = None
 
 
 class Cluster:
@@ -102,6 +104,7 @@
         self.nodes_by_id: dict[InstanceId, Node] = {}
         self.cut: set[frozenset[InstanceId]] = set()
         self.isolated_since: dict[InstanceId, Seconds] = {}
+        self.side_by_id: dict[InstanceId, frozenset[InstanceId]] = {}
         self.drop, self.duplicate, self.delay = 0.0, 0.0, 0.002
         self._mail: list[tuple[float, int, InstanceId, InstanceId, bytes]] = []
         self._numbers = itertools.count(1)
@@ -128,8 +131,7 @@
 
     def connect_all(self) -> None:
         for node, peer in itertools.permutations(self.up(), 2):
-            assert node.core
-            if self.linked(node.me, peer.me):
+            if node.core and peer.core and self.linked(node.me, peer.me):
                 self.perform(node, node.core.connect(peer.me, peer.has_disk, self.now))
 
     def disconnect(self, gone: InstanceId) -> None:
@@ -141,17 +143,21 @@
         group_by_id = {node.me: number for number, group in enumerate(groups) for node in group}
         pairs = itertools.combinations(sorted(group_by_id), 2)
         self.cut = {frozenset(p) for p in pairs if group_by_id[p[0]] != group_by_id[p[1]]}
-        self.isolated_since = {}
-        voters = self.members().voters
-        for group in groups:
-            if len({node.me for node in group} & voters) <= len(voters) // 2:
-                self.isolated_since |= {node.me: self.now for node in group}
+        sides = [frozenset(node.me for node in group) for group in groups]
+        self.side_by_id = {node: side for side in sides for node in side}
+        self.isolated_since = dict.fromkeys(self.side_by_id, self.now)
         for node, peer in itertools.permutations(self.up(), 2):
             if node.core and not self.linked(node.me, peer.me):
                 self.perform(node, node.core.disconnect(peer.me, self.now))
 
+    def has_majority(self, side: frozenset[InstanceId]) -> bool:
+        """Whether a side may be a majority, by what is committed or by what any node there says."""
+        nodes = [self.nodes_by_id[i] for i in side if i in self.nodes_by_id]
+        views = [n.core.status(self.now).members for n in nodes if n.core] + [self.members()]
+        return any(len(side & view.voters) > len(view.voters) // 2 for view in views)
+
     def heal(self) -> None:
-        self.cut, self.isolated_since = set(), {}
+        self.cut, self.isolated_since, self.side_by_id = set(), {}, {}
         self.drop, self.duplicate, self.delay = 0.0, 0.0, 0.002
         self.connect_all()
 
@@ -179,8 +185,8 @@
         del self.nodes_by_id[node.me]
         return self.add(instance_name(node.me))
 
-    def propose(self, node: Node, payloads: list[bytes], crash_at: int | None = None) -> None:
-        """Propose several as one batch; the instance may crash after some of the actions."""
+    def propose(self, node: Node, payloads: list[bytes]) -> None:
+        """Propose several as one batch."""
         assert node.core
         actions: list[msgspec.Struct] = []
         for payload in payloads:
@@ -189,12 +195,16 @@
                 node.proposed_by_index[result.index] = (result.term, payload)
                 actions += result.actions
         actions += node.core.flush(self.now)
-        self.perform(node, actions if crash_at is None else actions[:crash_at])
-        if crash_at is not None:
-            self.crash(node)
+        self.perform(node, actions)
 
     def perform(self, node: Node, actions: list[msgspec.Struct]) -> None:
+        """Carry out actions in their order, unless the instance crashes between two of them."""
         for action in actions:
+            if node.actions_left is not None:
+                node.actions_left -= 1
+                if node.actions_left < 0:
+                    self.crash(node)
+                    return
             match action:
                 case Persist(record):
                     node.disk.append(_ENCODER.encode([record]))
@@ -235,6 +245,7 @@
         for node in self.up():
             if node.core and self.now >= node.paused_until:
                 self.perform(node, node.core.tick(self.now))
+            if node.core:
                 self._check(node)
 
     def _check(self, node: Node) -> None:
@@ -243,8 +254,9 @@
         if status.role is Role.LEADER:
             self.oracle.leads(status.term, node.me)
         since = self.isolated_since.get(node.me)
-        if since is not None:
-            assert status.quorum_age >= self.now - since - 1e-6, "a majority out of reach is heard"
+        if since is not None and status.quorum_age < self.now - since - 1e-6:
+            side = self.side_by_id[node.me]
+            assert self.has_majority(side), "a majority out of reach is heard"
 
     def _post(self, source: InstanceId, to: InstanceId, data: bytes) -> None:
         self.largest_message = max(self.largest_message, len(data))
@@ -264,7 +276,8 @@
             heapq.heappush(self._mail, (node.paused_until, number, source, to, data))
             return
         self.perform(node, node.core.receive(source, _MESSAGES.decode(data), self.now))
-        self._check(node)
+        if node.core:
+            self._check(node)
 
     def _apply(self, node: Node, entry: LogEntry) -> None:
         assert entry.index == node.applied_index + 1, "an entry out of order"
