Count an instance as caught up only by a leader that knows what is committed

Cause: a new leader's commit index may trail what the last leader had acknowledged until an entry of its own term is committed; a follower took its word and held itself caught up without those entries.

Change: the entry at the leader's commit index must be of the leader's term.

--- a/packages/core/src/bulrushhollow_core/consensus/_follower.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_follower.py
@@ -94,7 +94,7 @@
             self._replica.accept(entries)
             index = LogIndex(previous_index + len(entries))
             self._replica.advance_commit(min(message.commit, index))
-            if message.commit <= self._replica.commit_index:
+            if self._knows_newest_commit(message):
                 self.note_caught_up(self._proved_at(message.echo, message.quorum_age, now))
         else:
             index = self._replica.log.conflict_hint(previous_index)
@@ -149,6 +149,14 @@
         self.heard_at = now
         self.note_quorum(self._proved_at(echo, quorum_age, now))
 
+    def _knows_newest_commit(self, message: Append) -> bool:
+        """
+        Return whether everything that is committed is committed here. A leader knows what is
+        committed only once an entry of its own term is.
+        """
+        is_here = message.commit <= self._replica.commit_index
+        return is_here and self._replica.log.term_at(message.commit) == message.term
+
     def _proved_at(self, echo: Stamp | None, quorum_age: Seconds, now: Seconds) -> Seconds:
         """Return the latest time of this clock at which the leader surely had its quorum."""
         if echo and echo.boot == self._boot and echo.at <= now:
--- /dev/null
+++ b/tests/test_consensus_rules.py
@@ -0,0 +1,105 @@
+"""One instance against hand-made messages, for what random runs rarely reach."""
+
+import math
+import random
+import unittest
+
+import msgspec
+
+from bulrushhollow_core.actions import Send
+from bulrushhollow_core.consensus import (
+    Append,
+    AppendAnswer,
+    Committed,
+    Consensus,
+    EntryKind,
+    LogEntry,
+    Members,
+    RequestVote,
+    Restored,
+    Stamp,
+    VoteAnswer,
+)
+from bulrushhollow_core.ids import InstanceId, Seconds
+
+ME, PEER, OTHER = InstanceId("a.1"), InstanceId("b.1"), InstanceId("c.1")
+LOG = 5
+NOW = Seconds(100.0)
+MEMBERS = LogEntry(1, 1, Members(frozenset({ME, PEER, OTHER})).encode(), EntryKind.MEMBERS)
+
+
+def restarted(*entries: LogEntry, term: int = 1) -> Consensus:
+    restored = Restored(LOG, term, None, None, (MEMBERS, *entries))
+    return Consensus(ME, True, restored, random.Random(1), NOW)
+
+
+def sent(actions: list[msgspec.Struct], kind: type) -> list[msgspec.Struct]:
+    return [a.message for a in actions if isinstance(a, Send) and isinstance(a.message, kind)]
+
+
+def append(term: int, previous: LogEntry, *entries: LogEntry, **fields: object) -> Append:
+    defaults = {"commit": 0, "sent_at": 1.0, "quorum_age": 0.0}
+    return Append(LOG, term, previous.index, previous.term, entries=entries, **defaults | fields)
+
+
+class RulesTest(unittest.TestCase):
+    def test_an_entry_of_an_earlier_term_is_not_committed_by_its_copies(self) -> None:
+        core = restarted(LogEntry(2, 2, b"old"), term=3)
+        actions = core.tick(Seconds(NOW + 5))
+        core.receive(PEER, VoteAnswer(LOG, 4, True, pre=True), Seconds(NOW + 5))
+        actions = core.receive(PEER, VoteAnswer(LOG, 4, True), Seconds(NOW + 5))
+        answer = AppendAnswer(LOG, 4, True, 2, 2, Seconds(NOW + 5), Stamp(1, Seconds(1)))
+        actions = core.receive(PEER, answer, Seconds(NOW + 5))
+        self.assertEqual([a for a in actions if isinstance(a, Committed)], [])
+        actions = core.receive(PEER, msgspec.structs.replace(answer, index=3), Seconds(NOW + 5))
+        committed = [a.entry.index for a in actions if isinstance(a, Committed)]
+        self.assertEqual(committed, [1, 2, 3])
+
+    def test_a_leader_without_a_committed_entry_of_its_term_proves_nobody_caught_up(self) -> None:
+        second, third = LogEntry(2, 1, b"2"), LogEntry(3, 2, b"")
+        core = restarted(second)
+        (answer,) = sent(core.receive(PEER, append(2, second, commit=1), NOW), AppendAnswer)
+        later = append(2, second, third, commit=1, echo=answer.stamp)
+        core.receive(PEER, later, NOW)
+        self.assertEqual(core.status(NOW).caught_up_age, math.inf)
+        core.receive(PEER, append(2, third, commit=3, echo=answer.stamp), NOW)
+        self.assertEqual(core.status(NOW).caught_up_age, 0)
+
+    def test_a_late_copy_of_an_append_does_not_cut_off_what_followed_it(self) -> None:
+        second, third = LogEntry(2, 1, b"2"), LogEntry(3, 1, b"3")
+        core = restarted()
+        core.receive(PEER, append(1, MEMBERS, second), NOW)
+        core.receive(PEER, append(1, second, third), NOW)
+        (answer,) = sent(core.receive(PEER, append(1, MEMBERS, second), NOW), AppendAnswer)
+        self.assertTrue(answer.success)
+        self.assertEqual(core.status(NOW).last_index, 3)
+
+    def test_one_vote_per_term_also_after_a_restart(self) -> None:
+        ask = RequestVote(LOG, 2, 1, 1)
+        core = restarted()
+        (answer,) = sent(core.receive(PEER, ask, NOW), VoteAnswer)
+        self.assertTrue(answer.granted)
+        restored = Restored(LOG, 2, PEER, None, (MEMBERS,))
+        for voter in (core, Consensus(ME, True, restored, random.Random(1), NOW)):
+            (answer,) = sent(voter.receive(OTHER, ask, NOW), VoteAnswer)
+            self.assertFalse(answer.granted)
+
+    def test_a_voter_that_hears_its_leader_grants_nothing_unless_it_is_a_hand_over(self) -> None:
+        core = restarted()
+        core.receive(PEER, append(1, MEMBERS), NOW)
+        (answer,) = sent(core.receive(OTHER, RequestVote(LOG, 2, 9, 1, pre=True), NOW), VoteAnswer)
+        self.assertFalse(answer.granted)
+        self.assertEqual(core.receive(OTHER, RequestVote(LOG, 2, 9, 1), NOW), [])
+        asked = RequestVote(LOG, 2, 9, 1, handover=True)
+        (answer,) = sent(core.receive(OTHER, asked, NOW), VoteAnswer)
+        self.assertTrue(answer.granted)
+
+    def test_messages_of_another_log_are_dropped_and_named(self) -> None:
+        core = restarted()
+        foreign = msgspec.structs.replace(append(9, MEMBERS), log_id=LOG + 1)
+        self.assertEqual(core.receive(PEER, foreign, NOW), [])
+        self.assertEqual(core.status(NOW).foreign, {PEER})
+
+
+if __name__ == "__main__":
+    unittest.main()
