--- /dev/null
+++ b/bench/state.py
@@ -0,0 +1,25 @@
+"""
+bench.state
+~~~~~~~~~~~
+
+The state that survives: ``python -m bench state --seed N [--part disk|core|cluster]``.
+"""
+
+import argparse
+from pathlib import Path
+
+from bench import state_core, state_disk
+
+
+def main(argv: list[str]) -> int:
+    """Run all parts, or one."""
+    parser = argparse.ArgumentParser(prog="python -m bench state")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--part", choices=("disk", "core"))
+    parser.add_argument("--folder", type=Path, help="where to write; the temporary folder if none")
+    options = parser.parse_args(argv)
+    if options.part in (None, "disk"):
+        state_disk.measure(options.seed, options.folder)
+    if options.part in (None, "core"):
+        state_core.measure(options.seed)
+    return 0
--- a/packages/core/src/bulrushhollow_core/consensus/__init__.py
+++ b/packages/core/src/bulrushhollow_core/consensus/__init__.py
@@ -46,7 +46,6 @@
     Restored,
     Snapshot,
     Timing,
-    instance_name,
 )
 
 __all__ = [
@@ -83,5 +82,4 @@
     "Timing",
     "TooLarge",
     "VoteAnswer",
-    "instance_name",
 ]
--- a/packages/core/src/bulrushhollow_core/consensus/_members.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_members.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterable
 
 from bulrushhollow_core.consensus._progress import Flow, Progress
-from bulrushhollow_core.consensus._types import Members, instance_name
-from bulrushhollow_core.ids import InstanceId, LogIndex, Seconds
+from bulrushhollow_core.consensus._types import Members
+from bulrushhollow_core.ids import InstanceId, LogIndex, Seconds, name_of
 
 CAUGHT_UP_LAG = 16
 """Most entries by which a learner's log may trail the commit index when it becomes a voter."""
@@ -18,8 +18,8 @@
 
 def with_learner(members: Members, peer: InstanceId) -> Members:
     """Return the members with a new learner in place of earlier incarnations of it."""
-    name = instance_name(peer)
-    others = {learner for learner in members.learners if instance_name(learner) != name}
+    name = name_of(peer)
+    others = {learner for learner in members.learners if name_of(learner) != name}
     return Members(members.voters, frozenset(others | {peer}))
 
 
@@ -35,8 +35,8 @@
 
 def former_voter(members: Members, peer: InstanceId) -> InstanceId | None:
     """Return the voter that is an earlier incarnation of a peer, if there is one."""
-    name = instance_name(peer)
-    return next((v for v in sorted(members.voters) if instance_name(v) == name), None)
+    name = name_of(peer)
+    return next((v for v in sorted(members.voters) if name_of(v) == name), None)
 
 
 def has_caught_up(progress: Progress, commit_index: LogIndex) -> bool:
--- a/packages/core/src/bulrushhollow_core/consensus/_types.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_types.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from bulrushhollow_core.ids import InstanceId, InstanceName, LogIndex, Seconds, Term
+from bulrushhollow_core.ids import InstanceId, LogIndex, Seconds, Term
 
 LogId = NewType("LogId", int)
 """Random number of one founded log; messages of any other log are dropped."""
@@ -109,9 +109,3 @@
     observer_heartbeat: Seconds = Seconds(0.5)
     election_min: Seconds = Seconds(1.0)
     election_max: Seconds = Seconds(2.0)
-
-
-def instance_name(instance: InstanceId) -> InstanceName:
-    """Return the name of which an instance id is one incarnation."""
-    name, _, _ = instance.rpartition(".")
-    return InstanceName(name)
--- a/packages/daemon/src/bulrushhollow_daemon/journal/_journal.py
+++ b/packages/daemon/src/bulrushhollow_daemon/journal/_journal.py
@@ -16,8 +16,7 @@
 
 import msgspec
 
-from bulrushhollow_core.consensus import instance_name
-from bulrushhollow_core.ids import InstanceId, InstanceName
+from bulrushhollow_core.ids import InstanceId, InstanceName, name_of
 from bulrushhollow_daemon.journal._errors import (
     JournalCorruptError,
     JournalError,
@@ -194,7 +193,7 @@
             self._is_replayed = True
             return
         self._instance = self._read_identity()
-        if instance_name(self._instance) != name:
+        if name_of(self._instance) != name:
             raise JournalForeignError(f"{self._path} belongs to {self._instance}, not to {name}")
         self._descriptor = os.open(self._path, os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC)
         self._size = self._path.stat().st_size
--- a/tests/consensus_cluster.py
+++ b/tests/consensus_cluster.py
@@ -21,9 +21,8 @@
     RewriteJournal,
     Role,
     SnapshotRestored,
-    instance_name,
 )
-from bulrushhollow_core.ids import InstanceId, LogIndex, Seconds, Term
+from bulrushhollow_core.ids import InstanceId, LogIndex, Seconds, Term, name_of
 
 TICK = 0.05
 
@@ -183,7 +182,7 @@
     def restart(self, node: Node) -> None:
         if not node.has_disk:
             del self.nodes_by_id[node.me]
-            self.add(instance_name(node.me), has_disk=False)
+            self.add(name_of(node.me), has_disk=False)
             return
         node.boot(self.now)
         self.connect_all()
@@ -191,7 +190,7 @@
     def lose_disk(self, node: Node) -> Node:
         self.crash(node)
         del self.nodes_by_id[node.me]
-        return self.add(instance_name(node.me))
+        return self.add(name_of(node.me))
 
     def propose(self, node: Node, payloads: list[bytes]) -> None:
         """Propose several as one batch."""
--- a/tests/test_consensus_rules.py
+++ b/tests/test_consensus_rules.py
@@ -14,6 +14,8 @@
     Consensus,
     EntryKind,
     LogEntry,
+    MemberChangeReason,
+    MemberChangeRefused,
     Members,
     RequestVote,
     Restored,
@@ -65,6 +67,21 @@
         core.receive(PEER, append(2, third, commit=3, echo=answer.stamp), NOW)
         self.assertEqual(core.status(NOW).caught_up_age, 0)
 
+    def test_members_stay_until_an_entry_of_the_leaders_term_is_committed(self) -> None:
+        core = restarted(term=3)
+        at = Seconds(NOW + 5)
+        core.connect(InstanceId("d.1"), True, at)
+        core.tick(at)
+        core.receive(PEER, VoteAnswer(LOG, 4, True, pre=True), at)
+        core.receive(PEER, VoteAnswer(LOG, 4, True), at)
+        core.tick(at)
+        self.assertEqual(core.status(at).members.learners, frozenset())
+        refused = core.remove_member(OTHER, at)
+        self.assertEqual(refused, MemberChangeRefused(MemberChangeReason.CHANGE_IN_PROGRESS))
+        core.receive(PEER, AppendAnswer(LOG, 4, True, 2, 1, at, Stamp(1, Seconds(1))), at)
+        core.tick(at)
+        self.assertEqual(core.status(at).members.learners, {"d.1"})
+
     def test_a_late_copy_of_an_append_does_not_cut_off_what_followed_it(self) -> None:
         second, third = LogEntry(2, 1, b"2"), LogEntry(3, 1, b"3")
         core = restarted()
