--- a/standins/platform.py
+++ b/standins/platform.py
@@ -91,6 +91,9 @@
         if exchange.path == "/counts":
             self.platform.advance(now)
             return json_reply(self.platform.counts())
+        if exchange.path == "/runs":
+            self.platform.advance(now)
+            return json_reply(self.platform.records)
         return Reply(404)
 
     def _control(self, exchange: Exchange, now: Seconds) -> Reply:
--- a/tests/test_standins_endpoint.py
+++ b/tests/test_standins_endpoint.py
@@ -8,9 +8,14 @@
 import msgspec
 
 from bulrushhollow_core.endpoints import Announcement, AnnouncementAnswer
+from bulrushhollow_core.ids import Attempt, Epoch, JobId, TaskId, WorkerId
+from bulrushhollow_core.models import Resources
+from bulrushhollow_core.platform import PlatformAnswer, PlatformCall, StartTask
 from standins._endpoint import Endpoint, EndpointControl, EndpointCounts
 from standins._http import Announced, Exchange, Reply, Server, json_reply
+from standins._worker import RunRecord
 
+FIRST = WorkerId("r1-1")
 WAIT = 10.0
 """Seconds after which a step of a process counts as hung."""
 
@@ -155,8 +160,16 @@
         self.addCleanup(process.stdout.close)
         address = msgspec.json.decode(process.stdout.readline(), type=Announced).address
         url = f"http://{address}"
-        call = httpcore.request("POST", f"{url}/v1/sync", content=b'{"epoch":1,"lease":5}')
-        self.assertEqual(2, len(msgspec.json.decode(call.content)["workers"]))
+        start = StartTask(
+            FIRST, TaskId("j/1/0"), JobId("j"), Attempt(1), Resources(), not_after=1.0
+        )
+        call = PlatformCall(Epoch(1), lease=5.0, orders=(start,))
+        sync = httpcore.request("POST", f"{url}/v1/sync", content=msgspec.json.encode(call))
+        answer = msgspec.json.decode(sync.content, type=PlatformAnswer)
+        self.assertEqual(2, len(answer.workers))
+        runs = httpcore.request("GET", f"{url}/runs")
+        [run] = msgspec.json.decode(runs.content, type=list[RunRecord])
+        self.assertEqual((FIRST, "j/1/0", None), (run.worker, run.task, run.ended_at))
         wrong = httpcore.request("POST", f"{url}/control", content=b'{"take_down":["nobody"]}')
         self.assertEqual(400, wrong.status)
         right = httpcore.request("POST", f"{url}/control", content=b'{"take_down":["r1-1"]}')
