--- a/packages/core/src/bulrushhollow_core/authority/_outlook.py
+++ b/packages/core/src/bulrushhollow_core/authority/_outlook.py
@@ -10,8 +10,8 @@
 
 from bulrushhollow_core.authority._ballot import majority
 from bulrushhollow_core.authority._timing import HOLD_LIMIT, AuthorityTiming
-from bulrushhollow_core.configuration import Rollout
-from bulrushhollow_core.ids import InstanceName, Seconds, Version
+from bulrushhollow_core.configuration import ConfigurationLedger, Rollout
+from bulrushhollow_core.ids import DataCentreId, InstanceName, Seconds, Version
 from bulrushhollow_core.models import Isolation
 
 CUT_OFF_LIMIT = Seconds(3.0)
@@ -64,8 +64,9 @@
 def describe_out(
     version: Version,
     recorded_at: Seconds,
+    data_centre: DataCentreId,
     members: frozenset[InstanceName],
-    isolation: Isolation,
+    ledger: ConfigurationLedger,
     rollout: Rollout,
     now: Seconds,
 ) -> Outlook:
@@ -76,20 +77,33 @@
     :param recorded_at: reading of this process's clock at which the version was known to be
         committed, or later.
     :param members: names of the data centre's own instances.
-    :param isolation: what the data centre did without the log before this version.
     """
     missing = rollout.in_force(version).not_yet_in
     if not missing:
         return InForceEverywhere()
     if _applied_inside(version, members, rollout, now):
         return InForceInside(missing)
-    if isolation is Isolation.HOLD:
-        within = Seconds(recorded_at + HOLD_LIMIT - now)
+    if _knows_to_hold(data_centre, members, ledger, rollout):
+        within = Seconds(HOLD_LIMIT - (now - recorded_at))
         return InForceLater(within) if within > 0 else InForceInside(missing, by_hold=True)
     silence = min((now - rollout.last_heard(name, now) for name in members), default=0.0)
     return NotYetInForce(Seconds(silence)) if silence > CUT_OFF_LIMIT else NotYetKnown()
 
 
+def _knows_to_hold(
+    data_centre: DataCentreId,
+    members: frozenset[InstanceName],
+    ledger: ConfigurationLedger,
+    rollout: Rollout,
+) -> bool:
+    """Tell whether every member has applied the version that made the data centre hold."""
+    declared = ledger.configuration.data_centres_by_id.get(data_centre)
+    if declared is None or declared.isolation is not Isolation.HOLD:
+        return False
+    since = ledger.isolation_since(data_centre)
+    return all(rollout.applied_since(name, since) is not None for name in members)
+
+
 def _applied_inside(
     version: Version, members: frozenset[InstanceName], rollout: Rollout, now: Seconds
 ) -> bool:
--- a/packages/core/src/bulrushhollow_core/configuration/_packing.py
+++ b/packages/core/src/bulrushhollow_core/configuration/_packing.py
@@ -124,6 +124,7 @@
 
     def __init__(self, rack: Rack) -> None:
         self.id = rack.id
+        self.accelerators = rack.workers * rack.per_worker.accelerators
         self._workers_by_free = {_amounts(rack.per_worker): list(range(rack.workers))}
 
     def room(self, need: Amounts, tasks: int) -> int:
@@ -151,6 +152,7 @@
         return parts
 
     def _use(self, free: Amounts, need: Amounts, tasks: int) -> int:
+        self.accelerators -= need[0] * tasks
         workers = self._workers_by_free[free]
         worker = workers.pop()
         if not workers:
@@ -206,9 +208,11 @@
         shape = (need, tasks, adjacency)
         start = self._skipped_by_shape.get(shape, 0)
         for position in range(start, len(self._racks)):
-            if measure(self._racks[position], need, tasks) >= tasks:
+            rack = self._racks[position]
+            has_sum = rack.accelerators >= need[0] * tasks
+            if has_sum and measure(rack, need, tasks) >= tasks:
                 self._skipped_by_shape[shape] = position
-                return self._racks[position]
+                return rack
         self._skipped_by_shape[shape] = len(self._racks)
         return None
 
--- a/tests/authority_net.py
+++ b/tests/authority_net.py
@@ -62,7 +62,8 @@
 
 class Net:
     """
-    Carries messages; each may be lost, repeated or delayed with the set chances.
+    Carries messages; each may be lost, repeated or delayed with the set chances. What was sent
+    before a cut still arrives.
 
     A leader of the log that is replaced goes on to believe that it leads for as long as a quorum
     proof may be old.
@@ -108,6 +109,8 @@
     def send(self, source: Node, actions: list[msgspec.Struct]) -> None:
         for action in actions:
             assert isinstance(action, Send)
+            if frozenset((source.name, name_of(action.to))) in self.cuts:
+                continue
             copies = 2 if self.rng.random() < self.repeat else 1
             for _ in range(copies):
                 if self.rng.random() >= self.loss:
@@ -121,7 +124,7 @@
             self.wire = [entry for entry in self.wire if entry[0] > self.time]
             for _, source, to, message in due:
                 node = self.nodes_by_id.get(to)
-                if node and frozenset((name_of(source), node.name)) not in self.cuts:
+                if node is not None:
                     node.inbox.append((source, message))
             for node in self.nodes:
                 if not node.paused:
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -1,8 +1,10 @@
 import random
 import unittest
 
-from bulrushhollow_core.authority import Authority, AuthorityState, AuthorityTiming
-from bulrushhollow_core.ids import Epoch, InstanceId, InstanceName, Seconds, Version
+from bulrushhollow_core.authority import Authority, AuthorityState, AuthorityTiming, ServiceInForce
+from bulrushhollow_core.changes import ChangeConfiguration, SetDataCentreService
+from bulrushhollow_core.ids import ChangeId, Epoch, InstanceId, InstanceName, Seconds, Version
+from bulrushhollow_core.models import Service
 from tests.authority_net import NORTH, Net, Node
 
 LEASE = AuthorityTiming().lease
@@ -138,3 +140,21 @@
         net.send = lambda node, actions: (sent.extend(actions), carry(node, actions))[1]  # type: ignore[method-assign]
         net.run(10)
         self.assertLessEqual(len(sent), 10 * 2 * 2 + 4)
+
+    def test_a_take_out_ordered_inside_outlives_the_holder_that_took_it(self) -> None:
+        net, holder = self.settled(3, leader=False)
+        first, last = (node for node in net.nodes if node is not holder)
+        net.isolate(last)
+        change = ChangeConfiguration(ChangeId("c"), SetDataCentreService(NORTH, Service.OUT))
+        holder.switch.order(change)
+        net.send(holder, holder.authority.renew(holder.clock(net.time)))
+        net.run(0.2)
+        self.assertTrue(holder.switch.accepted(ChangeId("c")))
+        holder.paused = first.paused = True
+        net.cuts.clear()
+        net.run(2)
+        first.paused = False
+        first.authority.release(first.clock(net.time))
+        successor = self.assert_taken_over(net, holder, 6.0)
+        self.assertEqual(last, successor)
+        self.assertEqual(ServiceInForce.OUT, last.switch.service_in_force(Seconds(0.0)))
--- /dev/null
+++ b/tests/test_authority_switch.py
@@ -0,0 +1,197 @@
+import unittest
+
+from bulrushhollow_core.authority import (
+    HOLD_LIMIT,
+    ISOLATION_LIMIT,
+    AuthorityTiming,
+    InForceEverywhere,
+    InForceInside,
+    InForceLater,
+    LocalOrder,
+    NotYetInForce,
+    NotYetKnown,
+    Outlook,
+    ServiceInForce,
+    ServiceSwitch,
+    describe_out,
+)
+from bulrushhollow_core.changes import (
+    ChangeConfiguration,
+    Edit,
+    PutDataCentre,
+    SetDataCentreService,
+    SetEndpointService,
+)
+from bulrushhollow_core.configuration import AppliedVersion, ConfigurationLedger, Rollout
+from bulrushhollow_core.ids import (
+    ChangeId,
+    DataCentreId,
+    EndpointId,
+    InstanceId,
+    InstanceName,
+    LogIndex,
+    Seconds,
+    Version,
+)
+from bulrushhollow_core.models import DataCentre, Drain, Isolation, Service
+from bulrushhollow_core.outcomes import Reason, Refusal
+
+NORTH = DataCentreId("north")
+NAMES = tuple(InstanceName(name) for name in ("n1", "n2", "n3"))
+FRESH, STALE = Seconds(0.1), Seconds(ISOLATION_LIMIT + 0.1)
+
+
+class SwitchTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.ledger = ConfigurationLedger()
+        self.switch = ServiceSwitch(NAMES[0], NORTH, frozenset(NAMES), self.ledger)
+
+    def commit(self, change_id: str, edit: Edit, base: int | None = None) -> None:
+        version = None if base is None else Version(base)
+        change = ChangeConfiguration(ChangeId(change_id), edit, version)
+        self.assertNotIsInstance(self.ledger.apply(LogIndex(1), change), Refusal)
+
+    def declare(self, isolation: Isolation = Isolation.HOLD) -> None:
+        self.commit("declare", PutDataCentre(DataCentre(NORTH, isolation=isolation)), 0)
+
+    def out(self, change_id: str = "out", drain: Drain = Drain.FINISH) -> ChangeConfiguration:
+        return ChangeConfiguration(
+            ChangeId(change_id), SetDataCentreService(NORTH, Service.OUT, drain)
+        )
+
+    def test_a_data_centre_that_holds_starts_nothing_without_the_log(self) -> None:
+        self.declare()
+        self.assertEqual(ServiceInForce.IN, self.switch.service_in_force(FRESH))
+        self.assertEqual(ServiceInForce.HOLD, self.switch.service_in_force(STALE))
+
+    def test_a_data_centre_that_serves_goes_on_without_the_log(self) -> None:
+        self.declare(Isolation.SERVE)
+        self.assertEqual(ServiceInForce.IN, self.switch.service_in_force(STALE))
+
+    def test_nothing_starts_before_the_data_centre_is_declared(self) -> None:
+        self.assertEqual(ServiceInForce.HOLD, self.switch.service_in_force(FRESH))
+
+    def test_a_configured_out_is_obeyed(self) -> None:
+        self.declare()
+        self.commit("out", SetDataCentreService(NORTH, Service.OUT, Drain.CHECKPOINT))
+        self.assertEqual(ServiceInForce.OUT, self.switch.service_in_force(FRESH))
+        self.assertEqual(Drain.CHECKPOINT, self.switch.drain())
+
+    def test_an_order_inside_is_obeyed_at_once_and_accepted_by_a_majority(self) -> None:
+        self.declare(Isolation.SERVE)
+        order = self.switch.order(self.out(drain=Drain.CHECKPOINT))
+        assert isinstance(order, LocalOrder)
+        self.assertEqual(ServiceInForce.OUT, self.switch.service_in_force(STALE))
+        self.assertEqual(Drain.CHECKPOINT, self.switch.drain())
+        self.assertFalse(self.switch.accepted(ChangeId("out")))
+        self.switch.learn(NAMES[1], [order])
+        self.assertTrue(self.switch.accepted(ChangeId("out")))
+        self.assertEqual((order.change,), self.switch.unrecorded())
+
+    def test_a_later_in_lifts_an_order_only_once_the_order_is_recorded(self) -> None:
+        self.declare(Isolation.SERVE)
+        self.switch.order(self.out())
+        self.commit("in", SetDataCentreService(NORTH, Service.IN))
+        self.assertEqual(ServiceInForce.OUT, self.switch.service_in_force(FRESH))
+        self.commit("out", SetDataCentreService(NORTH, Service.OUT))
+        self.assertEqual((), self.switch.unrecorded())
+        self.assertEqual(ServiceInForce.OUT, self.switch.service_in_force(FRESH))
+        self.commit("in again", SetDataCentreService(NORTH, Service.IN))
+        self.assertEqual(ServiceInForce.IN, self.switch.service_in_force(FRESH))
+
+    def test_a_recorded_order_is_not_learnt_again_from_a_member_that_lags(self) -> None:
+        self.declare()
+        order = self.switch.order(self.out())
+        assert isinstance(order, LocalOrder)
+        self.commit("out", order.change.edit)
+        self.commit("in", SetDataCentreService(NORTH, Service.IN))
+        self.switch.learn(NAMES[2], [order])
+        self.assertEqual(ServiceInForce.IN, self.switch.service_in_force(FRESH))
+
+    def test_only_take_outs_of_this_data_centre_and_of_endpoints_can_be_ordered_inside(
+        self,
+    ) -> None:
+        self.declare()
+        for edit in (
+            SetDataCentreService(NORTH, Service.IN),
+            SetDataCentreService(DataCentreId("south"), Service.OUT),
+            SetEndpointService(EndpointId("e1"), Service.IN),
+            PutDataCentre(DataCentre(NORTH)),
+        ):
+            refusal = self.switch.order(ChangeConfiguration(ChangeId("c"), edit))
+            assert isinstance(refusal, Refusal)
+            self.assertEqual(Reason.NO_QUORUM, refusal.reason)
+        out = SetEndpointService(EndpointId("e1"), Service.OUT)
+        self.switch.order(ChangeConfiguration(ChangeId("e"), out))
+        self.assertEqual({"e1"}, self.switch.out_endpoints())
+        self.assertEqual(ServiceInForce.IN, self.switch.service_in_force(FRESH))
+
+    def test_a_resent_order_is_the_same_and_a_reused_id_is_refused(self) -> None:
+        self.declare()
+        self.assertEqual(self.switch.order(self.out()), self.switch.order(self.out()))
+        refusal = self.switch.order(self.out(drain=Drain.CHECKPOINT))
+        assert isinstance(refusal, Refusal)
+        self.assertEqual(Reason.CHANGE_ID_REUSED, refusal.reason)
+
+
+class OutlookTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.rollout = Rollout(InstanceName("s1"), frozenset(NAMES), Seconds(0.0))
+        self.rollout.applied(Version(5), Seconds(0.0))
+        self.hear(NAMES, 1, 0.0)
+
+    def hear(self, names: tuple[InstanceName, ...], version: int, at: float) -> None:
+        for name in names:
+            applied = AppliedVersion(Version(version))
+            self.rollout.receive(InstanceId(f"{name}.00000001"), applied, Seconds(at))
+
+    def describe(self, isolation: Isolation, now: float) -> Outlook:
+        ledger = ConfigurationLedger()
+        edit = PutDataCentre(DataCentre(NORTH, isolation=isolation))
+        ledger.apply(LogIndex(1), ChangeConfiguration(ChangeId("c"), edit, Version(0)))
+        return self.describe_with(ledger, now)
+
+    def describe_with(self, ledger: ConfigurationLedger, now: float) -> Outlook:
+        members = frozenset(NAMES)
+        return describe_out(
+            Version(5), Seconds(10.0), NORTH, members, ledger, self.rollout, Seconds(now)
+        )
+
+    def test_in_force_everywhere(self) -> None:
+        self.hear(NAMES, 5, 10.0)
+        self.assertEqual(InForceEverywhere(), self.describe(Isolation.SERVE, 10.1))
+
+    def test_a_data_centre_that_holds_and_is_cut_off_is_out_within_a_known_time(self) -> None:
+        self.assertEqual(InForceLater(HOLD_LIMIT), self.describe(Isolation.HOLD, 10.0))
+        later = self.describe(Isolation.HOLD, 10.1 + HOLD_LIMIT)
+        self.assertEqual(InForceInside(NAMES, by_hold=True), later)
+
+    def test_a_data_centre_that_serves_and_is_cut_off_is_not_said_to_be_out(self) -> None:
+        self.hear(NAMES, 4, 2.0)
+        self.assertEqual(NotYetInForce(Seconds(8.0)), self.describe(Isolation.SERVE, 10.0))
+        self.assertEqual(NotYetInForce(Seconds(98.0)), self.describe(Isolation.SERVE, 100.0))
+
+    def test_a_data_centre_that_was_cut_off_before_it_was_told_to_hold_is_not_said_to_hold(
+        self,
+    ) -> None:
+        ledger = ConfigurationLedger()
+        for version, isolation in enumerate((Isolation.SERVE, Isolation.HOLD)):
+            edit = PutDataCentre(DataCentre(NORTH, isolation=isolation))
+            change = ChangeConfiguration(ChangeId(f"c{version}"), edit, Version(version))
+            ledger.apply(LogIndex(version + 1), change)
+        restored = ConfigurationLedger.restore(ledger.snapshot())
+        self.assertIsInstance(self.describe_with(restored, 20.0), NotYetInForce)
+        self.hear(NAMES, 2, 20.0)
+        self.assertIsInstance(self.describe_with(restored, 20.0), InForceInside)
+
+    def test_a_data_centre_in_reach_that_has_not_confirmed(self) -> None:
+        self.hear(NAMES, 4, 9.9)
+        self.assertEqual(NotYetKnown(), self.describe(Isolation.SERVE, 10.0))
+
+    def test_a_majority_inside_is_enough_once_leases_without_the_version_have_lapsed(self) -> None:
+        self.hear(NAMES[:2], 5, 10.0)
+        settle = AuthorityTiming().settle
+        self.assertNotIsInstance(self.describe(Isolation.SERVE, 9.9 + settle), InForceInside)
+        self.assertEqual(InForceInside(NAMES[2:]), self.describe(Isolation.SERVE, 10.1 + settle))
+        self.hear(NAMES[2:], 5, 11.0)
+        self.assertEqual(InForceEverywhere(), self.describe(Isolation.SERVE, 11.0))
--- /dev/null
+++ b/tests/test_authority_voter.py
@@ -0,0 +1,181 @@
+import random
+import unittest
+
+import msgspec
+
+from bulrushhollow_core.actions import Send
+from bulrushhollow_core.authority import (
+    Authority,
+    AuthorityAsk,
+    AuthorityDenial,
+    AuthorityGrant,
+    AuthorityRelease,
+    AuthorityTiming,
+    Witness,
+    WitnessAsk,
+    WitnessDenial,
+    WitnessGrant,
+)
+from bulrushhollow_core.ids import DataCentreId, Epoch, InstanceId, InstanceName, Seconds, Term
+
+NORTH = DataCentreId("north")
+ME, A2, A3 = InstanceId("a1.01"), InstanceId("a2.01"), InstanceId("a3.01")
+NAMES = frozenset(InstanceName(name) for name in ("a1", "a2", "a3"))
+TIMING = AuthorityTiming()
+READY = 10.0
+
+
+class InstanceTestCase(unittest.TestCase):
+    """Drives one instance by hand; ``now`` counts from a boot at 0."""
+
+    def setUp(self) -> None:
+        self.authority = Authority(ME, NORTH, NAMES, random.Random(1), Seconds(0.0))
+        for peer in (A2, A3):
+            self.authority.connected(peer)
+
+    def ask(
+        self, source: InstanceId, epoch: int, at: float, prepare: bool = False
+    ) -> AuthorityGrant | AuthorityDenial:
+        ask = AuthorityAsk(NORTH, Epoch(epoch), Seconds(at), prepare)
+        actions = self.authority.receive(source, ask, Seconds(at))
+        assert isinstance(actions[0], Send) and actions[0].to == source
+        assert isinstance(actions[0].message, AuthorityGrant | AuthorityDenial)
+        return actions[0].message
+
+    def grants(self, source: InstanceId, epoch: int, at: float) -> bool:
+        return isinstance(self.ask(source, epoch, at), AuthorityGrant)
+
+
+class VoterTest(InstanceTestCase):
+    def test_no_vote_before_an_earlier_promise_has_run_out(self) -> None:
+        self.assertFalse(self.grants(A2, 5, TIMING.promise - 0.01))
+        self.assertTrue(self.grants(A2, 5, TIMING.promise))
+
+    def test_one_vote_at_a_time(self) -> None:
+        self.assertTrue(self.grants(A2, 5, READY))
+        denial = self.ask(A3, 6, READY + 1)
+        self.assertEqual(AuthorityDenial(Epoch(6), Epoch(5), Seconds(TIMING.promise - 1)), denial)
+        self.assertTrue(self.grants(A2, 5, READY + 2))
+        self.assertFalse(self.grants(A3, 6, READY + 2 + TIMING.lease))
+        self.assertTrue(self.grants(A3, 6, READY + 2 + TIMING.promise))
+
+    def test_no_vote_for_an_epoch_below_one_that_was_used(self) -> None:
+        self.assertTrue(self.grants(A2, 5, READY))
+        self.assertFalse(self.grants(A3, 4, READY + 10))
+        self.assertFalse(self.grants(A3, 5, READY + 10))
+        self.assertTrue(self.grants(A2, 5, READY + 20))
+
+    def test_willingness_binds_nobody(self) -> None:
+        self.assertIsInstance(self.ask(A2, 0, READY, prepare=True), AuthorityGrant)
+        self.assertTrue(self.grants(A3, 5, READY))
+        self.assertIsInstance(self.ask(A2, 0, READY, prepare=True), AuthorityDenial)
+
+    def test_a_released_vote_is_free_at_once_and_a_late_ask_for_it_is_denied(self) -> None:
+        self.assertTrue(self.grants(A2, 5, READY))
+        self.authority.receive(A2, AuthorityRelease(Epoch(5)), Seconds(READY))
+        self.assertFalse(self.grants(A2, 5, READY))
+        self.assertTrue(self.grants(A3, 6, READY))
+
+    def test_a_late_release_does_not_free_a_newer_vote(self) -> None:
+        self.assertTrue(self.grants(A2, 7, READY))
+        self.authority.receive(A2, AuthorityRelease(Epoch(5)), Seconds(READY))
+        self.authority.receive(A3, AuthorityRelease(Epoch(7)), Seconds(READY))
+        self.assertFalse(self.grants(A3, 8, READY))
+
+    def test_strangers_and_other_data_centres_get_no_vote(self) -> None:
+        ask = AuthorityAsk(NORTH, Epoch(5), Seconds(0.0))
+        self.assertEqual([], self.authority.receive(InstanceId("b1.01"), ask, Seconds(READY)))
+        elsewhere = AuthorityAsk(DataCentreId("south"), Epoch(5), Seconds(0.0))
+        self.assertEqual([], self.authority.receive(A2, elsewhere, Seconds(READY)))
+
+
+class CandidateTest(InstanceTestCase):
+    def stand(self, at: float, highest: int = 0) -> AuthorityAsk:
+        """Have the instance ask for votes; return its ask."""
+        asks = self.sent(self.authority.tick(Seconds(at)))
+        self.assertTrue(asks[0].prepare)
+        willing = AuthorityGrant(asks[0].epoch, asks[0].sent_at, True, Epoch(highest))
+        return self.sent(self.authority.receive(A2, willing, Seconds(at)))[0]
+
+    def sent(self, actions: list[msgspec.Struct]) -> list[AuthorityAsk]:
+        messages = [action.message for action in actions if isinstance(action, Send)]
+        return [message for message in messages if isinstance(message, AuthorityAsk)]
+
+    def grant(self, ask: AuthorityAsk, at: float, source: InstanceId = A2) -> None:
+        self.authority.receive(source, AuthorityGrant(ask.epoch, ask.sent_at), Seconds(at))
+
+    def test_the_lease_counts_from_when_the_vote_was_asked_for(self) -> None:
+        ask = self.stand(READY)
+        self.grant(ask, READY + 0.4)
+        held = self.authority.held(Seconds(READY + 0.4))
+        assert held is not None
+        self.assertEqual((ask.epoch, READY + TIMING.lease), (held.epoch, held.until))
+        self.authority.tick(Seconds(READY + 1))
+        self.grant(ask, READY + 2.9)
+        self.assertIsNone(self.authority.held(Seconds(READY + TIMING.lease)))
+
+    def test_an_epoch_is_above_all_that_the_voters_have_seen(self) -> None:
+        self.assertGreater(self.stand(READY, highest=9_000_000).epoch, 9_000_000)
+
+    def test_votes_for_another_epoch_do_not_count(self) -> None:
+        ask = self.stand(READY)
+        other = msgspec.structs.replace(ask, epoch=Epoch(ask.epoch - 1))
+        self.grant(other, READY)
+        self.assertIsNone(self.authority.held(Seconds(READY)))
+
+    def test_a_try_without_a_majority_frees_its_votes(self) -> None:
+        ask = self.stand(READY)
+        actions = self.authority.tick(Seconds(READY + 0.6))
+        released = [action.message for action in actions if isinstance(action, Send)]
+        self.assertEqual([AuthorityRelease(ask.epoch)] * 2, released)
+        self.grant(ask, READY + 0.7)
+        self.assertIsNone(self.authority.held(Seconds(READY + 0.7)))
+        self.assertTrue(self.grants(A3, ask.epoch + 1, READY + 0.7))
+
+    def test_a_holder_that_frees_votes_of_a_higher_epoch_holds_no_longer(self) -> None:
+        ask = self.stand(READY)
+        self.grant(ask, READY)
+        denial = AuthorityDenial(ask.epoch, Epoch(ask.epoch + 1_000_000))
+        self.authority.receive(A3, denial, Seconds(READY + 0.1))
+        self.assertIsNotNone(self.authority.held(Seconds(READY + 0.1)))
+        higher = self.stand(READY + 0.1)
+        self.assertGreater(higher.epoch, denial.highest)
+        self.authority.tick(Seconds(READY + 0.7))
+        self.assertIsNone(self.authority.held(Seconds(READY + 0.7)))
+
+
+class WitnessTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.witness = Witness({InstanceName("a1"): NORTH, InstanceName("a2"): NORTH})
+
+    def ask(self, source: InstanceId, at: float, epoch: int = 5) -> object:
+        ask = WitnessAsk(NORTH, Epoch(epoch), Seconds(at))
+        return self.witness.vote(source, ask, Seconds(at))
+
+    def lead(self, at: float, term: int = 1) -> None:
+        self.witness.set_leader(True, Term(term), Seconds(at))
+
+    def test_only_the_leader_votes_and_only_after_the_wait(self) -> None:
+        self.assertIsNone(self.ask(ME, 0.0))
+        self.lead(0.0)
+        self.assertIsInstance(self.ask(ME, 0.0), WitnessDenial)
+        self.lead(TIMING.witness_wait)
+        self.assertIsInstance(self.ask(ME, TIMING.witness_wait), WitnessGrant)
+        self.assertIsInstance(self.ask(A2, TIMING.witness_wait, epoch=6), WitnessDenial)
+
+    def test_a_leader_that_woke_up_from_a_pause_does_not_vote(self) -> None:
+        self.lead(0.0)
+        self.lead(20.0)
+        self.assertIsNone(self.ask(ME, 20.5))
+
+    def test_every_new_term_waits_again(self) -> None:
+        self.lead(0.0)
+        self.lead(20.0, term=3)
+        self.assertIsInstance(self.ask(ME, 20.0), WitnessDenial)
+        self.witness.set_leader(False, Term(3), Seconds(21.0))
+        self.assertIsNone(self.ask(ME, 21.0))
+
+    def test_only_members_of_the_data_centre_are_answered(self) -> None:
+        self.lead(0.0)
+        self.lead(20.0)
+        self.assertIsNone(self.ask(InstanceId("b1.01"), 20.0))
