Tell every member that an order inside was accepted, and keep isolation's version

Only the holder could see that a take-out ordered inside a data centre had its majority, so with four or more members a caller at any other instance waited for ever; the order now carries it. An order that nobody else has can be withdrawn. The version that gave a data centre its isolation is part of the configuration, so the answer to a take-out can tell whether the data centre knows that it holds.

--- a/packages/core/src/bulrushhollow_core/authority/_messages.py
+++ b/packages/core/src/bulrushhollow_core/authority/_messages.py
@@ -18,10 +18,12 @@
 
     :param change: takes the data centre or an endpoint out; to be proposed to the log later.
     :param given_at: version that was in force when it was given.
+    :param accepted: whether a majority of the data centre's instances is known to have it.
     """
 
     change: ChangeConfiguration
     given_at: Version
+    accepted: bool = False
 
 
 class AuthorityAsk(msgspec.Struct, frozen=True, array_like=True, tag="authority_ask"):
--- a/packages/core/src/bulrushhollow_core/authority/_outlook.py
+++ b/packages/core/src/bulrushhollow_core/authority/_outlook.py
@@ -10,9 +10,9 @@
 
 from bulrushhollow_core.authority._ballot import majority
 from bulrushhollow_core.authority._timing import HOLD_LIMIT, AuthorityTiming
-from bulrushhollow_core.configuration import ConfigurationLedger, Rollout
+from bulrushhollow_core.configuration import Rollout
 from bulrushhollow_core.ids import DataCentreId, InstanceName, Seconds, Version
-from bulrushhollow_core.models import Isolation
+from bulrushhollow_core.models import Configuration, Isolation
 
 CUT_OFF_LIMIT = Seconds(3.0)
 """Seconds of silence after which a data centre is said to be cut off."""
@@ -66,7 +66,7 @@
     recorded_at: Seconds,
     data_centre: DataCentreId,
     members: frozenset[InstanceName],
-    ledger: ConfigurationLedger,
+    configuration: Configuration,
     rollout: Rollout,
     now: Seconds,
 ) -> Outlook:
@@ -77,13 +77,14 @@
     :param recorded_at: reading of this process's clock at which the version was known to be
         committed, or later.
     :param members: names of the data centre's own instances.
+    :param configuration: the present one.
     """
     missing = rollout.in_force(version).not_yet_in
     if not missing:
         return InForceEverywhere()
     if _applied_inside(version, members, rollout, now):
         return InForceInside(missing)
-    if _knows_to_hold(data_centre, members, ledger, rollout):
+    if _knows_to_hold(data_centre, members, configuration, rollout):
         within = Seconds(HOLD_LIMIT - (now - recorded_at))
         return InForceLater(within) if within > 0 else InForceInside(missing, by_hold=True)
     silence = min((now - rollout.last_heard(name, now) for name in members), default=0.0)
@@ -93,14 +94,14 @@
 def _knows_to_hold(
     data_centre: DataCentreId,
     members: frozenset[InstanceName],
-    ledger: ConfigurationLedger,
+    configuration: Configuration,
     rollout: Rollout,
 ) -> bool:
     """Tell whether every member has applied the version that made the data centre hold."""
-    declared = ledger.configuration.data_centres_by_id.get(data_centre)
+    declared = configuration.data_centres_by_id.get(data_centre)
     if declared is None or declared.isolation is not Isolation.HOLD:
         return False
-    since = ledger.isolation_since(data_centre)
+    since = configuration.isolation_since_by_data_centre[data_centre]
     return all(rollout.applied_since(name, since) is not None for name in members)
 
 
--- a/packages/core/src/bulrushhollow_core/authority/_switch.py
+++ b/packages/core/src/bulrushhollow_core/authority/_switch.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterable
 from enum import Enum
 
+import msgspec
+
 from bulrushhollow_core.authority._ballot import majority
 from bulrushhollow_core.authority._messages import LocalOrder
 from bulrushhollow_core.authority._timing import ISOLATION_LIMIT
@@ -128,15 +130,27 @@
 
     def accepted(self, change_id: ChangeId) -> bool:
         """Tell whether a majority of the members knows an order, so that it outlives a holder."""
-        return len(self._known_by_id.get(change_id, set())) >= self._needed
+        order = self._orders_by_id.get(change_id)
+        return order is not None and order.accepted
 
     def learn(self, member: InstanceName, orders: Iterable[LocalOrder]) -> None:
         """Note the orders that a member knows; those that the log has are settled."""
         for order in orders:
-            change_id = order.change.change_id
-            if self._ledger.answer_for(change_id) is None:
-                self._orders_by_id.setdefault(change_id, order)
-                self._known_by_id.setdefault(change_id, {self._me}).add(member)
+            if self._ledger.answer_for(order.change.change_id) is None:
+                self._learn(member, order)
+
+    def withdraw(self, change_id: ChangeId) -> bool:
+        """
+        Drop an order that no majority took in time, so that it does not surprise anybody later.
+
+        :return: False if it is accepted or another member is known to have it: it then stays. An
+            order that was on its way to a member comes back from there.
+        """
+        known_by = self._known_by_id.get(change_id, set())
+        if self.accepted(change_id) or known_by - {self._me}:
+            return False
+        self._known_by_id.pop(change_id, None)
+        return self._orders_by_id.pop(change_id, None) is not None
 
     def orders(self) -> tuple[LocalOrder, ...]:
         """Return the orders that the log has not recorded yet."""
@@ -150,6 +164,14 @@
         """Return the changes to propose to the log as soon as it is in reach."""
         return tuple(order.change for order in self.orders())
 
+    def _learn(self, member: InstanceName, order: LocalOrder) -> None:
+        change_id = order.change.change_id
+        known_by = self._known_by_id.setdefault(change_id, {self._me})
+        known_by.add(member)
+        present = self._orders_by_id.get(change_id, order)
+        accepted = order.accepted or present.accepted or len(known_by) >= self._needed
+        self._orders_by_id[change_id] = msgspec.structs.replace(present, accepted=accepted)
+
     def _declared(self) -> DataCentre | None:
         return self._ledger.configuration.data_centres_by_id.get(self._data_centre)
 
--- a/packages/core/src/bulrushhollow_core/configuration/_edits.py
+++ b/packages/core/src/bulrushhollow_core/configuration/_edits.py
@@ -33,7 +33,7 @@
     :return: a new configuration with the next version.
     """
     after = _changed(edit, configuration)
-    return msgspec.structs.replace(after, version=Version(configuration.version + 1))
+    return msgspec.structs.replace(after, version=_next_version(configuration))
 
 
 def _changed(edit: Edit, before: Configuration) -> Configuration:
@@ -50,7 +50,8 @@
         case RemoveWorkspace(id=id):
             return replace(before, workspaces_by_id=_without(before.workspaces_by_id, id))
         case PutDataCentre(data_centre=data_centre):
-            return _with_data_centre(before, _keep_service(data_centre, before))
+            declared = _keep_service(data_centre, before)
+            return _with_data_centre(_note_isolation(declared, before), declared)
         case SetDataCentreService():
             present = before.data_centres_by_id[edit.id]
             changed = replace(present, service=edit.service, drain=edit.drain)
@@ -72,6 +73,18 @@
     return msgspec.structs.replace(data_centre, service=present.service, drain=present.drain)
 
 
+def _note_isolation(data_centre: DataCentre, before: Configuration) -> Configuration:
+    present = before.data_centres_by_id.get(data_centre.id)
+    if present is not None and present.isolation is data_centre.isolation:
+        return before
+    since = {**before.isolation_since_by_data_centre, data_centre.id: _next_version(before)}
+    return msgspec.structs.replace(before, isolation_since_by_data_centre=since)
+
+
+def _next_version(before: Configuration) -> Version:
+    return Version(before.version + 1)
+
+
 def _with_data_centre(before: Configuration, data_centre: DataCentre) -> Configuration:
     data_centres = {**before.data_centres_by_id, data_centre.id: data_centre}
     return msgspec.structs.replace(before, data_centres_by_id=data_centres)
--- a/packages/core/src/bulrushhollow_core/configuration/_ledger.py
+++ b/packages/core/src/bulrushhollow_core/configuration/_ledger.py
@@ -20,7 +20,7 @@
 )
 from bulrushhollow_core.configuration._check import check
 from bulrushhollow_core.configuration._edits import edited
-from bulrushhollow_core.ids import ChangeId, DataCentreId, LogIndex, Version
+from bulrushhollow_core.ids import ChangeId, LogIndex
 from bulrushhollow_core.models import Configuration
 from bulrushhollow_core.outcomes import Reason, Refusal
 
@@ -49,12 +49,10 @@
     All state of a :class:`ConfigurationLedger`.
 
     :param answered: remembered answers, oldest first.
-    :param isolation_since: version that last changed the isolation of each data centre.
     """
 
     configuration: Configuration = Configuration()
     answered: tuple[Answered, ...] = ()
-    isolation_since: dict[DataCentreId, Version] = {}
 
 
 class ConfigurationLedger:
@@ -71,7 +69,6 @@
     def __init__(self) -> None:
         self.configuration = Configuration()
         self._answered_by_id: OrderedDict[ChangeId, Answered] = OrderedDict()
-        self._isolation_since: dict[DataCentreId, Version] = {}
 
     def apply(self, index: LogIndex, command: ChangeConfiguration) -> Answer:
         """
@@ -98,14 +95,9 @@
         answered = self._answered_by_id.get(change_id)
         return None if answered is None else answered.answer
 
-    def isolation_since(self, data_centre: DataCentreId) -> Version:
-        """Return the version that gave a declared data centre its present isolation."""
-        return self._isolation_since[data_centre]
-
     def snapshot(self) -> ConfigurationSnapshot:
         """Return all state, to be restored on any instance."""
-        answered = tuple(self._answered_by_id.values())
-        return ConfigurationSnapshot(self.configuration, answered, dict(self._isolation_since))
+        return ConfigurationSnapshot(self.configuration, tuple(self._answered_by_id.values()))
 
     @classmethod
     def restore(cls, snapshot: ConfigurationSnapshot) -> "ConfigurationLedger":
@@ -113,7 +105,6 @@
         ledger = cls()
         ledger.configuration = snapshot.configuration
         ledger._answered_by_id.update((each.change_id, each) for each in snapshot.answered)
-        ledger._isolation_since = dict(snapshot.isolation_since)
         return ledger
 
     def _decide(self, command: ChangeConfiguration) -> Answer:
@@ -128,20 +119,9 @@
         refusal = check(command.edit, self.configuration)
         if refusal is not None:
             return refusal
-        before = self.configuration
-        self.configuration = edited(command.edit, before)
-        self._note_isolation(before)
+        self.configuration = edited(command.edit, self.configuration)
         return ChangeAccepted(self.configuration.version)
 
-    def _note_isolation(self, before: Configuration) -> None:
-        after = self.configuration
-        if before.data_centres_by_id is after.data_centres_by_id:
-            return
-        for id, data_centre in after.data_centres_by_id.items():
-            earlier = before.data_centres_by_id.get(id)
-            if earlier is None or earlier.isolation is not data_centre.isolation:
-                self._isolation_since[id] = after.version
-
     def _remember(self, answered: Answered) -> None:
         self._answered_by_id[answered.change_id] = answered
         if len(self._answered_by_id) > ANSWERS_KEPT:
--- a/packages/core/src/bulrushhollow_core/models.py
+++ b/packages/core/src/bulrushhollow_core/models.py
@@ -193,6 +193,7 @@
     Everything operators have set, as of one version.
 
     :param version: number of the last accepted change; 0 before the first.
+    :param isolation_since_by_data_centre: version that gave each data centre its isolation.
     """
 
     version: Version = Version(0)
@@ -200,3 +201,4 @@
     workspaces_by_id: dict[WorkspaceId, Workspace] = {}
     data_centres_by_id: dict[DataCentreId, DataCentre] = {}
     out_endpoints: frozenset[EndpointId] = frozenset()
+    isolation_since_by_data_centre: dict[DataCentreId, Version] = {}
--- a/packages/core/src/bulrushhollow_core/node/_rollouts.py
+++ b/packages/core/src/bulrushhollow_core/node/_rollouts.py
@@ -74,11 +74,12 @@
         now: Seconds,
     ) -> Outlook | None:
         """Tell where the take-out of a data centre is in force; None if it is not declared."""
-        declared = configuration.data_centres_by_id.get(data_centre)
         members = self._members_by_data_centre.get(data_centre, frozenset())
-        if declared is None:
+        if data_centre not in configuration.data_centres_by_id:
             return None
-        return describe_out(version, recorded_at, members, declared.isolation, self._rollout, now)
+        return describe_out(
+            version, recorded_at, data_centre, members, configuration, self._rollout, now
+        )
 
     def _is_due(self, waiting: _Waiting, now: Seconds) -> bool:
         if now - waiting.recorded_at >= IN_FORCE_WAIT:
--- a/tests/test_authority_switch.py
+++ b/tests/test_authority_switch.py
@@ -33,7 +33,7 @@
     Seconds,
     Version,
 )
-from bulrushhollow_core.models import DataCentre, Drain, Isolation, Service
+from bulrushhollow_core.models import Configuration, DataCentre, Drain, Isolation, Service
 from bulrushhollow_core.outcomes import Reason, Refusal
 
 NORTH = DataCentreId("north")
@@ -88,6 +88,28 @@
         self.assertTrue(self.switch.accepted(ChangeId("out")))
         self.assertEqual((order.change,), self.switch.unrecorded())
 
+    def test_a_member_is_told_by_the_holder_that_an_order_is_accepted(self) -> None:
+        self.declare()
+        order = self.switch.order(self.out())
+        assert isinstance(order, LocalOrder)
+        five = frozenset(InstanceName(f"n{number}") for number in range(1, 6))
+        member = ServiceSwitch(NAMES[1], NORTH, five, self.ledger)
+        member.learn(NAMES[0], [order])
+        self.assertFalse(member.accepted(ChangeId("out")))
+        self.switch.learn(NAMES[1], [order])
+        member.learn(NAMES[0], self.switch.orders())
+        self.assertTrue(member.accepted(ChangeId("out")))
+
+    def test_an_order_that_nobody_else_has_can_be_withdrawn(self) -> None:
+        self.declare(Isolation.SERVE)
+        order = self.switch.order(self.out())
+        assert isinstance(order, LocalOrder)
+        self.assertTrue(self.switch.withdraw(ChangeId("out")))
+        self.assertEqual(ServiceInForce.IN, self.switch.service_in_force(STALE))
+        self.switch.learn(NAMES[1], [order])
+        self.assertFalse(self.switch.withdraw(ChangeId("out")))
+        self.assertEqual(ServiceInForce.OUT, self.switch.service_in_force(STALE))
+
     def test_a_later_in_lifts_an_order_only_once_the_order_is_recorded(self) -> None:
         self.declare(Isolation.SERVE)
         self.switch.order(self.out())
@@ -149,12 +171,12 @@
         ledger = ConfigurationLedger()
         edit = PutDataCentre(DataCentre(NORTH, isolation=isolation))
         ledger.apply(LogIndex(1), ChangeConfiguration(ChangeId("c"), edit, Version(0)))
-        return self.describe_with(ledger, now)
+        return self.describe_with(ledger.configuration, now)
 
-    def describe_with(self, ledger: ConfigurationLedger, now: float) -> Outlook:
+    def describe_with(self, configuration: Configuration, now: float) -> Outlook:
         members = frozenset(NAMES)
         return describe_out(
-            Version(5), Seconds(10.0), NORTH, members, ledger, self.rollout, Seconds(now)
+            Version(5), Seconds(10.0), NORTH, members, configuration, self.rollout, Seconds(now)
         )
 
     def test_in_force_everywhere(self) -> None:
@@ -179,7 +201,7 @@
             edit = PutDataCentre(DataCentre(NORTH, isolation=isolation))
             change = ChangeConfiguration(ChangeId(f"c{version}"), edit, Version(version))
             ledger.apply(LogIndex(version + 1), change)
-        restored = ConfigurationLedger.restore(ledger.snapshot())
+        restored = ConfigurationLedger.restore(ledger.snapshot()).configuration
         self.assertIsInstance(self.describe_with(restored, 20.0), NotYetInForce)
         self.hear(NAMES, 2, 20.0)
         self.assertIsInstance(self.describe_with(restored, 20.0), InForceInside)
