--- a/packages/core/src/bulrushhollow_core/requests/_granter.py
+++ b/packages/core/src/bulrushhollow_core/requests/_granter.py
@@ -7,6 +7,7 @@
 no bound covers.
 """
 
+import math
 import zlib
 
 import msgspec
@@ -57,9 +58,9 @@
         self.instance = instance
         self.name = name_of(instance)
         self.number = 0
-        self.heard_at = Seconds(0.0)
+        self.heard_at = Seconds(-math.inf)
         self.started_at = Seconds(0.0)
-        self.may_start_until = Seconds(0.0)
+        self.may_start_until = Seconds(-math.inf)
         self.bounds_by_endpoint: dict[EndpointId, int] = {}
         self.demand_by_service: dict[str, int] = {}
 
@@ -67,6 +68,7 @@
         """Take in a report; it tells all that the member has, as no older grant counts any more."""
         self.number = report.number
         self.heard_at = now
+        self.may_start_until = max(self.may_start_until, now)
         self.started_at = Seconds(now - report.up_for)
         self.bounds_by_endpoint = {use.endpoint: use.held for use in report.uses}
         self.demand_by_service = {demand.service: demand.requests for demand in report.demand}
