--- a/packages/core/src/bulrushhollow_core/requests/_choice.py
+++ b/packages/core/src/bulrushhollow_core/requests/_choice.py
@@ -23,6 +23,9 @@
 SPILL_AFTER = Seconds(0.1)
 """Expected seconds in the own queue from which on slots of other data centres are used."""
 
+SHUNNED_FOR = Seconds(1.0)
+"""Seconds for which nothing is forwarded to an instance that could not be reached."""
+
 ALTERNATIVES = 2
 """Endpoints that are drawn at random and compared."""
 
@@ -39,6 +42,7 @@
         self._rng = rng
         self.overnight_by_service: Counter[str] = Counter()
         self.forwarded_by_instance: Counter[InstanceName] = Counter()
+        self._shunned_until: dict[InstanceName, Seconds] = {}
 
     def capacity(self, service: str, now: Seconds) -> int:
         """Return how many requests of a service this instance may have in flight here."""
@@ -83,7 +87,11 @@
         if pending.arrival.forwarded:
             return None
         service = pending.profile.service
-        remotes = self._directory.remotes(service, now)
+        remotes = [
+            remote
+            for remote in self._directory.remotes(service, now)
+            if self._shunned_until.get(remote.instance, now) <= now
+        ]
         if not remotes:
             return None
         spare = [remote for remote in remotes if self._spare(remote) > 0]
@@ -95,6 +103,10 @@
             key=lambda remote: (remote.load.wait, -self._spare(remote), self._rng.random()),
         )
 
+    def shun(self, instance: InstanceName, now: Seconds) -> None:
+        """Forward nothing to an instance for a while, after it could not be reached."""
+        self._shunned_until[instance] = Seconds(now + SHUNNED_FOR)
+
     def _spare(self, remote: RemoteInstance) -> int:
         if remote.load.queued:
             return 0
--- a/packages/core/src/bulrushhollow_core/requests/_directory.py
+++ b/packages/core/src/bulrushhollow_core/requests/_directory.py
@@ -223,6 +223,11 @@
             and now - entry.heard_at <= SILENT_AFTER
         )
 
+    def find(self, endpoint: EndpointId) -> Announcement | None:
+        """Return the latest announcement of an endpoint, however old."""
+        entry = self._table.get(endpoint)
+        return None if entry is None else entry.announcement
+
     def is_usable(self, endpoint: EndpointId, now: Seconds) -> bool:
         """Return whether an endpoint may get new work from this instance."""
         entry = self._table.get(endpoint)
--- a/packages/core/src/bulrushhollow_core/requests/_outcome.py
+++ b/packages/core/src/bulrushhollow_core/requests/_outcome.py
@@ -10,11 +10,11 @@
 from bulrushhollow_core.outcomes import Execution, Reason, Refusal
 from bulrushhollow_core.requests._key_commands import ReserveKey, SettleKey
 from bulrushhollow_core.requests._keys import KeyRecord
-from bulrushhollow_core.requests._messages import Answered, AttemptEnd, AttemptResult
+from bulrushhollow_core.requests._messages import Answered, AttemptResult
 from bulrushhollow_core.requests._pending import Pending
 
 REFUSED_RETRY = 0.2
-"""Seconds after which to ask again after an endpoint's refusal that names none."""
+"""Seconds after which to ask again after a failed attempt that names no time."""
 
 
 def reservation(pending: Pending, owner: InstanceId) -> ReserveKey:
@@ -59,6 +59,6 @@
     """Return what a caller is told if this attempt was the last."""
     execution = pending.execution
     retry_after = result.retry_after
-    if result.end is AttemptEnd.REFUSED and retry_after is None:
+    if retry_after is None:
         retry_after = REFUSED_RETRY
     return Refusal(result.reason, result.detail, execution, retry_after)
--- a/packages/core/src/bulrushhollow_core/requests/_router.py
+++ b/packages/core/src/bulrushhollow_core/requests/_router.py
@@ -21,7 +21,7 @@
 )
 from bulrushhollow_core.models import Configuration, Urgency
 from bulrushhollow_core.outcomes import Reason, Refusal
-from bulrushhollow_core.requests._admission import Admission, RouterSettings
+from bulrushhollow_core.requests._admission import LEAST_RETRY, Admission, RouterSettings
 from bulrushhollow_core.requests._budget import RetryBudget, backoff
 from bulrushhollow_core.requests._choice import Chooser
 from bulrushhollow_core.requests._directory import Directory, RemoteInstance
@@ -138,7 +138,7 @@
             return [Finish(arrival.request_id, admitted)]
         self._pending_by_id[arrival.request_id] = pending
         heapq.heappush(self._deadlines, (deadline, arrival.request_id))
-        actions = [action for waiting in admitted for action in self._evict(waiting)]
+        actions = [action for waiting in admitted for action in self._evict(waiting, now)]
         if arrival.key is None:
             return actions + self._enqueue(pending, now)
         pending.stage = Stage.RESERVING
@@ -189,7 +189,7 @@
         actions: list[RouterAction] = []
         while self._deadlines and self._deadlines[0][0] <= now:
             _, request_id = heapq.heappop(self._deadlines)
-            actions += self._expire(request_id)
+            actions += self._expire(request_id, now)
         while self._retries and self._retries[0][0] <= now:
             _, request_id = heapq.heappop(self._retries)
             pending = self._pending_by_id.get(request_id)
@@ -270,7 +270,9 @@
         left = pending.deadline - now
         usual = self._times.known(pending.profile.name)
         if left <= 0 or (usual is not None and left < HOPELESS_BELOW * usual):
-            return self._give_up(pending, Reason.DEADLINE, "too little time was left to run it")
+            return self._give_up(
+                pending, Reason.DEADLINE, "too little time was left to run it", now
+            )
         timeout = Seconds(left)
         if pending.profile.idempotent and usual is not None and left > IMPATIENT_ABOVE * usual:
             timeout = Seconds(left / 2)
@@ -310,6 +312,8 @@
         profile = pending.profile
         if flight.instance is not None:
             self._chooser.forwarded_by_instance[flight.instance] -= 1
+            if result.end in (AttemptEnd.NOT_WRITTEN, AttemptEnd.LOST):
+                self._chooser.shun(flight.instance, now)
             return
         assert flight.endpoint is not None
         if profile.urgency is Urgency.OVERNIGHT:
@@ -359,10 +363,13 @@
         answer = pending.last_answer
         return self._finish(pending, refusal_of(pending, result) if answer is None else answer)
 
-    def _give_up(self, pending: Pending, reason: Reason, detail: str) -> list[RouterAction]:
+    def _give_up(
+        self, pending: Pending, reason: Reason, detail: str, now: Seconds
+    ) -> list[RouterAction]:
         if pending.last_answer is not None:
             return self._finish(pending, pending.last_answer)
-        return self._finish(pending, Refusal(reason, detail, pending.execution))
+        retry_after = max(LEAST_RETRY, self._admission.queue_wait(pending.profile.service, now))
+        return self._finish(pending, Refusal(reason, detail, pending.execution, retry_after))
 
     def _finish(self, pending: Pending, result: Answered | Refusal) -> list[RouterAction]:
         """Give the one final answer; what is in flight stays known until it ends."""
@@ -380,15 +387,15 @@
         command = settlement(pending, self._me)
         return [] if command is None else [Settle(pending.arrival.request_id, command)]
 
-    def _evict(self, waiting: Waiting) -> list[RouterAction]:
+    def _evict(self, waiting: Waiting, now: Seconds) -> list[RouterAction]:
         pending = self._pending_by_id[waiting.request_id]
-        return self._give_up(pending, Reason.QUEUE_FULL, "more urgent work took its place")
+        return self._give_up(pending, Reason.QUEUE_FULL, "more urgent work took its place", now)
 
-    def _expire(self, request_id: RequestId) -> list[RouterAction]:
+    def _expire(self, request_id: RequestId, now: Seconds) -> list[RouterAction]:
         pending = self._pending_by_id.get(request_id)
         if pending is None or pending.finished:
             return []
-        return self._give_up(pending, Reason.DEADLINE, "the deadline passed")
+        return self._give_up(pending, Reason.DEADLINE, "the deadline passed", now)
 
     def _take_as_lost(self, now: Seconds) -> list[RouterAction]:
         overdue = [
--- a/packages/core/src/bulrushhollow_core/requests/_shares.py
+++ b/packages/core/src/bulrushhollow_core/requests/_shares.py
@@ -79,6 +79,7 @@
         self._may_start_until = now
         self._held: dict[EndpointId, int] = {}
         self._in_use: Counter[EndpointId] = Counter()
+        self._taken: dict[EndpointId, Announcement] = {}
         self._demand_by_service: dict[str, float] = {}
         self._demand_at = now
         self._later: list[tuple[Seconds, EndpointId]] = []
@@ -176,6 +177,7 @@
         if self.free(endpoint, now) == 0:
             return False
         self._in_use[endpoint.endpoint] += 1
+        self._taken[endpoint.endpoint] = endpoint
         return True
 
     def give_back(self, endpoint: EndpointId, now: Seconds, ended: bool = True) -> None:
@@ -226,18 +228,20 @@
 
     def _pooled_uses(self, now: Seconds) -> dict[EndpointId, int]:
         """Slots in use, by endpoint, that are not this instance's own."""
-        own_by_endpoint = {
-            endpoint.endpoint: self._own(endpoint, now) for endpoint in self._directory.local(now)
-        }
         return {
-            endpoint: max(0, used - own_by_endpoint.get(endpoint, 0))
+            endpoint: max(0, used - self._own(self._latest(endpoint), now))
             for endpoint, used in self._in_use.items()
         }
 
+    def _latest(self, endpoint: EndpointId) -> Announcement:
+        """Return what is known of an endpoint in use, however long it has been silent."""
+        return self._directory.find(endpoint) or self._taken[endpoint]
+
     def _release(self, endpoint: EndpointId) -> None:
         self._in_use[endpoint] -= 1
         if self._in_use[endpoint] == 0:
             del self._in_use[endpoint]
+            del self._taken[endpoint]
 
     def _has_changed(self, now: Seconds) -> bool:
         last = self._reported
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -36,8 +36,13 @@
     Router,
     RouterSettings,
     Settle,
+    ShareGrant,
+    ShareReport,
+    ShareSettings,
     SlotShares,
 )
+from bulrushhollow_core.requests._granter import Granter, Pool
+from bulrushhollow_core.requests._share_messages import SlotGrant
 
 NORTH = DataCentreId("north")
 LABELS = ProfileName("labels")
@@ -231,6 +236,44 @@
         self.assertEqual(frees[29], [4, 4])
         self.assertEqual(frees[49], [1, 7])
 
+    def test_silence_of_an_endpoint_leaves_the_own_slot_out_of_the_grants(self) -> None:
+        """A share that took its own slot for a granted one later used one slot too many."""
+        name = InstanceName("n1")
+        peers = {name: NORTH, InstanceName("n2"): NORTH}
+        me = InstanceId("n1.00000001")
+        directory = Directory(name, NORTH, peers, random.Random(1), Seconds(0.0))
+        shares = SlotShares(me, frozenset(peers), directory, Seconds(0.0))
+        holder = InstanceId("n2.00000001")
+        directory.announce(announcement(), BOOTED)
+        (send,) = shares.lease_changed(holder, Epoch(1), BOOTED)
+        grants = (SlotGrant(EndpointId("e1"), 3),)
+        shares.receive(holder, ShareGrant(Epoch(1), send.message.number, grants), BOOTED)
+        for _ in range(4):
+            self.assertTrue(shares.take(announcement(), BOOTED))
+        silent = Seconds(BOOTED + 5.0)
+        (send,) = shares.tick(silent)
+        none = (SlotGrant(EndpointId("e1"), 0),)
+        shares.receive(holder, ShareGrant(Epoch(1), send.message.number, none), silent)
+        (send,) = shares.tick(Seconds(silent + 1.0))
+        self.assertEqual(send.message.uses[0].held, 3)
+
+    def test_holder_whose_clock_is_far_on_grants_slots(self) -> None:
+        """Members were forgotten at once when the clock read more than an attempt takes."""
+        now = Seconds(5000.0)
+        name = InstanceName("n1")
+        me = InstanceId("n1.00000001")
+        peers = {name: NORTH, InstanceName("n2"): NORTH}
+        granter = Granter(Epoch(1), frozenset(peers), ShareSettings(), Seconds(30.0), now)
+        pools = (Pool(EndpointId("e1"), "grip", 6),)
+        other = InstanceId("n2.00000001")
+        report = ShareReport(Epoch(1), 1, Seconds(60.0))
+        granter.answer(me, report, pools, now)
+        granter.answer(other, report, pools, now)
+        again = msgspec.structs.replace(report, number=2)
+        grant = granter.answer(me, again, pools, now)
+        assert grant is not None
+        self.assertEqual(grant.grants, (SlotGrant(EndpointId("e1"), 3),))
+
 
 if __name__ == "__main__":
     unittest.main()
