Tell peers of a commit at once

Change: a peer that has answered all entries is told in the same step; one with unanswered entries hears it with them or with the next tick.

--- /dev/null
+++ b/bench/state_cluster.py
@@ -0,0 +1,286 @@
+"""
+bench.state_cluster
+~~~~~~~~~~~~~~~~~~~
+
+The replicated log between real daemons on loopback: commits, configuration in force everywhere,
+failover, restart, and what an idle instance costs.
+"""
+
+import os
+import re
+import subprocess
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from itertools import count
+from pathlib import Path
+
+import anyio
+import msgspec
+
+from bench.report import emit, percentile
+from bulrushhollow.adapters import Call, WholeAnswer
+from bulrushhollow.exceptions import BulrushhollowError
+from bulrushhollow.http import HttpAdapter
+from bulrushhollow.sessions import Session
+from bulrushhollow_core.answers import InstanceStatus
+from bulrushhollow_core.changes import PutWorkspace
+from bulrushhollow_core.ids import WorkspaceId
+from bulrushhollow_core.models import Workspace
+from standins.cluster import Cluster, Daemon
+
+BENCH = "state"
+PLACES = {"north": 3, "south": 2, "east": 2}
+VOTER_COUNTS = (3, 5)
+
+IDLE = 20.0
+"""Seconds for which idle daemons are watched."""
+
+SENDERS = (1, 8, 64)
+"""Callers that each wait for a commit before they ask for the next."""
+
+COMMIT_SECONDS = 4.0
+"""Seconds for which commits are counted."""
+
+CHANGES = 60
+"""Changes of configuration that are timed, one after the other."""
+
+FAILOVERS = 4
+"""Times that a leader or a holder is killed."""
+
+POLL = 0.02
+"""Seconds between two tries of something that is waited for."""
+
+STATUS_TIMEOUT = 0.5
+"""Seconds after which a daemon that says nothing counts as unreachable."""
+
+GIVE_UP = 20.0
+"""Seconds after which waiting is an error."""
+
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def measure(seed: int, folder: Path | None) -> None:
+    """Measure clusters of several sizes."""
+    for voters in VOTER_COUNTS:
+        with (
+            tempfile.TemporaryDirectory(dir=folder) as name,
+            Cluster(Path(name), PLACES, voters=voters, platform_options=None) as cluster,
+        ):
+            cluster.wait_until_ready()
+            anyio.run(_Run(seed, cluster, voters).measure)
+
+
+class _Run:
+    """The measurements of one cluster."""
+
+    def __init__(self, seed: int, cluster: Cluster, voters: int) -> None:
+        self._seed = seed
+        self._cluster = cluster
+        self._voters = voters
+        self._adapter = HttpAdapter()
+        self._numbers = count()
+
+    async def measure(self) -> None:
+        """Take all measurements in turn."""
+        await self._until(self._all_vote)
+        await self._measure_idle()
+        for senders in SENDERS:
+            await self._measure_commits(senders)
+        await self._measure_rollout()
+        await self._measure_restart()
+        await self._measure_log_failover()
+        await self._measure_lease_failover()
+        await self._adapter.close()
+
+    def _emit(self, subject: str, metric: str, value: float, unit: str) -> None:
+        place = f"{self._voters} voters of {len(self._cluster.plans)}"
+        emit(BENCH, self._seed, f"{place}: {subject}", metric, value, unit)
+
+    def _emit_latency(self, subject: str, seconds: list[float]) -> None:
+        milliseconds = [1000 * value for value in seconds]
+        self._emit(subject, "p50", percentile(milliseconds, 0.5), "ms")
+        self._emit(subject, "p99", percentile(milliseconds, 0.99), "ms")
+        self._emit(subject, "max", max(milliseconds), "ms")
+
+    async def _measure_idle(self) -> None:
+        leader = await self._leader()
+        watched = {
+            "idle leader": leader,
+            "idle voter": self._other_than(leader, has_disk=True),
+            "idle observer": self._other_than(leader, has_disk=False),
+        }
+        processor = {name: _processor_seconds(d.pid) for name, d in watched.items()}
+        sent = {name: _sent_bytes(d.pid) for name, d in watched.items()}
+        began = time.monotonic()
+        await anyio.sleep(IDLE)
+        for name, daemon in watched.items():
+            elapsed = time.monotonic() - began
+            used = _processor_seconds(daemon.pid) - processor[name]
+            self._emit(name, "processor", 100 * used / elapsed, "% of a core")
+            rate = (_sent_bytes(daemon.pid) - sent[name]) / elapsed
+            self._emit(name, "bytes sent", rate, "B/s")
+            self._emit(name, "resident memory", _resident_bytes(daemon.pid) / 1e6, "MB")
+
+    async def _measure_commits(self, senders: int) -> None:
+        durations: list[float] = []
+        entry = self._other_than(await self._leader(), has_disk=False).plan.url
+        began = time.monotonic()
+        async with anyio.create_task_group() as tasks:
+            for _ in range(senders):
+                tasks.start_soon(self._send_commits, entry, began + COMMIT_SECONDS, durations)
+        subject = f"commits by {senders} senders through one observer"
+        self._emit(subject, "rate", len(durations) / (time.monotonic() - began), "1/s")
+        self._emit_latency(subject, durations)
+
+    async def _send_commits(self, entry: str, until: float, durations: list[float]) -> None:
+        while time.monotonic() < until:
+            began = time.monotonic()
+            if await self._commit(entry):
+                durations.append(time.monotonic() - began)
+
+    async def _commit(self, entry: str, within: float = 6.0) -> bool:
+        """Cancel a job that does not exist: one log entry that changes nothing."""
+        path = f"/v1/jobs/none-{next(self._numbers)}"
+        answer = await self._adapter.send(Call("DELETE", entry, path, b"", (), within))
+        return isinstance(answer, WholeAnswer) and b"no_such_job" in answer.body
+
+    async def _measure_rollout(self) -> None:
+        durations = []
+        lagging = 0
+        async with Session(self._cluster.entries) as session:
+            for number in range(CHANGES):
+                workspace = Workspace(WorkspaceId(f"team-{number}"))
+                version = (await session.configuration()).version
+                began = time.monotonic()
+                try:
+                    accepted = await session.change(PutWorkspace(workspace), base_version=version)
+                except BulrushhollowError:
+                    lagging += 1
+                    continue
+                durations.append(time.monotonic() - began)
+                lagging += bool(accepted.not_yet_in)
+        subject = "change answered as in force everywhere"
+        self._emit_latency(subject, durations)
+        self._emit(subject, "answers that named a laggard or a conflict", lagging, "1")
+
+    async def _measure_restart(self) -> None:
+        durations = []
+        voter = self._other_than(await self._leader(), has_disk=True)
+        for _ in range(FAILOVERS):
+            voter.stop()
+            began = time.monotonic()
+            voter.start()
+            await self._until(lambda: self._is_ready(voter))
+            durations.append(time.monotonic() - began)
+        self._emit_latency("start of a stopped voter until it is ready", durations)
+
+    async def _measure_log_failover(self) -> None:
+        for kind in ("killed", "frozen", "stopped"):
+            durations = []
+            for _ in range(FAILOVERS):
+                durations.append(await self._fail_leader(kind))
+                await self._until(self._all_vote)
+            self._emit_latency(f"leader {kind} until the next commit", durations)
+
+    async def _fail_leader(self, kind: str) -> float:
+        leader = await self._leader()
+        entry = self._other_than(leader, has_disk=False).plan.url
+        began = time.monotonic()
+        if kind == "killed":
+            leader.kill()
+        elif kind == "frozen":
+            leader.freeze()
+        else:
+            leader.stop()
+            began = time.monotonic()
+        await self._until(lambda: self._commit(entry, within=0.5))
+        duration = time.monotonic() - began
+        if kind == "frozen":
+            leader.thaw()
+        else:
+            leader.start()
+        return duration
+
+    async def _measure_lease_failover(self) -> None:
+        durations = []
+        for _ in range(FAILOVERS):
+            await self._until(lambda: self._is_held("north"))
+            holder = await self._holder("north")
+            assert holder is not None
+            holder.kill()
+            began = time.monotonic()
+            await self._until(lambda: self._is_held("north"))
+            durations.append(time.monotonic() - began)
+            holder.start()
+            await self._until(self._all_vote)
+        self._emit_latency("holder of a lease killed until the next holds it", durations)
+
+    def _daemons(self, data_centre: str | None = None) -> list[Daemon]:
+        daemons = self._cluster.daemons_by_name.values()
+        return [d for d in daemons if data_centre in (None, d.plan.data_centre)]
+
+    def _other_than(self, leader: Daemon, has_disk: bool) -> Daemon:
+        others = [d for d in self._daemons() if d is not leader and d.is_running]
+        return next(d for d in others if d.plan.has_disk == has_disk)
+
+    async def _status(self, daemon: Daemon) -> InstanceStatus | None:
+        if not daemon.is_running:
+            return None
+        call = Call("GET", daemon.plan.url, "/v1/status", b"", (), STATUS_TIMEOUT)
+        answer = await self._adapter.send(call)
+        if not isinstance(answer, WholeAnswer) or answer.status_code != 200:
+            return None
+        return msgspec.json.decode(answer.body, type=InstanceStatus)
+
+    async def _leader(self) -> Daemon:
+        while True:
+            for daemon in self._daemons():
+                status = await self._status(daemon)
+                if status and status.leader == status.instance:
+                    return daemon
+            await anyio.sleep(POLL)
+
+    async def _is_ready(self, daemon: Daemon) -> bool:
+        status = await self._status(daemon)
+        return status is not None and status.ready
+
+    async def _all_vote(self) -> bool:
+        statuses = [await self._status(daemon) for daemon in self._daemons()]
+        voting = sum(status is not None and status.voter for status in statuses)
+        all_ready = all(status is not None and status.ready for status in statuses)
+        same_leader = len({status.leader for status in statuses if status}) == 1
+        return voting == self._voters and all_ready and same_leader
+
+    async def _holder(self, data_centre: str) -> Daemon | None:
+        for daemon in self._daemons(data_centre):
+            status = await self._status(daemon)
+            if status and status.holds_lease:
+                return daemon
+        return None
+
+    async def _is_held(self, data_centre: str) -> bool:
+        return await self._holder(data_centre) is not None
+
+    async def _until(self, condition: Callable[[], Awaitable[bool]]) -> None:
+        with anyio.fail_after(GIVE_UP):
+            while not await condition():
+                await anyio.sleep(POLL)
+
+
+def _processor_seconds(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text(encoding="ascii").rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+
+def _resident_bytes(pid: int) -> int:
+    pages = int(Path(f"/proc/{pid}/statm").read_text(encoding="ascii").split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+def _sent_bytes(pid: int) -> int:
+    """Return the payload bytes of all TCP connections that a process has open."""
+    command = ["ss", "-tinpOH"]
+    lines = subprocess.run(command, capture_output=True, text=True, check=True).stdout.splitlines()
+    own = [line for line in lines if f"pid={pid}," in line]
+    return sum(int(number) for line in own for number in re.findall(r"bytes_sent:(\d+)", line))
--- a/packages/core/src/bulrushhollow_core/consensus/_leader.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_leader.py
@@ -106,19 +106,21 @@
             self._notify_commit(peer, now)
         if now < self._next_due:
             return
-        for peer in self._connected_by_id:
-            if now >= self.progress_by_id[peer].heartbeat_due:
+        for peer, progress in self._progress_of_connected():
+            if now >= progress.heartbeat_due:
                 self._beat(peer, now)
         self._next_due = min(
-            (self.progress_by_id[peer].heartbeat_due for peer in self._connected_by_id),
+            (progress.heartbeat_due for _, progress in self._progress_of_connected()),
             default=Seconds(math.inf),
         )
 
     def flush(self, now: Seconds) -> None:
         """Send what is new to the peers that can take it, and commit what a majority holds."""
         self._advance_commit()
-        for peer in self._connected_by_id:
+        for peer, progress in self._progress_of_connected():
             self._stream(peer, now)
+            if progress.is_all_answered:
+                self._notify_commit(peer, now)
 
     def receive_append_answer(self, source: InstanceId, answer: AppendAnswer, now: Seconds) -> None:
         """Take in how far a peer's log agrees."""
@@ -167,6 +169,9 @@
         self._complete_hand_over()
         return self._target
 
+    def _progress_of_connected(self) -> list[tuple[InstanceId, Progress]]:
+        return [(peer, self.progress_by_id[peer]) for peer in self._connected_by_id]
+
     def _heard_at(self, voter: InstanceId, now: Seconds) -> Seconds:
         return now if voter == self._replica.me else self.progress_by_id[voter].heard_at
 
--- a/packages/core/src/bulrushhollow_core/consensus/_progress.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_progress.py
@@ -52,6 +52,11 @@
         self.snapshot: Snapshot | None = None
         self.snapshot_offset = 0
 
+    @property
+    def is_all_answered(self) -> bool:
+        """Return whether the peer holds every entry that was sent to it."""
+        return self.flow is Flow.STREAM and self.next_index - 1 == self.match_index
+
     @property
     def has_room(self) -> bool:
         """Return whether more entries may be sent ahead of the answers."""
--- a/tests/test_consensus_rules.py
+++ b/tests/test_consensus_rules.py
@@ -67,6 +67,19 @@
         core.receive(PEER, append(2, third, commit=3, echo=answer.stamp), NOW)
         self.assertEqual(core.status(NOW).caught_up_age, 0)
 
+    def test_a_peer_that_has_everything_hears_of_a_commit_at_once(self) -> None:
+        core = restarted(term=3)
+        at = Seconds(NOW + 5)
+        core.connect(PEER, True, at)
+        core.tick(at)
+        core.receive(PEER, VoteAnswer(LOG, 4, True, pre=True), at)
+        core.receive(PEER, VoteAnswer(LOG, 4, True), at)
+        core.receive(PEER, AppendAnswer(LOG, 4, True, 1, 1, at, Stamp(1, Seconds(1))), at)
+        last = AppendAnswer(LOG, 4, True, 2, 1, at, Stamp(1, Seconds(1)))
+        (told,) = sent(core.receive(PEER, last, at), Append)
+        self.assertEqual((told.commit, told.entries), (2, ()))
+        self.assertEqual(sent(core.receive(PEER, last, at), Append), [])
+
     def test_members_stay_until_an_entry_of_the_leaders_term_is_committed(self) -> None:
         core = restarted(term=3)
         at = Seconds(NOW + 5)
