--- /dev/null
+++ b/bench/requests.py
@@ -0,0 +1,30 @@
+"""
+bench.requests
+~~~~~~~~~~~~~~
+
+Requests through real processes on loopback: latency and throughput of one instance, overload, and
+faults. Run as ``python -m bench requests --seed N [--part PART]``.
+"""
+
+import argparse
+from collections.abc import Callable
+
+from bench import requests_faults, requests_latency, requests_overload
+
+PARTS: dict[str, Callable[[int], None]] = {
+    "latency": requests_latency.measure,
+    "overload": requests_overload.measure,
+    "faults": requests_faults.measure,
+}
+
+
+def main(arguments: list[str]) -> int:
+    """Run all parts, or one."""
+    parser = argparse.ArgumentParser(prog="python -m bench requests")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--part", choices=tuple(PARTS))
+    options = parser.parse_args(arguments)
+    for name, measure in PARTS.items():
+        if options.part in (None, name):
+            measure(options.seed)
+    return 0
--- /dev/null
+++ b/bench/requests_latency.py
@@ -0,0 +1,91 @@
+"""
+bench.requests_latency
+~~~~~~~~~~~~~~~~~~~~~~
+
+Throughput of one entry instance and the latency that it adds, against calling the endpoint
+directly and against the baseline proxy.
+"""
+
+import time
+import uuid
+
+import anyio
+import httpcore
+
+from bench.report import emit, percentile
+from bench.requests_site import LABELS, open_baseline, open_site
+from bulrushhollow_core.endpoints import REQUEST_ID_HEADER, REQUEST_PATH, RUN_PATH
+from standins._endpoint import ANSWER_PREFIX
+
+BENCH = "requests"
+SECONDS = 6.0
+"""Seconds of each measurement."""
+
+WARM_UP = 1.0
+"""Seconds before each measurement."""
+
+ENDPOINTS = 3
+CALLERS = (1, 8)
+"""Callers at once; each sends its next request when it has the answer to the last."""
+
+BODY_BYTES = 100
+
+
+class ClosedLoop:
+    """
+    Callers that each send one request after the other to one address.
+
+    :param url: where to post.
+    """
+
+    def __init__(self, url: str, callers: int) -> None:
+        self._url = url
+        self._callers = callers
+        self.times: list[float] = []
+        self.wrong = 0
+
+    async def run(self, seconds: float) -> None:
+        """Send for a while, after a warm-up that does not count."""
+        start = time.monotonic() + WARM_UP
+        async with anyio.create_task_group() as tasks:
+            for _ in range(self._callers):
+                tasks.start_soon(self._call_until, start, start + seconds)
+
+    async def _call_until(self, start: float, end: float) -> None:
+        backend = httpcore.AnyIOBackend()
+        async with httpcore.AsyncConnectionPool(1, network_backend=backend) as pool:
+            while time.monotonic() < end:
+                body = uuid.uuid4().hex.encode().ljust(BODY_BYTES, b".")
+                began = time.monotonic()
+                headers = [(REQUEST_ID_HEADER, "direct")]
+                answer = await pool.request("POST", self._url, headers=headers, content=body)
+                ended = time.monotonic()
+                if answer.content != ANSWER_PREFIX + body:
+                    self.wrong += 1
+                elif began >= start:
+                    self.times.append(ended - began)
+
+
+def measure(seed: int) -> None:
+    """Print throughput and latency of each way to the endpoints."""
+    with open_site({"north": 1}, {"north": ENDPOINTS}) as site:
+        endpoints = list(site.endpoints_by_name.values())
+        with open_baseline(endpoints) as baseline:
+            urls_by_subject = {
+                "direct": endpoints[0] + RUN_PATH,
+                "round-robin": baseline + REQUEST_PATH + LABELS,
+                "bulrushhollowd": site.cluster.entries[0] + REQUEST_PATH + LABELS,
+            }
+            for callers in CALLERS:
+                for subject, url in urls_by_subject.items():
+                    loop = ClosedLoop(url, callers)
+                    anyio.run(loop.run, SECONDS)
+                    _report(seed, f"{subject}/callers={callers}", loop)
+
+
+def _report(seed: int, subject: str, loop: ClosedLoop) -> None:
+    emit(BENCH, seed, subject, "throughput", round(len(loop.times) / SECONDS, 1), "1/s")
+    for name, fraction in (("p50", 0.5), ("p99", 0.99), ("p99.9", 0.999)):
+        milliseconds = 1000 * percentile(loop.times, fraction)
+        emit(BENCH, seed, subject, name, round(milliseconds, 3), "ms")
+    emit(BENCH, seed, subject, "wrong answers", loop.wrong, "1")
--- /dev/null
+++ b/bench/round_robin.py
@@ -0,0 +1,91 @@
+"""
+bench.round_robin
+~~~~~~~~~~~~~~~~~
+
+The baseline: a plain proxy that sends each request to the next endpoint in turn, and to the one
+after it if that fails. It knows no slots, no queues and no outcomes.
+
+Usage::
+
+    python -m bench.round_robin --endpoints 127.0.0.1:9001,127.0.0.1:9002
+"""
+
+import argparse
+import itertools
+import sys
+
+import anyio
+import httpcore
+
+from bulrushhollow_core.endpoints import EXECUTION_HEADER, REQUEST_ID_HEADER, RUN_PATH
+from bulrushhollow_core.outcomes import Execution
+from standins._http import Exchange, Reply, Server, announce, wait_for_stop_signal
+
+TRIES = 3
+"""Endpoints that are tried for one request."""
+
+TIMEOUT = 10.0
+"""Seconds for each step of a try."""
+
+MAX_CONNECTIONS = 256
+"""Connections to all endpoints together."""
+
+ERRORS = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
+"""What makes the proxy go on to the next endpoint."""
+
+
+class RoundRobin:
+    """
+    The proxy.
+
+    :param endpoints: their addresses.
+    """
+
+    def __init__(self, endpoints: tuple[str, ...]) -> None:
+        self._next = itertools.cycle(endpoints)
+        self._count = itertools.count(1)
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS, network_backend=httpcore.AnyIOBackend()
+        )
+
+    async def handle(self, exchange: Exchange) -> Reply:
+        """Pass one request on."""
+        request_id = f"p{next(self._count)}"
+        for _ in range(TRIES):
+            try:
+                answer = await self._pool.request(
+                    "POST",
+                    f"http://{next(self._next)}{RUN_PATH}",
+                    headers=[(REQUEST_ID_HEADER, request_id)],
+                    content=exchange.body,
+                    extensions={"timeout": dict.fromkeys(("connect", "read", "write"), TIMEOUT)},
+                )
+            except ERRORS:
+                continue
+            if answer.status < 500:
+                ran = {EXECUTION_HEADER: Execution.RAN.value, REQUEST_ID_HEADER: request_id}
+                return Reply(answer.status, answer.content, ran)
+        return Reply(502)
+
+
+async def serve(endpoints: tuple[str, ...]) -> None:
+    """Serve until the first stop signal."""
+    server = Server(RoundRobin(endpoints).handle, "127.0.0.1:0")
+    announce("round-robin", server.address)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.run_until_stopped)
+        await wait_for_stop_signal()
+        server.stop()
+
+
+def main(arguments: list[str]) -> int:
+    """Run the proxy."""
+    parser = argparse.ArgumentParser(prog="python -m bench.round_robin")
+    parser.add_argument("--endpoints", required=True)
+    options = parser.parse_args(arguments)
+    anyio.run(serve, tuple(options.endpoints.split(",")))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -80,6 +80,7 @@
         """Bind the socket, port 0 being the kernel's choice."""
         host, _, port = listen.rpartition(":")
         self._socket = socket.create_server((host, int(port)), backlog=LISTEN_BACKLOG)
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         config = uvicorn.Config(
             _application(handler),
             lifespan="off",
