Send answers and peer messages without Nagle's delay

Cause: sockets that were created without naming TCP get no TCP_NODELAY from asyncio, so an answer in two writes waited for the other end's delayed acknowledgement.

--- a/packages/daemon/src/bulrushhollow_daemon/service.py
+++ b/packages/daemon/src/bulrushhollow_daemon/service.py
@@ -191,7 +191,7 @@
 
 def _bind(address: Address) -> socket.socket:
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind((address.host, address.port))
     sock.listen(BACKLOG)
--- a/packages/daemon/src/bulrushhollow_daemon/transport.py
+++ b/packages/daemon/src/bulrushhollow_daemon/transport.py
@@ -165,6 +165,7 @@
         self._server = grpclib.server.Server([self], codec=self._codec)
         listen = self._settings.peer_listen
         sock = socket.create_server((listen.host, listen.port), family=_family(listen.host))
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.port = sock.getsockname()[1]
         await self._server.start(sock=sock)
         async with anyio.create_task_group() as group:
