--- a/packages/core/src/bulrushhollow_core/authority/_authority.py
+++ b/packages/core/src/bulrushhollow_core/authority/_authority.py
@@ -10,8 +10,9 @@
 import msgspec
 
 from bulrushhollow_core.actions import Send
-from bulrushhollow_core.authority._ballot import WITNESS, Ballot, majority
+from bulrushhollow_core.authority._ballot import WITNESS, Ballot
 from bulrushhollow_core.authority._candidacy import Candidacy, next_epoch
+from bulrushhollow_core.authority._electorate import Electorate
 from bulrushhollow_core.authority._messages import (
     AuthorityAsk,
     AuthorityDenial,
@@ -20,7 +21,6 @@
     WitnessAsk,
     WitnessDenial,
     WitnessGrant,
-    WitnessRelease,
 )
 from bulrushhollow_core.authority._status import AuthorityState, AuthorityStatus, Held, KnownLease
 from bulrushhollow_core.authority._switch import ServiceSwitch
@@ -70,18 +70,12 @@
         witness: Witness | None = None,
     ) -> None:
         self._me = me
-        self._data_centre = data_centre
-        self._members = members
+        self._electorate = Electorate(me, data_centre, members, witness)
         self._rng = rng
         self._timing = timing or AuthorityTiming()
         self._switch = switch
-        self._witness = witness
-        self._needed = majority(members)
-        self._has_witness = len(members) % 2 == 0
         self._ready_at = Seconds(now + self._timing.promise)
         self._voter = Voter(self._timing, self._ready_at)
-        self._instance_by_name: dict[InstanceName, InstanceId] = {}
-        self._leader: InstanceId | None = None
         self._history = VersionHistory()
         self._floor = Epoch(0)
         self._candidacy: Candidacy | None = None
@@ -139,18 +133,15 @@
 
     def connected(self, instance: InstanceId) -> None:
         """Note which incarnation now fills a member's place."""
-        name = name_of(instance)
-        if name in self._members and instance != self._me:
-            self._instance_by_name[name] = instance
+        self._electorate.connected(instance)
 
     def disconnected(self, instance: InstanceId) -> None:
         """Note that messages can't reach an incarnation."""
-        if self._instance_by_name.get(name_of(instance)) == instance:
-            del self._instance_by_name[name_of(instance)]
+        self._electorate.disconnected(instance)
 
     def set_log_leader(self, leader: InstanceId | None) -> None:
         """Note which instance leads the replicated log and so may vote as the witness."""
-        self._leader = leader
+        self._electorate.leader = leader
 
     def configuration_applied(self, version: Version, now: Seconds) -> None:
         """
@@ -208,11 +199,11 @@
     def receive(self, source: InstanceId, message: msgspec.Struct, now: Seconds) -> Actions:
         """Take in a message of this part; one from a stranger is ignored."""
         match message:
-            case WitnessGrant() if source == self._leader:
+            case WitnessGrant() if source == self._electorate.leader:
                 return self._granted(WITNESS, message, now)
-            case WitnessDenial() if source == self._leader:
+            case WitnessDenial() if source == self._electorate.leader:
                 return self._denied(message, now)
-        if name_of(source) not in self._members:
+        if name_of(source) not in self._electorate.members:
             return []
         match message:
             case AuthorityAsk():
@@ -230,7 +221,7 @@
     # Voter.
 
     def _asked(self, source: InstanceId, ask: AuthorityAsk, now: Seconds) -> Actions:
-        if ask.data_centre != self._data_centre:
+        if ask.data_centre != self._electorate.data_centre:
             return []
         if self._switch is not None:
             self._switch.learn(name_of(source), ask.orders)
@@ -275,7 +266,7 @@
         return free and wanted and not self._retired and now >= self._stand_at
 
     def _stand(self, now: Seconds) -> Actions:
-        self._candidacy = Candidacy(self._needed, now)
+        self._candidacy = Candidacy(self._electorate.needed, now)
         self._candidacy.willing.count(name_of(self._me), now)
         actions = self._ask(self._voter.highest, now, prepare=True, witness=True)
         return actions + self._count_willing(now)
@@ -344,7 +335,7 @@
     def _renew(self, now: Seconds) -> Actions:
         if self._lease is None:
             return []
-        missing = self._members - self._lease.voters_since(self._renewed_at)
+        missing = self._electorate.members - self._lease.voters_since(self._renewed_at)
         self._renewed_at = now
         if self._voter.vote(self._me, self._lease.epoch, now).granted:
             self._lease.count(name_of(self._me), now)
@@ -355,14 +346,13 @@
         if self._lease is None:
             return None
         answered = self._lease.voters_since(Seconds(self._renewed_at - self._timing.renew))
-        present = sorted(answered & self._instance_by_name.keys())
-        return self._instance_by_name[present[0]] if present else None
+        return self._electorate.first_of(answered)
 
     # Sending.
 
     def _ask(self, epoch: Epoch, now: Seconds, prepare: bool, witness: bool) -> Actions:
         ask = AuthorityAsk(
-            self._data_centre,
+            self._electorate.data_centre,
             epoch,
             now,
             prepare,
@@ -370,31 +360,17 @@
             version=self._history.newest,
             orders=() if self._switch is None else self._switch.orders(),
         )
-        actions: Actions = [Send(peer, ask) for peer in self._instance_by_name.values()]
-        if witness and self._has_witness:
-            actions += self._ask_witness(WitnessAsk(self._data_centre, epoch, now, prepare), now)
-        return actions
-
-    def _ask_witness(self, ask: WitnessAsk, now: Seconds) -> Actions:
-        if self._leader is None:
-            return []
-        if self._leader != self._me:
-            return [Send(self._leader, ask)]
-        answer = self._witness.vote(self._me, ask, now) if self._witness is not None else None
-        return [] if answer is None else self.receive(self._me, answer, now)
+        actions = self._electorate.ask(ask)
+        if not witness:
+            return actions
+        to_witness = WitnessAsk(self._electorate.data_centre, epoch, now, prepare)
+        actions += self._electorate.ask_witness(to_witness)
+        own = self._electorate.ask_own_witness(to_witness, now)
+        return actions if own is None else actions + self.receive(self._me, own, now)
 
     def _give_up(self, epoch: Epoch, successor: InstanceId | None) -> Actions:
         self._voter.release(self._me, epoch)
-        release = AuthorityRelease(epoch, successor)
-        actions: Actions = [Send(peer, release) for peer in self._instance_by_name.values()]
-        if not self._has_witness or self._leader is None:
-            return actions
-        to_witness = WitnessRelease(self._data_centre, epoch)
-        if self._leader != self._me:
-            return [*actions, Send(self._leader, to_witness)]
-        if self._witness is not None:
-            self._witness.release(self._me, to_witness)
-        return actions
+        return self._electorate.release(AuthorityRelease(epoch, successor))
 
     def _jittered(self, at: Seconds) -> Seconds:
         return Seconds(at + self._rng.uniform(0.0, JITTER))
--- a/tests/test_authority_machine.py
+++ b/tests/test_authority_machine.py
@@ -89,6 +89,14 @@
     def lead(self, number: int) -> None:
         self.net.set_leader(self.net.nodes[number] if number < len(self.net.nodes) else None)
 
+    @rule(number=some_node, seconds=st.sampled_from((1.0, 4.0)))
+    def lead_from_elsewhere(self, number: int, seconds: float) -> None:
+        """Cut an instance off from its data centre; then it leads the log with others' votes."""
+        self.net.isolate(self.node(number))
+        self.net.run(seconds)
+        self.net.set_leader(self.node(number))
+        self.net.run(seconds)
+
     @rule(number=some_node)
     def stop_gracefully(self, number: int) -> None:
         node = self.node(number)
