Keep the daemon up when a peer's connection is lost

Cause: an instance that lost the connection to a killed peer ended as well. The reading side let the stream's error out of a task group, as an exception group that the dialling side did not catch. With that caught, the daemon still ended now and then, without an error: grpclib cancels the task that uses a broken stream, and the cancellation outlasted the call that it was meant for and ended the dialling task's whole task group.

Change: the reading side ends its link on any broken stream, and each dialled stream has a task of its own, whose cancellation ends only that.

Before: after kill -9 of the log's leader, six of nine daemons were gone and the site did not recover within 45 s.

Conclusion: the loss of one instance costs its peers one stream each.

--- a/packages/daemon/src/bulrushhollow_daemon/transport.py
+++ b/packages/daemon/src/bulrushhollow_daemon/transport.py
@@ -7,6 +7,7 @@
 for that.
 """
 
+import asyncio
 import logging
 import socket
 from collections.abc import AsyncIterator, Callable, Iterable
@@ -205,9 +206,24 @@
     async def _keep_dialling(self, peer: PeerAddress) -> None:
         while True:
             if peer.name not in self.cut:
-                await self._dial(peer)
+                await self._dial_apart(peer)
             await anyio.sleep(REDIAL_INTERVAL)
 
+    async def _dial_apart(self, peer: PeerAddress) -> None:
+        """
+        Dial in a task of its own. When a connection is lost, grpclib cancels the task that uses
+        the stream, and that can reach the task after the call it was meant for.
+        """
+        task = asyncio.ensure_future(self._dial(peer))
+        try:
+            await asyncio.wait([task])
+        finally:
+            task.cancel()
+            with anyio.CancelScope(shield=True):
+                await asyncio.wait([task])
+        if not task.cancelled():
+            task.result()
+
     async def _dial(self, peer: PeerAddress) -> None:
         address = peer.address
         channel = grpclib.client.Channel(address.host, address.port, codec=self._codec)
@@ -280,11 +296,17 @@
             scope.cancel()
 
     async def _read(self, stream: Any, link: _Link) -> None:
+        """Take in messages until the stream breaks, which ends this one link and nothing else."""
         name = link.hello.name
         while True:
             envelope = None
-            with anyio.move_on_after(SILENCE_LIMIT):
-                envelope = await stream.recv_message()
+            try:
+                with anyio.move_on_after(SILENCE_LIMIT):
+                    envelope = await stream.recv_message()
+            except BROKEN as error:
+                logger.debug("stream_ended", extra={"peer": name, "detail": repr(error)})
+            except msgspec.DecodeError as error:
+                logger.warning("peer_refused", extra={"peer": name, "detail": str(error)})
             if envelope is None:
                 return
             if envelope.messages and name not in self.cut:
