Add a bench of failures on real processes

Nine daemons over three or four data centres go through a seeded sequence of faults under load; the breaches of each promise are counted from what callers, operators, endpoints and platforms saw. The stand-in endpoint can log each run to a file, so that the runs of a killed one are still counted.

--- /dev/null
+++ b/bench/failures.py
@@ -0,0 +1,158 @@
+"""
+bench.failures
+~~~~~~~~~~~~~~
+
+Failures on real processes: nine daemons under load go through a seeded sequence of faults, and
+the breaches of each promise are counted from what callers, operators and stand-ins saw.
+
+Usage::
+
+    python -m bench failures --seed 1 --site three
+"""
+
+import argparse
+import random
+import sys
+import tempfile
+from pathlib import Path
+
+import anyio
+
+from bench.failures_callers import Callers
+from bench.failures_faults import FAULTS_BY_NAME, Stage
+from bench.failures_promises import PROMISES
+from bench.failures_records import REQUEST_KINDS, Kind, Records, Window
+from bench.failures_site import LAYOUTS_BY_NAME, Site, now
+from bench.failures_watch import wait_until_recovered, watch
+from bench.report import emit
+
+BENCH = "failures"
+
+EXAMPLES = 5
+"""Breaches of one promise that are shown."""
+
+DRAIN_LIMIT = 40.0
+"""Seconds that jobs have to end after the last fault."""
+
+DRAIN_POLL = 0.5
+"""Seconds between two looks at the jobs that have not ended."""
+
+
+class FailureRun:
+    """
+    One run on one site.
+
+    :param seconds: of steady work before and after each fault.
+    """
+
+    def __init__(self, subject: str, site: Site, seed: int, seconds: float) -> None:
+        """Start nothing yet."""
+        self._subject = subject
+        self._site = site
+        self._seed = seed
+        self._seconds = seconds
+        self._rng = random.Random(seed)
+        self.records = Records()
+
+    async def run(self, faults: list[str]) -> None:
+        """Go through the faults under load, and collect what happened."""
+        await self._site.configure()
+        await wait_until_recovered(self._site)
+        callers = Callers(self._site, self.records, random.Random(self._seed))
+        async with anyio.create_task_group() as watching:
+            watching.start_soon(watch, self._site, self.records)
+            async with anyio.create_task_group() as calling:
+                calling.start_soon(callers.run)
+                await anyio.sleep(self._seconds)
+                for name in faults:
+                    await self._go_through(name)
+                callers.stop()
+            await self._drain()
+            watching.cancel_scope.cancel()
+        await self._site.collect(self.records)
+
+    async def _go_through(self, name: str) -> None:
+        stage = Stage(self._site, self.records, self._rng)
+        start = now()
+        await FAULTS_BY_NAME[name](stage)
+        over = now()
+        recovered = await wait_until_recovered(self._site)
+        end = now()
+        self.records.faults.append(Window(name, start, end))
+        await anyio.sleep(self._seconds)
+        subject = f"{self._subject}/{name}"
+        if recovered is None:
+            emit(BENCH, self._seed, subject, "not_recovered", 1, "faults")
+        else:
+            emit(BENCH, self._seed, subject, "recovery_seconds", round(recovered - over, 2), "s")
+        for when, since, until in (
+            ("before", start - self._seconds, start),
+            ("during", start, over),
+            ("after", end, end + self._seconds),
+        ):
+            rate = self._goodput(since, until)
+            emit(BENCH, self._seed, subject, f"goodput_{when}", round(rate, 1), "answers/s")
+
+    def _goodput(self, since: float, until: float) -> float:
+        answered = sum(
+            call.whole and since <= call.ended_at < until
+            for call in self.records.calls
+            if call.kind in REQUEST_KINDS
+        )
+        return answered / max(until - since, 0.001)
+
+    async def _drain(self) -> None:
+        with anyio.move_on_after(DRAIN_LIMIT):
+            while await self._site.jobs_under_way():
+                await anyio.sleep(DRAIN_POLL)
+
+    def report(self) -> int:
+        """Print each promise with its count of breaches, and return how many there are."""
+        total = 0
+        for name, count in PROMISES.items():
+            breaches = count(self.records)
+            total += len(breaches)
+            emit(BENCH, self._seed, self._subject, name, len(breaches), "breaches")
+            for example in breaches[:EXAMPLES]:
+                print(f"  {name}: {example}", file=sys.stderr)
+        for kind in Kind:
+            calls = [call for call in self.records.calls if call.kind is kind]
+            emit(BENCH, self._seed, self._subject, f"calls_{kind.value}", len(calls), "calls")
+            whole = sum(call.whole for call in calls)
+            emit(BENCH, self._seed, self._subject, f"answered_{kind.value}", whole, "calls")
+        accepted = sum(change.version is not None for change in self.records.changes)
+        emit(BENCH, self._seed, self._subject, "changes_accepted", accepted, "answers")
+        return total
+
+
+def run_site(site_name: str, seed: int, seconds: float, faults: list[str], folder: Path) -> int:
+    """
+    Run the faults on one site.
+
+    :return: breaches in all.
+    """
+    with Site(LAYOUTS_BY_NAME[site_name], folder) as site:
+        run = FailureRun(site_name, site, seed, seconds)
+        anyio.run(run.run, faults)
+        return run.report()
+
+
+def main(argv: list[str]) -> int:
+    """Run one site or both and return 0 only if no promise was broken."""
+    parser = argparse.ArgumentParser(prog="python -m bench failures")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--site", choices=sorted(LAYOUTS_BY_NAME), help="both if left out")
+    parser.add_argument("--seconds", type=float, default=4.0, help="of work round each fault")
+    parser.add_argument("--faults", help="names split by commas, in their order; all if left out")
+    parser.add_argument("--folder", type=Path, help="keep logs and data folders here")
+    options = parser.parse_args(argv)
+    faults = options.faults.split(",") if options.faults else list(FAULTS_BY_NAME)
+    if not options.faults:
+        random.Random(options.seed).shuffle(faults)
+    breaches = 0
+    for site_name in [options.site] if options.site else sorted(LAYOUTS_BY_NAME):
+        with tempfile.TemporaryDirectory() as scratch:
+            folder = (options.folder or Path(scratch)) / site_name
+            folder.mkdir(parents=True)
+            breaches += run_site(site_name, options.seed, options.seconds, faults, folder)
+    return 0 if breaches == 0 else 1
--- /dev/null
+++ b/bench/failures_callers.py
@@ -0,0 +1,207 @@
+"""
+bench.failures_callers
+~~~~~~~~~~~~~~~~~~~~~~
+
+The callers and operators of a failure run: a bounded number of each, each waiting for one answer
+before its next call.
+"""
+
+import random
+import uuid
+
+import anyio
+import msgspec
+
+from bench.failures_records import Call, Change, Kind, Records
+from bench.failures_site import (
+    CHANGED_PROFILES,
+    JOB_SECONDS,
+    Site,
+    changed_profile,
+    now,
+    profile_of,
+)
+from bulrushhollow.exceptions import BulrushhollowError
+from bulrushhollow_core.changes import PutProfile
+from bulrushhollow_core.outcomes import Execution, Reason
+from standins._endpoint import ANSWER_PREFIX
+
+CALLERS_PER_ENTRY = 3
+"""Callers that send requests to one entry instance."""
+
+REQUEST_PAUSE = 0.3
+"""Seconds on average between an answer and the next request of one caller."""
+
+JOB_PAUSE = 2.0
+"""Seconds on average between two jobs of one submitter."""
+
+CHANGE_INTERVAL = 1.0
+"""Seconds between two changes, by two operators at once."""
+
+DEADLINE = 3.0
+"""Seconds that a caller waits for the answer to a request."""
+
+RESEND_RATE = 0.3
+"""Share of keyed requests and of changes that are sent a second time after their answer."""
+
+MOST_SENDS = 4
+"""Most sends of one job, keyed request or change."""
+
+RESEND_PAUSE = 0.5
+"""Seconds before something of unknown outcome is sent again."""
+
+REQUEST_MIX = (Kind.IDEMPOTENT, Kind.ONCE, Kind.KEYED)
+JOB_MIX = (Kind.JOB, Kind.JOB_ONCE, Kind.GANG, Kind.GANG_ONCE, Kind.CLAIM)
+
+
+class Callers:
+    """
+    Sends work and changes until told to stop.
+
+    :param records: gets each call with its outcome.
+    """
+
+    def __init__(self, site: Site, records: Records, rng: random.Random) -> None:
+        """Send nothing yet."""
+        self._site = site
+        self._records = records
+        self._rng = rng
+        self._stopping = False
+        self._values = 1.0
+
+    def stop(self) -> None:
+        """Begin no further work."""
+        self._stopping = True
+
+    async def run(self) -> None:
+        """Send work until :meth:`stop`, and return once everything has its outcome."""
+        async with anyio.create_task_group() as tasks:
+            for name in self._site.daemons:
+                for _ in range(CALLERS_PER_ENTRY):
+                    tasks.start_soon(self._send_requests, name)
+                tasks.start_soon(self._send_jobs, name)
+            await self._send_changes(tasks)
+
+    def _marker(self) -> str:
+        return str(uuid.UUID(int=self._rng.getrandbits(128), version=4))
+
+    def _other(self, name: str) -> str:
+        return self._rng.choice([other for other in self._site.daemons if other != name])
+
+    async def _send_requests(self, name: str) -> None:
+        while not self._stopping:
+            await anyio.sleep(self._rng.expovariate(1 / REQUEST_PAUSE))
+            kind = self._rng.choice(REQUEST_MIX)
+            marker = self._marker()
+            call = await self._request(name, kind, marker)
+            if kind is Kind.KEYED:
+                await self._resend(call)
+
+    async def _resend(self, call: Call) -> None:
+        """Send a keyed request again to other entry instances while its outcome is unknown."""
+        again = self._rng.random() < RESEND_RATE
+        for _ in range(MOST_SENDS - 1):
+            if call.execution is not Execution.UNKNOWN and not again:
+                return
+            again = False
+            await anyio.sleep(RESEND_PAUSE)
+            call = await self._request(self._other(call.entry), call.kind, call.marker)
+
+    async def _request(self, name: str, kind: Kind, marker: str) -> Call:
+        body = marker.encode() + b"." * 64
+        sent_at = now()
+        call = Call(marker, kind, name, sent_at, sent_at, Execution.UNKNOWN)
+        try:
+            response = await self._site.session(name).request(
+                profile_of(kind),
+                body,
+                idempotency_key=marker if kind is Kind.KEYED else None,
+                idempotent=kind is Kind.IDEMPOTENT,
+                deadline=DEADLINE,
+            )
+            whole = response.status_code == 200 and response.content == ANSWER_PREFIX + body
+            call = msgspec.structs.replace(call, execution=Execution.RAN, whole=whole)
+        except BulrushhollowError as error:
+            call = _refused(call, error)
+        return self._note(call)
+
+    async def _send_jobs(self, name: str) -> None:
+        while not self._stopping:
+            await anyio.sleep(self._rng.expovariate(1 / JOB_PAUSE))
+            kind = self._rng.choice(JOB_MIX)
+            call = await self._submit(name, kind, self._marker())
+            for _ in range(MOST_SENDS - 1):
+                if call.execution is not Execution.UNKNOWN:
+                    break
+                await anyio.sleep(RESEND_PAUSE)
+                call = await self._submit(self._other(call.entry), kind, call.marker)
+
+    async def _submit(self, name: str, kind: Kind, marker: str) -> Call:
+        """Submit a job; an accepted one counts as a whole answer."""
+        sent_at = now()
+        call = Call(marker, kind, name, sent_at, sent_at, Execution.UNKNOWN)
+        payload = f'{{"run_seconds":{JOB_SECONDS}}}'
+        try:
+            job = await self._site.session(name).submit(profile_of(kind), payload, job_id=marker)
+            whole = job.job == marker
+            call = msgspec.structs.replace(call, execution=job.execution, whole=whole)
+        except BulrushhollowError as error:
+            call = _refused(call, error)
+        return self._note(call)
+
+    def _note(self, call: Call) -> Call:
+        ended = msgspec.structs.replace(call, ended_at=now())
+        self._records.calls.append(ended)
+        return ended
+
+    async def _send_changes(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Let two operators change the same profile at the same time, again and again."""
+        while not self._stopping:
+            profile = self._rng.choice(CHANGED_PROFILES)
+            for name in self._rng.sample(sorted(self._site.daemons), 2):
+                tasks.start_soon(self._change, name, profile)
+            await anyio.sleep(CHANGE_INTERVAL)
+
+    async def _change(self, name: str, profile: str) -> None:
+        try:
+            base = (await self._site.session(name).configuration()).version
+        except BulrushhollowError:
+            return
+        self._values += 1.0
+        change = Change(self._marker(), profile, self._values, now(), now())
+        again = self._rng.random() < RESEND_RATE
+        for _ in range(MOST_SENDS):
+            change = await self._send_change(name, change, base)
+            if change.execution is not Execution.UNKNOWN and not again:
+                return
+            again = False
+            name = self._other(name)
+            await anyio.sleep(RESEND_PAUSE)
+
+    async def _send_change(self, name: str, change: Change, base: int) -> Change:
+        edit = PutProfile(changed_profile(change.profile, change.value))
+        version: int | None = None
+        execution, reason = Execution.RAN, None
+        sent_at = now()
+        try:
+            accepted = await self._site.session(name).change(
+                edit, base_version=base, change_id=change.change_id
+            )
+            version = accepted.version
+        except BulrushhollowError as error:
+            execution, reason = error.execution, error.reason
+        answered = msgspec.structs.replace(
+            change,
+            sent_at=sent_at,
+            answered_at=now(),
+            version=version,
+            execution=execution,
+            reason=reason,
+        )
+        self._records.changes.append(answered)
+        return answered
+
+
+def _refused(call: Call, error: BulrushhollowError) -> Call:
+    reason: Reason | None = error.reason
+    return msgspec.structs.replace(call, execution=error.execution, reason=reason)
--- /dev/null
+++ b/bench/failures_promises.py
@@ -0,0 +1,257 @@
+"""
+bench.failures_promises
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Counts the breaches of each promise in what was seen during a failure run.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Iterator
+from itertools import pairwise
+
+from bench.failures_records import (
+    ONCE_JOB_KINDS,
+    REQUEST_KINDS,
+    Attempt,
+    Call,
+    Kind,
+    Records,
+    Run,
+    Sample,
+    Stop,
+)
+from bulrushhollow_core.outcomes import Execution
+
+IN_FORCE_WITHIN = 3.0
+"""Seconds within which an accepted change is in force on every instance."""
+
+SETTLED_AFTER = 3.0
+"""Seconds after a fault is over from which all links count as up again."""
+
+TASKS_BY_KIND = {Kind.JOB: 1, Kind.JOB_ONCE: 1, Kind.GANG: 4, Kind.GANG_ONCE: 4, Kind.CLAIM: 4}
+"""Number of tasks of the jobs of each kind."""
+
+
+def doubles(records: Records) -> list[str]:
+    """Return non-idempotent work that ran more than once."""
+    kinds_by_marker = {call.marker: call.kind for call in records.calls}
+    requests = [
+        marker
+        for marker, runs in records.runs_by_marker().items()
+        if len(runs) > 1 and kinds_by_marker.get(marker) in (Kind.ONCE, Kind.KEYED)
+    ]
+    attempts = Counter(attempt.job for attempt in records.attempts)
+    jobs = [
+        job
+        for job, count in attempts.items()
+        if count > 1 and kinds_by_marker.get(job) in ONCE_JOB_KINDS
+    ]
+    tasks = [task for task, count in records.tasks_by_task.items() if count > 1]
+    return [*requests, *jobs, *tasks]
+
+
+def false_not_run(records: Records) -> list[str]:
+    """Return work that ran although its caller was told that it did not."""
+    started_jobs = {attempt.job for attempt in records.attempts}
+    runs_by_marker = records.runs_by_marker()
+    calls_by_marker = records.calls_by_marker()
+    requests = [
+        marker
+        for marker, calls in calls_by_marker.items()
+        if calls[0].kind in REQUEST_KINDS and _belies(calls, runs_by_marker.get(marker, []))
+    ]
+    submissions = [
+        marker
+        for marker, calls in calls_by_marker.items()
+        if calls[0].kind not in REQUEST_KINDS
+        and marker in started_jobs
+        and all(call.execution is Execution.NOT_RUN and not call.whole for call in calls)
+    ]
+    ends = [
+        each.job
+        for each in records.ended
+        if each.is_over and each.execution is Execution.NOT_RUN and each.job in started_jobs
+    ]
+    return [*requests, *submissions, *ends]
+
+
+def _belies(calls: list[Call], runs: list[Run]) -> bool:
+    """Tell whether runs give the lie to a caller who was told that the work did not run."""
+    refused = [call for call in calls if call.execution is Execution.NOT_RUN]
+    if not refused:
+        return False
+    others = [call for call in calls if call.execution is not Execution.NOT_RUN]
+    if not others:
+        return bool(runs)
+    first_other = min(call.sent_at for call in others)
+    return any(run.at < first_other for run in runs)
+
+
+def wrong_answers(records: Records) -> list[str]:
+    """Return work whose answer was not the whole answer to it, or that did not run at all."""
+    ran = {run.marker for run in records.runs}
+    answers = [call for call in records.calls if call.execution is Execution.RAN]
+    requests = [
+        call.marker
+        for call in answers
+        if call.kind in REQUEST_KINDS and (not call.whole or call.marker not in ran)
+    ]
+    started = {attempt.job for attempt in records.attempts}
+    jobs = [
+        each.job
+        for each in records.ended
+        if each.is_over and each.execution is Execution.RAN and each.job not in started
+    ]
+    return [*requests, *jobs]
+
+
+def part_gangs(records: Records) -> list[str]:
+    """Return attempts of which only some tasks were started."""
+    kinds_by_job = {call.marker: call.kind for call in records.calls}
+    return [
+        f"{each.job}/{each.attempt}"
+        for each in records.attempts
+        if each.job in kinds_by_job and _is_partial(each, kinds_by_job[each.job])
+    ]
+
+
+def _is_partial(attempt: Attempt, kind: Kind) -> bool:
+    return attempt.starts != TASKS_BY_KIND[kind]
+
+
+def starts_after_out(records: Records) -> list[str]:
+    """Return data centres in which tasks were started too long after they were taken out."""
+    return _late(records.outs)
+
+
+def work_to_leaving_endpoint(records: Records) -> list[str]:
+    """Return endpoints that got work too long after they said that they leave."""
+    return _late(records.leaving)
+
+
+def _late(stops: Iterable[Stop]) -> list[str]:
+    return [
+        f"{each.place} {each.last_start_at - each.allowed_until:+.2f} s"
+        for each in stops
+        if each.last_start_at is not None and each.last_start_at > each.allowed_until
+    ]
+
+
+def cut_by_planned_stop(records: Records) -> list[str]:
+    """Return requests without a known outcome that were in flight during a planned stop."""
+    return [
+        call.marker
+        for call in records.calls
+        if call.kind in REQUEST_KINDS
+        and call.execution is Execution.UNKNOWN
+        and any(stop.overlaps(call.sent_at, call.ended_at) for stop in records.planned_stops)
+    ]
+
+
+def configuration_reverts(records: Records) -> list[str]:
+    """Return where an applied version went down, or an accepted change was lost or forged."""
+    down = [
+        f"{name} from {before.version} to {after.version}"
+        for name, samples in _ready_by_name(records.samples).items()
+        for before, after in pairwise(samples)
+        if after.version < before.version
+    ]
+    return [*down, *_lost_changes(records), *_double_versions(records)]
+
+
+def _ready_by_name(samples: Iterable[Sample]) -> dict[str, list[Sample]]:
+    by_name: defaultdict[str, list[Sample]] = defaultdict(list)
+    for sample in samples:
+        if sample.ready:
+            by_name[sample.name].append(sample)
+    return by_name
+
+
+def _lost_changes(records: Records) -> Iterator[str]:
+    """Find profiles that do not show the last accepted change to them."""
+    known = [change for change in records.changes if change.version is not None]
+    latest_by_profile = {
+        change.profile: change for change in sorted(known, key=lambda each: each.version or 0)
+    }
+    maybe_by_profile: defaultdict[str, set[float]] = defaultdict(set)
+    settled = {change.change_id for change in known}
+    for change in records.changes:
+        if change.execution is Execution.UNKNOWN and change.change_id not in settled:
+            maybe_by_profile[change.profile].add(change.value)
+    for profile, change in latest_by_profile.items():
+        found = records.final_values_by_profile.get(profile)
+        if found != change.value and found not in maybe_by_profile[profile]:
+            yield f"{profile}: {found} instead of {change.value}"
+
+
+def _double_versions(records: Records) -> Iterator[str]:
+    """Find versions given to two changes, and changes that were given two versions."""
+    ids_by_version: defaultdict[int, set[str]] = defaultdict(set)
+    versions_by_id: defaultdict[str, set[int]] = defaultdict(set)
+    for change in records.changes:
+        if change.version is not None:
+            ids_by_version[change.version].add(change.change_id)
+            versions_by_id[change.change_id].add(change.version)
+    for version, ids in ids_by_version.items():
+        if len(ids) > 1:
+            yield f"version {version} given to {len(ids)} changes"
+    for change_id, versions in versions_by_id.items():
+        if len(versions) > 1:
+            yield f"{change_id} accepted as {sorted(versions)}"
+
+
+def slow_configuration(records: Records) -> list[str]:
+    """Return accepted changes that an instance lacked too long while all links were up."""
+    samples_by_name = _ready_by_name(records.samples)
+    return [
+        f"version {change.version} on {name}"
+        for change in records.changes
+        if change.version is not None and _is_undisturbed(records, change.answered_at)
+        for name, samples in samples_by_name.items()
+        if _lacks(samples, change.version, change.answered_at + IN_FORCE_WITHIN)
+    ]
+
+
+def _is_undisturbed(records: Records, accepted_at: float) -> bool:
+    return not any(
+        fault.overlaps(accepted_at - SETTLED_AFTER, accepted_at + IN_FORCE_WITHIN)
+        for fault in records.faults
+    )
+
+
+def _lacks(samples: list[Sample], version: int, at: float) -> bool:
+    first = next((sample for sample in samples if sample.asked_at >= at), None)
+    return first is not None and first.version < version
+
+
+def slots_exceeded(records: Records) -> list[str]:
+    """Return one entry for each request that came to an endpoint whose slots were all taken."""
+    return ["request"] * records.starts_without_slot
+
+
+def jobs_left(records: Records) -> list[str]:
+    """Return accepted jobs that had not ended when the run was over."""
+    accepted = {
+        call.marker for call in records.calls if call.kind not in REQUEST_KINDS and call.whole
+    }
+    over = {each.job for each in records.ended if each.is_over}
+    return sorted(accepted - over)
+
+
+PROMISES: dict[str, Callable[[Records], list[str]]] = {
+    count.__name__: count
+    for count in (
+        doubles,
+        false_not_run,
+        wrong_answers,
+        part_gangs,
+        starts_after_out,
+        work_to_leaving_endpoint,
+        cut_by_planned_stop,
+        configuration_reverts,
+        slow_configuration,
+        slots_exceeded,
+        jobs_left,
+    )
+}
+"""What counts the breaches of each promise, by its name."""
--- a/standins/_endpoint.py
+++ b/standins/_endpoint.py
@@ -7,6 +7,7 @@
 
 import random
 import time
+from typing import IO
 
 import anyio
 import msgspec
@@ -70,15 +71,31 @@
     last_run_at: float | None
 
 
+class LoggedRun(msgspec.Struct, frozen=True):
+    """
+    One line of the log of runs.
+
+    :param at: reading of the machine's monotonic clock at the start of the run.
+    """
+
+    marker: str
+    at: float
+
+
 class Endpoint:
     """
     Runs requests in a bounded number of slots.
 
     :param seed: of the jitter and of the runs that fail.
+    :param run_log: gets a :class:`LoggedRun` as a line of JSON at the start of each run; what is
+        written there outlasts a killed process.
     """
 
-    def __init__(self, slots: int, seed: int, control: EndpointControl) -> None:
+    def __init__(
+        self, slots: int, seed: int, control: EndpointControl, run_log: IO[bytes] | None = None
+    ) -> None:
         """Start with every slot free."""
+        self._run_log = run_log
         self.slots = slots
         self.control = control
         self.in_flight = 0
@@ -115,12 +132,17 @@
         marker = exchange.body[:MARKER_BYTES].decode("latin-1")
         self._runs_by_marker[marker] = self._runs_by_marker.get(marker, 0) + 1
         self._last_run_at = time.monotonic()
+        self._log_run(LoggedRun(marker, self._last_run_at))
         earlier, self._earlier = self._earlier, exchange
         failed = self._random.random() < control.fail_rate
         await anyio.sleep(control.slow + control.jitter * self._random.random())
         await anyio.sleep(control.late)
         return self._answer(earlier if control.crossed else exchange, control, failed)
 
+    def _log_run(self, run: LoggedRun) -> None:
+        if self._run_log is not None:
+            self._run_log.write(msgspec.json.encode(run) + b"\n")
+
     def _answer(self, exchange: Exchange, control: EndpointControl, failed: bool) -> Reply:
         body = b"failed" if failed else ANSWER_PREFIX + exchange.body
         return Reply(
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -14,6 +14,8 @@
 import argparse
 import sys
 import time
+from contextlib import ExitStack
+from pathlib import Path
 
 import anyio
 
@@ -104,6 +106,7 @@
     parser.add_argument("--jitter-ms", type=float, default=0.0)
     parser.add_argument("--fail-rate", type=float, default=0.0)
     parser.add_argument("--late-ms", type=float, default=0.0)
+    parser.add_argument("--run-log", type=Path, help="file that gets a line for each run")
     parser.add_argument("--leave-seconds", type=float, default=3.0)
     for flag in ("refuse", "crossed", "cut", "malformed", "leaving", "silent"):
         parser.add_argument(f"--{flag}", action="store_true")
@@ -128,7 +131,16 @@
 
 async def serve(options: argparse.Namespace) -> None:
     """Serve until the first stop signal."""
-    endpoint = Endpoint(options.slots, options.seed, read_control(options))
+    with ExitStack() as stack:
+        run_log = None
+        if options.run_log is not None:
+            run_log = stack.enter_context(options.run_log.open("ab", buffering=0))
+        endpoint = Endpoint(options.slots, options.seed, read_control(options), run_log)
+        await serve_endpoint(options, endpoint)
+
+
+async def serve_endpoint(options: argparse.Namespace, endpoint: Endpoint) -> None:
+    """Bind the socket, say so and serve."""
     service = EndpointService(endpoint, options.listen, options.leave_seconds)
     announcement = Announcement(
         endpoint=EndpointId(options.id),
