Keep a restarted process from taking up what an earlier one left

Cause: an instance with a disk keeps its incarnation over a restart, but counted its proposals and request ids from 1 again. Change: proposals are counted from a random number, request ids carry a random part of the process, and a node turns its own leftover keys unknown when it becomes ready.

--- a/packages/core/src/bulrushhollow_core/node/_log.py
+++ b/packages/core/src/bulrushhollow_core/node/_log.py
@@ -68,7 +68,7 @@
         self._me = me
         self.consensus = Consensus(me, has_disk, restored, rng, now)
         self.ledgers = Ledgers()
-        self.proposals = Proposals(me)
+        self.proposals = Proposals(me, rng)
         self._recent: OrderedDict[bytes, None] = OrderedDict()
         self._appended = False
 
--- a/packages/core/src/bulrushhollow_core/node/_node.py
+++ b/packages/core/src/bulrushhollow_core/node/_node.py
@@ -46,6 +46,7 @@
     EndpointQuestion,
     Finish,
     KeyRecord,
+    LoseOwner,
     ReserveKeyNow,
     ShareGrant,
     ShareReport,
@@ -280,12 +281,20 @@
         leads = status.role is Role.LEADER and status.quorum_age <= QUORUM_AGE_LIMIT
         self.witness.set_leader(leads, status.term, now)
         self.site.authority.set_log_leader(status.leader)
-        self._ready = self._ready or status.caught_up_age <= ISOLATION_LIMIT
+        if not self._ready and status.caught_up_age <= ISOLATION_LIMIT:
+            self._become_ready(now)
         self._follow_configuration(now)
         self.site.follow_switch(status.caught_up_age)
         self._absorb(self.site.follow_lease(self.log.ledgers.jobs, now), now)
         self._absorb(self.entry.follow_lease(self.site.authority.lease(now), now), now)
 
+    def _become_ready(self, now: Seconds) -> None:
+        """Begin to serve; keys that an earlier process had in progress are nobody's any more."""
+        self._ready = True
+        me = self.identity.me
+        if me in self.log.ledgers.keys.owners():
+            self.log.want(LoseOwner(me), ForRecord(), RECORD_WAIT, now)
+
     def _follow_configuration(self, now: Seconds) -> None:
         effective = self._effective.follow(self.configuration, self.site.switch)
         if effective is None:
--- a/packages/core/src/bulrushhollow_core/node/_proposals.py
+++ b/packages/core/src/bulrushhollow_core/node/_proposals.py
@@ -7,6 +7,7 @@
 """
 
 import itertools
+import random
 from collections.abc import Iterator
 from typing import NewType
 
@@ -22,6 +23,10 @@
 """Seconds after which a proposal that was not seen applied is handed over again."""
 
 
+NUMBER_BITS = 62
+"""Size of the random number from which a process counts its proposals."""
+
+
 class Pending(msgspec.Struct):
     """
     A proposal whose fate is not known yet.
@@ -41,14 +46,16 @@
 
 class Proposals:
     """
-    The proposals of one incarnation that are not settled.
+    The proposals of one process that are not settled.
 
-    :param me: this incarnation; with the number it names a proposal for ever.
+    :param me: this incarnation.
+    :param rng: for the first number. An incarnation with a disk outlives its processes, and a
+        later one must not take what an earlier one proposed for its own.
     """
 
-    def __init__(self, me: InstanceId) -> None:
+    def __init__(self, me: InstanceId, rng: random.Random) -> None:
         self._me = me
-        self._numbers: Iterator[int] = itertools.count(1)
+        self._numbers: Iterator[int] = itertools.count(rng.getrandbits(NUMBER_BITS))
         self._pending_by_number: dict[ProposalNumber, Pending] = {}
 
     def __len__(self) -> int:
--- a/packages/daemon/src/bulrushhollow_daemon/backend.py
+++ b/packages/daemon/src/bulrushhollow_daemon/backend.py
@@ -8,6 +8,7 @@
 import itertools
 import logging
 import math
+import secrets
 from collections.abc import Callable
 
 import msgspec
@@ -33,6 +34,9 @@
 from bulrushhollow_daemon.tracing import Tracer
 from bulrushhollow_daemon.transport import Transport
 
+PROCESS_BYTES = 6
+"""Random bytes that tell the requests of one process from those of another."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -49,11 +53,13 @@
         self._tracer = tracer
         self._reports = Reports(runtime.node)
         self._metrics = Metrics(runtime.node, clock.now)
+        self._process = secrets.token_hex(PROCESS_BYTES)
         self._numbers = itertools.count(1)
 
     def new_request(self) -> RequestId:
         """Return an id that no other request has."""
-        return RequestId(f"{self._runtime.node.identity.me}-{next(self._numbers)}")
+        name = self._runtime.node.identity.name
+        return RequestId(f"{name}.{self._process}-{next(self._numbers)}")
 
     async def call(self, event: Callable[[CallId], Event]) -> msgspec.Struct:
         """Feed an event to the core and wait for its reply."""
--- a/tests/node_oracle.py
+++ b/tests/node_oracle.py
@@ -18,8 +18,8 @@
 from bulrushhollow_core.jobs import JobState
 from bulrushhollow_core.models import Service
 from bulrushhollow_core.node import CallId
-from bulrushhollow_core.platform import TaskState
 from bulrushhollow_core.outcomes import Execution, Refusal
+from bulrushhollow_core.platform import TaskState
 from tests.node_world import SLOTS, World
 
 A_FEW_SECONDS = 3.5
@@ -154,7 +154,9 @@
             assert same, f"two changes were accepted as version {answer.version}"
             self._note_service(call, change, answer)
 
-    def _note_service(self, call: CallId, change: ChangeConfiguration, answer: ChangeAccepted) -> None:
+    def _note_service(
+        self, call: CallId, change: ChangeConfiguration, answer: ChangeAccepted
+    ) -> None:
         edit = change.edit
         if not isinstance(edit, SetDataCentreService):
             return
@@ -166,7 +168,8 @@
     def _any_ended_well(self, run: tuple[str, int]) -> bool:
         """A gang whose first tasks have succeeded is not in part: each task ends by itself."""
         return any(
-            record.job == run[0] and record.attempt == run[1]
+            record.job == run[0]
+            and record.attempt == run[1]
             and record.state is TaskState.SUCCEEDED
             for platform in self._world.platforms_by_data_centre.values()
             for record in platform.records
--- a/tests/node_world.py
+++ b/tests/node_world.py
@@ -425,7 +425,9 @@
             endpoint.running.discard(run)
             alive = endpoint.up and endpoint.incarnation == incarnation
             whole = alive and self.rng.random() >= self.drop / 4
-            result = AttemptResult(AttemptEnd.WHOLE, 200) if whole else AttemptResult(AttemptEnd.LOST)
+            result = (
+                AttemptResult(AttemptEnd.WHOLE, 200) if whole else AttemptResult(AttemptEnd.LOST)
+            )
             self._answer(host, boot, dispatch, result)
 
         self.later(endpoint.run_seconds * self.rng.uniform(0.5, 2.0), end)
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,66 @@
+"""Regressions found by the state machine over whole nodes."""
+
+import unittest
+
+from bulrushhollow_core.changes import (
+    ChangeAccepted,
+    ChangeConfiguration,
+    PutProfile,
+    PutWorkspace,
+)
+from bulrushhollow_core.ids import ChangeId, ProfileName, Version, WorkspaceId
+from bulrushhollow_core.models import Profile, WorkKind, Workspace
+from bulrushhollow_core.outcomes import Reason, Refusal
+from tests.node_world import Endpoint, World
+
+
+class RestartTest(unittest.TestCase):
+    def test_a_restarted_process_does_not_take_an_old_proposal_for_its_own(self) -> None:
+        world = World(seed=1, daemons_by_data_centre={"north": 1}, voters=1)
+        world.run(8.0)
+        host = world.hosts_by_name["north-1"]
+        first = ChangeConfiguration(
+            ChangeId("first"), PutWorkspace(Workspace(WorkspaceId("a"))), Version(0)
+        )
+        world.change(host, first)
+        world.run(1.0)
+        world.kill(host)
+        world.start(host)
+        stale = ChangeConfiguration(
+            ChangeId("second"), PutWorkspace(Workspace(WorkspaceId("b"))), Version(0)
+        )
+        call = world.change(host, stale)
+        world.run(8.0)
+        self.assertNotIsInstance(world.replies[call], ChangeAccepted)
+
+    def test_keys_in_progress_of_an_earlier_process_turn_unknown(self) -> None:
+        world = World(seed=2, daemons_by_data_centre={"north": 1}, voters=1)
+        endpoint = Endpoint("e1", "north")
+        endpoint.run_seconds = 60.0
+        world.endpoints_by_name["e1"] = endpoint
+        world.run(12.0)
+        host = world.hosts_by_name["north-1"]
+        order = Profile(
+            ProfileName("order"), WorkKind.REQUEST, WorkspaceId("shop"), service="orders"
+        )
+        edits = (PutWorkspace(Workspace(WorkspaceId("shop"))), PutProfile(order))
+        for number, edit in enumerate(edits):
+            change = ChangeConfiguration(ChangeId(f"c{number}"), edit, Version(number))
+            world.change(host, change)
+            world.run(1.0)
+        world.request(host, "order", "key", "m1")
+        world.run(1.0)
+        self.assertEqual(1, world.ran["m1"])
+        world.kill(host)
+        world.start(host)
+        world.run(8.0)
+        resent = world.request(host, "order", "key", "m1")
+        world.run(1.0)
+        result = world.finished[resent]
+        assert isinstance(result, Refusal)
+        self.assertIs(Reason.KEY_OUTCOME_UNKNOWN, result.reason)
+        self.assertEqual(1, world.ran["m1"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_node_machine.py
+++ b/tests/test_node_machine.py
@@ -228,9 +228,7 @@
         edit = SetEndpointService(names[number % len(names)], service)
         self.ask_change(self.host(which), edit)
 
-    def ask_change(
-        self, host: Host, edit: Edit, version: int | None = None
-    ) -> ChangeConfiguration:
+    def ask_change(self, host: Host, edit: Edit, version: int | None = None) -> ChangeConfiguration:
         change = ChangeConfiguration(f"change-{next(self.numbers)}", edit, version)
         self.asked.append(change)
         self.send_change(host, change)
