Refuse whole numbers that no codec carries, and tell refusals apart by their header

Cause: one change with a base version of 10**30, or one announcement with such an incarnation, was accepted by the JSON decoder, failed to be encoded for the log and ended the daemon. Change: whole numbers that come from outside are bounded to 64 bits where they are read, so that such a call is malformed (400); the client takes an answer for a refusal by the reason header, so that an endpoint's own JSON of that form is passed on.

--- a/packages/client/src/bulrushhollow/_answers.py
+++ b/packages/client/src/bulrushhollow/_answers.py
@@ -11,12 +11,9 @@
 
 from bulrushhollow.adapters import TransportFailure, WholeAnswer
 from bulrushhollow.models import FIRST_ERROR_STATUS, Response
-from bulrushhollow_core.endpoints import REQUEST_ID_HEADER
+from bulrushhollow_core.endpoints import EXECUTION_HEADER, REASON_HEADER, REQUEST_ID_HEADER
 from bulrushhollow_core.outcomes import Execution, Reason, Refusal
 
-EXECUTION_HEADER = "execution"
-"""Set by an entry instance on the answer to a request: whether the work ran."""
-
 T = TypeVar("T")
 
 
@@ -43,12 +40,10 @@
 
 def read_response(answer: WholeAnswer) -> Response | Refusal:
     """Decode the answer to a request: the endpoint's own, or a refusal."""
-    if answer.status_code >= FIRST_ERROR_STATUS:
-        refusal = _read_refusal(answer)
-        if refusal is not None:
-            return refusal
-    if answer.header(EXECUTION_HEADER) != Execution.RAN.value:
-        return _malformed(answer)
+    ran = answer.header(EXECUTION_HEADER) == Execution.RAN.value
+    if not ran or answer.header(REASON_HEADER):
+        refused = answer.status_code >= FIRST_ERROR_STATUS
+        return (_read_refusal(answer) if refused else None) or _malformed(answer)
     return Response(
         status_code=answer.status_code,
         content=answer.body,
--- a/packages/core/src/bulrushhollow_core/changes.py
+++ b/packages/core/src/bulrushhollow_core/changes.py
@@ -6,9 +6,12 @@
 answers to them.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from bulrushhollow_core.ids import (
+    INT64,
     ChangeId,
     DataCentreId,
     EndpointId,
@@ -100,7 +103,7 @@
 
     change_id: ChangeId
     edit: Edit
-    base_version: Version | None = None
+    base_version: Annotated[Version, INT64] | None = None
 
 
 class ChangeAccepted(msgspec.Struct, frozen=True, tag="accepted"):
--- a/packages/core/src/bulrushhollow_core/endpoints.py
+++ b/packages/core/src/bulrushhollow_core/endpoints.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from bulrushhollow_core.ids import DataCentreId, EndpointId
+from bulrushhollow_core.ids import DataCentreId, EndpointId, Int64
 
 RUN_PATH = "/run"
 """An entry posts a request's body to this path of the endpoint."""
@@ -59,12 +59,12 @@
 
     endpoint: EndpointId
     data_centre: DataCentreId
-    incarnation: int
-    sequence: int
+    incarnation: Int64
+    sequence: Int64
     address: str
     service: str
-    slots: int
-    connections: int
+    slots: Int64
+    connections: Int64
     leaving: bool = False
 
 
--- a/packages/core/src/bulrushhollow_core/ids.py
+++ b/packages/core/src/bulrushhollow_core/ids.py
@@ -5,7 +5,15 @@
 Identifiers and scalar quantities shared by every module of the core.
 """
 
-from typing import NewType
+from typing import Annotated, NewType
+
+import msgspec
+
+INT64 = msgspec.Meta(ge=-(2**63), le=2**63 - 1)
+"""Range of whole numbers that every codec carries; a call with any other is malformed."""
+
+Int64 = Annotated[int, INT64]
+"""A whole number that comes from outside."""
 
 InstanceId = NewType("InstanceId", str)
 """One incarnation of a daemon; an instance that lost its disk comes back under a new one."""
--- a/packages/core/src/bulrushhollow_core/models.py
+++ b/packages/core/src/bulrushhollow_core/models.py
@@ -15,6 +15,7 @@
     DataCentreId,
     EndpointId,
     GuaranteeName,
+    Int64,
     ProfileName,
     RackId,
     Version,
@@ -75,9 +76,9 @@
     :param memory_mb: memory in mebibytes.
     """
 
-    accelerators: int = 0
-    cores: int = 0
-    memory_mb: int = 0
+    accelerators: Int64 = 0
+    cores: Int64 = 0
+    memory_mb: Int64 = 0
 
 
 class Shape(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -89,7 +90,7 @@
     :param adjacency: the domain that must hold all tasks.
     """
 
-    tasks: int = 1
+    tasks: Int64 = 1
     per_task: Resources = Resources()
     adjacency: Adjacency = Adjacency.DATA_CENTRE
 
@@ -107,7 +108,7 @@
     name: GuaranteeName
     data_centre: DataCentreId
     shape: Shape
-    count: int = 1
+    count: Int64 = 1
 
 
 class Workspace(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -121,8 +122,8 @@
     """
 
     id: WorkspaceId
-    weight: int = 1
-    accelerator_quota: int | None = None
+    weight: Int64 = 1
+    accelerator_quota: Int64 | None = None
     guarantees: tuple[Guarantee, ...] = ()
 
 
@@ -164,7 +165,7 @@
     """Declared capacity: a rack of equal workers."""
 
     id: RackId
-    workers: int
+    workers: Int64
     per_worker: Resources
 
 
--- a/packages/core/src/bulrushhollow_core/platform.py
+++ b/packages/core/src/bulrushhollow_core/platform.py
@@ -9,10 +9,11 @@
 """
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
-from bulrushhollow_core.ids import Attempt, Epoch, JobId, RackId, TaskId, WorkerId
+from bulrushhollow_core.ids import INT64, Attempt, Epoch, Int64, JobId, RackId, TaskId, WorkerId
 from bulrushhollow_core.models import Resources
 
 
@@ -147,9 +148,9 @@
     :param late: whether the call was refused for its ``valid_until``.
     """
 
-    highest_epoch: Epoch
+    highest_epoch: Annotated[Epoch, INT64]
     fenced: bool
-    cursor: int
+    cursor: Int64
     workers: tuple[WorkerReport, ...] = ()
     number: int = 0
     clock: float = 0.0
--- a/tests/client_fakes.py
+++ b/tests/client_fakes.py
@@ -15,7 +15,8 @@
 
 def refused(reason: Reason, execution: Execution = Execution.NOT_RUN) -> WholeAnswer:
     body = msgspec.json.encode(Refusal(reason, "because", execution))
-    return WholeAnswer(503, (Header("execution", execution.value),), body)
+    headers = (Header("execution", execution.value), Header("reason", reason.value))
+    return WholeAnswer(503, headers, body)
 
 
 def answered(value: object) -> WholeAnswer:
--- a/tests/test_client_sessions.py
+++ b/tests/test_client_sessions.py
@@ -55,6 +55,11 @@
         with self.assertRaises(exceptions.WorkFailedError):
             response.raise_for_status()
 
+    def test_endpoint_answer_that_looks_like_a_refusal_is_passed_on(self) -> None:
+        body = refused(Reason.NO_ENDPOINT).body
+        response = self.request(WholeAnswer(503, RAN.headers, body))
+        self.assertEqual(body, response.content)
+
     def test_lost_answer_of_non_idempotent_request_is_not_asked_for_again(self) -> None:
         with self.assertRaises(exceptions.OutcomeUnknownError):
             self.request(LOST, RAN)
--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -1,8 +1,11 @@
+import json
 import unittest
 
 import msgspec
 
-from bulrushhollow_core.models import Profile, Shape, WorkKind
+from bulrushhollow_core.changes import ChangeConfiguration
+from bulrushhollow_core.endpoints import Announcement
+from bulrushhollow_core.models import Profile, Rack, Resources, Shape, WorkKind, Workspace
 
 
 class ProfileTest(unittest.TestCase):
@@ -15,5 +18,38 @@
             msgspec.json.decode(b'{"taskz": 3}', type=Shape)
 
 
+class RangeTest(unittest.TestCase):
+    def test_number_that_no_codec_carries_is_refused_when_it_is_read(self) -> None:
+        """Such a number once ended the daemon, when it was encoded for the log."""
+        huge = 10**30
+        announcement = {
+            "type": "announcement",
+            "endpoint": "e",
+            "data_centre": "d",
+            "incarnation": 1,
+            "sequence": 1,
+            "address": "127.0.0.1:1",
+            "service": "s",
+            "slots": 1,
+            "connections": 1,
+        }
+        for name in ("incarnation", "sequence", "slots", "connections"):
+            self.assert_refused({**announcement, name: huge}, Announcement)
+        edit = {"type": "remove_profile", "name": "p"}
+        change = {"type": "change_configuration", "change_id": "c", "edit": edit}
+        self.assert_refused({**change, "base_version": huge}, ChangeConfiguration)
+        self.assert_refused({"id": "w", "weight": huge}, Workspace)
+        self.assert_refused({"id": "w", "accelerator_quota": -huge}, Workspace)
+        self.assert_refused({"id": "r", "workers": huge, "per_worker": {}}, Rack)
+        self.assert_refused({"tasks": huge}, Shape)
+        for name in ("accelerators", "cores", "memory_mb"):
+            self.assert_refused({name: huge}, Resources)
+
+    def assert_refused(self, value: object, kind: type) -> None:
+        encoded = json.dumps(value)
+        with self.subTest(encoded), self.assertRaisesRegex(msgspec.ValidationError, "int"):
+            msgspec.json.decode(encoded, type=kind)
+
+
 if __name__ == "__main__":
     unittest.main()
