Keep the versions that switched a data centre

The state of a data centre was judged by the newest version of the whole configuration, so each later change of anything made a data centre that was out look as if it had just been taken out. The configuration keeps the versions that last set the service state and the isolation, and the answers go by these.

--- a/packages/core/src/bulrushhollow_core/authority/_outlook.py
+++ b/packages/core/src/bulrushhollow_core/authority/_outlook.py
@@ -101,7 +101,7 @@
     declared = configuration.data_centres_by_id.get(data_centre)
     if declared is None or declared.isolation is not Isolation.HOLD:
         return False
-    since = configuration.isolation_since_by_data_centre[data_centre]
+    since = configuration.switched_by_data_centre[data_centre].isolation
     return all(rollout.applied_since(name, since) is not None for name in members)
 
 
--- a/packages/core/src/bulrushhollow_core/configuration/_edits.py
+++ b/packages/core/src/bulrushhollow_core/configuration/_edits.py
@@ -20,7 +20,7 @@
     SetEndpointService,
 )
 from bulrushhollow_core.ids import Version
-from bulrushhollow_core.models import Configuration, DataCentre, Service
+from bulrushhollow_core.models import Configuration, DataCentre, Service, Switched
 
 Key = TypeVar("Key")
 Value = TypeVar("Value")
@@ -51,7 +51,7 @@
             return replace(before, workspaces_by_id=_without(before.workspaces_by_id, id))
         case PutDataCentre(data_centre=data_centre):
             declared = _keep_service(data_centre, before)
-            return _with_data_centre(_note_isolation(declared, before), declared)
+            return _with_data_centre(before, declared)
         case SetDataCentreService():
             present = before.data_centres_by_id[edit.id]
             changed = replace(present, service=edit.service, drain=edit.drain)
@@ -73,18 +73,27 @@
     return msgspec.structs.replace(data_centre, service=present.service, drain=present.drain)
 
 
-def _note_isolation(data_centre: DataCentre, before: Configuration) -> Configuration:
-    present = before.data_centres_by_id.get(data_centre.id)
-    if present is not None and present.isolation is data_centre.isolation:
-        return before
-    since = {**before.isolation_since_by_data_centre, data_centre.id: _next_version(before)}
-    return msgspec.structs.replace(before, isolation_since_by_data_centre=since)
-
-
 def _next_version(before: Configuration) -> Version:
     return Version(before.version + 1)
 
 
 def _with_data_centre(before: Configuration, data_centre: DataCentre) -> Configuration:
-    data_centres = {**before.data_centres_by_id, data_centre.id: data_centre}
-    return msgspec.structs.replace(before, data_centres_by_id=data_centres)
+    id = data_centre.id
+    switched = {**before.switched_by_data_centre, id: _switched(data_centre, before)}
+    return msgspec.structs.replace(
+        before,
+        data_centres_by_id={**before.data_centres_by_id, id: data_centre},
+        switched_by_data_centre=switched,
+    )
+
+
+def _switched(after: DataCentre, before: Configuration) -> Switched:
+    present = before.data_centres_by_id.get(after.id)
+    version = _next_version(before)
+    if present is None:
+        return Switched(version, version)
+    earlier = before.switched_by_data_centre[after.id]
+    return Switched(
+        earlier.service if present.service is after.service else version,
+        earlier.isolation if present.isolation is after.isolation else version,
+    )
--- a/packages/core/src/bulrushhollow_core/models.py
+++ b/packages/core/src/bulrushhollow_core/models.py
@@ -188,12 +188,24 @@
     drain: Drain = Drain.FINISH
 
 
+class Switched(msgspec.Struct, frozen=True):
+    """
+    When the states of a data centre last changed.
+
+    :param service: version that took it out of service or put it in.
+    :param isolation: version that set its isolation.
+    """
+
+    service: Version
+    isolation: Version
+
+
 class Configuration(msgspec.Struct, frozen=True):
     """
     Everything operators have set, as of one version.
 
     :param version: number of the last accepted change; 0 before the first.
-    :param isolation_since_by_data_centre: version that gave each data centre its isolation.
+    :param switched_by_data_centre: versions that made each data centre what it is.
     """
 
     version: Version = Version(0)
@@ -201,4 +213,4 @@
     workspaces_by_id: dict[WorkspaceId, Workspace] = {}
     data_centres_by_id: dict[DataCentreId, DataCentre] = {}
     out_endpoints: frozenset[EndpointId] = frozenset()
-    isolation_since_by_data_centre: dict[DataCentreId, Version] = {}
+    switched_by_data_centre: dict[DataCentreId, Switched] = {}
--- a/packages/daemon/src/bulrushhollow_daemon/reports.py
+++ b/packages/daemon/src/bulrushhollow_daemon/reports.py
@@ -89,7 +89,7 @@
         jobs = node.log.ledgers.jobs
         word = node.words_by_data_centre.get(declared.id)
         known = word is not None and now - word.heard_at <= WORD_LIMIT
-        version = node.configuration.version
+        version = node.configuration.switched_by_data_centre[declared.id].service
         since = node.rollout.applied_since(node.identity.name, version)
         recorded_at = now if since is None else since
         configuration = node.configuration
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -35,11 +35,13 @@
     DataCentre,
     Drain,
     Guarantee,
+    Isolation,
     Profile,
     Rack,
     Resources,
     Service,
     Shape,
+    Switched,
     WorkKind,
     Workspace,
 )
@@ -152,6 +154,17 @@
         self.assertEqual((Service.OUT, Drain.CHECKPOINT), (after.service, after.drain))
         self.assertEqual(declared.racks, after.racks)
 
+    def test_the_versions_that_switched_a_data_centre_are_kept(self) -> None:
+        declared = BASE.data_centres_by_id[NORTH]
+        out = edited(SetDataCentreService(NORTH, Service.OUT), BASE)
+        again = edited(SetDataCentreService(NORTH, Service.OUT, Drain.CHECKPOINT), out)
+        serving = DataCentre(NORTH, racks=declared.racks, isolation=Isolation.SERVE)
+        after = edited(PutDataCentre(serving), again)
+        first = Switched(Version(1), Version(1))
+        self.assertEqual(first, BASE.switched_by_data_centre[NORTH])
+        last = Switched(out.version, after.version)
+        self.assertEqual(last, after.switched_by_data_centre[NORTH])
+
     def test_endpoints_go_out_and_in(self) -> None:
         endpoint = EndpointId("e1")
         out = edited(SetEndpointService(endpoint, Service.OUT), BASE)
