--- a/tests/node_oracle.py
+++ b/tests/node_oracle.py
@@ -155,10 +155,7 @@
             assert same, f"two changes were accepted as version {answer.version}"
             self._note_service(call, change.edit)
 
-    def _note_service(
-        self, call: CallId, change: ChangeConfiguration, answer: ChangeAccepted
-    ) -> None:
-        edit = change.edit
+    def _note_service(self, call: CallId, edit: Edit) -> None:
         if not isinstance(edit, SetDataCentreService):
             return
         if edit.service is Service.IN:
