--- a/bench/failures.py
+++ b/bench/failures.py
@@ -78,7 +78,7 @@
         over = now()
         recovered = await wait_until_recovered(self._site)
         end = now()
-        self.records.faults.append(Window(name, start, end))
+        self.records.faults.append(Window(name, start, end, recovered))
         await anyio.sleep(self._seconds)
         subject = f"{self._subject}/{name}"
         if recovered is None:
--- a/bench/failures_records.py
+++ b/bench/failures_records.py
@@ -109,12 +109,14 @@
     """
     A span of time.
 
-    :param name: of the fault that it belongs to.
+    :param name: of the fault or the instance that it belongs to.
+    :param recovered_at: when the site had recovered; None if that was not seen.
     """
 
     name: str
     start: float
     end: float
+    recovered_at: float | None = None
 
     def overlaps(self, start: float, end: float) -> bool:
         """Tell whether a span of time has a moment in common with this one."""
--- a/bench/failures_site.py
+++ b/bench/failures_site.py
@@ -234,7 +234,7 @@
             records.starts_without_slot += endpoint.starts_without_slot()
         for data_centre in self.cluster.data_centres:
             counts = self.counts(data_centre)
-            records.tasks_by_task.update(counts.starts_by_task)
+            records.tasks_by_task |= {str(task): n for task, n in counts.starts_by_task.items()}
             records.attempts += [
                 Attempt(each.job, each.attempt, each.starts, data_centre)
                 for each in counts.starts_by_attempt
