Take a whole answer that is the last on its connection

Cause: after an answer with 'connection: close' the connection is closed already, and the look for surplus bytes behind it failed on the closed stream. The whole answer then counted as lost, and a caller with non-idempotent work was told that its outcome is unknown.

Change: a connection that is closed is not looked at any more.

--- a/packages/daemon/src/bulrushhollow_daemon/dispatch/_dispatcher.py
+++ b/packages/daemon/src/bulrushhollow_daemon/dispatch/_dispatcher.py
@@ -251,6 +251,8 @@
     if head.length is None:
         return b""
     surplus = connection.stream.surplus(body_bytes)
+    if connection.http.is_closed():
+        return surplus
     if not surplus and connection.stream.get_extra_info("is_readable"):
         surplus = await connection.stream.read(1024)
     return surplus
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -113,6 +113,12 @@
         self.assertEqual((answer.result.end, answer.body), (AttemptEnd.WHOLE, b"done"))
         self.assert_lost(head + b"4\r\ndone\r\n", Reason.ANSWER_LOST)
 
+    def test_whole_answer_that_is_the_last_on_its_connection(self) -> None:
+        last = GOOD.replace(b"content-length", b"connection: close\r\ncontent-length")
+        for close in (False, True):
+            answer = self.answer_to(last, close=close)
+            self.assertEqual((answer.result.end, answer.body), (AttemptEnd.WHOLE, b"done"))
+
     def test_answer_to_another_request_is_lost(self) -> None:
         self.assert_lost(GOOD.replace(b"r1", b"r2"), Reason.ANSWER_MALFORMED)
 
