Let a planned stop cut no connection that is in use, and say nothing before catching up

Cause 1: a stopping instance closed its callers' idle connections, and a caller that had just sent on one of them was left without an outcome. Change: each of its answers is the last on its connection; once nothing is in flight it accepts no further connection and waits, at most for the idle time of a connection, until all are closed.

Cause 2: an instance that had just started answered from a state it did not have yet: an empty configuration, no such job, and 'no such profile' to a submission, which may be the resend of a job that runs. Change: these calls are refused as not ready until the instance has caught up.

--- a/bench/failures.py
+++ b/bench/failures.py
@@ -17,6 +17,7 @@
 from pathlib import Path
 
 import anyio
+import msgspec
 
 from bench.failures_callers import Callers
 from bench.failures_faults import FAULTS_BY_NAME, Stage
@@ -134,6 +135,8 @@
     with Site(LAYOUTS_BY_NAME[site_name], folder) as site:
         run = FailureRun(site_name, site, seed, seconds)
         anyio.run(run.run, faults)
+        calls = b"\n".join(map(msgspec.json.encode, run.records.calls))
+        (folder / "calls.jsonl").write_bytes(calls)
         return run.report()
 
 
@@ -144,7 +147,7 @@
     parser.add_argument("--site", choices=sorted(LAYOUTS_BY_NAME), help="both if left out")
     parser.add_argument("--seconds", type=float, default=4.0, help="of work round each fault")
     parser.add_argument("--faults", help="names split by commas, in their order; all if left out")
-    parser.add_argument("--folder", type=Path, help="keep logs and data folders here")
+    parser.add_argument("--folder", type=Path, help="keep logs, data folders and calls here")
     options = parser.parse_args(argv)
     faults = options.faults.split(",") if options.faults else list(FAULTS_BY_NAME)
     if not options.faults:
--- a/bench/failures_callers.py
+++ b/bench/failures_callers.py
@@ -2,8 +2,8 @@
 bench.failures_callers
 ~~~~~~~~~~~~~~~~~~~~~~
 
-The callers and operators of a failure run: a bounded number of each, each waiting for one answer
-before its next call.
+The callers and operators of a failure run: one caller for each kind of work at each entry
+instance, which waits for one answer before its next call.
 """
 
 import random
@@ -12,7 +12,7 @@
 import anyio
 import msgspec
 
-from bench.failures_records import Call, Change, Kind, Records
+from bench.failures_records import REQUEST_KINDS, Call, Change, Kind, Records
 from bench.failures_site import (
     CHANGED_PROFILES,
     JOB_SECONDS,
@@ -26,9 +26,6 @@
 from bulrushhollow_core.outcomes import Execution, Reason
 from standins._endpoint import ANSWER_PREFIX
 
-CALLERS_PER_ENTRY = 3
-"""Callers that send requests to one entry instance."""
-
 REQUEST_PAUSE = 0.3
 """Seconds on average between an answer and the next request of one caller."""
 
@@ -50,7 +47,6 @@
 RESEND_PAUSE = 0.5
 """Seconds before something of unknown outcome is sent again."""
 
-REQUEST_MIX = (Kind.IDEMPOTENT, Kind.ONCE, Kind.KEYED)
 JOB_MIX = (Kind.JOB, Kind.JOB_ONCE, Kind.GANG, Kind.GANG_ONCE, Kind.CLAIM)
 
 
@@ -77,8 +73,8 @@
         """Send work until :meth:`stop`, and return once everything has its outcome."""
         async with anyio.create_task_group() as tasks:
             for name in self._site.daemons:
-                for _ in range(CALLERS_PER_ENTRY):
-                    tasks.start_soon(self._send_requests, name)
+                for kind in REQUEST_KINDS:
+                    tasks.start_soon(self._send_requests, name, kind)
                 tasks.start_soon(self._send_jobs, name)
             await self._send_changes(tasks)
 
@@ -88,12 +84,10 @@
     def _other(self, name: str) -> str:
         return self._rng.choice([other for other in self._site.daemons if other != name])
 
-    async def _send_requests(self, name: str) -> None:
+    async def _send_requests(self, name: str, kind: Kind) -> None:
         while not self._stopping:
             await anyio.sleep(self._rng.expovariate(1 / REQUEST_PAUSE))
-            kind = self._rng.choice(REQUEST_MIX)
-            marker = self._marker()
-            call = await self._request(name, kind, marker)
+            call = await self._request(name, kind, self._marker())
             if kind is Kind.KEYED:
                 await self._resend(call)
 
--- a/bench/failures_promises.py
+++ b/bench/failures_promises.py
@@ -5,9 +5,9 @@
 Counts the breaches of each promise in what was seen during a failure run.
 """
 
+import itertools
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Iterator
-from itertools import pairwise
 
 from bench.failures_records import (
     ONCE_JOB_KINDS,
@@ -19,6 +19,7 @@
     Run,
     Sample,
     Stop,
+    Window,
 )
 from bulrushhollow_core.outcomes import Execution
 
@@ -138,13 +139,21 @@
 
 
 def cut_by_planned_stop(records: Records) -> list[str]:
-    """Return requests without a known outcome that were in flight during a planned stop."""
+    """Return calls and changes without a known outcome that were under way in a planned stop."""
+    calls = (
+        Window(each.marker, each.sent_at, each.ended_at)
+        for each in records.calls
+        if each.execution is Execution.UNKNOWN
+    )
+    changes = (
+        Window(each.change_id, each.sent_at, each.answered_at)
+        for each in records.changes
+        if each.execution is Execution.UNKNOWN
+    )
     return [
-        call.marker
-        for call in records.calls
-        if call.kind in REQUEST_KINDS
-        and call.execution is Execution.UNKNOWN
-        and any(stop.overlaps(call.sent_at, call.ended_at) for stop in records.planned_stops)
+        lost.name
+        for lost in itertools.chain(calls, changes)
+        if any(stop.overlaps(lost.start, lost.end) for stop in records.planned_stops)
     ]
 
 
@@ -153,7 +162,7 @@
     down = [
         f"{name} from {before.version} to {after.version}"
         for name, samples in _ready_by_name(records.samples).items()
-        for before, after in pairwise(samples)
+        for before, after in itertools.pairwise(samples)
         if after.version < before.version
     ]
     return [*down, *_lost_changes(records), *_double_versions(records)]
--- a/packages/core/src/bulrushhollow_core/node/_node.py
+++ b/packages/core/src/bulrushhollow_core/node/_node.py
@@ -153,6 +153,11 @@
         """Whether callers may be sent here: the newest configuration was seen, no stop began."""
         return self._ready and not self._stopping
 
+    @property
+    def has_caught_up(self) -> bool:
+        """Whether the newest configuration was seen since the start."""
+        return self._ready
+
     @property
     def is_stopping(self) -> bool:
         """Whether a planned stop has begun."""
--- a/packages/daemon/src/bulrushhollow_daemon/api/_app.py
+++ b/packages/daemon/src/bulrushhollow_daemon/api/_app.py
@@ -48,6 +48,7 @@
     Response,
     Scope,
     Send,
+    last_on_connection,
     to_response,
 )
 from bulrushhollow_daemon.settings import Limits
@@ -56,6 +57,18 @@
 """Longest idempotency key, in characters."""
 WAIT_LIMIT = 60.0
 """Longest wait for a job that one call may ask for, in seconds."""
+NEED_STATE = (
+    "GET /v1/configuration",
+    "GET /v1/datacentres",
+    "GET /v1/jobs",
+    "GET /v1/jobs/",
+    "POST /v1/jobs",
+)
+"""Routes whose answers rest on what the log has decided."""
+
+NOT_CAUGHT_UP = Refusal(
+    Reason.NOT_READY, "this instance has not seen the present configuration yet", retry_after=1.0
+)
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 logger = logging.getLogger(__name__)
@@ -114,10 +127,22 @@
             "DELETE /v1/jobs/": self._cancel,
             "POST /v1/recover": self._recover,
         }
+        for route in NEED_STATE:
+            routes[route] = self._once_caught_up(routes[route])
         if faults:
             routes["POST /v1/development/cut"] = self._cut
         return routes
 
+    def _once_caught_up(self, handler: Handler) -> Handler:
+        """Refuse a call as long as this instance does not know what the log has decided."""
+
+        async def guarded(request: Request) -> Response:
+            if not self._backend.has_caught_up():
+                return to_response(NOT_CAUGHT_UP)
+            return await handler(request)
+
+        return guarded
+
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request."""
         if scope["type"] != "http":
@@ -127,6 +152,8 @@
             response = await self._respond(request)
         except CallerGoneError:
             return
+        if self._backend.is_stopping():
+            response = last_on_connection(response)
         await response.send(send)
 
     async def _respond(self, request: Request) -> Response:
--- a/packages/daemon/src/bulrushhollow_daemon/api/_backend.py
+++ b/packages/daemon/src/bulrushhollow_daemon/api/_backend.py
@@ -81,6 +81,12 @@
     def jobs(self) -> tuple[JobAnswer, ...]:
         """Return the state of every job that is remembered."""
 
+    def has_caught_up(self) -> bool:
+        """Tell whether this instance has seen the newest configuration since its start."""
+
+    def is_stopping(self) -> bool:
+        """Tell whether a planned stop has begun."""
+
     def metrics(self) -> bytes:
         """Return the metrics in Prometheus' text format."""
 
--- a/packages/daemon/src/bulrushhollow_daemon/api/_http.py
+++ b/packages/daemon/src/bulrushhollow_daemon/api/_http.py
@@ -126,6 +126,11 @@
     return Response(200, msgspec.json.encode(answer))
 
 
+def last_on_connection(response: Response) -> Response:
+    """Have the caller send nothing more on the connection that carries this answer."""
+    return msgspec.structs.replace(response, headers=(*response.headers, ("connection", "close")))
+
+
 def refusal_response(refusal: Refusal) -> Response:
     """Turn a refusal into JSON that also says in headers whether the work ran."""
     status = STATUS_BY_REASON.get(refusal.reason, UNAVAILABLE)
--- a/packages/daemon/src/bulrushhollow_daemon/backend.py
+++ b/packages/daemon/src/bulrushhollow_daemon/backend.py
@@ -98,6 +98,14 @@
         """Return the state of every job that is remembered."""
         return self._reports.jobs()
 
+    def has_caught_up(self) -> bool:
+        """Tell whether this instance has seen the newest configuration since its start."""
+        return self._runtime.node.has_caught_up
+
+    def is_stopping(self) -> bool:
+        """Tell whether a planned stop has begun."""
+        return self._runtime.node.is_stopping
+
     def metrics(self) -> bytes:
         """Return the metrics in Prometheus' text format."""
         return self._metrics.text()
--- a/packages/daemon/src/bulrushhollow_daemon/service.py
+++ b/packages/daemon/src/bulrushhollow_daemon/service.py
@@ -76,6 +76,11 @@
         """Capture none."""
         yield
 
+    def close_listener(self) -> None:
+        """Accept no further connection; a caller that tries is told so at once."""
+        for listener in self.servers:
+            listener.close()
+
 
 class _Daemon:
     """One run of the daemon."""
@@ -159,6 +164,8 @@
                 tasks.start_soon(self._force_at_signal, signals, tasks)
                 with anyio.move_on_after(self._settings.limits.drain):
                     await self._until_idle(runtime)
+                    server.close_listener()
+                    await self._until_unused(server)
                 tasks.cancel_scope.cancel()
         cut = runtime.flights.names()
         if cut:
@@ -172,6 +179,15 @@
         while runtime.flights.names() or not runtime.node.may_stop(clock.now()):
             await anyio.sleep(STOP_POLL)
 
+    async def _until_unused(self, server: _Server) -> None:
+        """
+        Wait until callers have closed their connections or left them idle. A connection that is
+        closed from here while a caller sends on it would leave that caller without an outcome.
+        """
+        with anyio.move_on_after(KEEP_ALIVE):
+            while server.server_state.connections:
+                await anyio.sleep(STOP_POLL)
+
     async def _force_at_signal(
         self, signals: AsyncIterator[signal.Signals], tasks: TaskGroup
     ) -> None:
