--- a/bench/requests_faults.py
+++ b/bench/requests_faults.py
@@ -155,6 +155,16 @@
     }
     for metric, value in figures.items():
         emit(BENCH, seed, "faults", metric, value, "1")
+    reasons = Counter(
+        f"{outcome.execution.value}: {outcome.reason.value}"
+        for outcome in outcomes
+        if outcome.reason is not None
+    )
+    for reason, count in sorted(reasons.items()):
+        emit(BENCH, seed, "faults", reason, count, "1")
+    for name, one in counts_by_name.items():
+        if one is not None:
+            emit(BENCH, seed, f"faults/{name}", "sent beyond slots", one.refused_full, "1")
     left = counts_by_name["north-e2"]
     if left is not None and left.last_run_at is not None:
         seconds = round(left.last_run_at - book.left_at, 2)
--- a/bench/requests_latency.py
+++ b/bench/requests_latency.py
@@ -13,8 +13,13 @@
 import httpcore
 
 from bench.report import emit, percentile
-from bench.requests_site import LABELS, open_baseline, open_site
-from bulrushhollow_core.endpoints import REQUEST_ID_HEADER, REQUEST_PATH, RUN_PATH
+from bench.requests_site import LABELS, ONCE, open_baseline, open_site
+from bulrushhollow_core.endpoints import (
+    IDEMPOTENCY_KEY_HEADER,
+    REQUEST_ID_HEADER,
+    REQUEST_PATH,
+    RUN_PATH,
+)
 from standins._endpoint import ANSWER_PREFIX
 
 BENCH = "requests"
@@ -24,6 +29,9 @@
 WARM_UP = 1.0
 """Seconds before each measurement."""
 
+KEYED = "bulrushhollowd with keys"
+"""Subject of requests whose keys are committed to the log first."""
+
 ENDPOINTS = 3
 CALLERS = (1, 8)
 """Callers at once; each sends its next request when it has the answer to the last."""
@@ -36,11 +44,13 @@
     Callers that each send one request after the other to one address.
 
     :param url: where to post.
+    :param keyed: send each request with an idempotency key.
     """
 
-    def __init__(self, url: str, callers: int) -> None:
+    def __init__(self, url: str, callers: int, keyed: bool) -> None:
         self._url = url
         self._callers = callers
+        self._keyed = keyed
         self.times: list[float] = []
         self.wrong = 0
 
@@ -58,6 +68,8 @@
                 body = uuid.uuid4().hex.encode().ljust(BODY_BYTES, b".")
                 began = time.monotonic()
                 headers = [(REQUEST_ID_HEADER, "direct")]
+                if self._keyed:
+                    headers.append((IDEMPOTENCY_KEY_HEADER, uuid.uuid4().hex))
                 answer = await pool.request("POST", self._url, headers=headers, content=body)
                 ended = time.monotonic()
                 if answer.content != ANSWER_PREFIX + body:
@@ -75,10 +87,11 @@
                 "direct": endpoints[0] + RUN_PATH,
                 "round-robin": baseline + REQUEST_PATH + LABELS,
                 "bulrushhollowd": site.cluster.entries[0] + REQUEST_PATH + LABELS,
+                KEYED: site.cluster.entries[0] + REQUEST_PATH + ONCE,
             }
             for callers in CALLERS:
                 for subject, url in urls_by_subject.items():
-                    loop = ClosedLoop(url, callers)
+                    loop = ClosedLoop(url, callers, subject == KEYED)
                     anyio.run(loop.run, SECONDS)
                     _report(seed, f"{subject}/callers={callers}", loop)
 
--- a/packages/core/src/bulrushhollow_core/requests/_granter.py
+++ b/packages/core/src/bulrushhollow_core/requests/_granter.py
@@ -29,12 +29,15 @@
     :param grant_time: seconds for which requests may be started under a grant.
     :param close_hold: seconds for which an endpoint may go on working on a request whose
         connection was closed.
+    :param late_hold: seconds for which it may go on working on a request that it did not answer
+        in time.
     :param busy_interval: seconds between two reports while the load changes.
     :param idle_interval: seconds between two reports otherwise.
     """
 
     grant_time: Seconds = Seconds(3.0)
     close_hold: Seconds = Seconds(2.0)
+    late_hold: Seconds = Seconds(10.0)
     busy_interval: Seconds = Seconds(0.2)
     idle_interval: Seconds = Seconds(0.5)
 
--- a/packages/core/src/bulrushhollow_core/requests/_router.py
+++ b/packages/core/src/bulrushhollow_core/requests/_router.py
@@ -49,7 +49,7 @@
 )
 from bulrushhollow_core.requests._pending import Flight, Pending, Stage
 from bulrushhollow_core.requests._queue import Waiting
-from bulrushhollow_core.requests._shares import SlotShares
+from bulrushhollow_core.requests._shares import NO_HOLD, SlotShares
 from bulrushhollow_core.requests._status import RouterStatus, ServiceStatus
 
 MAX_ATTEMPTS = 4
@@ -319,8 +319,7 @@
         if profile.urgency is Urgency.OVERNIGHT:
             self._chooser.overnight_by_service[profile.service] -= 1
         in_use = self._shares.in_use(flight.endpoint)
-        ended = result.end is not AttemptEnd.LOST
-        self._shares.give_back(flight.endpoint, now, ended)
+        self._shares.give_back(flight.endpoint, now, self._hold(result))
         slowness = self._times.slowness(profile.name, seconds)
         if result.end is AttemptEnd.WHOLE and result.status < SERVER_ERROR:
             self._times.record(profile.name, seconds)
@@ -329,6 +328,13 @@
             peers = self._directory.usable(profile.service, now)
             self._health.eject(flight.endpoint, (peer.endpoint for peer in peers), now)
 
+    def _hold(self, result: AttemptResult) -> Seconds:
+        """Return how long an endpoint may go on working after an attempt has ended."""
+        if result.end is not AttemptEnd.LOST:
+            return NO_HOLD
+        settings = self._shares.settings
+        return settings.late_hold if result.reason is Reason.DEADLINE else settings.close_hold
+
     def _decide(
         self, pending: Pending, flight: Flight, result: AttemptResult, now: Seconds
     ) -> list[RouterAction]:
--- a/packages/core/src/bulrushhollow_core/requests/_shares.py
+++ b/packages/core/src/bulrushhollow_core/requests/_shares.py
@@ -35,6 +35,9 @@
 LONGEST_ATTEMPT = Seconds(30.0)
 """Seconds that an attempt may take while no profile says otherwise."""
 
+NO_HOLD = Seconds(0.0)
+"""The endpoint has ended its work."""
+
 DEFAULT_SETTINGS = ShareSettings()
 """Times of the sharing unless the operators set others."""
 
@@ -180,16 +183,16 @@
         self._taken[endpoint.endpoint] = endpoint
         return True
 
-    def give_back(self, endpoint: EndpointId, now: Seconds, ended: bool = True) -> None:
+    def give_back(self, endpoint: EndpointId, now: Seconds, hold: Seconds = NO_HOLD) -> None:
         """
         Give back what :meth:`take` took.
 
-        :param ended: False if the endpoint may go on working although the connection was closed.
+        :param hold: seconds for which the endpoint may go on working on the request.
         """
-        if ended:
+        if hold <= 0:
             self._release(endpoint)
         else:
-            heapq.heappush(self._later, (Seconds(now + self._settings.close_hold), endpoint))
+            heapq.heappush(self._later, (Seconds(now + hold), endpoint))
 
     def connections(self, endpoint: Announcement) -> int:
         """Return how many connections this instance may have open to an endpoint."""
