--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,36 @@
+"""
+bench.processes
+~~~~~~~~~~~~~~~
+
+What the kernel says of a process: its memory and its processor time.
+"""
+
+import os
+from pathlib import Path
+
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+"""Clock ticks in a second."""
+
+KIBIBYTE = 1024
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time that a process has used, in user and system mode."""
+    fields = Path(f"/proc/{pid}/stat").read_text(encoding="ascii").rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+
+def resident_bytes(pid: int) -> int:
+    """Return the whole resident memory of a process."""
+    return _status(pid, "VmRSS")
+
+
+def private_bytes(pid: int) -> int:
+    """Return the resident memory that is not backed by a file."""
+    return _status(pid, "RssAnon")
+
+
+def _status(pid: int, field: str) -> int:
+    lines = Path(f"/proc/{pid}/status").read_text(encoding="ascii").splitlines()
+    value = next(line.split()[1] for line in lines if line.startswith(f"{field}:"))
+    return int(value) * KIBIBYTE
--- a/packages/daemon/src/bulrushhollow_daemon/backend.py
+++ b/packages/daemon/src/bulrushhollow_daemon/backend.py
@@ -52,7 +52,7 @@
         self._transport = transport
         self._tracer = tracer
         self._reports = Reports(runtime.node)
-        self._metrics = Metrics(runtime.node, clock.now)
+        self._metrics = Metrics(runtime.node, transport, clock.now)
         self._process = secrets.token_hex(PROCESS_BYTES)
         self._numbers = itertools.count(1)
 
--- a/packages/daemon/src/bulrushhollow_daemon/metrics.py
+++ b/packages/daemon/src/bulrushhollow_daemon/metrics.py
@@ -7,8 +7,9 @@
 """
 
 from collections.abc import Callable, Iterator
+from functools import partial
 
-from prometheus_client import CollectorRegistry, Counter, generate_latest
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 from prometheus_client.core import GaugeMetricFamily
 from prometheus_client.registry import Collector
 
@@ -16,9 +17,9 @@
 from bulrushhollow_core.ids import Seconds
 from bulrushhollow_core.node import Node
 from bulrushhollow_core.outcomes import Refusal
+from bulrushhollow_daemon.transport import Transport
 
 PREFIX = "bulrushhollow_"
-NONE_LEFT = Seconds(0.0)
 
 
 class NodeCollector(Collector):
@@ -80,8 +81,12 @@
 class Metrics:
     """All metrics of one daemon."""
 
-    def __init__(self, node: Node, clock: Callable[[], Seconds]) -> None:
+    def __init__(self, node: Node, transport: Transport, clock: Callable[[], Seconds]) -> None:
         self._registry = CollectorRegistry()
+        for name, direction in (("peer_bytes_sent", "to"), ("peer_bytes_received", "from")):
+            gauge = Gauge(PREFIX + name, f"Bytes {direction} peers.", registry=self._registry)
+            attribute = name.removeprefix("peer_bytes_") + "_bytes"
+            gauge.set_function(partial(getattr, transport, attribute))
         self._registry.register(NodeCollector(node, clock))
         self._answered = Counter(
             PREFIX + "requests_answered",
--- a/packages/daemon/src/bulrushhollow_daemon/transport.py
+++ b/packages/daemon/src/bulrushhollow_daemon/transport.py
@@ -47,6 +47,8 @@
 """Messages that may wait for one stream; the oldest are dropped beyond that."""
 ENVELOPE_MESSAGES = 256
 """Most messages in one envelope."""
+FRAME_BYTES = 14
+"""Bytes that HTTP/2 and gRPC put before each envelope."""
 GRACE = 0.2
 """Seconds given to streams to send what waits when the transport closes."""
 
@@ -82,10 +84,14 @@
     def __init__(self) -> None:
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Envelope)
+        self.sent_bytes = 0
+        self.received_bytes = 0
 
     def encode(self, message: Any, message_type: Any) -> bytes:
         """Encode one envelope."""
-        return self._encoder.encode(message)
+        data = self._encoder.encode(message)
+        self.sent_bytes += len(data) + FRAME_BYTES
+        return data
 
     def decode(self, data: bytes, message_type: Any) -> Any:
         """
@@ -93,6 +99,7 @@
 
         :raises msgspec.DecodeError: if the bytes are no envelope; the stream then ends.
         """
+        self.received_bytes += len(data) + FRAME_BYTES
         return self._decoder.decode(data)
 
 
@@ -190,6 +197,16 @@
         if link is not None and link.hello.instance == to and link.hello.name not in self.cut:
             link.put(message)
 
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes sent to all peers, without those of TCP and IP."""
+        return self._codec.sent_bytes
+
+    @property
+    def received_bytes(self) -> int:
+        """Bytes received from all peers, without those of TCP and IP."""
+        return self._codec.received_bytes
+
     def links(self) -> Iterable[Hello]:
         """Return what each connected peer said of itself."""
         return [link.hello for link in self._links_by_name.values()]
