Outlast a send on a peer stream that is closed already

Cause: a send on a stream that was closed in the meantime raises an error of h2, which is none of grpclib's. On the dialling side it would have ended the daemon; seen in a rolling restart on the accepting side, where it only left an error in the log.

Change: it counts as one of the errors of a broken stream.

Conclusion: before, the new test ended the transport; now it dials again.

--- a/packages/daemon/src/bulrushhollow_daemon/transport.py
+++ b/packages/daemon/src/bulrushhollow_daemon/transport.py
@@ -22,6 +22,7 @@
 from grpclib.const import Cardinality, Handler
 from grpclib.encoding.base import CodecBase
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from h2.exceptions import H2Error
 
 from bulrushhollow_core.configuration import AppliedVersion
 from bulrushhollow_core.ids import DataCentreId, InstanceId, InstanceName, name_of
@@ -31,8 +32,8 @@
 from bulrushhollow_daemon.settings import PeerAddress, Settings
 
 METHOD = "/bulrushhollow.Peer/Exchange"
-BROKEN = (OSError, GRPCError, StreamTerminatedError, ProtocolError)
-"""What a stream raises when it breaks."""
+BROKEN = (OSError, GRPCError, StreamTerminatedError, ProtocolError, H2Error)
+"""What a stream raises when it breaks; the last if it is closed already."""
 KEEPALIVE_INTERVAL = 1.0
 """Seconds after which an idle stream carries an empty envelope."""
 SILENCE_LIMIT = 3.5
@@ -233,13 +234,7 @@
             async with method.open() as stream:
                 await stream.send_request()
                 await self._exchange(stream, address.host)
-        except (
-            OSError,
-            GRPCError,
-            StreamTerminatedError,
-            ProtocolError,
-            PeerRefusedError,
-        ) as error:
+        except (*BROKEN, PeerRefusedError) as error:
             logger.debug("stream_ended", extra={"peer": peer.name, "detail": repr(error)})
         except msgspec.DecodeError as error:
             logger.warning("peer_refused", extra={"peer": peer.name, "detail": str(error)})
--- a/tests/test_failures_transport.py
+++ b/tests/test_failures_transport.py
@@ -7,6 +7,7 @@
 
 import anyio
 from anyio.abc import SocketStream, TaskGroup
+from h2.exceptions import StreamClosedError
 
 from bulrushhollow_core.ids import DataCentreId, InstanceId, InstanceName
 from bulrushhollow_core.node import PeerMessage
@@ -82,6 +83,33 @@
         await super()._exchange(stream, remote_host)
 
 
+class ClosedStream:
+    """A stream that was closed after the introduction, as h2 reports it to a sender."""
+
+    def __init__(self, stream: Any) -> None:
+        self._stream = stream
+        self._sent = 0
+
+    async def send_message(self, message: Any) -> None:
+        self._sent += 1
+        if self._sent > 1:
+            raise StreamClosedError(1)
+        await self._stream.send_message(message)
+
+    async def recv_message(self) -> Any:
+        return await self._stream.recv_message()
+
+
+class SendsOnClosedStream(Transport):
+    """Its first stream is closed after the introduction."""
+
+    closed = False
+
+    async def _exchange(self, stream: Any, remote_host: str | None) -> None:
+        first, self.closed = not self.closed, True
+        await super()._exchange(ClosedStream(stream) if first else stream, remote_host)
+
+
 def transport(
     name: str,
     listen: Address,
@@ -135,18 +163,21 @@
                         await until(2, "connected", dialler)
                 tasks.cancel_scope.cancel()
 
+    def test_sending_on_a_closed_stream_ends_only_its_link(self) -> None:
+        anyio.run(self._survive, SendsOnClosedStream, 2)
+
     def test_a_task_that_the_library_cancels_late_does_not_end_the_transport(self) -> None:
-        anyio.run(self._cancel_a_dialling_task)
+        anyio.run(self._survive, LateCancel, 1)
 
-    async def _cancel_a_dialling_task(self) -> None:
+    async def _survive(self, kind: type[Transport], connections: int) -> None:
         dialler, listener = Seen(), Seen()
         accepting, dialling = free_address(), free_address()
         still_open = False
-        first = transport("a1", dialling, "b1", accepting, dialler, LateCancel)
+        first = transport("a1", dialling, "b1", accepting, dialler, kind)
         second = transport("b1", accepting, "a1", dialling, listener)
         with anyio.fail_after(WITHIN):
             async with first.open(), second.open():
-                await until(1, "connected", dialler)
+                await until(connections, "connected", dialler)
                 still_open = True
         self.assertTrue(still_open, "the transport ended by itself")
 
