--- a/bench/failures_faults.py
+++ b/bench/failures_faults.py
@@ -8,7 +8,7 @@
 
 import random
 import signal
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from contextlib import contextmanager
 
 import anyio
@@ -96,10 +96,22 @@
     await _kill(stage, await stage.holder())
 
 
-async def _kill(stage: Stage, name: str) -> None:
-    stage.daemon(name).kill()
+async def kill_two(stage: Stage) -> None:
+    """Kill the log's leader and a lease holder at once, and start them again later."""
+    await _kill(stage, await stage.leader(), await stage.holder())
+
+
+async def kill_all(stage: Stage) -> None:
+    """Kill every daemon at once, and start them again later."""
+    await _kill(stage, *stage.site.daemons)
+
+
+async def _kill(stage: Stage, *names: str) -> None:
+    for name in names:
+        stage.daemon(name).kill()
     await anyio.sleep(DOWN_SECONDS)
-    stage.daemon(name).start()
+    for name in dict.fromkeys(names):
+        stage.daemon(name).start()
 
 
 async def freeze_leader(stage: Stage) -> None:
@@ -186,23 +198,30 @@
     await _set_service(stage, data_centre, Service.OUT)
     in_force_at = await _wait_in_force(stage, data_centre)
     await anyio.sleep(OUT_SECONDS)
+    await _note_out(stage, data_centre, in_force_at)
+    await _set_service(stage, data_centre, Service.IN)
+
+
+async def _note_out(stage: Stage, data_centre: str, in_force_at: float) -> None:
     last = (await run_sync(stage.site.counts, data_centre)).last_start_at
     stage.records.outs.append(Stop(data_centre, in_force_at + FEW_SECONDS, last))
-    await _set_service(stage, data_centre, Service.IN)
 
 
-async def _set_service(stage: Stage, data_centre: str, service: Service) -> None:
+async def _set_service(
+    stage: Stage, data_centre: str, service: Service, entries: Sequence[str] = ()
+) -> None:
     edit = SetDataCentreService(DataCentreId(data_centre), service)
     while True:
         try:
-            await stage.site.session().change(edit)
+            await stage.site.session(*entries).change(edit)
             return
         except BulrushhollowError:
             await anyio.sleep(POLL)
 
 
-async def _wait_in_force(stage: Stage, data_centre: str) -> float:
-    session = stage.site.session()
+async def _wait_in_force(stage: Stage, data_centre: str, entries: Sequence[str] = ()) -> float:
+    """Return when an entry instance first said that the data centre is out in force."""
+    session = stage.site.session(*entries)
     while True:
         found = {str(each.id): each for each in await session.data_centres()}
         if found[data_centre].service is Service.OUT and found[data_centre].in_force:
@@ -210,6 +229,29 @@
         await anyio.sleep(POLL)
 
 
+async def out_while_cut(stage: Stage) -> None:
+    """Take a data centre out from elsewhere while it is cut off, and bring it back after that."""
+    alone = stage.rng.choice(stage.site.cluster.data_centres)
+    inside = stage.names_of(alone)
+    outside = sorted(set(stage.site.daemons) - set(inside))
+    for name in inside:
+        await run_sync(stage.daemon(name).cut, outside)
+    await anyio.sleep(DOWN_SECONDS)
+    await _set_service(stage, alone, Service.OUT, outside)
+    told_at = None
+    with anyio.move_on_after(CUT_SECONDS):
+        told_at = await _wait_in_force(stage, alone, outside)
+    if told_at is not None:
+        await anyio.sleep(FEW_SECONDS + 1.0)
+        await _note_out(stage, alone, told_at)
+    for name in inside:
+        await run_sync(stage.daemon(name).cut, [])
+    in_force_at = await _wait_in_force(stage, alone)
+    await anyio.sleep(OUT_SECONDS)
+    await _note_out(stage, alone, in_force_at)
+    await _set_service(stage, alone, Service.IN)
+
+
 async def endpoint_leaves(stage: Stage) -> None:
     """Let an endpoint leave, and start another one."""
     endpoint = stage.rng.choice(stage.site.endpoints)
@@ -237,6 +279,8 @@
     for fault in (
         kill_leader,
         kill_holder,
+        kill_two,
+        kill_all,
         freeze_leader,
         freeze_holder,
         cut_one,
@@ -244,6 +288,7 @@
         lose_disk,
         restart_all,
         data_centre_out,
+        out_while_cut,
         endpoint_leaves,
         endpoint_killed,
     )
