--- a/bench/failures_promises.py
+++ b/bench/failures_promises.py
@@ -24,7 +24,7 @@
 from bulrushhollow_core.outcomes import Execution
 
 IN_FORCE_WITHIN = 3.0
-"""Seconds within which an accepted change is in force on every instance."""
+"""Seconds from the sending of a change that is accepted until it is in force everywhere."""
 
 SETTLED_AFTER = 3.0
 """Seconds after a fault is over from which all links count as up again."""
@@ -215,15 +215,15 @@
     return [
         f"version {change.version} on {name}"
         for change in records.changes
-        if change.version is not None and _is_undisturbed(records, change.answered_at)
+        if change.version is not None and _is_undisturbed(records, change.sent_at)
         for name, samples in samples_by_name.items()
-        if _lacks(samples, change.version, change.answered_at + IN_FORCE_WITHIN)
+        if _lacks(samples, change.version, change.sent_at + IN_FORCE_WITHIN)
     ]
 
 
-def _is_undisturbed(records: Records, accepted_at: float) -> bool:
+def _is_undisturbed(records: Records, sent_at: float) -> bool:
     return not any(
-        fault.overlaps(accepted_at - SETTLED_AFTER, accepted_at + IN_FORCE_WITHIN)
+        fault.overlaps(sent_at - SETTLED_AFTER, sent_at + IN_FORCE_WITHIN)
         for fault in records.faults
     )
 
