Add the policy bench with two baselines; keep whole data centres free

Cause: nothing measured the placement policy. Change: traces, baselines and measures of the policy bench; where work starts at once it goes to the fullest data centre, and waiting jobs go where they fit at once.

--- /dev/null
+++ b/bench/policy.py
@@ -0,0 +1,209 @@
+"""
+bench.policy
+~~~~~~~~~~~~
+
+Replays generated traces through the real scheduler and through two baselines:
+``python -m bench policy --seed 1 --site tamarin``.
+"""
+
+import argparse
+import itertools
+
+from bench.policy_baselines import BaselineSite, Policy, in_change, with_service
+from bench.policy_measures import (
+    Figure,
+    FreeWorker,
+    Outcome,
+    countable_jobs,
+    figures,
+    largest_of,
+)
+from bench.policy_platform import Behaviour, PlatformWorker
+from bench.policy_site import Site
+from bench.policy_sites import PLANS_BY_SITE
+from bench.policy_trace import Fault, Trace, TraceFault, TraceJob, generate
+from bench.policy_watch import Watch
+from bench.report import emit
+from bulrushhollow_core.ids import JobId, Seconds
+from bulrushhollow_core.jobs import SchedulerSettings
+from bulrushhollow_core.models import Resources, Service
+from bulrushhollow_core.platform import FINAL_TASK_STATES
+
+REAL = "bulrushhollow"
+
+DRAIN_HOURS = 400.0
+"""Hours after the last arrival within which everything has to be over."""
+
+
+class Replay:
+    """
+    Replays a trace through the real scheduler.
+
+    :param trace: what happens.
+    """
+
+    def __init__(
+        self,
+        trace: Trace,
+        seed: int,
+        settings: SchedulerSettings = SchedulerSettings(),  # noqa: B008
+    ) -> None:
+        """Make an idle site."""
+        self.trace = trace
+        self._jobs_by_id = {job.job: job for job in trace.jobs}
+        self._profiles = trace.configuration.profiles_by_name
+        self.site = Site(trace.configuration, self._behaviour_of, seed, settings)
+        self.watch = Watch(trace.configuration)
+        self.outcome = Outcome()
+        self._shape = largest_of(trace.configuration)
+
+    def run(self) -> Outcome:
+        """Replay the whole trace and everything that is still running after it."""
+        for at, event, cancelled in sorted(self._events(), key=lambda item: item[0]):
+            self._advance(at)
+            self._happen(event, cancelled)
+        limit = self.trace.end + DRAIN_HOURS * 3_600.0
+        while self._is_working() and self.site.now < limit:
+            self._advance(self.site.now + 300.0)
+        self._close()
+        return self.outcome
+
+    def _events(self) -> list[tuple[float, TraceJob | TraceFault, bool]]:
+        events: list[tuple[float, TraceJob | TraceFault, bool]] = []
+        for job in self.trace.jobs:
+            events.append((job.at, job, False))
+            if job.cancel_at is not None:
+                events.append((job.cancel_at, job, True))
+        return events + [(fault.at, fault, False) for fault in self.trace.faults]
+
+    def _advance(self, at: float) -> None:
+        while self.site.now < at:
+            before = self.site.now
+            free, busy = self._snapshot()
+            self.site.step(self.site.next_time(Seconds(at)))
+            self._measure(before, free, busy)
+            self.watch.look(self.site)
+
+    def _measure(self, before: float, free: list[FreeWorker], busy: int) -> None:
+        seconds = min(self.site.now, self.trace.end) - before
+        if seconds > 0:
+            self.outcome.integrals.add(free, self._shape, busy, seconds)
+            change = in_change(self.trace, before)
+            self.outcome.change_work += busy * seconds if change else 0.0
+
+    def _snapshot(self) -> tuple[list[FreeWorker], int]:
+        workers = [
+            worker
+            for platform in self.site.platforms_by_id.values()
+            for worker in platform.workers_by_id.values()
+        ]
+        held = [_held(worker) for worker in workers]
+        free = [
+            FreeWorker(worker.rack, _rest(worker.capacity, used))
+            for worker, used in zip(workers, held, strict=True)
+            if worker.ready
+        ]
+        return free, sum(used.accelerators for used in held)
+
+    def _happen(self, event: TraceJob | TraceFault, cancelled: bool) -> None:
+        if isinstance(event, TraceFault):
+            self._fault(event)
+            self.site.stir()
+        elif cancelled:
+            self.site.cancel(event.job)
+        else:
+            self.site.submit(event.job, self._profiles[event.profile])
+
+    def _fault(self, fault: TraceFault) -> None:
+        platform = self.site.platforms_by_id[fault.data_centre]
+        worker = list(platform.workers_by_id.values())[fault.worker]
+        match fault.fault:
+            case Fault.CRASH:
+                platform.crash_worker(worker.id)
+            case Fault.CUT_OFF:
+                platform.cut_off_worker(worker.id)
+            case Fault.RETURN:
+                platform.return_worker(worker.id)
+            case Fault.FAIL_EVERYTHING | Fault.MEND:
+                worker.fails_everything = fault.fault is Fault.FAIL_EVERYTHING
+            case Fault.OUT | Fault.IN:
+                service = Service.OUT if fault.fault is Fault.OUT else Service.IN
+                self.watch.service_changed(fault.data_centre, service, self.site.now)
+                changed = with_service(self.site.configuration, fault.data_centre, service)
+                self.site.configure(changed)
+            case Fault.TAKE_OVER:
+                self.site.take_over(fault.data_centre)
+
+    def _is_working(self) -> bool:
+        ledger = self.site.ledger
+        queued = any(ledger.queued_by_data_centre.values())
+        return queued or any(ledger.started_by_data_centre.values())
+
+    def _behaviour_of(self, job: JobId) -> Behaviour:
+        described = self._jobs_by_id[job]
+        profile = self._profiles[described.profile]
+        return Behaviour(
+            run=described.run,
+            tasks=profile.shape.tasks,
+            idempotent=profile.idempotent,
+            fails=described.fails,
+            checkpoint_fails=described.checkpoint_fails,
+        )
+
+    def _close(self) -> None:
+        outcome = self.outcome
+        platforms = self.site.platforms_by_id.values()
+        found = [*itertools.chain.from_iterable(p.violations for p in platforms)]
+        found += self.watch.violations
+        outcome.violations = len(found)
+        outcome.kinds_of_violations = tuple(sorted({violation.kind for violation in found}))
+        outcome.wasted = sum(platform.wasted for platform in platforms)
+        outcome.started_by_job = self.watch.whole_since_by_job
+        outcome.ended_by_job = self.watch.ended_by_job
+        outcome.decisions_per_second = self.site.decisions / max(1e-9, self.site.decision_seconds)
+        statuses = [s.status(self.site.now) for s in self.site.schedulers_by_id.values()]
+        outcome.slowest_reclaim = max(status.slowest_reclaim for status in statuses)
+
+
+def _held(worker: PlatformWorker) -> Resources:
+    live = [t.need for t in worker.tasks_by_id.values() if t.state not in FINAL_TASK_STATES]
+    return Resources(
+        sum(need.accelerators for need in live),
+        sum(need.cores for need in live),
+        sum(need.memory_mb for need in live),
+    )
+
+
+def _rest(capacity: Resources, used: Resources) -> Resources:
+    return Resources(
+        capacity.accelerators - used.accelerators,
+        capacity.cores - used.cores,
+        capacity.memory_mb - used.memory_mb,
+    )
+
+
+def compare(site: str, seed: int) -> dict[str, list[Figure]]:
+    """Replay one trace under every policy and return the figures by policy."""
+    trace = generate(PLANS_BY_SITE[site](seed), seed)
+    outcomes = {REAL: Replay(trace, seed).run()}
+    outcomes |= {policy.value: BaselineSite(trace, policy).run() for policy in Policy}
+    counted = set(countable_jobs(trace)).intersection(
+        *(outcome.ended_by_job for outcome in outcomes.values())
+    )
+    return {name: figures(trace, outcome, counted) for name, outcome in outcomes.items()}
+
+
+def main(argv: list[str]) -> int:
+    """Print all figures of one seed."""
+    parser = argparse.ArgumentParser(prog="python -m bench policy")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--site", choices=sorted(PLANS_BY_SITE), default="tamarin")
+    options = parser.parse_args(argv)
+    violations = 0.0
+    for name, found in compare(options.site, options.seed).items():
+        for figure in found:
+            subject = f"{options.site}/{name}"
+            emit("policy", options.seed, subject, figure.metric, figure.value, figure.unit)
+            if name == REAL and figure.metric == "violations":
+                violations = figure.value
+    return 0 if violations == 0 else 1
--- /dev/null
+++ b/bench/policy_measures.py
@@ -0,0 +1,163 @@
+"""
+bench.policy_measures
+~~~~~~~~~~~~~~~~~~~~~
+
+What is measured of every policy in the same way.
+"""
+
+import itertools
+from collections.abc import Iterable
+
+import msgspec
+
+from bench.policy_trace import Trace, capacity_of, is_large
+from bench.report import percentile
+from bulrushhollow_core.ids import JobId, RackId
+from bulrushhollow_core.models import Adjacency, Configuration, Profile, Resources, Shape, Urgency
+
+
+class FreeWorker(msgspec.Struct, frozen=True):
+    """What is free on one worker."""
+
+    rack: RackId
+    free: Resources
+
+
+class Integrals(msgspec.Struct):
+    """
+    Sums over time.
+
+    :param stranded: accelerators that are free but of no use to the largest shape.
+    :param fragmented: the share that these are of the free ones at each moment.
+    """
+
+    seconds: float = 0.0
+    busy: float = 0.0
+    free: float = 0.0
+    stranded: float = 0.0
+    fragmented: float = 0.0
+
+    def add(self, workers: Iterable[FreeWorker], shape: Shape, busy: int, seconds: float) -> None:
+        """Add a stretch of time in which nothing changes."""
+        listed = list(workers)
+        free = sum(worker.free.accelerators for worker in listed)
+        size = shape.tasks * shape.per_task.accelerators
+        stranded = free - usable_gangs(listed, shape) * size
+        self.seconds += seconds
+        self.busy += busy * seconds
+        self.free += free * seconds
+        self.stranded += stranded * seconds
+        self.fragmented += seconds * stranded / free if free else 0.0
+
+
+class Outcome(msgspec.Struct):
+    """
+    What one policy made of a trace.
+
+    :param started_by_job: when a job first ran whole.
+    :param ended_by_job: when a job succeeded.
+    :param useful: accelerator-seconds of work that was kept, at some moments.
+    """
+
+    started_by_job: dict[JobId, float] = {}
+    ended_by_job: dict[JobId, float] = {}
+    integrals: Integrals = msgspec.field(default_factory=Integrals)
+    change_work: float = 0.0
+    wasted: float = 0.0
+    decisions_per_second: float = 0.0
+    slowest_reclaim: float = 0.0
+    violations: int = 0
+    kinds_of_violations: tuple[str, ...] = ()
+
+
+class Figure(msgspec.Struct, frozen=True):
+    """One figure to print."""
+
+    metric: str
+    value: float
+    unit: str
+
+
+def usable_gangs(workers: list[FreeWorker], shape: Shape) -> int:
+    """Return how many gangs of a shape fit at once into what is free."""
+    fits = [(worker.rack, _tasks_of(worker.free, shape.per_task)) for worker in workers]
+    if shape.adjacency is Adjacency.WORKER:
+        return sum(fit // shape.tasks for _, fit in fits)
+    if shape.adjacency is Adjacency.DATA_CENTRE:
+        centres = itertools.groupby(sorted(fits), key=lambda item: item[0].split("-")[0])
+        return sum(sum(fit for _, fit in group) // shape.tasks for _, group in centres)
+    by_rack = itertools.groupby(sorted(fits), key=lambda item: item[0])
+    return sum(sum(fit for _, fit in group) // shape.tasks for _, group in by_rack)
+
+
+def _tasks_of(free: Resources, need: Resources) -> int:
+    pairs = (
+        (free.accelerators, need.accelerators),
+        (free.cores, need.cores),
+        (free.memory_mb, need.memory_mb),
+    )
+    return min((has // needs for has, needs in pairs if needs), default=0)
+
+
+def countable_jobs(trace: Trace) -> list[JobId]:
+    """Return the jobs whose completion is measured: neither cancelled nor bound to fail."""
+    return [job.job for job in trace.jobs if not job.fails and job.cancel_at is None]
+
+
+def figures(trace: Trace, outcome: Outcome, counted: set[JobId]) -> list[Figure]:
+    """
+    Return all figures of one policy.
+
+    :param counted: jobs that succeeded under every policy.
+    """
+    profiles = trace.configuration.profiles_by_name
+    jobs = [job for job in trace.jobs if job.job in counted]
+    times = {job.job: outcome.ended_by_job[job.job] - job.at for job in jobs}
+    waits = {job.job: outcome.started_by_job[job.job] - job.at for job in jobs}
+    large = [times[job.job] for job in jobs if is_large(profiles[job.profile])]
+    urgent = [waits[job.job] for job in jobs if _is_urgent(profiles[job.profile])]
+    labels = [times[job.job] for job in jobs if job.profile == "label"]
+    integrals = outcome.integrals
+    capacity = capacity_of(trace.configuration)
+    return [
+        Figure("completion_mean", _mean(list(times.values())), "s"),
+        Figure("completion_p95", _fraction(list(times.values()), 0.95), "s"),
+        Figure("large_completion_mean", _mean(large), "s"),
+        Figure("large_completion_p95", _fraction(large, 0.95), "s"),
+        Figure("fragmentation", integrals.stranded / max(1.0, integrals.free), "share"),
+        Figure("fragmentation_by_time", integrals.fragmented / integrals.seconds, "share"),
+        Figure("stranded", integrals.stranded / (capacity * integrals.seconds), "share"),
+        Figure("utilisation", integrals.busy / (capacity * integrals.seconds), "share"),
+        Figure("reclaim_max", outcome.slowest_reclaim, "s"),
+        Figure("urgent_start_p99", _fraction(urgent, 0.99), "s"),
+        Figure("urgent_start_max", max(urgent, default=0.0), "s"),
+        Figure("label_run_p99", _fraction(labels, 0.99), "s"),
+        Figure("change_work", outcome.change_work / 3_600.0, "accelerator-hours"),
+        Figure("wasted", outcome.wasted / 3_600.0, "accelerator-hours"),
+        Figure("decisions_per_second", outcome.decisions_per_second, "1/s"),
+        Figure("jobs_counted", len(jobs), "jobs"),
+        Figure("jobs_unfinished", _unfinished(trace, outcome), "jobs"),
+        Figure("violations", outcome.violations, "count"),
+    ]
+
+
+def _unfinished(trace: Trace, outcome: Outcome) -> int:
+    return sum(job not in outcome.ended_by_job for job in countable_jobs(trace))
+
+
+def _is_urgent(profile: Profile) -> bool:
+    return profile.urgency is Urgency.URGENT
+
+
+def _mean(values: list[float]) -> float:
+    return sum(values) / len(values) if values else 0.0
+
+
+def _fraction(values: list[float], fraction: float) -> float:
+    return percentile(values, fraction) if values else 0.0
+
+
+def largest_of(configuration: Configuration) -> Shape:
+    """Return the largest shape of all profiles."""
+    shapes = (profile.shape for profile in configuration.profiles_by_name.values())
+    return max(shapes, key=lambda shape: shape.tasks * shape.per_task.accelerators)
--- a/bench/policy_platform.py
+++ b/bench/policy_platform.py
@@ -108,7 +108,7 @@
         self.workers_by_id: dict[WorkerId, PlatformWorker] = {}
         self.violations: list[Violation] = []
         self.starts: list[tuple[Seconds, TaskId]] = []
-        self.work_done = 0.0
+        self.wasted = 0.0
         self.highest_epoch = Epoch(0)
         self.now = Seconds(0.0)
         self._behaviour_of = behaviour_of
@@ -281,12 +281,12 @@
         self._touch(worker)
 
     def _account(self, task: RunningTask, at: Seconds, kept: bool = False) -> None:
-        if kept:
-            elapsed = at - task.started
-            self.work_done += elapsed * task.need.accelerators
-            if task.state is TaskState.CHECKPOINTED:
-                whole = self._behaviour_of(task.job)
-                self._history.progress_by_job[task.job] += elapsed / whole.tasks
+        elapsed = at - task.started
+        if not kept:
+            self.wasted += elapsed * task.need.accelerators
+        elif task.state is TaskState.CHECKPOINTED:
+            tasks = self._behaviour_of(task.job).tasks
+            self._history.progress_by_job[task.job] += elapsed / tasks
 
     def _has_room(self, worker: PlatformWorker) -> bool:
         live = [t.need for t in worker.tasks_by_id.values() if t.state not in FINAL_TASK_STATES]
--- a/bench/policy_site.py
+++ b/bench/policy_site.py
@@ -19,6 +19,7 @@
     JobCommand,
     JobLedger,
     JobRecord,
+    JobState,
     ProposeJob,
     Scheduler,
     SchedulerAction,
@@ -73,9 +74,10 @@
         self.now = Seconds(0.0)
         self.decision_seconds = 0.0
         self.decisions = 0
+        self.ended: list[JobRecord] = []
         self.schedulers_by_id: dict[DataCentreId, Scheduler] = {}
         self.platforms_by_id: dict[DataCentreId, Platform] = {}
-        self._epoch = Epoch(1)
+        self._epochs_by_id: dict[DataCentreId, Epoch] = {}
         self._stirred_until = self.now
         history = History()
         self._index = 0
@@ -83,7 +85,8 @@
         for data_centre in configuration.data_centres_by_id:
             scheduler = Scheduler(data_centre, random.Random(seed), settings)
             scheduler.configure(configuration, self.now)
-            scheduler.lead(self._epoch, self.now)
+            self._epochs_by_id[data_centre] = Epoch(1)
+            scheduler.lead(Epoch(1), self.now)
             self.schedulers_by_id[data_centre] = scheduler
             self.platforms_by_id[data_centre] = build_platform(
                 configuration, data_centre, behaviour_of, history
@@ -114,21 +117,25 @@
 
     def take_over(self, data_centre: DataCentreId) -> None:
         """Give the lease of a data centre to an instance that knows nothing but the log."""
-        self._epoch = Epoch(self._epoch + 1)
+        epoch = Epoch(self._epochs_by_id[data_centre] + 1)
+        self._epochs_by_id[data_centre] = epoch
         scheduler = self.schedulers_by_id[data_centre]
         scheduler.resign()
-        scheduler.lead(self._epoch, self.now)
+        scheduler.lead(epoch, self.now)
         scheduler.jobs_changed(self.ledger.live_records(data_centre), self.now)
 
     def commit(self, command: JobCommand) -> JobRecord | Refusal:
         """Apply a command and let everybody know, and so on with what follows from it."""
         before = self.ledger.jobs_by_id.get(command.job)
         self._index += 1
+        ended = before is not None and before.state is JobState.ENDED
         outcome = self.ledger.apply(LogIndex(self._index), command)
         if isinstance(outcome, Refusal):
             for scheduler in self.schedulers_by_id.values():
                 scheduler.job_refused(command, outcome, self.now)
             return outcome
+        if outcome.state is JobState.ENDED and not ended:
+            self.ended.append(outcome)
         homes = (
             {outcome.data_centre}
             if before is None
@@ -160,9 +167,10 @@
     def run_until(self, end: Seconds) -> None:
         """Let time pass until there is nothing more to do before some moment."""
         while self.now < end:
-            self.step(self._next_time(end))
+            self.step(self.next_time(end))
 
-    def _next_time(self, end: Seconds) -> Seconds:
+    def next_time(self, end: Seconds) -> Seconds:
+        """Return the next moment at which something can happen, ``end`` at the latest."""
         stirred = self.now < self._stirred_until
         if stirred or any(scheduler.is_busy for scheduler in self.schedulers_by_id.values()):
             return Seconds(min(end, self.now + SYNC_INTERVAL))
@@ -177,7 +185,7 @@
 
     def _call(self, data_centre: DataCentreId, now: Seconds) -> None:
         scheduler = self.schedulers_by_id[data_centre]
-        call = scheduler.next_call(self._epoch, LEASE_LEFT, now)
+        call = scheduler.next_call(self._epochs_by_id[data_centre], LEASE_LEFT, now)
         answer = self.platforms_by_id[data_centre].call(call, now)
         self._called_at[data_centre] = now
         self._perform(scheduler, scheduler.platform_answered(answer, now))
--- a/packages/core/src/bulrushhollow_core/jobs/_choice.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_choice.py
@@ -11,6 +11,7 @@
 from bulrushhollow_core.jobs._packing import fits_empty
 from bulrushhollow_core.jobs._views import DataCentreLoad
 from bulrushhollow_core.models import (
+    Adjacency,
     Configuration,
     DataCentre,
     Profile,
@@ -27,8 +28,8 @@
     loads_by_data_centre: dict[DataCentreId, DataCentreLoad],
 ) -> DataCentreId | Refusal:
     """
-    Choose where a job is queued: where its guarantee is, or else the least loaded data centre in
-    service into which its shape fits.
+    Choose where a job is queued: where its guarantee is, or else in the data centre in service
+    where its shape fits best: the fullest that can start it at once, or the least loaded.
 
     :param loads_by_data_centre: what is known of the load; a data centre may be missing.
     :return: the data centre, or why the job can't be accepted.
@@ -52,7 +53,7 @@
         assert home is not None
         return home
     loads = (loads_by_data_centre.get(dc.id, DataCentreLoad(dc.id)) for dc in in_service)
-    return min(loads, key=lambda load: _pressure(load, size)).data_centre
+    return min(loads, key=lambda load: _preference(load, profile.shape)).data_centre
 
 
 def shape_fits(shape: Shape, data_centre: DataCentre) -> bool:
@@ -89,16 +90,25 @@
     return None if workspace is None else workspace.accelerator_quota
 
 
-def _pressure(load: DataCentreLoad, size: int) -> tuple[bool, bool, float, float, DataCentreId]:
+def starts_at_once(shape: Shape, load: DataCentreLoad) -> bool:
+    """Return whether a gang is likely to start at once, going by the reported load."""
+    size = shape.tasks * shape.per_task.accelerators
+    room = load.free if shape.adjacency is Adjacency.DATA_CENTRE else load.best_rack
+    return load.heard and load.queued == 0 and room >= size
+
+
+def _preference(
+    load: DataCentreLoad, shape: Shape
+) -> tuple[bool, bool, float, float, DataCentreId]:
+    """
+    Return a sort key, smaller first. Where work starts at once, the fullest data centre is taken,
+    so that whole racks stay free elsewhere; otherwise the one with the shortest queue.
+    """
     accelerators = max(1, load.accelerators)
-    waits = load.free < size or load.queued > 0
-    return (
-        not load.heard,
-        waits,
-        load.queued / accelerators,
-        -load.free / accelerators,
-        load.data_centre,
-    )
+    free = load.free / accelerators
+    if starts_at_once(shape, load):
+        return (False, False, 0.0, free, load.data_centre)
+    return (not load.heard, True, load.queued / accelerators, -free, load.data_centre)
 
 
 def _misfit(shape: Shape, configuration: Configuration) -> str:
--- a/packages/core/src/bulrushhollow_core/jobs/_departures.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_departures.py
@@ -2,15 +2,16 @@
 bulrushhollow_core.jobs._departures
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Queued jobs that can't be started here: those of a data centre that is out, and those that fit
-none of its racks. They go to another data centre that takes them, or end if none ever can.
+Queued jobs that can't be started here: those of a data centre that is out, those that fit none of
+its racks, and those that wait while another data centre could start them at once. They go to
+another data centre that takes them, or end if none ever can.
 """
 
 import itertools
 from collections.abc import Iterable
 
 from bulrushhollow_core.ids import DataCentreId, Epoch, JobId, Seconds
-from bulrushhollow_core.jobs._choice import choose_data_centre, shape_fits
+from bulrushhollow_core.jobs._choice import choose_data_centre, shape_fits, starts_at_once
 from bulrushhollow_core.jobs._commands import EndJob, JobCommand, JobEnd, MoveJob
 from bulrushhollow_core.jobs._ledger import JobRecord
 from bulrushhollow_core.jobs._queue import JobQueue
@@ -18,6 +19,9 @@
 from bulrushhollow_core.models import Configuration, Service
 from bulrushhollow_core.outcomes import Execution, Reason, Refusal
 
+BALANCE_INTERVAL = Seconds(5.0)
+"""Waiting jobs are given away this often at most, so that reported loads catch up between."""
+
 
 class Departures:
     """
@@ -36,6 +40,7 @@
         self._configuration = Configuration()
         self._misfits: dict[JobId, None] = {}
         self._proposed_at_by_job: dict[JobId, Seconds] = {}
+        self._balanced_at = Seconds(float("-inf"))
 
     @property
     def is_out(self) -> bool:
@@ -67,13 +72,55 @@
         """Return whether a job fits none of the declared racks here."""
         return job in self._misfits
 
-    def due(self, epoch: Epoch, now: Seconds) -> list[JobCommand]:
-        """Return commands for jobs that are to leave, a bounded number at a time."""
+    def due(self, epoch: Epoch, permitted: bool, now: Seconds) -> list[JobCommand]:
+        """
+        Return commands for jobs that are to leave, a bounded number at a time.
+
+        :param permitted: whether jobs may be started here at all.
+        """
         jobs = self._queue.records_by_job if self.is_out else self._misfits
         due = (job for job in jobs if self._is_due(job, now))
         commands = (self._command(job, epoch, now) for job in due)
         found = (command for command in commands if command is not None)
-        return list(itertools.islice(found, self._settings.moves_per_tick))
+        leaving = list(itertools.islice(found, self._settings.moves_per_tick))
+        if permitted and now - self._balanced_at >= BALANCE_INTERVAL:
+            self._balanced_at = now
+            leaving += self._balance(epoch, now)
+        return leaving
+
+    def _balance(self, epoch: Epoch, now: Seconds) -> list[JobCommand]:
+        """Give at most one waiting job to each data centre that can start it at once."""
+        others = {
+            load.data_centre: load
+            for load in self.loads_by_data_centre.values()
+            if load.data_centre != self._data_centre and load.heard and load.queued == 0
+        }
+        moves: list[JobCommand] = []
+        for lane in self._queue.lanes_by_profile.values():
+            if not others:
+                break
+            record = self._queue.peek(lane)
+            if record is None or not self._may_roam(record, now):
+                continue
+            shape = record.profile.shape
+            fitting = [load for load in others.values() if starts_at_once(shape, load)]
+            ready = [load for load in fitting if self._is_in_service(load.data_centre, record)]
+            if ready:
+                chosen = min(ready, key=lambda load: (load.free, load.data_centre))
+                del others[chosen.data_centre]
+                self._proposed_at_by_job[record.job] = now
+                moves.append(MoveJob(record.job, chosen.data_centre, epoch))
+        return moves
+
+    def _may_roam(self, record: JobRecord, now: Seconds) -> bool:
+        waited = self._queue.waited(record.job, now)
+        return waited >= self._settings.move_age and self._is_due(record.job, now)
+
+    def _is_in_service(self, data_centre: DataCentreId, record: JobRecord) -> bool:
+        there = self._configuration.data_centres_by_id.get(data_centre)
+        if there is None or there.service is Service.OUT:
+            return False
+        return shape_fits(record.profile.shape, there)
 
     def _is_due(self, job: JobId, now: Seconds) -> bool:
         proposed_at = self._proposed_at_by_job.get(job)
--- a/packages/core/src/bulrushhollow_core/jobs/_health.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_health.py
@@ -135,7 +135,9 @@
         if len(sound) < 2:
             return
         for worker in sound:
-            self._records_by_worker[worker].failed_jobs.pop(job, None)
+            record = self._records_by_worker.get(worker)
+            if record is not None:
+                record.failed_jobs.pop(job, None)
 
     def _quarantine(self, record: _Record, now: Seconds) -> None:
         length = self._settings.quarantine * 2**record.spells
--- a/packages/core/src/bulrushhollow_core/jobs/_queue.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_queue.py
@@ -126,6 +126,10 @@
         self.lanes_by_profile.pop(lane.profile, None)
         return None
 
+    def peek(self, lane: Lane) -> JobRecord | None:
+        """Return the first job of a lane without dropping anything."""
+        return self.records_by_job.get(lane.heap[0].job) if lane.heap else None
+
     def waited(self, job: JobId, now: Seconds) -> Seconds:
         """Return how long a job has been known."""
         return Seconds(now - self._since_by_job.get(job, now))
--- a/packages/core/src/bulrushhollow_core/jobs/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_scheduler.py
@@ -242,7 +242,7 @@
             lead.planner.plan(now)
         commands = lead.gangs.tick(permitted, now)
         self._reopen(lead, now)
-        commands += lead.departures.due(lead.epoch, now)
+        commands += lead.departures.due(lead.epoch, self._may_start(lead), now)
         return [ProposeJob(command) for command in commands]
 
     def next_call(self, epoch: Epoch, lease_left: Seconds, now: Seconds) -> PlatformCall:
@@ -273,6 +273,7 @@
             accelerators=lead.fleet.accelerators,
             free=max(0, lead.fleet.free_accelerators),
             queued=queued,
+            best_rack=max((rack.free for rack in lead.fleet.racks_by_id.values()), default=0),
         )
 
     def status(self, now: Seconds) -> SchedulerStatus:
--- a/packages/core/src/bulrushhollow_core/jobs/_views.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_views.py
@@ -36,6 +36,7 @@
     :param stranger_grace: tasks that the log does not know of are stopped after it.
     :param open_intents: starts that may be waiting for the log at once.
     :param moves_per_tick: queued jobs given to other data centres in one tick.
+    :param move_age: waiting time after which a job may go where it fits at once.
     :param failure_limit: attempts lost through the job itself after which it ends as failed.
     :param quick_loss: a worker lost within this time of a start puts the job under suspicion.
     :param attempt_limit: attempts of any outcome after which a job ends as failed.
@@ -57,6 +58,7 @@
     stranger_grace: Seconds = Seconds(3.0)
     open_intents: int = 64
     moves_per_tick: int = 64
+    move_age: Seconds = Seconds(20.0)
     failure_limit: int = 3
     quick_loss: Seconds = Seconds(60.0)
     attempt_limit: int = 200
@@ -93,6 +95,7 @@
     :param accelerators: accelerators on workers that take work.
     :param free: accelerators of those that are free.
     :param queued: accelerator-seconds that queued jobs are expected to need.
+    :param best_rack: free accelerators of the rack that has most.
     """
 
     data_centre: DataCentreId
@@ -100,6 +103,7 @@
     accelerators: int = 0
     free: int = 0
     queued: float = 0.0
+    best_rack: int = 0
 
 
 class LackingGuarantee(msgspec.Struct, frozen=True):
