--- a/bench/policy.py
+++ b/bench/policy.py
@@ -21,7 +21,7 @@
 from bench.policy_platform import Behaviour, PlatformWorker
 from bench.policy_site import Site
 from bench.policy_sites import PLANS_BY_SITE
-from bench.policy_trace import Fault, Trace, TraceFault, TraceJob, generate
+from bench.policy_trace import Fault, Trace, TraceFault, TraceJob, generate, without_faults
 from bench.policy_watch import Watch
 from bench.report import emit
 from bulrushhollow_core.ids import JobId, Seconds
@@ -182,9 +182,15 @@
     )
 
 
-def compare(site: str, seed: int) -> dict[str, list[Figure]]:
-    """Replay one trace under every policy and return the figures by policy."""
+def compare(site: str, seed: int, faults: bool = True) -> dict[str, list[Figure]]:
+    """
+    Replay one trace under every policy and return the figures by policy.
+
+    :param faults: False for a control without faults, failing jobs and failing checkpoints.
+    """
     trace = generate(PLANS_BY_SITE[site](seed), seed)
+    if not faults:
+        trace = without_faults(trace)
     outcomes = {REAL: Replay(trace, seed).run()}
     outcomes |= {policy.value: BaselineSite(trace, policy).run() for policy in Policy}
     counted = set(countable_jobs(trace)).intersection(
@@ -198,9 +204,10 @@
     parser = argparse.ArgumentParser(prog="python -m bench policy")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--site", choices=sorted(PLANS_BY_SITE), default="tamarin")
+    parser.add_argument("--no-faults", action="store_true", help="a control without faults")
     options = parser.parse_args(argv)
     violations = 0.0
-    for name, found in compare(options.site, options.seed).items():
+    for name, found in compare(options.site, options.seed, not options.no_faults).items():
         for figure in found:
             subject = f"{options.site}/{name}"
             emit("policy", options.seed, subject, figure.metric, figure.value, figure.unit)
--- a/bench/policy_trace.py
+++ b/bench/policy_trace.py
@@ -150,6 +150,14 @@
     return Trace(plan.configuration, tuple(cancelled), tuple(_faults(plan, end, rng)), end)
 
 
+def without_faults(trace: Trace) -> Trace:
+    """Return the same trace with no fault in it."""
+    jobs = (
+        msgspec.structs.replace(job, fails=False, checkpoint_fails=False) for job in trace.jobs
+    )
+    return msgspec.structs.replace(trace, jobs=tuple(jobs), faults=())
+
+
 def is_large(profile: Profile) -> bool:
     """Return whether a profile's gangs are large."""
     shape = profile.shape
--- a/packages/core/src/bulrushhollow_core/jobs/_choice.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_choice.py
@@ -6,21 +6,30 @@
 """
 
 from collections.abc import Iterable
+from functools import lru_cache
 
-from bulrushhollow_core.ids import DataCentreId
+from bulrushhollow_core.ids import DataCentreId, GuaranteeName, WorkerId, WorkspaceId
+from bulrushhollow_core.jobs._fleet import Fleet
 from bulrushhollow_core.jobs._packing import fits_empty
 from bulrushhollow_core.jobs._views import DataCentreLoad
+from bulrushhollow_core.jobs._witness import Witness
 from bulrushhollow_core.models import (
     Adjacency,
     Configuration,
     DataCentre,
+    Guarantee,
     Profile,
     Resources,
     Service,
     Shape,
+    Workspace,
 )
 from bulrushhollow_core.outcomes import Reason, Refusal
 
+EVERYBODY = WorkspaceId("")
+EXTRA = GuaranteeName("")
+"""Names under which all guarantees are packed together with one more gang."""
+
 
 def choose_data_centre(
     profile: Profile,
@@ -37,7 +46,7 @@
     fitting = [
         data_centre
         for data_centre in configuration.data_centres_by_id.values()
-        if shape_fits(profile.shape, data_centre)
+        if profile_fits(profile, data_centre, configuration)
     ]
     if not fitting:
         return Refusal(Reason.NEVER_FITS, _misfit(profile.shape, configuration))
@@ -62,6 +71,41 @@
     return fits_empty(shape, racks)
 
 
+def profile_fits(profile: Profile, data_centre: DataCentre, configuration: Configuration) -> bool:
+    """
+    Return whether jobs of a profile can ever start in a data centre. Work that can't be preempted
+    must fit beside all guarantees, since it never borrows from them.
+    """
+    if not shape_fits(profile.shape, data_centre):
+        return False
+    if profile.idempotent or profile.checkpointable:
+        return True
+    guarantees = tuple(
+        Guarantee(GuaranteeName(f"{workspace.id}/{guarantee.name}"), *_place_and_size(guarantee))
+        for workspace in configuration.workspaces_by_id.values()
+        for guarantee in workspace.guarantees
+        if guarantee.data_centre == data_centre.id
+    )
+    is_claim = _home(profile, configuration) == data_centre.id
+    extra = () if is_claim else (Guarantee(EXTRA, data_centre.id, profile.shape),)
+    return _all_fit(data_centre, guarantees + extra)
+
+
+@lru_cache(maxsize=256)
+def _all_fit(data_centre: DataCentre, guarantees: tuple[Guarantee, ...]) -> bool:
+    fleet = Fleet()
+    for rack in data_centre.racks:
+        for number in range(rack.workers):
+            fleet.put(WorkerId(f"{rack.id}/{number}"), rack.id, rack.per_worker)
+    witness = Witness(fleet)
+    witness.configure(data_centre.id, (Workspace(EVERYBODY, guarantees=guarantees),))
+    return not witness.is_lacking
+
+
+def _place_and_size(guarantee: Guarantee) -> tuple[DataCentreId, Shape, int]:
+    return guarantee.data_centre, guarantee.shape, guarantee.count
+
+
 def tasks_per_worker(capacity: Resources, shape: Shape) -> int:
     """Return how many tasks of a gang an empty worker takes."""
     need = shape.per_task
@@ -119,4 +163,4 @@
     )
     if not configuration.data_centres_by_id:
         return f"no data centre is declared; asked for {wanted}"
-    return f"no declared data centre holds {wanted} even when it is empty"
+    return f"no declared data centre ever has {wanted} beyond what is guaranteed to others"
--- a/packages/core/src/bulrushhollow_core/jobs/_departures.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_departures.py
@@ -11,7 +11,11 @@
 from collections.abc import Iterable
 
 from bulrushhollow_core.ids import DataCentreId, Epoch, JobId, Seconds
-from bulrushhollow_core.jobs._choice import choose_data_centre, shape_fits, starts_at_once
+from bulrushhollow_core.jobs._choice import (
+    choose_data_centre,
+    profile_fits,
+    starts_at_once,
+)
 from bulrushhollow_core.jobs._commands import EndJob, JobCommand, JobEnd, MoveJob
 from bulrushhollow_core.jobs._ledger import JobRecord
 from bulrushhollow_core.jobs._queue import JobQueue
@@ -60,7 +64,7 @@
         here = self._configuration.data_centres_by_id.get(self._data_centre)
         if here is None or not here.racks:
             return
-        if not shape_fits(record.profile.shape, here):
+        if not profile_fits(record.profile, here, self._configuration):
             self._misfits[record.job] = None
 
     def forget(self, job: JobId) -> None:
@@ -120,7 +124,7 @@
         there = self._configuration.data_centres_by_id.get(data_centre)
         if there is None or there.service is Service.OUT:
             return False
-        return shape_fits(record.profile.shape, there)
+        return profile_fits(record.profile, there, self._configuration)
 
     def _is_due(self, job: JobId, now: Seconds) -> bool:
         proposed_at = self._proposed_at_by_job.get(job)
--- a/packages/core/src/bulrushhollow_core/jobs/_eviction.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_eviction.py
@@ -49,7 +49,8 @@
     """Return what preempting a run wastes, in accelerator-seconds with surcharges."""
     profile = run.record.profile
     since = now if run.running_since is None else run.running_since
-    lost = CHECKPOINT_COST if profile.checkpointable else now - since + CHECKPOINT_COST
+    keeps_work = profile.checkpointable and not run.checkpoint_failed
+    lost = CHECKPOINT_COST if keeps_work else now - since + CHECKPOINT_COST
     surcharge = 0.0 if profile.idempotent else UNSAFE_COST
     rank = max(URGENCY_RANKS.values()) - URGENCY_RANKS[profile.urgency]
     return lost * run.accelerators + surcharge + rank * URGENCY_COST
--- a/packages/core/src/bulrushhollow_core/jobs/_gangs.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_gangs.py
@@ -82,6 +82,7 @@
         self.heard_until = Seconds(float("-inf"))
         self._limits: list[_Limit] = []
         self._waiting: dict[JobId, None] = {}
+        self._failed_checkpoints: set[JobId] = set()
         self._fleet = fleet
         self._witness = witness
         self._health = health
@@ -141,6 +142,10 @@
         else:
             self.stop(run, Cause.WITHDRAWN, now)
 
+    def forget(self, job: JobId) -> None:
+        """Forget a job that will not be started here again."""
+        self._failed_checkpoints.discard(job)
+
     def evict(self, job: JobId, cause: Cause, now: Seconds) -> None:
         """Checkpoint an attempt, or stop it if it can't be; it is over within the grace limit."""
         run = self.runs_by_job[job]
@@ -171,6 +176,9 @@
         task = run.tasks_by_id[report.task]
         if task.state is report.state:
             return
+        if task.state is TaskState.CHECKPOINTING and report.state is TaskState.RUNNING:
+            self._failed_checkpoints.add(run.job)
+            run.checkpoint_failed = True
         note_state(task, report.state)
         if task.state in FINAL_TASK_STATES:
             self._task_over(run, task, report, now)
@@ -245,6 +253,7 @@
     ) -> Run:
         run = Run(record, attempt, place, standing, phase, now, unit)
         run.tasks_by_id = make_tasks(record.job, attempt, place)
+        run.checkpoint_failed = record.job in self._failed_checkpoints
         self.runs_by_job[record.job] = run
         for task in run.tasks_by_id.values():
             self._fleet.hold(run.job, task.worker, run.need, 1)
@@ -380,7 +389,8 @@
         suspect = self._health.is_suspect(task.worker)
         if self._health.failed(task.worker, run.job, now):
             self.quarantine.append(self._fleet.workers_by_id[task.worker])
-        if task.state is TaskState.FAILED and not suspect:
+        widespread = len(self._health.workers_failed_by(run.job)) >= self._settings.failure_limit
+        if task.state is TaskState.FAILED and (widespread or not suspect):
             run.job_suspected = True
 
     def _let_go(self, run: Run, task: GangTask) -> None:
--- a/packages/core/src/bulrushhollow_core/jobs/_planner.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_planner.py
@@ -16,6 +16,7 @@
 from bulrushhollow_core.jobs._health import Health
 from bulrushhollow_core.jobs._ledger import JobRecord
 from bulrushhollow_core.jobs._packing import (
+    NO_WORKERS,
     Room,
     find_free_worker,
     find_place,
@@ -39,6 +40,9 @@
 WORTH_MOVING = 0.25
 """Work may be moved aside for a gang if that wastes at most this share of the gang's own work."""
 
+MOST_AVOIDED = 4
+"""A job avoids workers on which it failed only while they are at most one in this many."""
+
 SMALLER = 0.5
 """Only jobs of at most this share of a gang's accelerators are moved aside for it."""
 
@@ -83,6 +87,7 @@
     def forget(self, job: JobId) -> None:
         """Forget a job that will not be started here again."""
         self._reservations.drop(job)
+        self._gangs.forget(job)
         self._evictions_by_job.pop(job, None)
 
     def plan(self, now: Seconds) -> None:
@@ -277,7 +282,10 @@
         return reserved | self._failed_on(record)
 
     def _failed_on(self, record: JobRecord) -> frozenset[WorkerId]:
-        return self._health.workers_failed_by(record.job)
+        """Return workers to avoid for a job, unless that would leave it too few."""
+        failed = self._health.workers_failed_by(record.job)
+        few = len(failed) * MOST_AVOIDED > len(self._fleet.workers_by_id)
+        return NO_WORKERS if few else failed
 
     def _find(self, shape: Shape, room: Room) -> Placement | None:
         if shape.adjacency is Adjacency.WORKER or shape.tasks == 1:
--- a/packages/core/src/bulrushhollow_core/jobs/_runs.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_runs.py
@@ -89,6 +89,7 @@
     :param proposal: the command that waits for the log, if any.
     :param sent: whether any start order may have left.
     :param claimed_at: when its workers were reserved.
+    :param checkpoint_failed: whether a checkpoint of the job has failed before.
     """
 
     record: JobRecord
@@ -109,6 +110,7 @@
     claimed_at: Seconds = Seconds(0.0)
     lost_quickly: bool = False
     job_suspected: bool = False
+    checkpoint_failed: bool = False
 
     @property
     def job(self) -> JobId:
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -133,9 +133,9 @@
 
     def test_work_that_can_not_be_preempted_never_takes_guaranteed_room(self) -> None:
         firm = job_profile("firm", idempotent=False)
-        job = self.submit("firm", firm)
-        self.pass_time(60.0)
-        self.assertIs(self.record(job).state, JobState.QUEUED)
+        refused = self.site.submit(JobId("firm"), firm)
+        assert isinstance(refused, Refusal)
+        self.assertIs(refused.reason, Reason.NEVER_FITS)
         self.build(make_configuration(workers=3))
         jobs = [self.submit(f"f{n}", firm, run=900.0) for n in range(9)]
         self.pass_time(60.0)
@@ -207,6 +207,21 @@
         self.assertIs(self.record(job).end, JobEnd.FAILED)
         self.assertEqual(self.site.schedulers_by_id[NORTH].status(self.site.now).quarantined, ())
 
+    def test_several_jobs_that_always_fail_all_end_on_a_small_site(self) -> None:
+        self.build(make_configuration(workers=4))
+        jobs = [self.submit(f"poison{n}", SMALL, fails=True) for n in range(3)]
+        self.pass_time(1_500.0)
+        self.assertTrue(all(self.record(job).end is JobEnd.FAILED for job in jobs))
+
+    def test_job_fails_again_after_its_first_worker_succeeded_with_another(self) -> None:
+        self.build(make_configuration(workers=4))
+        bad = self.submit("poison", SMALL, fails=True)
+        for number in range(6):
+            self.submit(f"good{number}", SMALL, run=0.4)
+            self.pass_time(1.0)
+        self.pass_time(30.0)
+        self.assertIs(self.record(bad).end, JobEnd.FAILED)
+
     def test_worker_on_which_everything_fails_is_quarantined_and_brought_back(self) -> None:
         self.build(make_configuration(workers=3))
         bad = self.site.platforms_by_id[NORTH].workers_by_id[WorkerId("north-r1-0")]
