--- a/packages/core/src/bulrushhollow_core/jobs/_gangs.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_gangs.py
@@ -75,7 +75,6 @@
         self.runs_by_job: dict[JobId, Run] = {}
         self.transit: dict[JobId, None] = {}
         self.tally = Tally()
-        self.quarantine: list[Worker] = []
         self.acquitted: list[Worker] = []
         self.closed: list[Run] = []
         self.is_pressing = False
@@ -387,8 +386,7 @@
 
     def _blame(self, run: Run, task: GangTask, now: Seconds) -> None:
         suspect = self._health.is_suspect(task.worker)
-        if self._health.failed(task.worker, run.job, now):
-            self.quarantine.append(self._fleet.workers_by_id[task.worker])
+        self._health.failed(task.worker, run.job, now)
         widespread = len(self._health.workers_failed_by(run.job)) >= self._settings.failure_limit
         if task.state is TaskState.FAILED and (widespread or not suspect):
             run.job_suspected = True
@@ -407,6 +405,7 @@
         if run.all_in(TaskState.SUCCEEDED) and run.running_since is not None:
             elapsed = Seconds(now - run.running_since)
             self._estimates.observe(run.record.profile, elapsed)
+            self._health.job_succeeded(run.job, now)
         run.proposal = judge(run, self.epoch, self._settings)
         run.proposed_at = Seconds(float("-inf"))
         self._enter(run, Phase.SETTLING, now, Seconds(float("inf")))
--- a/packages/core/src/bulrushhollow_core/jobs/_health.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_health.py
@@ -3,8 +3,9 @@
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Tells workers on which everything fails from jobs that fail everywhere. A worker is quarantined
-when several different jobs in a row failed on it and none of those is known to fail elsewhere;
-after a while it gets one job as a probe, whose outcome decides.
+when several different jobs in a row failed on it. A job that then fails elsewhere too is no
+evidence any more, and the worker is pardoned; one that succeeds elsewhere confirms it. After a
+while a quarantined worker gets one job as a probe, whose outcome decides.
 """
 
 import msgspec
@@ -12,7 +13,7 @@
 from bulrushhollow_core.ids import JobId, Seconds, WorkerId
 from bulrushhollow_core.jobs._views import SchedulerSettings
 
-PROBATION = Seconds(600.0)
+PROBATION = Seconds(120.0)
 """A worker for which no probe turns up within this time is used again without one."""
 
 
@@ -23,12 +24,14 @@
     :param failed_jobs: different jobs, in the order in which they failed.
     :param spells: quarantines in a row.
     :param until: end of the present quarantine.
+    :param limit: number of failed jobs that brought it into quarantine.
     :param probing: whether the quarantine is over but not yet lifted by a success.
     """
 
     failed_jobs: dict[JobId, None] = {}
     spells: int = 0
     until: Seconds | None = None
+    limit: int = 0
     probing: bool = False
     probing_since: Seconds = Seconds(0.0)
 
@@ -40,6 +43,8 @@
         self._settings = settings
         self._records_by_worker: dict[WorkerId, _Record] = {}
         self._workers_by_job: dict[JobId, set[WorkerId]] = {}
+        self.newly_quarantined: list[WorkerId] = []
+        self.pardoned: list[WorkerId] = []
 
     def is_quarantined(self, worker: WorkerId) -> bool:
         """Return whether a worker is in quarantine or on probation."""
@@ -74,23 +79,19 @@
         """Return the workers on which a live job has failed before."""
         return frozenset(self._workers_by_job.get(job, ()))
 
-    def failed(self, worker: WorkerId, job: JobId, now: Seconds) -> bool:
-        """
-        Note that a job failed on a worker.
-
-        :return: whether the worker goes into quarantine by it.
-        """
-        record = self._records_by_worker.setdefault(worker, _Record())
-        record.failed_jobs[job] = None
+    def failed(self, worker: WorkerId, job: JobId, now: Seconds) -> None:
+        """Note that a job failed on a worker, which may bring the worker into quarantine."""
         workers = self._workers_by_job.setdefault(job, set())
         workers.add(worker)
         if len(workers) > 1:
-            self._acquit(job, workers)
-        limit = 1 if record.probing else self._settings.suspect_failures
-        if record.until is not None or len(record.failed_jobs) < limit:
-            return False
-        self._quarantine(record, now)
-        return True
+            self._withdraw(job, workers)
+        else:
+            self._accuse(worker, job, now)
+
+    def job_succeeded(self, job: JobId, now: Seconds) -> None:
+        """Note that a job ran well in the end, which tells against workers it failed on."""
+        for worker in sorted(self._workers_by_job.get(job, ())):
+            self._accuse(worker, job, now)
 
     def succeeded(self, worker: WorkerId) -> None:
         """Note that a task ran well on a worker; it does not shorten a quarantine."""
@@ -129,18 +130,27 @@
         """Forget a worker that the platform no longer lists."""
         self._records_by_worker.pop(worker, None)
 
-    def _acquit(self, job: JobId, workers: set[WorkerId]) -> None:
-        """A job that fails on several sound workers is no evidence against any of them."""
-        sound = [worker for worker in workers if not self.is_suspect(worker)]
-        if len(sound) < 2:
-            return
-        for worker in sound:
+    def _accuse(self, worker: WorkerId, job: JobId, now: Seconds) -> None:
+        record = self._records_by_worker.setdefault(worker, _Record())
+        record.failed_jobs[job] = None
+        limit = 1 if record.probing else self._settings.suspect_failures
+        if record.until is None and len(record.failed_jobs) >= limit:
+            self._quarantine(record, now)
+            self.newly_quarantined.append(worker)
+
+    def _withdraw(self, job: JobId, workers: set[WorkerId]) -> None:
+        for worker in sorted(workers):
             record = self._records_by_worker.get(worker)
-            if record is not None:
-                record.failed_jobs.pop(job, None)
+            if record is None or job not in record.failed_jobs:
+                continue
+            del record.failed_jobs[job]
+            if record.until is not None and len(record.failed_jobs) < record.limit:
+                del self._records_by_worker[worker]
+                self.pardoned.append(worker)
 
     def _quarantine(self, record: _Record, now: Seconds) -> None:
         length = self._settings.quarantine * 2**record.spells
         record.until = Seconds(now + min(length, self._settings.longest_quarantine))
+        record.limit = len(record.failed_jobs)
         record.spells += 1
         record.probing = False
--- a/packages/core/src/bulrushhollow_core/jobs/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_scheduler.py
@@ -395,16 +395,18 @@
             lead.gangs.stop(run, Cause.CANCELLED, now)
 
     def _apply_health(self, lead: _Leadership, now: Seconds) -> None:
-        for worker in lead.gangs.quarantine:
-            lead.fleet.set_quarantined(worker, True)
-            lead.witness.worker_lost(worker)
-        lead.gangs.quarantine.clear()
-        returned = list(lead.gangs.acquitted)
-        lead.gangs.acquitted.clear()
+        known = lead.fleet.workers_by_id
+        for name in lead.health.newly_quarantined:
+            lead.fleet.set_quarantined(known[name], True)
+            lead.witness.worker_lost(known[name])
+        lead.health.newly_quarantined.clear()
         lead.health.ended_quarantines(now)
         overdue = lead.health.overdue_probations(now)
-        known = lead.fleet.workers_by_id
-        returned += [known[worker] for worker in overdue if known[worker].quarantined]
+        returned = list(lead.gangs.acquitted)
+        returned += [known[name] for name in (*lead.health.pardoned, *overdue)]
+        lead.gangs.acquitted.clear()
+        lead.health.pardoned.clear()
+        returned = [worker for worker in returned if worker.quarantined]
         for worker in returned:
             lead.fleet.set_quarantined(worker, False)
             lead.fleet.releases += 1
