--- a/packages/core/src/bulrushhollow_core/configuration/_edits.py
+++ b/packages/core/src/bulrushhollow_core/configuration/_edits.py
@@ -20,7 +20,7 @@
     SetEndpointService,
 )
 from bulrushhollow_core.ids import Version
-from bulrushhollow_core.models import Configuration, DataCentre, Service
+from bulrushhollow_core.models import Configuration, DataCentre, Service, Switched
 
 Key = TypeVar("Key")
 Value = TypeVar("Value")
@@ -33,7 +33,7 @@
     :return: a new configuration with the next version.
     """
     after = _changed(edit, configuration)
-    return msgspec.structs.replace(after, version=Version(configuration.version + 1))
+    return msgspec.structs.replace(after, version=_next_version(configuration))
 
 
 def _changed(edit: Edit, before: Configuration) -> Configuration:
@@ -50,7 +50,8 @@
         case RemoveWorkspace(id=id):
             return replace(before, workspaces_by_id=_without(before.workspaces_by_id, id))
         case PutDataCentre(data_centre=data_centre):
-            return _with_data_centre(before, _keep_service(data_centre, before))
+            declared = _keep_service(data_centre, before)
+            return _with_data_centre(before, declared)
         case SetDataCentreService():
             present = before.data_centres_by_id[edit.id]
             changed = replace(present, service=edit.service, drain=edit.drain)
@@ -72,6 +73,27 @@
     return msgspec.structs.replace(data_centre, service=present.service, drain=present.drain)
 
 
+def _next_version(before: Configuration) -> Version:
+    return Version(before.version + 1)
+
+
 def _with_data_centre(before: Configuration, data_centre: DataCentre) -> Configuration:
-    data_centres = {**before.data_centres_by_id, data_centre.id: data_centre}
-    return msgspec.structs.replace(before, data_centres_by_id=data_centres)
+    id = data_centre.id
+    switched = {**before.switched_by_data_centre, id: _switched(data_centre, before)}
+    return msgspec.structs.replace(
+        before,
+        data_centres_by_id={**before.data_centres_by_id, id: data_centre},
+        switched_by_data_centre=switched,
+    )
+
+
+def _switched(after: DataCentre, before: Configuration) -> Switched:
+    present = before.data_centres_by_id.get(after.id)
+    version = _next_version(before)
+    if present is None:
+        return Switched(version, version)
+    earlier = before.switched_by_data_centre[after.id]
+    return Switched(
+        earlier.service if present.service is after.service else version,
+        earlier.isolation if present.isolation is after.isolation else version,
+    )
--- a/packages/core/src/bulrushhollow_core/endpoints.py
+++ b/packages/core/src/bulrushhollow_core/endpoints.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from bulrushhollow_core.ids import DataCentreId, EndpointId
+from bulrushhollow_core.ids import DataCentreId, EndpointId, Int64
 
 RUN_PATH = "/run"
 """An entry posts a request's body to this path of the endpoint."""
@@ -34,12 +34,15 @@
 FORWARDED_HEADER = "forwarded-by"
 """
 Name of the entry instance of another data centre that sends a request on. Such a request is not
-sent on again, and the answer repeats the ``request-id`` header that came with it.
+sent on again, and the answer, a refusal too, repeats the ``request-id`` header that came with it.
 """
 
 EXECUTION_HEADER = "execution"
 """Set by an entry instance on the answer to a request: whether the work ran."""
 
+REASON_HEADER = "reason"
+"""Set by an entry instance on a refusal; an endpoint's own answer does not have it."""
+
 
 class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag="announcement"):
     """
@@ -56,12 +59,12 @@
 
     endpoint: EndpointId
     data_centre: DataCentreId
-    incarnation: int
-    sequence: int
+    incarnation: Int64
+    sequence: Int64
     address: str
     service: str
-    slots: int
-    connections: int
+    slots: Int64
+    connections: Int64
     leaving: bool = False
 
 
--- a/packages/core/src/bulrushhollow_core/platform.py
+++ b/packages/core/src/bulrushhollow_core/platform.py
@@ -9,10 +9,11 @@
 """
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
-from bulrushhollow_core.ids import Attempt, Epoch, JobId, RackId, TaskId, WorkerId
+from bulrushhollow_core.ids import INT64, Attempt, Epoch, Int64, JobId, RackId, TaskId, WorkerId
 from bulrushhollow_core.models import Resources
 
 
@@ -121,6 +122,8 @@
     :param since: cursor of the last answer; 0 asks for everything.
     :param acknowledged: tasks whose final state the caller has recorded.
     :param number: counts the calls of one holder; the answer repeats it.
+    :param valid_until: reading of the platform's clock after which it refuses the call, as one
+        that was held up on its way; 0 sets no limit.
     """
 
     epoch: Epoch
@@ -129,6 +132,7 @@
     since: int = 0
     acknowledged: tuple[TaskId, ...] = ()
     number: int = 0
+    valid_until: float = 0.0
 
 
 class PlatformAnswer(msgspec.Struct, frozen=True):
@@ -140,10 +144,14 @@
     :param cursor: to be passed as ``since`` next time.
     :param workers: workers whose report changed since the caller's cursor.
     :param number: that of the call; 0 from a platform that does not repeat it.
+    :param clock: reading of the platform's own monotonic clock, in seconds.
+    :param late: whether the call was refused for its ``valid_until``.
     """
 
-    highest_epoch: Epoch
+    highest_epoch: Annotated[Epoch, INT64]
     fenced: bool
-    cursor: int
+    cursor: Int64
     workers: tuple[WorkerReport, ...] = ()
     number: int = 0
+    clock: float = 0.0
+    late: bool = False
--- a/packages/core/src/bulrushhollow_core/requests/_granter.py
+++ b/packages/core/src/bulrushhollow_core/requests/_granter.py
@@ -7,6 +7,7 @@
 no bound covers.
 """
 
+import math
 import zlib
 
 import msgspec
@@ -28,12 +29,15 @@
     :param grant_time: seconds for which requests may be started under a grant.
     :param close_hold: seconds for which an endpoint may go on working on a request whose
         connection was closed.
+    :param late_hold: seconds for which it may go on working on a request that it did not answer
+        in time.
     :param busy_interval: seconds between two reports while the load changes.
     :param idle_interval: seconds between two reports otherwise.
     """
 
     grant_time: Seconds = Seconds(3.0)
     close_hold: Seconds = Seconds(2.0)
+    late_hold: Seconds = Seconds(10.0)
     busy_interval: Seconds = Seconds(0.2)
     idle_interval: Seconds = Seconds(0.5)
 
@@ -57,9 +61,9 @@
         self.instance = instance
         self.name = name_of(instance)
         self.number = 0
-        self.heard_at = Seconds(0.0)
+        self.heard_at = Seconds(-math.inf)
         self.started_at = Seconds(0.0)
-        self.may_start_until = Seconds(0.0)
+        self.may_start_until = Seconds(-math.inf)
         self.bounds_by_endpoint: dict[EndpointId, int] = {}
         self.demand_by_service: dict[str, int] = {}
 
@@ -67,6 +71,7 @@
         """Take in a report; it tells all that the member has, as no older grant counts any more."""
         self.number = report.number
         self.heard_at = now
+        self.may_start_until = max(self.may_start_until, now)
         self.started_at = Seconds(now - report.up_for)
         self.bounds_by_endpoint = {use.endpoint: use.held for use in report.uses}
         self.demand_by_service = {demand.service: demand.requests for demand in report.demand}
--- a/packages/core/src/bulrushhollow_core/requests/_shares.py
+++ b/packages/core/src/bulrushhollow_core/requests/_shares.py
@@ -35,6 +35,9 @@
 LONGEST_ATTEMPT = Seconds(30.0)
 """Seconds that an attempt may take while no profile says otherwise."""
 
+NO_HOLD = Seconds(0.0)
+"""The endpoint has ended its work."""
+
 DEFAULT_SETTINGS = ShareSettings()
 """Times of the sharing unless the operators set others."""
 
@@ -79,6 +82,7 @@
         self._may_start_until = now
         self._held: dict[EndpointId, int] = {}
         self._in_use: Counter[EndpointId] = Counter()
+        self._taken: dict[EndpointId, Announcement] = {}
         self._demand_by_service: dict[str, float] = {}
         self._demand_at = now
         self._later: list[tuple[Seconds, EndpointId]] = []
@@ -176,18 +180,19 @@
         if self.free(endpoint, now) == 0:
             return False
         self._in_use[endpoint.endpoint] += 1
+        self._taken[endpoint.endpoint] = endpoint
         return True
 
-    def give_back(self, endpoint: EndpointId, now: Seconds, ended: bool = True) -> None:
+    def give_back(self, endpoint: EndpointId, now: Seconds, hold: Seconds = NO_HOLD) -> None:
         """
         Give back what :meth:`take` took.
 
-        :param ended: False if the endpoint may go on working although the connection was closed.
+        :param hold: seconds for which the endpoint may go on working on the request.
         """
-        if ended:
+        if hold <= 0:
             self._release(endpoint)
         else:
-            heapq.heappush(self._later, (Seconds(now + self._settings.close_hold), endpoint))
+            heapq.heappush(self._later, (Seconds(now + hold), endpoint))
 
     def connections(self, endpoint: Announcement) -> int:
         """Return how many connections this instance may have open to an endpoint."""
@@ -226,18 +231,20 @@
 
     def _pooled_uses(self, now: Seconds) -> dict[EndpointId, int]:
         """Slots in use, by endpoint, that are not this instance's own."""
-        own_by_endpoint = {
-            endpoint.endpoint: self._own(endpoint, now) for endpoint in self._directory.local(now)
-        }
         return {
-            endpoint: max(0, used - own_by_endpoint.get(endpoint, 0))
+            endpoint: max(0, used - self._own(self._latest(endpoint), now))
             for endpoint, used in self._in_use.items()
         }
 
+    def _latest(self, endpoint: EndpointId) -> Announcement:
+        """Return what is known of an endpoint in use, however long it has been silent."""
+        return self._directory.find(endpoint) or self._taken[endpoint]
+
     def _release(self, endpoint: EndpointId) -> None:
         self._in_use[endpoint] -= 1
         if self._in_use[endpoint] == 0:
             del self._in_use[endpoint]
+            del self._taken[endpoint]
 
     def _has_changed(self, now: Seconds) -> bool:
         last = self._reported
--- a/tests/test_client_sessions.py
+++ b/tests/test_client_sessions.py
@@ -55,6 +55,11 @@
         with self.assertRaises(exceptions.WorkFailedError):
             response.raise_for_status()
 
+    def test_endpoint_answer_that_looks_like_a_refusal_is_passed_on(self) -> None:
+        body = refused(Reason.NO_ENDPOINT).body
+        response = self.request(WholeAnswer(503, RAN.headers, body))
+        self.assertEqual(body, response.content)
+
     def test_lost_answer_of_non_idempotent_request_is_not_asked_for_again(self) -> None:
         with self.assertRaises(exceptions.OutcomeUnknownError):
             self.request(LOST, RAN)
@@ -123,6 +128,13 @@
 
 
 class JobTest(unittest.TestCase):
+    def test_refusal_of_one_instance_after_a_lost_answer_stays_unknown(self) -> None:
+        """An instance that lags behind the log refuses by what it knows, not by the log."""
+        for reason in (Reason.DATA_CENTRE_OUT, Reason.NO_SUCH_PROFILE, Reason.QUOTA):
+            adapter = FakeAdapter(LOST, refused(reason))
+            with self.subTest(reason), self.assertRaises(exceptions.OutcomeUnknownError):
+                carry(adapter, lambda session: session.submit("grip", job_id="a"), (FIRST, SECOND))
+
     def test_submission_keeps_its_job_id_and_quotes_it(self) -> None:
         answer = answered(JobAnswer(JobId("a/b"), JobStage.QUEUED))
         adapter = FakeAdapter(LOST, answer, answer)
