--- a/bench/policy_trace.py
+++ b/bench/policy_trace.py
@@ -152,9 +152,7 @@
 
 def without_faults(trace: Trace) -> Trace:
     """Return the same trace with no fault in it."""
-    jobs = (
-        msgspec.structs.replace(job, fails=False, checkpoint_fails=False) for job in trace.jobs
-    )
+    jobs = (msgspec.structs.replace(job, fails=False, checkpoint_fails=False) for job in trace.jobs)
     return msgspec.structs.replace(trace, jobs=tuple(jobs), faults=())
 
 
