--- a/packages/core/src/bulrushhollow_core/authority/_authority.py
+++ b/packages/core/src/bulrushhollow_core/authority/_authority.py
@@ -324,9 +324,10 @@
         self._candidacy = None
         if candidacy is None:
             return []
-        self._stand_at = self._jittered(Seconds(now + candidacy.wait))
         if candidacy.votes is None:
+            self._stand_at = self._jittered(Seconds(now + candidacy.wait))
             return []
+        self._stand_at = self._jittered(now)
         self._lease = None
         return self._give_up(candidacy.votes.epoch, None)
 
--- a/packages/core/src/bulrushhollow_core/authority/_timing.py
+++ b/packages/core/src/bulrushhollow_core/authority/_timing.py
@@ -19,7 +19,7 @@
 LEADING_FLAG_LIMIT = Seconds(0.25)
 """Seconds for which a witness relies on what it was last told about the log's leader."""
 
-CANDIDACY_LIMIT = Seconds(0.5)
+CANDIDACY_LIMIT = Seconds(0.3)
 """Seconds within which a candidate must have its votes."""
 
 JITTER = Seconds(0.3)
