--- a/packages/daemon/src/bulrushhollow_daemon/backend.py
+++ b/packages/daemon/src/bulrushhollow_daemon/backend.py
@@ -8,6 +8,7 @@
 import itertools
 import logging
 import math
+import secrets
 from collections.abc import Callable
 
 import msgspec
@@ -33,6 +34,9 @@
 from bulrushhollow_daemon.tracing import Tracer
 from bulrushhollow_daemon.transport import Transport
 
+PROCESS_BYTES = 6
+"""Random bytes that tell the requests of one process from those of another."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -49,11 +53,13 @@
         self._tracer = tracer
         self._reports = Reports(runtime.node)
         self._metrics = Metrics(runtime.node, clock.now)
+        self._process = secrets.token_hex(PROCESS_BYTES)
         self._numbers = itertools.count(1)
 
     def new_request(self) -> RequestId:
         """Return an id that no other request has."""
-        return RequestId(f"{self._runtime.node.identity.me}-{next(self._numbers)}")
+        name = self._runtime.node.identity.name
+        return RequestId(f"{name}.{self._process}-{next(self._numbers)}")
 
     async def call(self, event: Callable[[CallId], Event]) -> msgspec.Struct:
         """Feed an event to the core and wait for its reply."""
@@ -98,6 +104,14 @@
         """Return the state of every job that is remembered."""
         return self._reports.jobs()
 
+    def has_caught_up(self) -> bool:
+        """Tell whether this instance has seen the newest configuration since its start."""
+        return self._runtime.node.has_caught_up
+
+    def is_stopping(self) -> bool:
+        """Tell whether a planned stop has begun."""
+        return self._runtime.node.is_stopping
+
     def metrics(self) -> bytes:
         """Return the metrics in Prometheus' text format."""
         return self._metrics.text()
