--- a/bench/failures_callers.py
+++ b/bench/failures_callers.py
@@ -2,8 +2,8 @@
 bench.failures_callers
 ~~~~~~~~~~~~~~~~~~~~~~
 
-The callers and operators of a failure run: one caller for each kind of work at each entry
-instance, which waits for one answer before its next call.
+The callers and operators of a failure run: a bounded number for each kind of work at each entry
+instance, each waiting for one answer before its next call.
 """
 
 import random
@@ -26,10 +26,13 @@
 from bulrushhollow_core.outcomes import Execution, Reason
 from standins._endpoint import ANSWER_PREFIX
 
+CALLERS_PER_KIND = 3
+"""Callers that send one kind of request to one entry instance."""
+
 REQUEST_PAUSE = 0.3
 """Seconds on average between an answer and the next request of one caller."""
 
-JOB_PAUSE = 2.0
+JOB_PAUSE = 1.0
 """Seconds on average between two jobs of one submitter."""
 
 CHANGE_INTERVAL = 1.0
@@ -73,7 +76,7 @@
         """Send work until :meth:`stop`, and return once everything has its outcome."""
         async with anyio.create_task_group() as tasks:
             for name in self._site.daemons:
-                for kind in REQUEST_KINDS:
+                for kind in REQUEST_KINDS * CALLERS_PER_KIND:
                     tasks.start_soon(self._send_requests, name, kind)
                 tasks.start_soon(self._send_jobs, name)
             await self._send_changes(tasks)
--- a/bench/failures_site.py
+++ b/bench/failures_site.py
@@ -60,7 +60,7 @@
 LEAVE_SECONDS = 6.0
 """Seconds for which a leaving endpoint still runs what it is sent."""
 
-JOB_SECONDS = 0.5
+JOB_SECONDS = 2.0
 """Seconds that a task runs."""
 
 CHANGED_PROFILES = tuple(f"changed-{number}" for number in range(8))
@@ -167,7 +167,7 @@
         log = self._folder / f"{name}.runs"
         command = [sys.executable, "-m", "standins.endpoint", "--id", name, "--service", SERVICE]
         place = ["--data-centre", data_centre, "--announce-to", ",".join(self.cluster.entries)]
-        behaviour = ["--slots", str(SLOTS), "--slow-ms", "20", "--jitter-ms", "80"]
+        behaviour = ["--slots", str(SLOTS), "--slow-ms", "200", "--jitter-ms", "300"]
         ending = ["--leave-seconds", str(LEAVE_SECONDS), "--run-log", str(log)]
         child = Child(name, [*command, *place, *behaviour, *ending])
         self._stack.enter_context(child)
