Call the worker platform less often while there is no job

Cause: an idle lease holder spent 0.5% of a core on calls to its platform. Change: one call in 2 s while the data centre has no job; periodic peer messages wait up to 0.5 s for each other.

--- a/packages/core/src/bulrushhollow_core/jobs/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_scheduler.py
@@ -128,6 +128,11 @@
         lead = self._lead
         return lead is not None and (lead.gangs.is_pressing or not lead.heard)
 
+    @property
+    def has_work(self) -> bool:
+        """Return whether any job of the data centre is queued or started."""
+        return self._lead is not None and bool(self._lead.records_by_job)
+
     @property
     def is_busy(self) -> bool:
         """Return whether attempts wait for the log or for reports, so that time matters now."""
--- a/packages/core/src/bulrushhollow_core/node/_site.py
+++ b/packages/core/src/bulrushhollow_core/node/_site.py
@@ -28,6 +28,9 @@
 from bulrushhollow_core.outcomes import Refusal
 from bulrushhollow_core.platform import PlatformAnswer, PlatformCall
 
+IDLE_SYNC_INTERVAL = Seconds(2.0)
+"""Seconds between two calls to the platform while the data centre has no job."""
+
 URGENT_INTERVAL = Seconds(0.02)
 """Seconds between two calls to the platform when something is pressing."""
 
@@ -155,7 +158,8 @@
             return []
         since_last = now - self._call_at
         pressing = self.scheduler.urgent_call and since_last >= URGENT_INTERVAL
-        if since_last < SYNC_INTERVAL and not pressing:
+        interval = SYNC_INTERVAL if self.scheduler.has_work else IDLE_SYNC_INTERVAL
+        if since_last < interval and not pressing:
             return []
         self._call_at = now
         self._outstanding = _Outstanding(held.epoch, now)
--- a/packages/daemon/src/bulrushhollow_daemon/transport.py
+++ b/packages/daemon/src/bulrushhollow_daemon/transport.py
@@ -40,7 +40,7 @@
 """Seconds without any envelope after which a stream counts as broken."""
 REDIAL_INTERVAL = 0.5
 """Seconds between two tries to open a stream."""
-HOLD = 0.25
+HOLD = 0.5
 """Seconds for which a periodic message may wait for another one to go with."""
 PERIODIC = (AppliedVersion, EndpointNews, LoadReport, ShareReport)
 """Messages that are sent again and again, so that a short delay is harmless."""
