Spend less on an idle leader

Cause: the idle daemon spends more than 1 % of a core, and a part of it was the leader's walk over all peers at each event and the age of its quorum, which was sorted anew for each status.

Change: the time of the last majority is kept up to date by answers, and the leader looks at its peers only when something changed. The commit bench uses one connection per sender, since one pool for 64 senders was the bottleneck.

--- a/bench/state_cluster.py
+++ b/bench/state_cluster.py
@@ -42,6 +42,9 @@
 COMMIT_SECONDS = 4.0
 """Seconds for which commits are counted."""
 
+COMMIT_TIMEOUT = 6.0
+"""Seconds after which a commit that was asked for is given up."""
+
 CHANGES = 60
 """Changes of configuration that are timed, one after the other."""
 
@@ -134,15 +137,17 @@
         self._emit_latency(subject, durations)
 
     async def _send_commits(self, entry: str, until: float, durations: list[float]) -> None:
+        adapter = HttpAdapter(max_connections=1)
         while time.monotonic() < until:
             began = time.monotonic()
-            if await self._commit(entry):
+            if await self._commit(adapter, entry, COMMIT_TIMEOUT):
                 durations.append(time.monotonic() - began)
+        await adapter.close()
 
-    async def _commit(self, entry: str, within: float = 6.0) -> bool:
+    async def _commit(self, adapter: HttpAdapter, entry: str, within: float) -> bool:
         """Cancel a job that does not exist: one log entry that changes nothing."""
         path = f"/v1/jobs/none-{next(self._numbers)}"
-        answer = await self._adapter.send(Call("DELETE", entry, path, b"", (), within))
+        answer = await adapter.send(Call("DELETE", entry, path, b"", (), within))
         return isinstance(answer, WholeAnswer) and b"no_such_job" in answer.body
 
     async def _measure_rollout(self) -> None:
@@ -194,7 +199,7 @@
         else:
             leader.stop()
             began = time.monotonic()
-        await self._until(lambda: self._commit(entry, within=0.5))
+        await self._until(lambda: self._commit(self._adapter, entry, STATUS_TIMEOUT))
         duration = time.monotonic() - began
         if kind == "frozen":
             leader.thaw()
--- a/packages/core/src/bulrushhollow_core/consensus/_leader.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_leader.py
@@ -15,7 +15,7 @@
     SnapshotChunk,
     TimeoutNow,
 )
-from bulrushhollow_core.consensus._progress import NEVER, Flow, Progress
+from bulrushhollow_core.consensus._progress import ALWAYS, NEVER, Flow, Progress
 from bulrushhollow_core.consensus._replica import Replica
 from bulrushhollow_core.consensus._types import EntryKind, LogEntry, LogId, Members, Timing
 from bulrushhollow_core.ids import InstanceId, LogIndex, Seconds, Term
@@ -53,11 +53,14 @@
         self._connected_by_id = connected
         self.progress_by_id: dict[InstanceId, Progress] = {}
         self._next_due = NEVER
+        self._quorum_at = begun_at
+        self._has_news = True
         self._target: InstanceId | None = None
         self._target_until = NEVER
         self.follow_members()
         for instance in granted - {replica.me}:
             self.progress_by_id[instance].heard_at = begun_at
+        self._note_quorum()
         self.first_index = replica.append_own(EntryKind.NOOP, b"").index
 
     @property
@@ -72,12 +75,12 @@
 
     def quorum_age(self, now: Seconds) -> Seconds:
         """Return seconds since a majority was last heard."""
-        heard = sorted((self._heard_at(voter, now) for voter in self.members.voters), reverse=True)
-        return Seconds(now - heard[self.members.quorum - 1])
+        return Seconds(max(0.0, now - self._quorum_at))
 
     def propose(self, kind: EntryKind, payload: bytes) -> LogEntry:
         """Append an entry; :meth:`flush` sends it."""
         entry = self._replica.append_own(kind, payload)
+        self._has_news = True
         if kind is EntryKind.MEMBERS:
             self.follow_members()
         return entry
@@ -92,6 +95,8 @@
         }
         self.progress_by_id = kept
         self._next_due = NEVER
+        self._has_news = True
+        self._note_quorum()
 
     def connect(self, peer: InstanceId) -> None:
         """Replicate to a peer that has become reachable."""
@@ -116,6 +121,9 @@
 
     def flush(self, now: Seconds) -> None:
         """Send what is new to the peers that can take it, and commit what a majority holds."""
+        if not self._has_news:
+            return
+        self._has_news = False
         self._advance_commit()
         for peer, progress in self._progress_of_connected():
             self._stream(peer, now)
@@ -124,10 +132,9 @@
 
     def receive_append_answer(self, source: InstanceId, answer: AppendAnswer, now: Seconds) -> None:
         """Take in how far a peer's log agrees."""
-        progress = self.progress_by_id.get(source)
+        progress = self._hear(source, answer)
         if progress is None:
             return
-        progress.heard(answer.sent_at, answer.stamp)
         if answer.success:
             progress.matched(answer.index)
         elif progress.rejected(answer.previous_index, answer.index):
@@ -138,10 +145,9 @@
         self, source: InstanceId, answer: SnapshotAnswer, now: Seconds
     ) -> None:
         """Send the next chunk of a snapshot, or the entries after it."""
-        progress = self.progress_by_id.get(source)
+        progress = self._hear(source, answer)
         if progress is None:
             return
-        progress.heard(answer.sent_at, answer.stamp)
         if answer.installed:
             progress.matched(answer.index)
             return
@@ -172,8 +178,22 @@
     def _progress_of_connected(self) -> list[tuple[InstanceId, Progress]]:
         return [(peer, self.progress_by_id[peer]) for peer in self._connected_by_id]
 
-    def _heard_at(self, voter: InstanceId, now: Seconds) -> Seconds:
-        return now if voter == self._replica.me else self.progress_by_id[voter].heard_at
+    def _hear(self, source: InstanceId, answer: AppendAnswer | SnapshotAnswer) -> Progress | None:
+        progress = self.progress_by_id.get(source)
+        if progress is not None:
+            progress.heard(answer.sent_at, answer.stamp)
+            self._has_news = True
+            self._note_quorum()
+        return progress
+
+    def _note_quorum(self) -> None:
+        """Keep the time of this clock at which a majority was last heard."""
+        heard = sorted(map(self._heard_at, self.members.voters), reverse=True)
+        self._quorum_at = heard[self.members.quorum - 1]
+
+    def _heard_at(self, voter: InstanceId) -> Seconds:
+        """Return when a voter was last heard; this one hears itself at all times."""
+        return ALWAYS if voter == self._replica.me else self.progress_by_id[voter].heard_at
 
     def _complete_hand_over(self) -> None:
         if self._target is None:
--- a/packages/core/src/bulrushhollow_core/consensus/_progress.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_progress.py
@@ -15,6 +15,9 @@
 NEVER = Seconds(-math.inf)
 """A reading of the clock before any other."""
 
+ALWAYS = Seconds(math.inf)
+"""A reading of the clock after any other."""
+
 MAX_UNANSWERED_ENTRIES = 1024
 """Most entries sent ahead of a peer's answers."""
 
