Elect soon after the leader's connection breaks, and name no silent leader

Cause: a killed leader was replaced only after the election timeout, although its connections broke at once; and an instance that was cut off went on naming the last leader, so that what it handed over to nobody counted as handed over.

Change: a voter that loses the connection to its leader asks for pre-votes within 0.5 s; voters that still hear the leader refuse. A leader that was silent for the longest election timeout is no longer named.

--- a/packages/core/src/bulrushhollow_core/consensus/_consensus.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_consensus.py
@@ -146,7 +146,8 @@
 
     def disconnect(self, peer: InstanceId, now: Seconds) -> list[msgspec.Struct]:
         """
-        Note that an incarnation of a peer can't be reached any more.
+        Note that an incarnation of a peer can't be reached any more. If it was the leader, an
+        election begins soon; the other voters grant it only if they have lost the leader too.
 
         :return: actions in the order in which to carry them out.
         """
@@ -154,6 +155,9 @@
         self._foreign -= {peer}
         if self._leader:
             self._leader.follow_members()
+        elif self._follower.leader == peer:
+            self._follower.forget_leader()
+            self._election.hurry(now)
         return self.flush(now)
 
     # Proposals.
@@ -168,7 +172,7 @@
         if len(payload) > MAX_PAYLOAD_BYTES:
             return TooLarge(MAX_PAYLOAD_BYTES)
         if self._leader is None:
-            return NotLeader(self._follower.leader)
+            return NotLeader(self._known_leader(now))
         if self._leader.handing_over_to:
             return NotLeader(self._leader.handing_over_to)
         entry = self._leader.propose(EntryKind.COMMAND, payload)
@@ -219,7 +223,7 @@
         :return: where the change stands in the log, or why there is none.
         """
         if self._leader is None:
-            return NotLeader(self._follower.leader)
+            return NotLeader(self._known_leader(now))
         reason = self._why_not_remove(member)
         if reason:
             return MemberChangeRefused(reason)
@@ -253,7 +257,7 @@
         return ConsensusStatus(
             role=self._role(),
             term=self._replica.term,
-            leader=self._me if leading else self._follower.leader,
+            leader=self._known_leader(now),
             commit_index=self._replica.commit_index,
             last_index=log.last_index,
             snapshot_index=log.snapshot_index,
@@ -267,6 +271,13 @@
         """Return the whole state of the log as journal records."""
         return self._replica.records()
 
+    def _known_leader(self, now: Seconds) -> InstanceId | None:
+        """Return the leader unless it has been silent for too long to be one."""
+        if self._leader:
+            return self._me
+        is_silent = now - self._follower.heard_at > self._timing.election_max
+        return None if is_silent else self._follower.leader
+
     def _caught_up_age(self, now: Seconds) -> Seconds:
         leading = self._leader
         if leading is None:
--- a/packages/core/src/bulrushhollow_core/consensus/_election.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_election.py
@@ -55,6 +55,11 @@
         self.phase = Phase.IDLE
         self.granted = frozenset()
 
+    def hurry(self, now: Seconds) -> None:
+        """Begin soon, since the connection to the leader was lost; others may still hear it."""
+        soon = Seconds(now + self._rng.uniform(0.0, self._timing.suspicion))
+        self._due = min(self._due, soon)
+
     def is_due(self, now: Seconds) -> bool:
         """Return whether no leader was heard for long enough; a sole voter need not wait."""
         is_sole_voter = self._replica.log.members.voters == {self._replica.me}
--- a/packages/core/src/bulrushhollow_core/consensus/_types.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_types.py
@@ -103,9 +103,12 @@
         that heard its leader within this time grants no vote.
     :param election_max: seconds without a leader before an election at the latest, and without
         a majority before a leader steps down.
+    :param suspicion: seconds after the connection to the leader is lost before an election at
+        the latest.
     """
 
     heartbeat: Seconds = Seconds(0.25)
     observer_heartbeat: Seconds = Seconds(0.5)
     election_min: Seconds = Seconds(1.0)
     election_max: Seconds = Seconds(2.0)
+    suspicion: Seconds = Seconds(0.5)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -61,6 +61,32 @@
         self.assertEqual([node.applied for node in nodes], [[b"1", b"2"]] * 3)
         cluster.oracle.check_complete()
 
+    def test_a_leader_whose_connections_break_is_replaced_before_the_election_timeout(self) -> None:
+        cluster, nodes = founded(10, "abc")
+        cluster.crash(nodes[0])
+        cluster.run(0.9)
+        self.assertIn(cluster.leader(), nodes[1:])
+
+    def test_one_broken_connection_does_not_depose_a_leader_that_the_others_hear(self) -> None:
+        cluster, nodes = founded(15, "abc")
+        core, cut_off = nodes[0].core, nodes[2].core
+        assert core and cut_off
+        term = core.status(cluster.now).term
+        cluster.cut = {frozenset((nodes[0].me, nodes[2].me))}
+        cluster.perform(nodes[2], cut_off.disconnect(nodes[0].me, cluster.now))
+        cluster.run(10)
+        status = core.status(cluster.now)
+        self.assertEqual((status.role, status.term), (Role.LEADER, term))
+
+    def test_a_silent_leader_is_no_longer_named(self) -> None:
+        cluster, nodes = founded(16, "abc", "x")
+        observer = nodes[3].core
+        assert observer
+        self.assertEqual(observer.status(cluster.now).leader, nodes[0].me)
+        cluster.cut = {frozenset((node.me, nodes[3].me)) for node in nodes[:3]}
+        cluster.run(3)
+        self.assertIsNone(observer.status(cluster.now).leader)
+
     def test_a_leader_without_a_majority_steps_down_and_says_how_old_its_quorum_is(self) -> None:
         cluster, nodes = founded(4, "abc", "x")
         cluster.partition([[nodes[0], nodes[3]], nodes[1:3]])
