--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -138,6 +138,22 @@
         self.assertEqual(len(late.applied), 1200)
         self.assertLess(cluster.largest_message, 80_000)
 
+    def test_a_snapshot_of_the_leader_outlasts_a_restart_of_the_newcomer(self) -> None:
+        cluster, nodes = founded(17, "ab")
+        cluster.propose(nodes[0], [b"%d" % n for n in range(600)])
+        cluster.run(1)
+        cluster.compact(nodes[0])
+        late = cluster.add("c")
+        cluster.run(3)
+        cluster.propose(nodes[0], [b"after"])
+        cluster.run(1)
+        cluster.partition([nodes, [late]])
+        cluster.crash(late)
+        cluster.restart(late)
+        assert late.core
+        self.assertGreaterEqual(late.core.status(cluster.now).snapshot_index, 600)
+        self.assertGreater(late.core.status(cluster.now).last_index, 602)
+
     def test_a_restart_from_a_snapshot_gives_the_same_state(self) -> None:
         cluster, nodes = founded(9, "a")
         cluster.propose(nodes[0], [b"%d" % n for n in range(500)])
