--- a/bench/requests_overload.py
+++ b/bench/requests_overload.py
@@ -8,10 +8,11 @@
 
 import anyio
 
+from bench.open_loop import OpenLoop, Sample
 from bench.report import emit, percentile
 from bench.requests_site import FORECASTS, LABELS, Site, open_baseline, open_site
 from bulrushhollow_core.outcomes import Execution
-from standins.load import CallOutcome, LoadCaller, LoadPlan, Traffic
+from standins.load import Traffic
 
 BENCH = "requests"
 SECONDS = 10.0
@@ -45,19 +46,20 @@
                 _report(seed, f"{subject}/load={load:g}", outcomes, site)
 
 
-def _send(site: Site, subject: str, rate: float, seed: int) -> list[CallOutcome]:
+def _send(site: Site, subject: str, rate: float, seed: int) -> list[Sample]:
     if subject == "bulrushhollowd":
         return _run(site.cluster.entries, rate, seed)
     with open_baseline(list(site.endpoints_by_name.values())) as baseline:
         return _run((baseline,), rate, seed)
 
 
-def _run(entries: tuple[str, ...], rate: float, seed: int) -> list[CallOutcome]:
-    plan = LoadPlan(entries, TRAFFIC, rate, int(rate * SECONDS * 2), SECONDS, seed)
-    return anyio.run(LoadCaller(plan).run)
+def _run(entries: tuple[str, ...], rate: float, seed: int) -> list[Sample]:
+    loop = OpenLoop(entries, TRAFFIC, rate, SECONDS, seed)
+    anyio.run(loop.run)
+    return loop.samples
 
 
-def _report(seed: int, subject: str, outcomes: list[CallOutcome], site: Site) -> None:
+def _report(seed: int, subject: str, outcomes: list[Sample], site: Site) -> None:
     for profile in (LABELS, FORECASTS):
         mine = [outcome for outcome in outcomes if outcome.profile == profile]
         whole = [outcome.took for outcome in mine if outcome.whole]
@@ -73,6 +75,8 @@
         if refused:
             value = round(1000 * percentile(refused, 0.99), 1)
             emit(BENCH, seed, name, "refusal p99", value, "ms")
+    lag = round(1000 * percentile([outcome.lag for outcome in outcomes], 0.99), 1)
+    emit(BENCH, seed, subject, "caller's lag p99", lag, "ms")
     counts = [site.counts(name) for name in site.endpoints_by_name]
     known = [one for one in counts if one is not None]
     emit(BENCH, seed, subject, "most slots used", max(one.most_slots for one in known), "1")
--- a/packages/core/src/bulrushhollow_core/requests/_admission.py
+++ b/packages/core/src/bulrushhollow_core/requests/_admission.py
@@ -25,6 +25,10 @@
 """Seconds after which to ask again at the soonest."""
 
 
+WAIT_MARGIN = 1.2
+"""Factor on the expected wait, so that few requests run out of time in the queue."""
+
+
 class RouterSettings(msgspec.Struct, frozen=True):
     """
     Bounds of a router.
@@ -92,12 +96,13 @@
         if not usable and not remotes:
             return self.no_endpoint()
         cost = self._times.cost(pending.profile.name)
+        needed = self.needed(pending)
         waits = [remote.load.wait for remote in remotes]
         if usable:
             waits.append(self.wait(pending, now))
-        left = pending.deadline - now
-        if min(waits) + cost > left and self._times.known(pending.profile.name) is not None:
-            retry_after = max(LEAST_RETRY, min(waits) + cost - left)
+        lacking = WAIT_MARGIN * min(waits) + needed - (pending.deadline - now)
+        if lacking > 0 and needed > 0:
+            retry_after = max(LEAST_RETRY, lacking)
             detail = "it could not be answered before its deadline"
             return Refusal(Reason.OVERLOADED, detail, retry_after=retry_after)
         evicted = self.queue(service).make_room(pending.waiting(cost))
@@ -106,10 +111,20 @@
             return Refusal(Reason.QUEUE_FULL, "the queue is full", retry_after=retry_after)
         return tuple(evicted)
 
+    def needed(self, pending: Pending) -> Seconds:
+        """
+        Return the time below which it is not worth sending a request.
+
+        It is never more than half of what the request had at first, so that an estimate that has
+        become too great is corrected by new answers.
+        """
+        at_first = pending.deadline - pending.arrived_at
+        return Seconds(min(self._times.needed(pending.profile.name), at_first / 2))
+
     def wait(self, pending: Pending, now: Seconds) -> Seconds:
         """Return the seconds that a request is expected to wait for a local slot."""
         service = pending.profile.service
-        if self._chooser.free(service, now) > 0 and not len(self.queue(service)):
+        if not len(self.queue(service)) and self._chooser.has_free(service, now):
             return Seconds(0.0)
         cost = self._times.cost(pending.profile.name)
         ahead = self.queue(service).cost_ahead(pending.waiting(cost)) + cost
--- a/packages/core/src/bulrushhollow_core/requests/_choice.py
+++ b/packages/core/src/bulrushhollow_core/requests/_choice.py
@@ -8,6 +8,7 @@
 
 import random
 from collections import Counter
+from itertools import islice
 
 from bulrushhollow_core.endpoints import Announcement
 from bulrushhollow_core.ids import InstanceName, Seconds
@@ -56,6 +57,11 @@
         """Return how many more requests of a service could be started here."""
         return sum(self._free(endpoint, now) for endpoint in self._directory.usable(service, now))
 
+    def has_free(self, service: str, now: Seconds) -> bool:
+        """Return whether a request of a service could be started here."""
+        usable = self._directory.usable(service, now)
+        return any(self._free(endpoint, now) > 0 for endpoint in usable)
+
     def endpoint(self, pending: Pending, now: Seconds) -> Announcement | None:
         """Return a local endpoint that can take the request now."""
         service = pending.profile.service
@@ -63,20 +69,13 @@
             limit = max(1, int(self.capacity(service, now) * OVERNIGHT_SHARE))
             if self.overnight_by_service[service] >= limit:
                 return None
-        open_endpoints = [
-            endpoint
-            for endpoint in self._directory.usable(service, now)
-            if self._free(endpoint, now) > 0
-        ]
-        steady = [
-            endpoint
-            for endpoint in open_endpoints
-            if not self._health.get(endpoint.endpoint).is_probing(now)
-        ]
+        usable = self._directory.usable(service, now)
+        shuffled = self._rng.sample(usable, len(usable))
+        untried = [one for one in shuffled if one.endpoint not in pending.tried]
         if not pending.profile.idempotent:
-            open_endpoints = steady or open_endpoints
-        untried = [one for one in open_endpoints if one.endpoint not in pending.tried]
-        return self._best(untried or open_endpoints)
+            steady = [one for one in untried if not self._is_probing(one, now)]
+            return self._best(steady, now) or self._best(shuffled, now)
+        return self._best(untried, now) or self._best(shuffled, now)
 
     def remote(self, pending: Pending, queue_wait: float, now: Seconds) -> RemoteInstance | None:
         """
@@ -118,11 +117,13 @@
             return 0
         return self._shares.free(endpoint, now)
 
-    def _best(self, endpoints: list[Announcement]) -> Announcement | None:
-        if not endpoints:
-            return None
-        drawn = self._rng.sample(endpoints, min(ALTERNATIVES, len(endpoints)))
-        return min(drawn, key=self._score)
+    def _is_probing(self, endpoint: Announcement, now: Seconds) -> bool:
+        return self._health.get(endpoint.endpoint).is_probing(now)
+
+    def _best(self, endpoints: list[Announcement], now: Seconds) -> Announcement | None:
+        """Return the better of the first few that can take a request."""
+        open_endpoints = (one for one in endpoints if self._free(one, now) > 0)
+        return min(islice(open_endpoints, ALTERNATIVES), key=self._score, default=None)
 
     def _score(self, endpoint: Announcement) -> float:
         in_use = self._shares.in_use(endpoint.endpoint)
--- a/packages/core/src/bulrushhollow_core/requests/_estimates.py
+++ b/packages/core/src/bulrushhollow_core/requests/_estimates.py
@@ -14,25 +14,46 @@
 """Seconds reckoned for a profile that has not been answered yet."""
 
 
+DEVIATIONS = 2.0
+"""Mean deviations above the usual time that a request is given to be answered."""
+
+
+class _Times:
+    """Smoothed time and mean deviation of one profile."""
+
+    def __init__(self, seconds: float) -> None:
+        self.usual = seconds
+        self.deviation = 0.0
+
+    def record(self, seconds: float) -> None:
+        off = abs(seconds - self.usual)
+        self.deviation = MEMORY * self.deviation + (1 - MEMORY) * off
+        self.usual = MEMORY * self.usual + (1 - MEMORY) * seconds
+
+
 class ServiceTimes:
     """Smoothed time of whole answers by profile."""
 
     def __init__(self) -> None:
-        self._by_profile: dict[ProfileName, float] = {}
+        self._by_profile: dict[ProfileName, _Times] = {}
 
     def record(self, profile: ProfileName, seconds: float) -> None:
         """Take in the time that one whole answer took."""
-        known = self._by_profile.get(profile, seconds)
-        self._by_profile[profile] = MEMORY * known + (1 - MEMORY) * seconds
+        self._by_profile.setdefault(profile, _Times(seconds)).record(seconds)
 
     def known(self, profile: ProfileName) -> Seconds | None:
         """Return the usual time, or None before the first answer."""
-        known = self._by_profile.get(profile)
-        return None if known is None else Seconds(known)
+        times = self._by_profile.get(profile)
+        return None if times is None else Seconds(times.usual)
 
     def cost(self, profile: ProfileName) -> Seconds:
         """Return the usual time, or a first guess."""
-        return Seconds(self._by_profile.get(profile, FIRST_GUESS))
+        return self.known(profile) or FIRST_GUESS
+
+    def needed(self, profile: ProfileName) -> Seconds:
+        """Return the time that is enough for most; 0 before the first answer."""
+        times = self._by_profile.get(profile)
+        return Seconds(0.0 if times is None else times.usual + DEVIATIONS * times.deviation)
 
     def slowness(self, profile: ProfileName, seconds: float) -> float:
         """Return how long an answer took relative to the usual time."""
--- a/packages/core/src/bulrushhollow_core/requests/_health.py
+++ b/packages/core/src/bulrushhollow_core/requests/_health.py
@@ -143,7 +143,10 @@
 
     def get(self, endpoint: EndpointId) -> EndpointHealth:
         """Return the health of an endpoint."""
-        return self._by_endpoint.setdefault(endpoint, EndpointHealth())
+        health = self._by_endpoint.get(endpoint)
+        if health is None:
+            health = self._by_endpoint[endpoint] = EndpointHealth()
+        return health
 
     def eject(self, endpoint: EndpointId, peers: Iterable[EndpointId], now: Seconds) -> None:
         """
@@ -156,6 +159,9 @@
         if ejected + 1 <= int(len(names) * EJECTED_AT_MOST):
             self.get(endpoint).eject(now, self._rng)
 
+    def __len__(self) -> int:
+        return len(self._by_endpoint)
+
     def keep(self, endpoints: set[EndpointId]) -> None:
         """Forget all endpoints but these."""
         for endpoint in self._by_endpoint.keys() - endpoints:
--- a/packages/core/src/bulrushhollow_core/requests/_router.py
+++ b/packages/core/src/bulrushhollow_core/requests/_router.py
@@ -19,7 +19,7 @@
     RequestId,
     Seconds,
 )
-from bulrushhollow_core.models import Configuration, Urgency
+from bulrushhollow_core.models import Configuration, Profile, Urgency
 from bulrushhollow_core.outcomes import Reason, Refusal
 from bulrushhollow_core.requests._admission import LEAST_RETRY, Admission, RouterSettings
 from bulrushhollow_core.requests._budget import RetryBudget, backoff
@@ -55,15 +55,21 @@
 MAX_ATTEMPTS = 4
 """Attempts of one request at most."""
 
-HOPELESS_BELOW = 0.5
-"""Part of the usual time below which what is left until the deadline is not worth an attempt."""
-
 IMPATIENT_ABOVE = 8.0
 """Multiple of the usual time from which on an idempotent attempt gets only half the time left."""
 
+LATE_ABOVE = 3.0
+"""Multiple of the usual time from which on an endpoint that has not answered is late."""
+
 UNREPORTED_AFTER = Seconds(5.0)
 """Seconds after its timeout at which an attempt without a result is taken as lost."""
 
+MAX_HEALTH = 4096
+"""Endpoints whose health is remembered before those that have gone are forgotten."""
+
+REPORT_INTERVAL = Seconds(0.1)
+"""Seconds between two reports of the load to the sharing of slots and to other data centres."""
+
 KEY_REASONS = frozenset(
     {Reason.KEY_BODY_DIFFERS, Reason.KEY_IN_PROGRESS, Reason.KEY_OUTCOME_UNKNOWN}
 )
@@ -103,6 +109,7 @@
         self._rng = rng
         self._configuration = Configuration()
         self._draining = False
+        self._report_at = now
         self._health = HealthBook(rng)
         self._times = ServiceTimes()
         self._chooser = Chooser(directory, shares, self._health, rng)
@@ -198,7 +205,9 @@
         actions += self._take_as_lost(now)
         for service in self._admission.services:
             actions += self._pump(service, now)
-        self._report_load(now)
+        if now >= self._report_at:
+            self._report_at = Seconds(now + REPORT_INTERVAL)
+            self._report_load(now)
         return actions
 
     def drain(self, now: Seconds) -> None:
@@ -269,7 +278,7 @@
     def _start(self, pending: Pending, target: Target, now: Seconds) -> list[RouterAction]:
         left = pending.deadline - now
         usual = self._times.known(pending.profile.name)
-        if left <= 0 or (usual is not None and left < HOPELESS_BELOW * usual):
+        if left <= 0 or left < self._admission.needed(pending):
             return self._give_up(
                 pending, Reason.DEADLINE, "too little time was left to run it", now
             )
@@ -319,7 +328,7 @@
         if profile.urgency is Urgency.OVERNIGHT:
             self._chooser.overnight_by_service[profile.service] -= 1
         in_use = self._shares.in_use(flight.endpoint)
-        self._shares.give_back(flight.endpoint, now, self._hold(result))
+        self._shares.give_back(flight.endpoint, now, self._hold(profile, result, seconds))
         slowness = self._times.slowness(profile.name, seconds)
         if result.end is AttemptEnd.WHOLE and result.status < SERVER_ERROR:
             self._times.record(profile.name, seconds)
@@ -328,12 +337,15 @@
             peers = self._directory.usable(profile.service, now)
             self._health.eject(flight.endpoint, (peer.endpoint for peer in peers), now)
 
-    def _hold(self, result: AttemptResult) -> Seconds:
+    def _hold(self, profile: Profile, result: AttemptResult, seconds: float) -> Seconds:
         """Return how long an endpoint may go on working after an attempt has ended."""
         if result.end is not AttemptEnd.LOST:
             return NO_HOLD
         settings = self._shares.settings
-        return settings.late_hold if result.reason is Reason.DEADLINE else settings.close_hold
+        late = seconds >= LATE_ABOVE * self._times.cost(profile.name)
+        if result.reason is Reason.DEADLINE and late:
+            return settings.late_hold
+        return settings.close_hold
 
     def _decide(
         self, pending: Pending, flight: Flight, result: AttemptResult, now: Seconds
@@ -428,7 +440,10 @@
             if pending.flight is not None and pending.flight.endpoint is not None:
                 demand_by_service[pending.profile.service] += 1
         self._shares.set_demand(demand_by_service, now)
-        services = {endpoint.service for endpoint in self._directory.local(now)}
+        local = self._directory.local(now)
+        if len(self._health) > MAX_HEALTH:
+            self._health.keep({endpoint.endpoint for endpoint in local})
+        services = {endpoint.service for endpoint in local}
         self._directory.set_load(
             tuple(self._service_load(service, now) for service in sorted(services))
         )
--- a/packages/core/src/bulrushhollow_core/requests/_shares.py
+++ b/packages/core/src/bulrushhollow_core/requests/_shares.py
@@ -67,6 +67,7 @@
     ) -> None:
         self._me = me
         self._ordered_names = sorted(names | {name_of(me)})
+        self._place = self._ordered_names.index(name_of(me))
         self._directory = directory
         self._settings = settings
         self._started_at = now
@@ -197,9 +198,11 @@
     def connections(self, endpoint: Announcement) -> int:
         """Return how many connections this instance may have open to an endpoint."""
         count = len(self._ordered_names)
+        rest = endpoint.connections % count
+        if rest == 0:
+            return endpoint.connections // count
         first = zlib.crc32(endpoint.endpoint.encode()) % count
-        rank = (self._ordered_names.index(name_of(self._me)) - first) % count
-        return endpoint.connections // count + (rank < endpoint.connections % count)
+        return endpoint.connections // count + ((self._place - first) % count < rest)
 
     def _own(self, endpoint: Announcement, now: Seconds) -> int:
         """Slots that this instance has without a grant."""
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -165,6 +165,19 @@
         self.assertEqual(late, [])
         self.assertTrue(instance.router.idle())
 
+    def test_estimate_that_became_too_great_is_corrected(self) -> None:
+        """A profile whose usual time passed its deadline would otherwise never be sent again."""
+        instance = Instance()
+        self.arrive_and_answer(instance, 1, 0.1)
+        for number in range(2, 40):
+            self.arrive_and_answer(instance, number, 4.9)
+
+    def arrive_and_answer(self, instance: Instance, number: int, seconds: float) -> None:
+        self.assertEqual(len(only(instance.arrive(), Dispatch)), 1)
+        request_id, later = RequestId(f"r{number}"), Seconds(BOOTED + seconds)
+        (finish,) = instance.router.answered(request_id, Attempt(1), WHOLE, later)
+        self.assertIsInstance(finish.result, Answered)
+
     def test_key_is_reserved_before_sending_and_settled_with_the_answer(self) -> None:
         instance = Instance()
         (reserve,) = instance.arrive(ORDERS, "order-1")
