Refuse early what more urgent work leaves no slots for

Cause: at twice the capacity overnight requests ran out of time at their endpoints, whose slots were then held for 10 s, and at five times they waited until their deadline to be refused.

--- a/packages/core/src/bulrushhollow_core/requests/_admission.py
+++ b/packages/core/src/bulrushhollow_core/requests/_admission.py
@@ -13,7 +13,7 @@
 from bulrushhollow_core.outcomes import Reason, Refusal
 from bulrushhollow_core.requests._choice import Chooser
 from bulrushhollow_core.requests._directory import Directory
-from bulrushhollow_core.requests._estimates import ServiceTimes
+from bulrushhollow_core.requests._estimates import ServiceTimes, SlotLoad
 from bulrushhollow_core.requests._messages import Arrival
 from bulrushhollow_core.requests._pending import Pending
 from bulrushhollow_core.requests._queue import FairQueue, Waiting
@@ -29,6 +29,10 @@
 """Factor on the expected wait, so that few requests run out of time in the queue."""
 
 
+LEAST_LEFT = 0.05
+"""Part of the slots that a class is reckoned to get at least, whatever more urgent ones take."""
+
+
 class RouterSettings(msgspec.Struct, frozen=True):
     """
     Bounds of a router.
@@ -58,6 +62,7 @@
         self._times = times
         self._settings = settings
         self._queues_by_service: dict[str, FairQueue] = {}
+        self._loads_by_service: dict[str, SlotLoad] = {}
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -128,7 +133,17 @@
             return Seconds(0.0)
         cost = self._times.cost(pending.profile.name)
         ahead = self.queue(service).cost_ahead(pending.waiting(cost)) + cost
-        return Seconds(ahead / max(1, self._chooser.capacity(service, now)))
+        capacity = max(1, self._chooser.capacity(service, now))
+        taken = self._load(service).above(pending.profile.urgency, now)
+        return Seconds(ahead / max(capacity - taken, LEAST_LEFT * capacity))
+
+    def started(self, pending: Pending, now: Seconds) -> None:
+        """Take in that a request was sent to a local endpoint."""
+        cost = self._times.cost(pending.profile.name)
+        self._load(pending.profile.service).record(pending.profile.urgency, cost, now)
+
+    def _load(self, service: str) -> SlotLoad:
+        return self._loads_by_service.setdefault(service, SlotLoad())
 
     def queue_wait(self, service: str, now: Seconds) -> Seconds:
         """Return the seconds that all of a queue is expected to take."""
--- a/packages/core/src/bulrushhollow_core/requests/_router.py
+++ b/packages/core/src/bulrushhollow_core/requests/_router.py
@@ -306,6 +306,7 @@
                 )
             ]
         self._shares.take(target, now)
+        self._admission.started(pending, now)
         if pending.profile.urgency is Urgency.OVERNIGHT:
             self._chooser.overnight_by_service[pending.profile.service] += 1
         pending.tried.add(target.endpoint)
