--- a/bench/requests.py
+++ b/bench/requests.py
@@ -2,18 +2,20 @@
 bench.requests
 ~~~~~~~~~~~~~~
 
-Requests through real processes on loopback: latency and throughput of one instance, overload, and
-faults. Run as ``python -m bench requests --seed N [--part PART]``.
+Requests through real processes on loopback: latency and throughput of one instance, overload,
+spilling to another data centre, and faults. Run as
+``python -m bench requests --seed N [--part PART]``.
 """
 
 import argparse
 from collections.abc import Callable
 
-from bench import requests_faults, requests_latency, requests_overload
+from bench import requests_faults, requests_latency, requests_overload, requests_spill
 
 PARTS: dict[str, Callable[[int], None]] = {
     "latency": requests_latency.measure,
     "overload": requests_overload.measure,
+    "spill": requests_spill.measure,
     "faults": requests_faults.measure,
 }
 
--- a/bench/requests_overload.py
+++ b/bench/requests_overload.py
@@ -73,8 +73,9 @@
                 value = round(1000 * percentile(whole, fraction), 1)
                 emit(BENCH, seed, name, label, value, "ms")
         if refused:
-            value = round(1000 * percentile(refused, 0.99), 1)
-            emit(BENCH, seed, name, "refusal p99", value, "ms")
+            for label, fraction in (("refusal p50", 0.5), ("refusal p99", 0.99)):
+                value = round(1000 * percentile(refused, fraction), 1)
+                emit(BENCH, seed, name, label, value, "ms")
     lag = round(1000 * percentile([outcome.lag for outcome in outcomes], 0.99), 1)
     emit(BENCH, seed, subject, "caller's lag p99", lag, "ms")
     counts = [site.counts(name) for name in site.endpoints_by_name]
--- a/packages/core/src/bulrushhollow_core/requests/_choice.py
+++ b/packages/core/src/bulrushhollow_core/requests/_choice.py
@@ -43,6 +43,7 @@
         self._rng = rng
         self.overnight_by_service: Counter[str] = Counter()
         self.forwarded_by_instance: Counter[InstanceName] = Counter()
+        self._stated: dict[InstanceName, tuple[Seconds | None, int]] = {}
         self._shunned_until: dict[InstanceName, Seconds] = {}
 
     def capacity(self, service: str, now: Seconds) -> int:
@@ -107,9 +108,15 @@
         self._shunned_until[instance] = Seconds(now + SHUNNED_FOR)
 
     def _spare(self, remote: RemoteInstance) -> int:
+        """Return its idle slots, less what was forwarded to it since it stated them."""
         if remote.load.queued:
             return 0
-        return remote.load.free - self.forwarded_by_instance[remote.instance]
+        forwarded = self.forwarded_by_instance[remote.instance]
+        as_of, then = self._stated.get(remote.instance, (None, 0))
+        if as_of != remote.as_of:
+            then = forwarded
+            self._stated[remote.instance] = (remote.as_of, then)
+        return remote.load.free - (forwarded - then)
 
     def _free(self, endpoint: Announcement, now: Seconds) -> int:
         in_use = self._shares.in_use(endpoint.endpoint)
--- a/packages/core/src/bulrushhollow_core/requests/_directory.py
+++ b/packages/core/src/bulrushhollow_core/requests/_directory.py
@@ -69,12 +69,17 @@
 
 
 class RemoteInstance(msgspec.Struct, frozen=True):
-    """An entry instance of another data centre that may take requests for a service."""
+    """
+    An entry instance of another data centre that may take requests for a service.
+
+    :param as_of: a time at or before which it stated its load.
+    """
 
     instance: InstanceName
     data_centre: DataCentreId
     address: str
     load: ServiceLoad
+    as_of: Seconds
 
 
 class _Peer:
@@ -236,7 +241,7 @@
     def remotes(self, service: str, now: Seconds) -> tuple[RemoteInstance, ...]:
         """Return the entry instances of other data centres that have endpoints of a service."""
         return tuple(
-            RemoteInstance(peer.name, peer.data_centre, peer.address, load)
+            RemoteInstance(peer.name, peer.data_centre, peer.address, load, peer.load_at)
             for peer in self._peers_by_name.values()
             if peer.data_centre != self._data_centre
             and peer.address
