Keep epochs rising when the witness changes

The witness forgot the epochs that an earlier leader of the log had voted for. In a data centre of two, one instance could be elected with one leader's vote and the other later with the next one's, under a lower epoch; the platform fenced it until the floor was raised.

--- a/packages/core/src/bulrushhollow_core/authority/_witness.py
+++ b/packages/core/src/bulrushhollow_core/authority/_witness.py
@@ -19,7 +19,19 @@
 )
 from bulrushhollow_core.authority._timing import LEADING_FLAG_LIMIT, AuthorityTiming
 from bulrushhollow_core.authority._voter import Voter
-from bulrushhollow_core.ids import DataCentreId, InstanceId, InstanceName, Seconds, Term, name_of
+from bulrushhollow_core.ids import (
+    DataCentreId,
+    Epoch,
+    InstanceId,
+    InstanceName,
+    Seconds,
+    Term,
+    name_of,
+)
+
+TERM_SHIFT = 36
+"""Bits of an epoch below the log's term. A witness votes only for epochs above its own term, as it
+does not know those that an earlier leader voted for."""
 
 
 class Witness:
@@ -98,4 +110,6 @@
 
     def _voter(self, data_centre: DataCentreId) -> Voter:
         fresh = Voter(self._timing, self._ready_at)
-        return self._voters_by_data_centre.setdefault(data_centre, fresh)
+        voter = self._voters_by_data_centre.setdefault(data_centre, fresh)
+        voter.note(Epoch((self._term or 0) << TERM_SHIFT))
+        return voter
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -85,6 +85,20 @@
         net.run(1.5)
         self.assertEqual([other], net.holders())
 
+    def test_epochs_rise_when_another_leader_of_the_log_is_the_witness(self) -> None:
+        net, holder = self.settled(2, leader=False)
+        other = next(node for node in net.nodes if node is not holder)
+        net.isolate(other)
+        net.set_leader(holder)
+        for _ in range(2):
+            holder.paused = True
+            net.run(4)
+            holder.paused = False
+            net.run(8)
+            self.assertEqual([holder], net.holders())
+        net.set_leader(other)
+        self.assert_taken_over(net, holder, 10.0)
+
     def test_a_planned_stop_hands_the_lease_over_at_once(self) -> None:
         net, holder = self.settled(3)
         net.send(holder, holder.authority.release(holder.clock(net.time)))
