Wait longer for an entry instance than it waits for the log

Cause: a session gave up on an instance after 5 s, at which the instance itself answers that the log is out of reach; its answer, which may say not run, was missed and the outcome became unknown. Change: 9 s for an attempt, 24 s for a call.

--- a/packages/client/src/bulrushhollow/sessions.py
+++ b/packages/client/src/bulrushhollow/sessions.py
@@ -42,11 +42,14 @@
 from bulrushhollow_core.models import Configuration
 from bulrushhollow_core.outcomes import Execution, Reason, Refusal
 
-API_TIMEOUT = 15.0
+API_TIMEOUT = 24.0
 """Seconds to wait for the answer to anything but a request, over all entry instances."""
 
-ATTEMPT_TIMEOUT = 5.0
-"""Seconds to wait for one entry instance's answer to anything but a request."""
+ATTEMPT_TIMEOUT = 9.0
+"""
+Seconds to wait for one entry instance's answer to anything but a request; longer than an instance
+waits for the log and for a change to be in force, so that its own answer is heard.
+"""
 
 DEFAULT_REQUEST_TIMEOUT = 60.0
 """Seconds to wait for the answer to a request whose caller states no deadline."""
