Answer calls that wait for the end of a job when a planned stop begins

Cause: such a call may wait for up to 60 s, and a stopping instance cut it with its connection.

Change: once a stop has begun, the present state of the job is the answer.

--- a/packages/core/src/bulrushhollow_core/node/_calls.py
+++ b/packages/core/src/bulrushhollow_core/node/_calls.py
@@ -89,6 +89,10 @@
             case RecoverAsked():
                 return self._recover(event, now)
 
+    def stop(self) -> None:
+        """Let no call wait for the end of a job any longer."""
+        self._waits.stop()
+
     def applied(self, applied: Applied, now: Seconds) -> list[msgspec.Struct]:
         """Answer the call, if any, whose command was applied."""
         assert applied.pending is not None
--- a/packages/core/src/bulrushhollow_core/node/_jobs.py
+++ b/packages/core/src/bulrushhollow_core/node/_jobs.py
@@ -41,6 +41,7 @@
 
     def __init__(self) -> None:
         self._waiting: list[_Waiting] = []
+        self._stopping = False
 
     @property
     def is_waiting(self) -> bool:
@@ -51,9 +52,17 @@
         """Answer a call when the job ends, or with its state at the deadline."""
         self._waiting.append(_Waiting(call, job, deadline))
 
+    def stop(self) -> None:
+        """Hold back no answer any longer, since this instance stops."""
+        self._stopping = True
+
     def answer(self, ledger: JobLedger, now: Seconds) -> list[Reply]:
         """Return the answers that are due."""
-        due = [w for w in self._waiting if w.deadline <= now or _has_ended(w.job, ledger)]
+        due = [
+            w
+            for w in self._waiting
+            if self._stopping or w.deadline <= now or _has_ended(w.job, ledger)
+        ]
         if due:
             self._waiting = [w for w in self._waiting if w not in due]
         return [Reply(w.call, job_answer(w.job, ledger)) for w in due]
--- a/packages/core/src/bulrushhollow_core/node/_node.py
+++ b/packages/core/src/bulrushhollow_core/node/_node.py
@@ -274,6 +274,7 @@
 
     def _stop(self, now: Seconds) -> None:
         self._stopping = True
+        self._calls.stop()
         self.entry.router.drain(now)
         self._absorb(self.site.authority.release(now), now)
         self._absorb(self.log.consensus.hand_over(now), now)
--- /dev/null
+++ b/tests/test_failures_waits.py
@@ -0,0 +1,33 @@
+import unittest
+
+from bulrushhollow_core.ids import (
+    DataCentreId,
+    JobId,
+    LogIndex,
+    ProfileName,
+    Seconds,
+    WorkspaceId,
+)
+from bulrushhollow_core.jobs import JobLedger, SubmitJob
+from bulrushhollow_core.models import Profile, WorkKind
+from bulrushhollow_core.node import CallId
+from bulrushhollow_core.node._jobs import JobWaits
+
+
+class PlannedStopTest(unittest.TestCase):
+    def test_a_stopping_instance_answers_calls_that_wait_for_a_job(self) -> None:
+        profile = Profile(ProfileName("p"), WorkKind.JOB, WorkspaceId("w"))
+        ledger = JobLedger()
+        ledger.apply(LogIndex(1), SubmitJob(JobId("j1"), profile, DataCentreId("north"), ""))
+        waits = JobWaits()
+        waits.wait(CallId(1), JobId("j1"), Seconds(60.0))
+        self.assertEqual([], waits.answer(ledger, Seconds(1.0)))
+        waits.stop()
+        waits.wait(CallId(2), JobId("j1"), Seconds(60.0))
+        answered = waits.answer(ledger, Seconds(1.1))
+        self.assertEqual([CallId(1), CallId(2)], [reply.call for reply in answered])
+        self.assertFalse(waits.is_waiting)
+
+
+if __name__ == "__main__":
+    unittest.main()
