Spread jobs by what the log says now, and press the state machine harder

Cause: 36 jobs submitted at once to three idle data centres all went to one, since the choice used load reports that are up to 1 s old. Change: free accelerators and queued work are counted from the ledger at the choice. What is still on its way to the leader is not seen, so a burst is not split evenly.

--- a/packages/core/src/bulrushhollow_core/node/_calls.py
+++ b/packages/core/src/bulrushhollow_core/node/_calls.py
@@ -149,7 +149,7 @@
     def _submit(self, event: SubmitAsked, now: Seconds) -> list[msgspec.Struct]:
         ledgers = self._log.ledgers
         configuration = ledgers.configuration.configuration
-        command = submission(event.submit, configuration, self._loads_by_data_centre)
+        command = submission(event.submit, configuration, self._loads_by_data_centre, ledgers.jobs)
         known = ledgers.jobs.jobs_by_id.get(event.submit.job_id)
         if isinstance(command, Refusal):
             resent = known is not None and known.profile.name == event.submit.profile
--- a/packages/core/src/bulrushhollow_core/node/_jobs.py
+++ b/packages/core/src/bulrushhollow_core/node/_jobs.py
@@ -72,8 +72,14 @@
     submit: SubmitRequest,
     configuration: Configuration,
     loads_by_data_centre: dict[DataCentreId, DataCentreLoad],
+    ledger: JobLedger,
 ) -> SubmitJob | Refusal:
-    """Return the command that accepts a job, or why it is refused."""
+    """
+    Return the command that accepts a job, or why it is refused.
+
+    :param loads_by_data_centre: what the lease holders said last.
+    :param ledger: tells of jobs that came in since.
+    """
     if not 0 < len(submit.job_id) <= JOB_ID_LIMIT or "/" in submit.job_id:
         return Refusal(Reason.INVALID, f"a job id has 1 to {JOB_ID_LIMIT} characters and no '/'")
     if len(submit.payload.encode()) > PAYLOAD_LIMIT:
@@ -83,7 +89,8 @@
         return Refusal(Reason.NO_SUCH_PROFILE, f"no profile {submit.profile} is known")
     if profile.kind is not WorkKind.JOB:
         return Refusal(Reason.WRONG_KIND, f"{submit.profile} is a profile of requests")
-    place = _place(submit, profile, configuration, loads_by_data_centre)
+    loads = {load.data_centre: _with_ledger(load, ledger) for load in loads_by_data_centre.values()}
+    place = _place(submit, profile, configuration, loads)
     if isinstance(place, Refusal):
         return place
     return SubmitJob(submit.job_id, profile, place, submit.payload)
@@ -130,6 +137,29 @@
     return wanted
 
 
+def _with_ledger(load: DataCentreLoad, ledger: JobLedger) -> DataCentreLoad:
+    """Return a load by the jobs that the ledger has now, which the holder may not have had."""
+    started = ledger.started_by_data_centre.get(load.data_centre, ())
+    queued = ledger.queued_by_data_centre.get(load.data_centre, ())
+    in_use = sum(_size(ledger.jobs_by_id[job].profile) for job in started)
+    waiting = sum(_need(ledger.jobs_by_id[job].profile) for job in queued)
+    return msgspec.structs.replace(
+        load,
+        free=max(0, load.accelerators - in_use),
+        queued=waiting,
+    )
+
+
+def _size(profile: Profile) -> int:
+    """Return the accelerators of a whole gang."""
+    return profile.shape.tasks * profile.shape.per_task.accelerators
+
+
+def _need(profile: Profile) -> float:
+    """Return the accelerator-seconds that a job is declared to need."""
+    return _size(profile) * profile.expected_run
+
+
 def _choose(
     profile: Profile,
     configuration: Configuration,
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,15 +1,32 @@
-"""Runs every test, passes over the entries of KNOWN-RED.txt, and prints a closing count."""
+"""
+Runs every test, passes over the entries of KNOWN-RED.txt, and prints a closing count. Each test
+module runs in a process of its own.
+"""
 
 import argparse
-import os
 import pathlib
+import re
+import subprocess
 import sys
 import unittest
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from typing import NamedTuple
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
+PROCESSES = 5
+"""Test modules that run at the same time."""
+
+
+class Count(NamedTuple):
+    """How many tests came to what."""
+
+    passed: int
+    failed: int
+    skipped: int
+
 
 def known_red_ids() -> set[str]:
     """Read the test ids at the start of each entry line; indented lines explain the entry."""
@@ -27,29 +44,49 @@
             yield item
 
 
+def run_here(suite: unittest.TestSuite) -> Count:
+    """Run tests in this process."""
+    red = known_red_ids()
+    chosen = [test for test in flatten(suite) if test.id() not in red]
+    result = unittest.TextTestRunner(stream=sys.stdout).run(unittest.TestSuite(chosen))
+    failed = len(result.failures) + len(result.errors) + len(result.unexpectedSuccesses)
+    skipped = len(result.skipped)
+    return Count(result.testsRun - failed - skipped, failed, skipped)
+
+
+def run_module(name: str) -> Count:
+    """Run one test module in a process of its own, and print what it printed if it failed."""
+    command = [sys.executable, "-m", "tests", name]
+    done = subprocess.run(command, capture_output=True, text=True, check=False, cwd=ROOT)
+    last = done.stdout.strip().rpartition("\n")[2]
+    counts = [int(part) for part in re.findall(r"\d+", last)]
+    if done.returncode == 0 and len(counts) == 3:
+        return Count(*counts)
+    print(f"{name} failed:\n{done.stdout}\n{done.stderr}")
+    return Count(0, 1, 0) if len(counts) != 3 else Count(counts[0], max(1, counts[1]), counts[2])
+
+
+def run_all(pattern: str) -> Count:
+    """Run every test module, several at a time."""
+    names = [f"tests.{path.stem}" for path in sorted((ROOT / "tests").glob(pattern))]
+    with ThreadPoolExecutor(PROCESSES) as pool:
+        counts = list(pool.map(run_module, names))
+    for test_id in sorted(known_red_ids()):
+        print(f"known red, not run: {test_id}")
+    return Count(*(sum(column) for column in zip(*counts, strict=True)))
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(prog="python -m tests")
     parser.add_argument("names", nargs="*", help="dotted test names; all tests by default")
     parser.add_argument("--fuzz", action="store_true", help="only the state machines")
     options = parser.parse_args()
-    if options.fuzz:
-        os.environ.setdefault("FUZZ_SEED", "1")
-    loader = unittest.TestLoader()
     if options.names:
-        found = loader.loadTestsFromNames(options.names)
+        count = run_here(unittest.TestLoader().loadTestsFromNames(options.names))
     else:
-        pattern = "test_*machine*.py" if options.fuzz else "test_*.py"
-        found = loader.discover(str(ROOT / "tests"), pattern=pattern, top_level_dir=str(ROOT))
-    red = known_red_ids()
-    chosen = [test for test in flatten(found) if test.id() not in red]
-    skipped = sorted(red)
-    result = unittest.TextTestRunner(verbosity=1, stream=sys.stdout).run(unittest.TestSuite(chosen))
-    for test_id in skipped:
-        print(f"known red, not run: {test_id}")
-    failed = len(result.failures) + len(result.errors) + len(result.unexpectedSuccesses)
-    passed = result.testsRun - failed - len(result.skipped)
-    print(f"{passed} passed, {failed} failed, {len(result.skipped) + len(skipped)} skipped")
-    return 0 if failed == 0 and result.testsRun > 0 else 1
+        count = run_all("test_*machine*.py" if options.fuzz else "test_*.py")
+    print(f"{count.passed} passed, {count.failed} failed, {count.skipped} skipped")
+    return 0 if count.failed == 0 and count.passed > 0 else 1
 
 
 if __name__ == "__main__":
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,16 +2,19 @@
 
 import unittest
 
+from bulrushhollow_core.answers import SubmitRequest
 from bulrushhollow_core.changes import (
     ChangeAccepted,
     ChangeConfiguration,
+    PutDataCentre,
     PutProfile,
     PutWorkspace,
 )
-from bulrushhollow_core.ids import ChangeId, ProfileName, Version, WorkspaceId
-from bulrushhollow_core.models import Profile, WorkKind, Workspace
+from bulrushhollow_core.ids import ChangeId, DataCentreId, JobId, ProfileName, Version, WorkspaceId
+from bulrushhollow_core.models import DataCentre, Profile, Resources, Shape, WorkKind, Workspace
+from bulrushhollow_core.node import SubmitAsked
 from bulrushhollow_core.outcomes import Reason, Refusal
-from tests.node_world import Endpoint, World
+from tests.node_world import RACKS, Endpoint, World
 
 
 class RestartTest(unittest.TestCase):
@@ -62,5 +65,37 @@
         self.assertEqual(1, world.ran["m1"])
 
 
+class BurstTest(unittest.TestCase):
+    def test_a_burst_of_jobs_is_spread(self) -> None:
+        world = World(seed=3, daemons_by_data_centre={"north": 1, "south": 1}, voters=1)
+        world.run(12.0)
+        host = world.hosts_by_name["north-1"]
+        sweep = Profile(
+            ProfileName("sweep"),
+            WorkKind.JOB,
+            WorkspaceId("shop"),
+            idempotent=True,
+            shape=Shape(1, Resources(8, 1, 1)),
+        )
+        edits = (
+            PutDataCentre(DataCentre(DataCentreId("north"), racks=RACKS)),
+            PutDataCentre(DataCentre(DataCentreId("south"), racks=RACKS)),
+            PutWorkspace(Workspace(WorkspaceId("shop"))),
+            PutProfile(sweep),
+        )
+        for number, edit in enumerate(edits):
+            change = ChangeConfiguration(ChangeId(f"c{number}"), edit, Version(number))
+            world.change(host, change)
+            world.run(1.0)
+        world.run(4.0)
+        for number in range(8):
+            submit = SubmitRequest(JobId(f"j{number}"), ProfileName("sweep"))
+            world.ask(host, lambda call, asked=submit: SubmitAsked(call, asked))
+            world.run(0.05)
+        world.run(2.0)
+        started = {place: len(p.records) for place, p in world.platforms_by_data_centre.items()}
+        self.assertGreaterEqual(min(started.values()), 3, started)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_node_machine.py
+++ b/tests/test_node_machine.py
@@ -41,6 +41,9 @@
 HEAL_SECONDS = 25.0
 """Time for everything to come back: a lease, an election, a catch-up, workers' leases."""
 
+BURST = 20
+"""Requests or so that come in at once."""
+
 RECLAIM_LIMIT = 6.7
 """Seconds within which guaranteed work starts."""
 
@@ -256,19 +259,46 @@
             if host.is_live:
                 self.world.request(host, profile, marker if keyed else None, marker)
 
+    @rule(which=WHICH, profile=st.sampled_from(["label", "order"]), crash=st.booleans())
+    def burst(self, which: int, profile: str, crash: bool) -> None:
+        """More requests than there are slots; an endpoint may die with what it runs."""
+        for number in range(BURST):
+            self.request(which + number, profile, keyed=False)
+        self.world.run(0.2)
+        if crash:
+            for endpoint in self.world.endpoints_by_name.values():
+                endpoint.set(False, False, self.world.now)
+            self.world.run(0.2)
+            for endpoint in self.world.endpoints_by_name.values():
+                endpoint.set(True, False, self.world.now)
+        self.world.run(1.0)
+
+    @rule(which=WHICH, place=WHICH, seconds=st.sampled_from([0.2, 5.0]))
+    def take_out_under_load(self, which: int, place: int, seconds: float) -> None:
+        """Jobs that belong to a data centre come in before and after it is taken out."""
+        name = self.place(place)
+        for _ in range(BURST // 2):
+            self.submit_one(self.host(which), "sweep", name)
+        self.take_out(which, place, Drain.FINISH)
+        self.world.run(seconds)
+        for profile in ("sweep", "sweep", "survey"):
+            self.submit_one(self.host(which), profile, name)
+        self.world.run(4.0)
+
     @rule(which=WHICH, profile=st.sampled_from(["model", "sweep", "survey"]), count=WHICH)
     def submit(self, which: int, profile: str, count: int) -> None:
         for _ in range(1 + count // 3):
             self.submit_one(self.host(which), profile)
 
-    def submit_one(self, host: Host, profile: str) -> str:
+    def submit_one(self, host: Host, profile: str, place: str | None = None) -> str:
         job = f"j{next(self.numbers)}"
         shape = next(p.shape for p in PROFILES if p.name == profile)
         self.oracle.gang_sizes_by_job[job] = shape.tasks
         if profile == "survey":
             self.oracle.once_jobs.add(job)
         self.jobs.append(job)
-        self.world.ask(host, lambda call: SubmitAsked(call, SubmitRequest(job, profile)))
+        submit = SubmitRequest(job, profile, data_centre=place)
+        self.world.ask(host, lambda call: SubmitAsked(call, submit))
         return job
 
     @rule(which=WHICH, last=st.integers(1, 8))
