Bound starts that are on their way, and answer orders that nobody takes

Cause: a call to the worker platform was valid until the end of the holder's lease and a start for a whole window after it, so a task could start some seconds later than the hold rule allows; and a take-out given to an instance that is cut off from its own data centre was never answered and could take force an hour later. Change: a call is valid for 0.5 s and a start waits 0.5 s at most; such an order is answered as unknown after 5 s and dropped. Both were found by reading; the second has a test that failed before (no answer).

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -56,8 +56,7 @@
     WorkKind,
     Workspace,
 )
-from bulrushhollow_core.node import LoadReport, PeerMessage
-from bulrushhollow_core.node._ledgers import Ledgers
+from bulrushhollow_core.node import Ledgers, LoadReport, PeerMessage
 from bulrushhollow_core.outcomes import Execution
 from bulrushhollow_core.platform import PlatformAnswer, WorkerReport
 from bulrushhollow_core.requests import Directory, ReserveKey, SettleKey
@@ -98,7 +97,7 @@
     _memory(seed, "endpoint", "endpoints in the directory", _endpoints)
     _memory(seed, "worker", "workers in the scheduler", lambda n: _scheduler(n, seed))
     _time(seed, "job", "encode a snapshot", _jobs, Ledgers.encode)
-    _time(seed, "workspace", "accept a change", _workspaces, _accept_a_change)
+    _time(seed, "workspace", "accept a changed guarantee", _workspaces, _accept_a_change)
     _time(seed, "worker", "take in a full platform report", lambda n: n, _report)
     _time(seed, "worker", "tick of an idle scheduler", lambda n: _scheduler(n, seed), _tick)
     _messages(seed)
@@ -281,7 +280,9 @@
 
 def _accept_a_change(ledgers: Ledgers) -> None:
     version = ledgers.configuration.configuration.version
-    edit = PutWorkspace(Workspace(WorkspaceId("workspace-0"), weight=version + 2))
+    guarantee = Guarantee(GuaranteeName("one"), NORTH, Shape(1, Resources(2, 1, 1)))
+    workspace = Workspace(WorkspaceId("workspace-0"), version + 2, guarantees=(guarantee,))
+    edit = PutWorkspace(workspace)
     change = ChangeConfiguration(ChangeId(f"change-{version}"), edit, version)
     assert isinstance(ledgers.apply(LogIndex(version + 1), change), ChangeAccepted)
 
--- a/packages/core/src/bulrushhollow_core/authority/__init__.py
+++ b/packages/core/src/bulrushhollow_core/authority/__init__.py
@@ -34,6 +34,7 @@
     HOLD_LIMIT,
     ISOLATION_LIMIT,
     QUORUM_AGE_LIMIT,
+    START_LIMIT,
     AuthorityTiming,
 )
 from bulrushhollow_core.authority._witness import Witness
@@ -42,6 +43,7 @@
     "HOLD_LIMIT",
     "ISOLATION_LIMIT",
     "QUORUM_AGE_LIMIT",
+    "START_LIMIT",
     "Authority",
     "AuthorityAsk",
     "AuthorityDenial",
--- a/packages/core/src/bulrushhollow_core/node/__init__.py
+++ b/packages/core/src/bulrushhollow_core/node/__init__.py
@@ -27,6 +27,7 @@
     WaitAsked,
 )
 from bulrushhollow_core.node._jobs import describe_job, job_answer
+from bulrushhollow_core.node._ledgers import Ledgers
 from bulrushhollow_core.node._messages import LoadReport, PeerMessage, Propose
 from bulrushhollow_core.node._node import Node
 from bulrushhollow_core.node._rollouts import describe
@@ -43,6 +44,7 @@
     "Event",
     "HolderWord",
     "Identity",
+    "Ledgers",
     "LoadReport",
     "Node",
     "NodeStatus",
--- a/packages/core/src/bulrushhollow_core/node/_calls.py
+++ b/packages/core/src/bulrushhollow_core/node/_calls.py
@@ -42,6 +42,15 @@
 RETRY_AFTER = 1.0
 """Seconds after which a call that found no quorum may be worth repeating."""
 
+
+class _OrderCalls:
+    """Calls that wait for a majority of the data centre to take an order."""
+
+    def __init__(self, deadline: Seconds) -> None:
+        self.deadline = deadline
+        self.calls: list[CallId] = []
+
+
 Call = ChangeAsked | SubmitAsked | CancelAsked | WaitAsked | RecoverAsked
 
 
@@ -65,7 +74,7 @@
         self._rollouts = rollouts
         self._loads_by_data_centre = loads_by_data_centre
         self._waits = JobWaits()
-        self._calls_by_order: dict[ChangeId, list[CallId]] = {}
+        self._calls_by_order: dict[ChangeId, _OrderCalls] = {}
         self._order_at = now
 
     @property
@@ -141,7 +150,8 @@
         if self._log.status(now).caught_up_age > ISOLATION_LIMIT:
             ordered = self._site.switch.order(change)
             if isinstance(ordered, LocalOrder):
-                self._calls_by_order.setdefault(change.change_id, []).append(event.call)
+                waiting = _OrderCalls(Seconds(now + CALL_WAIT))
+                self._calls_by_order.setdefault(change.change_id, waiting).calls.append(event.call)
                 return self._site.authority.renew(now)
         self._log.want(change, ForChange(event.call), CALL_WAIT, now)
         return []
@@ -176,8 +186,8 @@
         for change_id in list(self._calls_by_order):
             answer = self._order_answer(change_id, now)
             if answer is not None:
-                calls = self._calls_by_order.pop(change_id)
-                actions += [Reply(call, answer) for call in calls]
+                waiting = self._calls_by_order.pop(change_id)
+                actions += [Reply(call, answer) for call in waiting.calls]
         return actions
 
     def _order_answer(self, change_id: ChangeId, now: Seconds) -> ChangeAccepted | Refusal | None:
@@ -186,6 +196,14 @@
         if recorded is not None:
             return recorded
         if not self._site.switch.accepted(change_id):
-            return None
+            return self._give_up_order(change_id, now)
         note = f"in force in {self._site.data_centre} only; recorded once the log is in reach"
         return ChangeAccepted(configuration.configuration.version, note=note)
+
+    def _give_up_order(self, change_id: ChangeId, now: Seconds) -> Refusal | None:
+        """Drop an order that no majority took in time; one on its way to a member may come back."""
+        if now < self._calls_by_order[change_id].deadline:
+            return None
+        self._site.switch.withdraw(change_id)
+        detail = "too few instances of the data centre could be reached; send it again"
+        return Refusal(Reason.NO_QUORUM, detail, Execution.UNKNOWN, RETRY_AFTER)
--- a/packages/core/src/bulrushhollow_core/node/_site.py
+++ b/packages/core/src/bulrushhollow_core/node/_site.py
@@ -10,7 +10,14 @@
 
 import msgspec
 
-from bulrushhollow_core.authority import Authority, Held, ServiceInForce, ServiceSwitch, Witness
+from bulrushhollow_core.authority import (
+    START_LIMIT,
+    Authority,
+    Held,
+    ServiceInForce,
+    ServiceSwitch,
+    Witness,
+)
 from bulrushhollow_core.configuration import ConfigurationLedger
 from bulrushhollow_core.ids import Epoch, Seconds
 from bulrushhollow_core.jobs import (
@@ -26,11 +33,15 @@
 from bulrushhollow_core.node._messages import LoadReport
 from bulrushhollow_core.node._views import Identity
 from bulrushhollow_core.outcomes import Refusal
-from bulrushhollow_core.platform import PlatformAnswer, PlatformCall
+from bulrushhollow_core.platform import Order, PlatformAnswer, PlatformCall, StartTask
 
 IDLE_SYNC_INTERVAL = Seconds(2.0)
 """Seconds between two calls to the platform while the data centre has no job."""
 
+CALL_LIMIT = Seconds(START_LIMIT / 2)
+"""Seconds for which a call to the platform may be on its way, and again for which a task may wait
+for its start there; together the time that a hold allows for a start that was ordered before."""
+
 URGENT_INTERVAL = Seconds(0.02)
 """Seconds between two calls to the platform when something is pressing."""
 
@@ -169,6 +180,14 @@
         """Return the next call; before the platform's clock is known it carries no orders."""
         if self._clock is None:
             return PlatformCall(held.epoch)
-        left = Seconds(held.until - now)
-        call = self.scheduler.next_call(held.epoch, left, now)
-        return msgspec.structs.replace(call, valid_until=self._clock.at(held.until))
+        until = Seconds(min(held.until, now + CALL_LIMIT))
+        call = self.scheduler.next_call(held.epoch, Seconds(held.until - now), now)
+        orders = tuple(map(_started_soon, call.orders))
+        return msgspec.structs.replace(call, orders=orders, valid_until=self._clock.at(until))
+
+
+def _started_soon(order: Order) -> Order:
+    """Bound how long after the receipt of the call a task may still start."""
+    if not isinstance(order, StartTask):
+        return order
+    return msgspec.structs.replace(order, not_after=min(order.not_after, CALL_LIMIT))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,9 +9,18 @@
     PutDataCentre,
     PutProfile,
     PutWorkspace,
+    SetDataCentreService,
 )
 from bulrushhollow_core.ids import ChangeId, DataCentreId, JobId, ProfileName, Version, WorkspaceId
-from bulrushhollow_core.models import DataCentre, Profile, Resources, Shape, WorkKind, Workspace
+from bulrushhollow_core.models import (
+    DataCentre,
+    Profile,
+    Resources,
+    Service,
+    Shape,
+    WorkKind,
+    Workspace,
+)
 from bulrushhollow_core.node import SubmitAsked
 from bulrushhollow_core.outcomes import Reason, Refusal
 from tests.node_world import RACKS, Endpoint, World
@@ -65,6 +74,27 @@
         self.assertEqual(1, world.ran["m1"])
 
 
+class IsolatedOrderTest(unittest.TestCase):
+    def test_an_order_that_no_majority_takes_is_answered_and_dropped(self) -> None:
+        world = World(seed=4, daemons_by_data_centre={"north": 3}, voters=3)
+        world.run(12.0)
+        host = world.hosts_by_name["north-1"]
+        north = DataCentreId("north")
+        declared = ChangeConfiguration(
+            ChangeId("c0"), PutDataCentre(DataCentre(north, racks=RACKS)), Version(0)
+        )
+        world.change(host, declared)
+        world.run(2.0)
+        world.cuts = {frozenset((host.peer.name, name)) for name in world.hosts_by_name}
+        world.run(5.0)
+        out = SetDataCentreService(north, Service.OUT)
+        call = world.change(host, ChangeConfiguration(ChangeId("c1"), out))
+        world.run(6.0)
+        self.assertIsInstance(world.replies[call], Refusal)
+        assert host.node is not None
+        self.assertEqual((), host.node.site.switch.orders())
+
+
 class BurstTest(unittest.TestCase):
     def test_a_burst_of_jobs_is_spread(self) -> None:
         world = World(seed=3, daemons_by_data_centre={"north": 1, "south": 1}, voters=1)
