--- a/bench/requests_faults.py
+++ b/bench/requests_faults.py
@@ -92,7 +92,7 @@
         return change
 
     def leave() -> None:
-        behave(second, leaving=True)()
+        behave(fourth, leaving=True)()
         book.left_at = time.monotonic()
 
     def kill_endpoint() -> None:
@@ -165,7 +165,7 @@
     for name, one in counts_by_name.items():
         if one is not None:
             emit(BENCH, seed, f"faults/{name}", "sent beyond slots", one.refused_full, "1")
-    left = counts_by_name["north-e2"]
+    left = counts_by_name["north-e4"]
     if left is not None and left.last_run_at is not None:
         seconds = round(left.last_run_at - book.left_at, 2)
         emit(BENCH, seed, "faults", "last work after leaving", seconds, "s")
