Serve connections that wait to be accepted when a planned stop closes the listener

Cause: closing the listener resets connections that the kernel had accepted and the daemon not yet, and a caller that had sent on one was left without an outcome. The longer the loop is held up, the more of them there are.

Change: the listener is closed and what waits on it is taken over, in one step.

A connection in that state was reset in the new test; now it is served.

--- a/packages/daemon/src/bulrushhollow_daemon/service.py
+++ b/packages/daemon/src/bulrushhollow_daemon/service.py
@@ -5,7 +5,9 @@
 Runs one daemon from its start to its end: what it opens, in which order, and how it stops.
 """
 
+import asyncio
 import contextlib
+import itertools
 import logging
 import random
 import secrets
@@ -71,15 +73,46 @@
 class _Server(uvicorn.Server):
     """A server that leaves signals to the daemon."""
 
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self._taken: list[asyncio.Future[object]] = []
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Capture none."""
         yield
 
     def close_listener(self) -> None:
-        """Accept no further connection; a caller that tries is told so at once."""
+        """
+        Accept no further connection; a caller that tries is told so at once. Connections that the
+        kernel has accepted already are taken over, since closing would reset them.
+        """
+        loop = asyncio.get_running_loop()
         for listener in self.servers:
+            duplicates = [each.dup() for each in listener.sockets]
             listener.close()
+            for connection in itertools.chain.from_iterable(map(_accept_waiting, duplicates)):
+                taken = loop.connect_accepted_socket(self._protocol, connection)
+                self._taken.append(asyncio.ensure_future(taken))
+
+    def _protocol(self) -> asyncio.Protocol:
+        protocol: asyncio.Protocol = self.config.http_protocol_class(  # type: ignore[call-arg]
+            config=self.config, server_state=self.server_state, app_state=self.lifespan.state
+        )
+        return protocol
+
+
+def _accept_waiting(listener: socket.socket) -> Iterator[socket.socket]:
+    """Accept what waits on a listener, and close it."""
+    with listener:
+        listener.setblocking(False)
+        while True:
+            try:
+                connection, _ = listener.accept()
+            except BlockingIOError:
+                return
+            connection.setblocking(False)
+            yield connection
 
 
 class _Daemon:
@@ -184,6 +217,7 @@
         Wait until callers have closed their connections or left them idle. A connection that is
         closed from here while a caller sends on it would leave that caller without an outcome.
         """
+        await anyio.sleep(STOP_POLL)
         with anyio.move_on_after(KEEP_ALIVE):
             while server.server_state.connections:
                 await anyio.sleep(STOP_POLL)
