--- a/bench/failures_watch.py
+++ b/bench/failures_watch.py
@@ -63,12 +63,14 @@
     """
     Wait until all daemons agree and serve.
 
-    :return: the time at which that was so; None if it never was.
+    :return: the time from which on that was so; None if it never was.
     """
     with anyio.move_on_after(RECOVERY_LIMIT):
-        while not (await _agrees(site) and await _serves(site)):
+        while True:
+            asked_at = now()
+            if await _agrees(site) and await _serves(site):
+                return asked_at
             await anyio.sleep(RECOVERED_POLL)
-        return now()
     return None
 
 
@@ -88,15 +90,35 @@
 
 async def _serves(site: Site) -> bool:
     """Tell whether each daemon answers a request and a change is accepted."""
-    try:
+    served: list[str] = []
+
+    async def probe(name: str) -> None:
+        if await _answers(site, name):
+            served.append(name)
+
+    async with anyio.create_task_group() as tasks:
         for name in site.daemons:
-            await site.session(name).request(
-                profile_of(Kind.IDEMPOTENT), b"probe", deadline=PROBE_DEADLINE
-            )
-        session = site.session()
-        configuration = await session.configuration()
-        probed = changed_profile("probe", float(configuration.version + 1))
-        await session.change(PutProfile(probed), base_version=configuration.version)
+            tasks.start_soon(probe, name)
+    return len(served) == len(site.daemons) and await _accepts(site)
+
+
+async def _answers(site: Site, name: str) -> bool:
+    try:
+        await site.session(name).request(
+            profile_of(Kind.IDEMPOTENT), b"probe", deadline=PROBE_DEADLINE
+        )
+    except BulrushhollowError:
+        return False
+    return True
+
+
+async def _accepts(site: Site) -> bool:
+    """Tell whether the log decides on a change; an operator's may have come before it."""
+    session = site.session()
+    try:
+        version = (await session.configuration()).version
+        probed = changed_profile("probe", float(version + 1))
+        await session.change(PutProfile(probed), base_version=version)
     except BulrushhollowError as error:
         return error.reason is Reason.VERSION_CONFLICT
     return True
