--- a/bench/policy.py
+++ b/bench/policy.py
@@ -21,12 +21,13 @@
 from bench.policy_platform import Behaviour, PlatformWorker
 from bench.policy_site import Site
 from bench.policy_sites import PLANS_BY_SITE
+from bench.policy_slope import report
 from bench.policy_trace import Fault, Trace, TraceFault, TraceJob, generate, without_faults
 from bench.policy_watch import Watch
 from bench.report import emit
 from bulrushhollow_core.ids import JobId, Seconds
-from bulrushhollow_core.jobs import SchedulerSettings
-from bulrushhollow_core.models import Resources, Service
+from bulrushhollow_core.jobs import JobRecord, SchedulerSettings
+from bulrushhollow_core.models import Profile, Resources, Service, Urgency
 from bulrushhollow_core.platform import FINAL_TASK_STATES
 
 REAL = "bulrushhollow"
@@ -112,7 +113,23 @@
         elif cancelled:
             self.site.cancel(event.job)
         else:
-            self.site.submit(event.job, self._profiles[event.profile])
+            self._submit(event)
+
+    def _submit(self, job: TraceJob) -> None:
+        profile = self._profiles[job.profile]
+        claimable = profile.urgency is Urgency.URGENT and self._is_claimable(profile)
+        outcome = self.site.submit(job.job, profile)
+        if claimable and isinstance(outcome, JobRecord):
+            self.outcome.claims.add(job.job)
+
+    def _is_claimable(self, profile: Profile) -> bool:
+        guarantees = self.site.configuration.workspaces_by_id[profile.workspace].guarantees
+        homes = [g.data_centre for g in guarantees if g.name == profile.guarantee]
+        return any(
+            self.site.schedulers_by_id[home].can_claim(profile)
+            for home in homes
+            if self.site.configuration.data_centres_by_id[home].service is Service.IN
+        )
 
     def _fault(self, fault: TraceFault) -> None:
         platform = self.site.platforms_by_id[fault.data_centre]
@@ -205,7 +222,11 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--site", choices=sorted(PLANS_BY_SITE), default="tamarin")
     parser.add_argument("--no-faults", action="store_true", help="a control without faults")
+    parser.add_argument("--slope", action="store_true", help="cost of a decision by size instead")
     options = parser.parse_args(argv)
+    if options.slope:
+        report(options.seed)
+        return 0
     violations = 0.0
     for name, found in compare(options.site, options.seed, not options.no_faults).items():
         for figure in found:
--- a/bench/policy_measures.py
+++ b/bench/policy_measures.py
@@ -56,11 +56,12 @@
 
     :param started_by_job: when a job first ran whole.
     :param ended_by_job: when a job succeeded.
-    :param useful: accelerator-seconds of work that was kept, at some moments.
+    :param claims: urgent jobs for which an unclaimed unit of their guarantee had a place.
     """
 
     started_by_job: dict[JobId, float] = {}
     ended_by_job: dict[JobId, float] = {}
+    claims: set[JobId] = set()
     integrals: Integrals = msgspec.field(default_factory=Integrals)
     change_work: float = 0.0
     wasted: float = 0.0
@@ -116,6 +117,7 @@
     waits = {job.job: outcome.started_by_job[job.job] - job.at for job in jobs}
     large = [times[job.job] for job in jobs if is_large(profiles[job.profile])]
     urgent = [waits[job.job] for job in jobs if _is_urgent(profiles[job.profile])]
+    claims = [waits[job.job] for job in jobs if job.job in outcome.claims]
     labels = [times[job.job] for job in jobs if job.profile == "label"]
     integrals = outcome.integrals
     capacity = capacity_of(trace.configuration)
@@ -131,6 +133,7 @@
         Figure("reclaim_max", outcome.slowest_reclaim, "s"),
         Figure("urgent_start_p99", _fraction(urgent, 0.99), "s"),
         Figure("urgent_start_max", max(urgent, default=0.0), "s"),
+        Figure("claim_start_max", max(claims, default=0.0), "s"),
         Figure("label_run_p99", _fraction(labels, 0.99), "s"),
         Figure("change_work", outcome.change_work / 3_600.0, "accelerator-hours"),
         Figure("wasted", outcome.wasted / 3_600.0, "accelerator-hours"),
--- a/packages/core/src/bulrushhollow_core/jobs/_eviction.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_eviction.py
@@ -29,11 +29,17 @@
 
 
 class Eviction(msgspec.Struct, frozen=True):
-    """A place for a gang and the jobs to move aside for it."""
+    """
+    A place for a gang and the jobs to move aside for it.
+
+    :param cost: what is wasted, with surcharges that steer the choice of victims.
+    :param waste: accelerator-seconds that are wasted.
+    """
 
     place: Placement
     victims: frozenset[JobId]
     cost: float
+    waste: float
 
 
 class _Offer(msgspec.Struct, frozen=True):
@@ -45,15 +51,20 @@
     cost: float
 
 
-def cost_of(run: Run, now: Seconds) -> float:
-    """Return what preempting a run wastes, in accelerator-seconds with surcharges."""
-    profile = run.record.profile
+def waste_of(run: Run, now: Seconds) -> float:
+    """Return the accelerator-seconds that preempting a run wastes."""
     since = now if run.running_since is None else run.running_since
-    keeps_work = profile.checkpointable and not run.checkpoint_failed
+    keeps_work = run.record.profile.checkpointable and not run.checkpoint_failed
     lost = CHECKPOINT_COST if keeps_work else now - since + CHECKPOINT_COST
+    return lost * run.accelerators
+
+
+def cost_of(run: Run, now: Seconds) -> float:
+    """Return what preempting a run costs: its waste and the surcharges."""
+    profile = run.record.profile
     surcharge = 0.0 if profile.idempotent else UNSAFE_COST
     rank = max(URGENCY_RANKS.values()) - URGENCY_RANKS[profile.urgency]
-    return lost * run.accelerators + surcharge + rank * URGENCY_COST
+    return waste_of(run, now) + surcharge + rank * URGENCY_COST
 
 
 class EvictionFinder:
@@ -143,8 +154,9 @@
 
     def _combine(self, offers: Iterable[_Offer], place: Placement, now: Seconds) -> Eviction:
         victims = frozenset(job for offer in offers for job in offer.victims)
-        cost = sum(cost_of(self._runs_by_job[job], now) for job in victims)
-        return Eviction(place, victims, cost)
+        runs = [self._runs_by_job[job] for job in victims]
+        cost = sum(cost_of(run, now) for run in runs)
+        return Eviction(place, victims, cost, sum(waste_of(run, now) for run in runs))
 
 
 def _enough(offers: Iterable[_Offer], tasks: int) -> Iterable[_Offer]:
--- a/packages/core/src/bulrushhollow_core/jobs/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_fleet.py
@@ -11,6 +11,7 @@
 
 from bulrushhollow_core.ids import JobId, RackId, Seconds, WorkerId
 from bulrushhollow_core.models import Resources
+from bulrushhollow_core.platform import TaskReport
 
 Placement = tuple[WorkerId, ...]
 """The worker of each task of a gang, in the order of task numbers."""
@@ -67,6 +68,8 @@
     :ivar tasks_by_job: number of tasks that each live run holds here.
     :ivar ready: whether the platform says that it is up.
     :ivar leased_until: while it is not ready, until when tasks may still be running on it.
+    :ivar silent: whether orders to it have had no effect since its last report changed.
+    :ivar reported: its tasks as of its last report.
     :ivar quarantined: whether it gets no work because work fails on it.
     """
 
@@ -79,6 +82,8 @@
         "tasks_by_job",
         "ready",
         "leased_until",
+        "silent",
+        "reported",
         "quarantined",
     )
 
@@ -91,6 +96,8 @@
         self.tasks_by_job: dict[JobId, int] = {}
         self.ready = True
         self.leased_until = BEFORE_ALL
+        self.silent = False
+        self.reported: tuple[TaskReport, ...] = ()
         self.quarantined = False
 
     @property
--- a/packages/core/src/bulrushhollow_core/jobs/_gangs.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_gangs.py
@@ -76,6 +76,7 @@
         self.transit: dict[JobId, None] = {}
         self.tally = Tally()
         self.acquitted: list[Worker] = []
+        self.disobedient: list[Worker] = []
         self.closed: list[Run] = []
         self.is_pressing = False
         self.heard_until = Seconds(float("-inf"))
@@ -339,7 +340,10 @@
         """Count tasks as gone that can't run any more although nobody has said so."""
         for task in run.tasks_by_id.values():
             worker = self._fleet.workers_by_id[task.worker]
-            never_seen = task.state is None and worker.ready and self.heard_until >= run.deadline
+            heard = worker.ready and self.heard_until >= run.deadline
+            if heard and not task.gone and task.state is not None:
+                self.disobedient.append(worker)
+            never_seen = heard and task.state is None
             lease_over = not worker.ready and now >= worker.leased_until
             if not task.gone and (never_seen or lease_over):
                 self._let_go(run, task)
--- a/packages/core/src/bulrushhollow_core/jobs/_planner.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_planner.py
@@ -43,6 +43,9 @@
 MOST_AVOIDED = 4
 """A job avoids workers on which it failed only while they are at most one in this many."""
 
+SEARCHES_PER_PASS = 1
+"""Searches for work to move aside for gangs without a claim, in one pass through the queue."""
+
 SMALLER = 0.5
 """Only jobs of at most this share of a gang's accelerators are moved aside for it."""
 
@@ -78,6 +81,7 @@
             fleet, gangs.runs_by_job, estimates, settings.reservations
         )
         self._evictions_by_job: dict[JobId, int] = {}
+        self._searches_left = SEARCHES_PER_PASS
         self._quotas: dict[str, int | None] = {}
 
     def configure(self, workspaces: list[Workspace]) -> None:
@@ -93,6 +97,7 @@
     def plan(self, now: Seconds) -> None:
         """Go through the queue once, the first job of each lane at a time."""
         self._probe_workers(now)
+        self._searches_left = SEARCHES_PER_PASS
         heads: list[tuple[tuple[int, float, int], JobId, Lane]] = []
         for lane in list(self._queue.lanes_by_profile.values()):
             self._push_head(heads, lane, now)
@@ -219,12 +224,17 @@
             return None
         if self._queue.waited(record.job, now) < self._settings.eviction_age:
             return None
+        lane = self._queue.lanes_by_profile[profile]
+        if self._searches_left <= 0 or now < lane.search_after:
+            return None
+        self._searches_left -= 1
+        lane.search_after = Seconds(now + RETRY_BLOCKED)
         eviction = self._finder.cheapest(profile.shape, self._movable_for(record, now), now)
         if eviction is None:
             return None
         size = profile.shape.tasks * profile.shape.per_task.accelerators
         worth = self._estimates.expected(profile) * size * WORTH_MOVING
-        return eviction if eviction.cost <= worth else None
+        return eviction if eviction.waste <= worth else None
 
     def _less_urgent_than(self, profile: Profile) -> Callable[[Run], bool]:
         rank = URGENCY_RANKS[profile.urgency]
@@ -239,20 +249,22 @@
         rank = self._queue.rank(record, now)
         most = profile.shape.tasks * profile.shape.per_task.accelerators * SMALLER
         limit = self._settings.evictions_per_job
+        reserved = self._reservations.holds(record.job, now)
+
+        def may_move_again(run: Run) -> bool:
+            since = run.running_since
+            settled = since is not None and now - since >= self._settings.settled_run
+            return settled and self._evictions_by_job.get(run.job, 0) < limit
 
         def is_movable(run: Run) -> bool:
-            settled = run.running_since is not None and (
-                now - run.running_since >= self._settings.settled_run
-            )
             return (
                 run.is_borrowed
                 and run.phase is Phase.RUNNING
-                and settled
                 and run.is_safe_to_move
                 and run.record.profile.checkpointable
                 and run.accelerators <= most
                 and URGENCY_RANKS[run.record.profile.urgency] >= rank
-                and self._evictions_by_job.get(run.job, 0) < limit
+                and (reserved or may_move_again(run))
             )
 
         return is_movable
--- a/packages/core/src/bulrushhollow_core/jobs/_queue.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_queue.py
@@ -40,12 +40,14 @@
     :param heap: queued jobs; those that left the queue otherwise are dropped when they come up.
     :param blocked_at: number of the fleet's releases when the first job last did not fit.
     :param blocked_until: when to look again although nothing was released.
+    :param search_after: when to look again for work that could be moved aside.
     """
 
     profile: Profile
     heap: list[QueuedJob] = []
     blocked_at: int = -1
     blocked_until: Seconds = Seconds(0.0)
+    search_after: Seconds = Seconds(0.0)
 
 
 class Shares:
--- a/packages/core/src/bulrushhollow_core/jobs/_reports.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_reports.py
@@ -82,7 +82,7 @@
         for report in reports:
             for task in report.tasks:
                 self._task_reported(report.worker, task, now)
-            if report.ready:
+            if report.ready and not self._fleet.workers_by_id[report.worker].silent:
                 self._notice_missing(report, now)
 
     def expect_worker(self, worker: WorkerId, now: Seconds) -> None:
@@ -92,6 +92,15 @@
         self._fleet.put(worker, UNKNOWN_RACK, Resources())
         self._set_ready(self._fleet.workers_by_id[worker], False, now)
 
+    def worker_disobeyed(self, worker: Worker, now: Seconds) -> None:
+        """
+        Treat a worker as lost that goes on listing a task it was told to stop: the platform has
+        lost sight of it without noticing.
+        """
+        if worker.ready:
+            worker.silent = True
+            self._set_ready(worker, False, now)
+
     def tick(self, now: Seconds) -> None:
         """Stop strangers, or drop them, once the log had time to explain them."""
         for stranger in list(self.strangers_by_task.values()):
@@ -111,6 +120,7 @@
         known = self._fleet.workers_by_id.get(report.worker)
         if known is None:
             worker = self._fleet.put(report.worker, report.rack, report.capacity)
+            worker.reported = report.tasks
             self._set_ready(worker, report.ready, now)
             self._witness.worker_returned()
             return
@@ -118,7 +128,9 @@
         if changed:
             self._fleet.put(report.worker, report.rack, report.capacity)
             self._witness.worker_lost(known)
-        self._set_ready(known, report.ready, now)
+        known.silent = known.silent and known.reported == report.tasks
+        known.reported = report.tasks
+        self._set_ready(known, report.ready and not known.silent, now)
 
     def _set_ready(self, worker: Worker, ready: bool, now: Seconds) -> None:
         if worker.ready == ready:
--- a/packages/core/src/bulrushhollow_core/jobs/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_scheduler.py
@@ -258,6 +258,14 @@
         runs = (lead.gangs.runs_by_job[job] for job in lead.gangs.transit)
         return lead.calls.assemble(epoch, runs, self._may_start(lead), lease_left, now)
 
+    def can_claim(self, profile: Profile) -> bool:
+        """Return whether a unit of the profile's guarantee is unclaimed and has its place."""
+        lead = self._lead
+        if lead is None or not lead.heard or profile.guarantee is None:
+            return False
+        unit = lead.witness.claimable(profile.workspace, profile.guarantee)
+        return unit is not None and lead.witness.place_of(unit) is not None
+
     def load(self, now: Seconds) -> DataCentreLoad:
         """Return how busy the data centre is."""
         lead = self._lead
@@ -395,6 +403,9 @@
             lead.gangs.stop(run, Cause.CANCELLED, now)
 
     def _apply_health(self, lead: _Leadership, now: Seconds) -> None:
+        for worker in lead.gangs.disobedient:
+            lead.reports.worker_disobeyed(worker, now)
+        lead.gangs.disobedient.clear()
         known = lead.fleet.workers_by_id
         for name in lead.health.newly_quarantined:
             lead.fleet.set_quarantined(known[name], True)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -175,6 +175,22 @@
             self.assertLessEqual(self.live(job), 1)
         self.assertEqual(self.record(job).attempt, 2)
 
+    def test_worker_that_fell_silent_unnoticed_does_not_hold_up_a_claim_for_ever(self) -> None:
+        self.build(make_configuration(workers=3))
+        small = [self.submit(f"s{n}", SMALL, run=9_000.0) for n in range(24)]
+        self.pass_time(60.0)
+        silent = self.record(small[0]).placement[0]
+        self.site.platforms_by_id[NORTH].silence_worker(silent)
+        claims = [self.submit("claim", CLAIM, run=60.0)]
+        self.pass_time(14.0)
+        self.assertEqual(self.live(claims[0]), 2)
+        self.pass_time(50.0)
+        self.assertNotIn(silent, self.record(small[0]).placement)
+        self.site.platforms_by_id[NORTH].return_worker(silent)
+        self.pass_time(200.0)
+        self.assertEqual(sum(self.live(job) for job in small), 24)
+        self.assert_no_violations()
+
     def test_new_holder_adopts_what_runs(self) -> None:
         claim = self.submit("claim", CLAIM)
         once = self.submit("a", SMALL, run=500.0)
