--- a/bench/failures_site.py
+++ b/bench/failures_site.py
@@ -60,7 +60,7 @@
 LEAVE_SECONDS = 6.0
 """Seconds for which a leaving endpoint still runs what it is sent."""
 
-JOB_SECONDS = 0.5
+JOB_SECONDS = 2.0
 """Seconds that a task runs."""
 
 CHANGED_PROFILES = tuple(f"changed-{number}" for number in range(8))
@@ -167,7 +167,7 @@
         log = self._folder / f"{name}.runs"
         command = [sys.executable, "-m", "standins.endpoint", "--id", name, "--service", SERVICE]
         place = ["--data-centre", data_centre, "--announce-to", ",".join(self.cluster.entries)]
-        behaviour = ["--slots", str(SLOTS), "--slow-ms", "20", "--jitter-ms", "80"]
+        behaviour = ["--slots", str(SLOTS), "--slow-ms", "200", "--jitter-ms", "300"]
         ending = ["--leave-seconds", str(LEAVE_SECONDS), "--run-log", str(log)]
         child = Child(name, [*command, *place, *behaviour, *ending])
         self._stack.enter_context(child)
@@ -245,13 +245,13 @@
         ]
         profiles = (await self.session().configuration()).profiles_by_name
         records.final_values_by_profile = {
-            name: profile.deadline for name, profile in profiles.items()
+            name: profile.expected_run for name, profile in profiles.items()
         }
 
 
 def changed_profile(name: str, value: float) -> Profile:
-    """Return a profile that carries a value in its deadline."""
-    return Profile(ProfileName(name), WorkKind.REQUEST, WORKSPACE, service=SERVICE, deadline=value)
+    """Return a profile that carries a value in its expected run, and that no work is sent with."""
+    return Profile(ProfileName(name), WorkKind.JOB, WORKSPACE, shape=SINGLE, expected_run=value)
 
 
 def profile_of(kind: Kind) -> str:
