Restore guarantees after a takeover; search for room once for equal shapes

Cause: work that a new holder adopted could push a guarantee's kept place aside, and nothing looked for another; waiting gangs of one shape each searched all racks while a reservation was held. Change: places are looked for again after adoption; a shape that found no room is not tried again in the same pass.

--- a/packages/core/src/bulrushhollow_core/jobs/_planner.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_planner.py
@@ -50,6 +50,10 @@
 """Only jobs of at most this share of a gang's accelerators are moved aside for it."""
 
 
+Misfit = tuple[Shape, Standing, frozenset[WorkerId]]
+"""A shape for which no room was found in a pass, and the workers that were closed to it."""
+
+
 class Planner:
     """
     The decisions of one data centre about its queue.
@@ -102,7 +106,7 @@
         for lane in list(self._queue.lanes_by_profile.values()):
             self._push_head(heads, lane, now)
         heapq.heapify(heads)
-        misfits: set[tuple[Shape, Standing]] = set()
+        misfits: set[Misfit] = set()
         while heads:
             _, job, lane = heapq.heappop(heads)
             record = self._queue.records_by_job[job]
@@ -129,7 +133,7 @@
         order = self._queue.order(record, self._fleet.accelerators, now)
         push(heads, (order, record.job, lane))
 
-    def _start(self, record: JobRecord, misfits: set[tuple[Shape, Standing]], now: Seconds) -> bool:
+    def _start(self, record: JobRecord, misfits: set[Misfit], now: Seconds) -> bool:
         profile = record.profile
         if profile.guarantee is not None:
             unit = self._witness.claimable(profile.workspace, profile.guarantee)
@@ -161,16 +165,13 @@
         self._open(record, at_kept, Standing.CLAIM, unit, now)
         return True
 
-    def _start_firm(
-        self, record: JobRecord, misfits: set[tuple[Shape, Standing]], now: Seconds
-    ) -> bool:
+    def _start_firm(self, record: JobRecord, misfits: set[Misfit], now: Seconds) -> bool:
         shape = record.profile.shape
-        if self._witness.is_lacking or (shape, Standing.FIRM) in misfits:
+        if self._witness.is_lacking:
             return False
         closed = self._closed_to(record, now)
-        place = self._find(shape, without(firm_room(shape), closed))
-        if place is None:
-            place = self._find(shape, without(free_room(shape), closed))
+        misfit = (shape, Standing.FIRM, closed)
+        place = None if misfit in misfits else self._find_firm(shape, closed)
         if place is not None and self._witness.admit(place, shape.per_task):
             self._gangs.open(record, place, Standing.FIRM, None, now)
             return True
@@ -178,21 +179,27 @@
         if eviction is not None and self._witness.admit(eviction.place, shape.per_task):
             self._open(record, eviction, Standing.FIRM, None, now)
             return True
-        self._note_misfit(record, Standing.FIRM, closed, misfits)
+        misfits.add(misfit)
         self._reserve_if_starving(record, now)
         return False
 
-    def _borrow(
-        self, record: JobRecord, misfits: set[tuple[Shape, Standing]], now: Seconds
-    ) -> bool:
+    def _find_firm(self, shape: Shape, closed: frozenset[WorkerId]) -> Placement | None:
+        """Find free room beside the kept places, or else free room with some in the way."""
+        place = self._find(shape, without(firm_room(shape), closed))
+        if place is None:
+            place = self._find(shape, without(free_room(shape), closed))
+        return place
+
+    def _borrow(self, record: JobRecord, misfits: set[Misfit], now: Seconds) -> bool:
         shape = record.profile.shape
         closed = self._closed_to(record, now)
-        if (shape, Standing.BORROWED) not in misfits:
+        misfit = (shape, Standing.BORROWED, closed)
+        if misfit not in misfits:
             place = self._find(shape, without(free_room(shape), closed))
             if place is not None:
                 self._gangs.open(record, place, Standing.BORROWED, None, now)
                 return True
-            self._note_misfit(record, Standing.BORROWED, closed, misfits)
+            misfits.add(misfit)
         eviction = self._eviction_for(record, now)
         if eviction is not None:
             self._open(record, eviction, Standing.BORROWED, None, now)
@@ -278,20 +285,11 @@
         if self._reservations.has_room:
             self._reservations.reserve(record, now)
 
-    def _note_misfit(
-        self,
-        record: JobRecord,
-        standing: Standing,
-        closed: frozenset[WorkerId],
-        misfits: set[tuple[Shape, Standing]],
-    ) -> None:
-        if not closed:
-            misfits.add((record.profile.shape, standing))
-
     def _closed_to(self, record: JobRecord, now: Seconds) -> frozenset[WorkerId]:
         expected = self._estimates.expected(record.profile)
         reserved = self._reservations.closed_to(record, expected, now)
-        return reserved | self._failed_on(record)
+        failed = self._failed_on(record)
+        return reserved | failed if failed else reserved
 
     def _failed_on(self, record: JobRecord) -> frozenset[WorkerId]:
         """Return workers to avoid for a job, unless that would leave it too few."""
--- a/packages/core/src/bulrushhollow_core/jobs/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_scheduler.py
@@ -359,6 +359,7 @@
             lead.queue.remove(record.job)
             if lead.heard:
                 self._adopt(lead, record, now)
+                lead.witness.restore_lacking()
 
     def _reopen(self, lead: _Leadership, now: Seconds) -> None:
         """Queue again, or adopt, the jobs of attempts that were closed."""
@@ -378,6 +379,7 @@
         started.sort(key=lambda r: (_is_preemptible(r.profile), r.submitted))
         for record in started:
             self._adopt(lead, record, now)
+        lead.witness.restore_lacking()
 
     def _adopt(self, lead: _Leadership, record: JobRecord, now: Seconds) -> None:
         for worker in record.placement:
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -201,6 +201,20 @@
         self.assertEqual(self.record(claim).attempt, 1)
         self.assertIsNotNone(once)
 
+    def test_new_holder_finds_room_for_a_guarantee_beside_the_work_it_adopts(self) -> None:
+        self.build(make_configuration(workers=3))
+        first = WorkerId("north-r1-0")
+        self.site.platforms_by_id[NORTH].crash_worker(first)
+        self.pass_time(1.0)
+        firm = self.submit("firm", job_profile("firm", idempotent=False), run=500.0)
+        self.pass_time(1.0)
+        self.site.platforms_by_id[NORTH].return_worker(first)
+        self.pass_time(5.0)
+        self.assertEqual(self.record(firm).placement, (first,))
+        self.site.take_over(NORTH)
+        self.pass_time(5.0)
+        self.assertEqual(self.site.schedulers_by_id[NORTH].status(self.site.now).lacking, ())
+
     def test_cancelled_job_stops(self) -> None:
         jobs = [self.submit(f"s{n}", SMALL, run=900.0) for n in range(20)]
         self.pass_time(5.0)
