--- a/packages/core/src/bulrushhollow_core/jobs/_gangs.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_gangs.py
@@ -299,8 +299,20 @@
                 self._intend(run, now)
 
     def _is_clear(self, run: Run) -> bool:
+        """Return whether all room of an attempt is free but for what later claims wait for."""
         workers = (self._fleet.workers_by_id[worker] for worker in set(run.place))
-        return not any(worker.free.is_overdrawn() for worker in workers)
+        return not any(self._is_taken(worker, run) for worker in workers)
+
+    def _is_taken(self, worker: Worker, run: Run) -> bool:
+        if not worker.free.is_overdrawn():
+            return False
+        room = worker.free.copy()
+        for job, tasks in worker.tasks_by_job.items():
+            other = self.runs_by_job[job]
+            later = (other.claimed_at, other.job) > (run.claimed_at, run.job)
+            if later and other.phase is Phase.RECLAIMING:
+                room.add(other.need, tasks)
+        return room.is_overdrawn()
 
     def _intend(self, run: Run, now: Seconds) -> None:
         if run.standing is Standing.CLAIM:
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -123,6 +123,25 @@
         self.assertTrue(all(self.record(job).state is JobState.STARTED for job in small))
         self.assert_no_violations()
 
+    def test_claim_does_not_wait_for_what_a_later_claim_moves_aside(self) -> None:
+        label = job_profile("label", workspace=SURVEY, guarantee=CLAIMABLE)
+        configuration = make_configuration(workers=1)
+        guarantee = Guarantee(CLAIMABLE, NORTH, label.shape, 8)
+        workspaces = {
+            **configuration.workspaces_by_id,
+            SURVEY: Workspace(SURVEY, guarantees=(guarantee,)),
+        }
+        self.build(msgspec.structs.replace(configuration, workspaces_by_id=workspaces))
+        for number in range(8):
+            self.submit(f"s{number}", SMALL, run=9_000.0, checkpoint_fails=True)
+        self.pass_time(300.0)
+        first = self.submit("first", label)
+        self.pass_time(2.0)
+        self.submit("second", label)
+        self.pass_time(3.0)
+        self.assertEqual(self.live(first), 1)
+        self.assert_no_violations()
+
     def test_failing_checkpoints_do_not_hold_up_a_claim(self) -> None:
         small = [self.submit(f"s{n}", SMALL, 9_000.0, checkpoint_fails=True) for n in range(16)]
         self.pass_time(300.0)
