--- a/packages/core/src/bulrushhollow_core/jobs/_gangs.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_gangs.py
@@ -76,6 +76,7 @@
         self.transit: dict[JobId, None] = {}
         self.tally = Tally()
         self.acquitted: list[Worker] = []
+        self.disobedient: list[Worker] = []
         self.closed: list[Run] = []
         self.is_pressing = False
         self.heard_until = Seconds(float("-inf"))
@@ -298,8 +299,20 @@
                 self._intend(run, now)
 
     def _is_clear(self, run: Run) -> bool:
+        """Return whether all room of an attempt is free but for what later claims wait for."""
         workers = (self._fleet.workers_by_id[worker] for worker in set(run.place))
-        return not any(worker.free.is_overdrawn() for worker in workers)
+        return not any(self._is_taken(worker, run) for worker in workers)
+
+    def _is_taken(self, worker: Worker, run: Run) -> bool:
+        if not worker.free.is_overdrawn():
+            return False
+        room = worker.free.copy()
+        for job, tasks in worker.tasks_by_job.items():
+            other = self.runs_by_job[job]
+            later = (other.claimed_at, other.job) > (run.claimed_at, run.job)
+            if later and other.phase is Phase.RECLAIMING:
+                room.add(other.need, tasks)
+        return room.is_overdrawn()
 
     def _intend(self, run: Run, now: Seconds) -> None:
         if run.standing is Standing.CLAIM:
@@ -339,7 +352,10 @@
         """Count tasks as gone that can't run any more although nobody has said so."""
         for task in run.tasks_by_id.values():
             worker = self._fleet.workers_by_id[task.worker]
-            never_seen = task.state is None and worker.ready and self.heard_until >= run.deadline
+            heard = worker.ready and self.heard_until >= run.deadline
+            if heard and not task.gone and task.state is not None:
+                self.disobedient.append(worker)
+            never_seen = heard and task.state is None
             lease_over = not worker.ready and now >= worker.leased_until
             if not task.gone and (never_seen or lease_over):
                 self._let_go(run, task)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -123,6 +123,25 @@
         self.assertTrue(all(self.record(job).state is JobState.STARTED for job in small))
         self.assert_no_violations()
 
+    def test_claim_does_not_wait_for_what_a_later_claim_moves_aside(self) -> None:
+        label = job_profile("label", workspace=SURVEY, guarantee=CLAIMABLE)
+        configuration = make_configuration(workers=1)
+        guarantee = Guarantee(CLAIMABLE, NORTH, label.shape, 8)
+        workspaces = {
+            **configuration.workspaces_by_id,
+            SURVEY: Workspace(SURVEY, guarantees=(guarantee,)),
+        }
+        self.build(msgspec.structs.replace(configuration, workspaces_by_id=workspaces))
+        for number in range(8):
+            self.submit(f"s{number}", SMALL, run=9_000.0, checkpoint_fails=True)
+        self.pass_time(300.0)
+        first = self.submit("first", label)
+        self.pass_time(2.0)
+        self.submit("second", label)
+        self.pass_time(3.0)
+        self.assertEqual(self.live(first), 1)
+        self.assert_no_violations()
+
     def test_failing_checkpoints_do_not_hold_up_a_claim(self) -> None:
         small = [self.submit(f"s{n}", SMALL, 9_000.0, checkpoint_fails=True) for n in range(16)]
         self.pass_time(300.0)
@@ -175,6 +194,22 @@
             self.assertLessEqual(self.live(job), 1)
         self.assertEqual(self.record(job).attempt, 2)
 
+    def test_worker_that_fell_silent_unnoticed_does_not_hold_up_a_claim_for_ever(self) -> None:
+        self.build(make_configuration(workers=3))
+        small = [self.submit(f"s{n}", SMALL, run=9_000.0) for n in range(24)]
+        self.pass_time(60.0)
+        silent = self.record(small[0]).placement[0]
+        self.site.platforms_by_id[NORTH].silence_worker(silent)
+        claims = [self.submit("claim", CLAIM, run=60.0)]
+        self.pass_time(14.0)
+        self.assertEqual(self.live(claims[0]), 2)
+        self.pass_time(50.0)
+        self.assertNotIn(silent, self.record(small[0]).placement)
+        self.site.platforms_by_id[NORTH].return_worker(silent)
+        self.pass_time(200.0)
+        self.assertEqual(sum(self.live(job) for job in small), 24)
+        self.assert_no_violations()
+
     def test_new_holder_adopts_what_runs(self) -> None:
         claim = self.submit("claim", CLAIM)
         once = self.submit("a", SMALL, run=500.0)
@@ -185,6 +220,20 @@
         self.assertEqual(self.record(claim).attempt, 1)
         self.assertIsNotNone(once)
 
+    def test_new_holder_finds_room_for_a_guarantee_beside_the_work_it_adopts(self) -> None:
+        self.build(make_configuration(workers=3))
+        first = WorkerId("north-r1-0")
+        self.site.platforms_by_id[NORTH].crash_worker(first)
+        self.pass_time(1.0)
+        firm = self.submit("firm", job_profile("firm", idempotent=False), run=500.0)
+        self.pass_time(1.0)
+        self.site.platforms_by_id[NORTH].return_worker(first)
+        self.pass_time(5.0)
+        self.assertEqual(self.record(firm).placement, (first,))
+        self.site.take_over(NORTH)
+        self.pass_time(5.0)
+        self.assertEqual(self.site.schedulers_by_id[NORTH].status(self.site.now).lacking, ())
+
     def test_cancelled_job_stops(self) -> None:
         jobs = [self.submit(f"s{n}", SMALL, run=900.0) for n in range(20)]
         self.pass_time(5.0)
