Keep the body of the last whole answer with its key, and show the last log entry

Cause: a keyed request whose second attempt was lost stored an empty body under the first one's status; and an operator who must recover a log could not see which voter has the longest one. Change: the last whole attempt's body is kept (test added, it failed before); status has last_index.

--- a/packages/core/src/bulrushhollow_core/answers.py
+++ b/packages/core/src/bulrushhollow_core/answers.py
@@ -143,6 +143,7 @@
     State of the answering instance: ``GET /v1/status``.
 
     :param leader: leader of the replicated log, if known.
+    :param last_index: last entry of this instance's log, committed or not.
     :param configuration_version: version that is in force on this instance.
     :param holds_lease: whether it holds its data centre's lease.
     :param voter: whether it votes in the replicated log.
@@ -155,6 +156,7 @@
     leader: InstanceId | None = None
     term: Term = Term(0)
     committed: LogIndex = LogIndex(0)
+    last_index: LogIndex = LogIndex(0)
     applied: LogIndex = LogIndex(0)
     configuration_version: Version = Version(0)
     voter: bool = False
--- a/packages/daemon/src/bulrushhollow_daemon/flights.py
+++ b/packages/daemon/src/bulrushhollow_daemon/flights.py
@@ -10,7 +10,13 @@
 from bulrushhollow_core.ids import Attempt, RequestId
 from bulrushhollow_core.models import Profile
 from bulrushhollow_core.outcomes import Execution, Refusal
-from bulrushhollow_core.requests import MAX_KEPT_BODY, Answered, KeyCommand, SettleKey
+from bulrushhollow_core.requests import (
+    MAX_KEPT_BODY,
+    Answered,
+    AttemptEnd,
+    KeyCommand,
+    SettleKey,
+)
 from bulrushhollow_daemon.api import Delivery, RequestCall
 from bulrushhollow_daemon.dispatch import AttemptAnswer
 from bulrushhollow_daemon.waiters import Waiter
@@ -56,11 +62,12 @@
         self.result.give(Delivery(self.call.request, result.status, body, content_type))
 
     def with_body(self, command: KeyCommand) -> KeyCommand:
-        """Fill the body of the last answer into a settlement, if it is short enough to keep."""
+        """Fill the body of the last whole answer into a settlement, if it is short enough."""
         if not isinstance(command, SettleKey) or command.outcome is not Execution.RAN:
             return command
-        answers = list(self._answers_by_attempt.values())
-        if not answers or len(answers[-1].body) > MAX_KEPT_BODY:
+        attempts = self._answers_by_attempt.values()
+        whole = [answer for answer in attempts if answer.result.end is AttemptEnd.WHOLE]
+        if not whole or len(whole[-1].body) > MAX_KEPT_BODY:
             return command
         return SettleKey(
             key=command.key,
@@ -69,7 +76,7 @@
             request_id=command.request_id,
             outcome=command.outcome,
             status=command.status,
-            body=answers[-1].body,
+            body=whole[-1].body,
         )
 
 
--- a/packages/daemon/src/bulrushhollow_daemon/reports.py
+++ b/packages/daemon/src/bulrushhollow_daemon/reports.py
@@ -51,6 +51,7 @@
             leader=status.log.leader,
             term=status.log.term,
             committed=status.log.commit_index,
+            last_index=status.log.last_index,
             applied=status.applied,
             configuration_version=node.configuration.version,
             voter=status.log.role in VOTING,
