--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -280,7 +280,8 @@
 
 def _accept_a_change(ledgers: Ledgers) -> None:
     version = ledgers.configuration.configuration.version
-    guarantee = Guarantee(GuaranteeName("one"), NORTH, Shape(1, Resources(2, 1, 1)))
+    shape = Shape(1, Resources(1 + (version + 1) % 2, 1, 1))
+    guarantee = Guarantee(GuaranteeName("one"), NORTH, shape)
     workspace = Workspace(WorkspaceId("workspace-0"), version + 2, guarantees=(guarantee,))
     edit = PutWorkspace(workspace)
     change = ChangeConfiguration(ChangeId(f"change-{version}"), edit, version)
--- a/packages/core/src/bulrushhollow_core/jobs/__init__.py
+++ b/packages/core/src/bulrushhollow_core/jobs/__init__.py
@@ -27,6 +27,7 @@
     JobLedgerSnapshot,
     JobRecord,
     JobState,
+    no_such_job,
 )
 from bulrushhollow_core.jobs._scheduler import Scheduler
 from bulrushhollow_core.jobs._views import (
@@ -70,6 +71,7 @@
     "choose_data_centre",
     "fragmentation",
     "largest_shape",
+    "no_such_job",
     "queued_moves",
     "shape_fits",
 ]
--- a/packages/core/src/bulrushhollow_core/jobs/_ledger.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_ledger.py
@@ -173,7 +173,7 @@
     def _intend_start(self, command: IntendStart) -> JobRecord | Refusal:
         record = self.jobs_by_id.get(command.job)
         if record is None:
-            return _no_such_job(command.job)
+            return no_such_job(command.job)
         if record.data_centre != command.data_centre:
             return Refusal(Reason.INVALID, "the job was moved to another data centre")
         if record.state is not JobState.QUEUED or record.cancelled:
@@ -231,7 +231,7 @@
     def _cancel(self, command: CancelJob) -> JobRecord | Refusal:
         record = self.jobs_by_id.get(command.job)
         if record is None:
-            return _no_such_job(command.job)
+            return no_such_job(command.job)
         if record.state is JobState.ENDED:
             return record
         if record.state is JobState.STARTED:
@@ -243,7 +243,7 @@
     def _move(self, command: MoveJob) -> JobRecord | Refusal:
         record = self.jobs_by_id.get(command.job)
         if record is None:
-            return _no_such_job(command.job)
+            return no_such_job(command.job)
         if record.state is not JobState.QUEUED:
             return Refusal(Reason.INVALID, "only a queued job can be moved")
         if record.data_centre == command.data_centre:
@@ -257,7 +257,7 @@
     ) -> JobRecord | Refusal:
         record = self.jobs_by_id.get(job)
         if record is None:
-            return _no_such_job(job)
+            return no_such_job(job)
         if record.state is JobState.ENDED:
             return Refusal(Reason.INVALID, "the job has ended")
         if record.attempt != attempt:
@@ -329,8 +329,10 @@
     return last
 
 
-def _no_such_job(job: JobId) -> Refusal:
-    return Refusal(Reason.NO_SUCH_JOB, f"no job {job} is known")
+def no_such_job(job: JobId) -> Refusal:
+    """Return the refusal of a job that is not remembered, which may have run."""
+    detail = f"no job {job} is known; one that ended long ago is forgotten"
+    return Refusal(Reason.NO_SUCH_JOB, detail, Execution.UNKNOWN)
 
 
 def _fenced() -> Refusal:
--- a/packages/core/src/bulrushhollow_core/jobs/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_scheduler.py
@@ -128,6 +128,11 @@
         lead = self._lead
         return lead is not None and (lead.gangs.is_pressing or not lead.heard)
 
+    @property
+    def workers(self) -> int:
+        """Return the number of workers that the platform has reported."""
+        return 0 if self._lead is None else len(self._lead.fleet.workers_by_id)
+
     @property
     def has_work(self) -> bool:
         """Return whether any job of the data centre is queued or started."""
--- a/packages/core/src/bulrushhollow_core/node/_jobs.py
+++ b/packages/core/src/bulrushhollow_core/node/_jobs.py
@@ -16,6 +16,7 @@
     JobState,
     SubmitJob,
     choose_data_centre,
+    no_such_job,
     shape_fits,
 )
 from bulrushhollow_core.models import Configuration, Profile, Service, WorkKind
@@ -100,7 +101,7 @@
     """Return the state of a job."""
     record = ledger.jobs_by_id.get(job)
     if record is None:
-        return Refusal(Reason.NO_SUCH_JOB, f"no job {job} is known")
+        return no_such_job(job)
     return describe_job(record)
 
 
--- a/packages/core/src/bulrushhollow_core/node/_site.py
+++ b/packages/core/src/bulrushhollow_core/node/_site.py
@@ -161,8 +161,7 @@
         """Return the load to tell the other instances; None unless this one decides."""
         if self._epoch is None:
             return None
-        workers = self.scheduler.status(now).workers
-        return LoadReport(self.scheduler.load(now), self._epoch, workers)
+        return LoadReport(self.scheduler.load(now), self._epoch, self.scheduler.workers)
 
     def _call(self, held: Held, now: Seconds) -> list[CallPlatform]:
         if not self._has_platform or self._outstanding is not None:
--- a/tests/test_jobs_ledger.py
+++ b/tests/test_jobs_ledger.py
@@ -137,6 +137,11 @@
         self.assert_refused(EndJob(JOB, Attempt(1), JobEnd.SUCCEEDED, epoch=old))
         self.assert_refused(RequeueJob(JOB, Attempt(1), False, epoch=old))
 
+    def test_a_job_that_may_be_forgotten_is_not_told_as_not_run(self) -> None:
+        refusal = self.apply(CancelJob(JobId("long ago")))
+        assert isinstance(refusal, Refusal)
+        self.assertIs(Execution.UNKNOWN, refusal.execution)
+
     def test_ended_jobs_are_bounded_and_survive_a_snapshot(self) -> None:
         for number in range(4):
             job = JobId(f"job{number}")
