--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,7 +3,7 @@
 import importlib
 import sys
 
-BENCHES = ("daemon", "state", "policy", "requests", "failures", "replay", "capacity")
+BENCHES = ("daemon", "state", "policy", "requests", "failures", "capacity")
 
 
 def main() -> int:
--- a/packages/daemon/src/bulrushhollow_daemon/main.py
+++ b/packages/daemon/src/bulrushhollow_daemon/main.py
@@ -55,7 +55,6 @@
     data_folder: pathlib.Path | None = None,
     found: Annotated[bool, Parameter(negative="")] = False,
     platform: str | None = None,
-    record: pathlib.Path | None = None,
     seed: int | None = None,
     log_level: str = "INFO",
     log_format: LogFormat = LogFormat.JSON,
@@ -92,8 +91,6 @@
         one instance, at the very first start.
     platform
         http://IP:PORT of the worker platform of this data centre.
-    record
-        File that gets the core's inputs, for a later replay. It holds no payloads.
     seed
         Seed of the random generator; drawn from the system if left out.
     log_level
@@ -139,7 +136,6 @@
         data_folder=data_folder,
         found=found,
         platform=parse_url("--platform", platform) if platform else None,
-        record=record,
         seed=seed,
         log_level=log_level,
         log_format=log_format,
--- a/packages/daemon/src/bulrushhollow_daemon/service.py
+++ b/packages/daemon/src/bulrushhollow_daemon/service.py
@@ -5,18 +5,13 @@
 Runs one daemon from its start to its end: what it opens, in which order, and how it stops.
 """
 
-import asyncio
-import contextlib
-import itertools
 import logging
 import random
 import secrets
 import signal
-import socket
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 
 import anyio
-import uvicorn
 from anyio.abc import TaskGroup
 
 from bulrushhollow_core.consensus import ConsensusRecord, Restored, Restorer
@@ -27,6 +22,7 @@
 from bulrushhollow_daemon.api import Api
 from bulrushhollow_daemon.backend import DaemonBackend
 from bulrushhollow_daemon.dispatch import Dispatcher
+from bulrushhollow_daemon.http_server import KEEP_ALIVE, HttpServer, bind, bound, make_server
 from bulrushhollow_daemon.journal import Journal, JournalError
 from bulrushhollow_daemon.platform_client import PlatformClient
 from bulrushhollow_daemon.runtime import Runtime
@@ -46,15 +42,6 @@
 LAST_ANSWERS = 0.2
 """Seconds for the last answers to be written before the listener closes."""
 
-HEADER_BYTES = 16 * 1024
-"""Largest head of an HTTP request."""
-
-KEEP_ALIVE = 5
-"""Seconds for which an idle connection of a caller is kept."""
-
-BACKLOG = 256
-"""Connections that may wait to be accepted."""
-
 logger = logging.getLogger(__name__)
 
 
@@ -70,57 +57,11 @@
     return FAILED
 
 
-class _Server(uvicorn.Server):
-    """A server that leaves signals to the daemon."""
-
-    def __init__(self, config: uvicorn.Config) -> None:
-        super().__init__(config)
-        self._taken: list[asyncio.Future[object]] = []
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Capture none."""
-        yield
-
-    def close_listener(self) -> None:
-        """
-        Accept no further connection; a caller that tries is told so at once. Connections that the
-        kernel has accepted already are taken over, since closing would reset them.
-        """
-        loop = asyncio.get_running_loop()
-        for listener in self.servers:
-            duplicates = [each.dup() for each in listener.sockets]
-            listener.close()
-            for connection in itertools.chain.from_iterable(map(_accept_waiting, duplicates)):
-                taken = loop.connect_accepted_socket(self._protocol, connection)
-                self._taken.append(asyncio.ensure_future(taken))
-
-    def _protocol(self) -> asyncio.Protocol:
-        protocol: asyncio.Protocol = self.config.http_protocol_class(  # type: ignore[call-arg]
-            config=self.config, server_state=self.server_state, app_state=self.lifespan.state
-        )
-        return protocol
-
-
-def _accept_waiting(listener: socket.socket) -> Iterator[socket.socket]:
-    """Accept what waits on a listener, and close it."""
-    with listener:
-        listener.setblocking(False)
-        while True:
-            try:
-                connection, _ = listener.accept()
-            except BlockingIOError:
-                return
-            connection.setblocking(False)
-            yield connection
-
-
 class _Daemon:
     """One run of the daemon."""
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
-        self._forced = False
 
     async def run(self) -> int:
         """Open everything, serve, and close it in turn."""
@@ -128,10 +69,10 @@
         journal = self._open_journal()
         me = self._incarnation(journal)
         restored = _replay(journal)
-        sock = _bind(settings.http)
+        sock = bind(settings.http)
         seed = secrets.randbits(64) if settings.seed is None else settings.seed
         rng = random.Random(seed)
-        http = _bound(sock)
+        http = bound(sock)
         node = Node(_identity(settings, me, http), restored, rng, clock.now())
         tracer = make_tracer(settings)
         dispatcher = Dispatcher(settings.name, settings.limits.answer_bytes)
@@ -143,7 +84,8 @@
         try:
             async with transport.open(), anyio.create_task_group() as tasks:
                 tasks.start_soon(runtime.run, transport)
-                server = self._start_server(tasks, api, sock)
+                server = make_server(api, settings.limits)
+                tasks.start_soon(server.serve, [sock])
                 logger.info("ready", extra={"http": str(http), "peer_port": transport.port})
                 await self._until_stopped(runtime, server)
                 tasks.cancel_scope.cancel()
@@ -167,26 +109,7 @@
             return journal.instance
         return InstanceId(f"{self._settings.name}.{secrets.token_hex(INCARNATION_BYTES)}")
 
-    def _start_server(self, tasks: TaskGroup, api: Api, sock: socket.socket) -> _Server:
-        config = uvicorn.Config(
-            api,
-            loop="none",
-            http="h11",
-            ws="none",
-            lifespan="off",
-            log_config=None,
-            access_log=False,
-            server_header=False,
-            date_header=False,
-            limit_concurrency=self._settings.limits.connections,
-            timeout_keep_alive=KEEP_ALIVE,
-            h11_max_incomplete_event_size=HEADER_BYTES,
-        )
-        server = _Server(config)
-        tasks.start_soon(server.serve, [sock])
-        return server
-
-    async def _until_stopped(self, runtime: Runtime, server: _Server) -> None:
+    async def _until_stopped(self, runtime: Runtime, server: HttpServer) -> None:
         """Wait for a signal, then stop in order; a second signal ends the waiting."""
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for number in signals:
@@ -212,7 +135,7 @@
         while runtime.flights.names() or not runtime.node.may_stop(clock.now()):
             await anyio.sleep(STOP_POLL)
 
-    async def _until_unused(self, server: _Server) -> None:
+    async def _until_unused(self, server: HttpServer) -> None:
         """
         Wait until callers have closed their connections or left them idle. A connection that is
         closed from here while a caller sends on it would leave that caller without an outcome.
@@ -239,21 +162,6 @@
     return restorer.restored()
 
 
-def _bind(address: Address) -> socket.socket:
-    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((address.host, address.port))
-    sock.listen(BACKLOG)
-    sock.setblocking(False)
-    return sock
-
-
-def _bound(sock: socket.socket) -> Address:
-    host, port = sock.getsockname()[:2]
-    return Address(host, port)
-
-
 def _identity(settings: Settings, me: InstanceId, http: Address) -> Identity:
     return Identity(
         me=me,
--- a/packages/daemon/src/bulrushhollow_daemon/settings.py
+++ b/packages/daemon/src/bulrushhollow_daemon/settings.py
@@ -95,7 +95,7 @@
     :param data_folder: folder for durable state, or None for an instance without a disk.
     :param found: found a new log when no peer belongs to one and the folder is empty.
     :param platform: base URL of the worker platform of this data centre, or None.
-    :param record: file that gets the core's inputs, or None.
+    :param seed: seed of the random generator; None draws one from the system.
     :param faults: whether the development switch for faults is reachable.
     """
 
@@ -107,7 +107,6 @@
     data_folder: pathlib.Path | None = None
     found: bool = False
     platform: str | None = None
-    record: pathlib.Path | None = None
     seed: int | None = None
     log_level: str = "INFO"
     log_format: LogFormat = LogFormat.JSON
--- a/tests/test_failures_listener.py
+++ b/tests/test_failures_listener.py
@@ -6,7 +6,7 @@
 
 import uvicorn
 
-from bulrushhollow_daemon.service import _Server
+from bulrushhollow_daemon.http_server import HttpServer
 
 Message = MutableMapping[str, Any]
 ASKED = b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
@@ -40,7 +40,7 @@
         sock.setblocking(False)
         address = sock.getsockname()
         config = uvicorn.Config(application, lifespan="off", log_config=None, http="h11")
-        server = _Server(config)
+        server = HttpServer(config)
         serving = asyncio.ensure_future(server.serve([sock]))
         while not server.started:
             await asyncio.sleep(0.01)
