Decide again on a refused submission once the log is known

Cause: an instance that lags the log refused a resent submission from its own old state as not run (no such profile), while the first copy had been accepted elsewhere. Left: a first copy that is still on its way to the leader at that moment.

--- a/packages/core/src/bulrushhollow_core/node/_calls.py
+++ b/packages/core/src/bulrushhollow_core/node/_calls.py
@@ -22,7 +22,7 @@
     SubmitAsked,
     WaitAsked,
 )
-from bulrushhollow_core.node._jobs import JobWaits, describe_job, job_answer, submission
+from bulrushhollow_core.node._jobs import JobWaits, describe_job, submission
 from bulrushhollow_core.node._log import Applied, ReplicatedLog
 from bulrushhollow_core.node._proposals import Pending
 from bulrushhollow_core.node._purposes import ForChange, ForJob, ForRecord
@@ -43,6 +43,18 @@
 """Seconds after which a call that found no quorum may be worth repeating."""
 
 
+PLAIN_REASONS = frozenset({Reason.INVALID, Reason.TOO_LARGE})
+"""Refusals of a submission that no state can change."""
+
+
+class _RefusedSubmission(msgspec.Struct, frozen=True):
+    """A submission that is refused unless the log turns out to know better."""
+
+    event: SubmitAsked
+    refusal: Refusal
+    asked_at: Seconds
+
+
 class _OrderCalls:
     """Calls that wait for a majority of the data centre to take an order."""
 
@@ -75,12 +87,14 @@
         self._loads_by_data_centre = loads_by_data_centre
         self._waits = JobWaits()
         self._calls_by_order: dict[ChangeId, _OrderCalls] = {}
+        self._refused: list[_RefusedSubmission] = []
         self._order_at = now
 
     @property
     def is_waiting(self) -> bool:
         """Whether any call waits for its answer."""
-        return self._rollouts.is_waiting or self._waits.is_waiting or bool(self._calls_by_order)
+        is_any = bool(self._calls_by_order or self._refused)
+        return is_any or self._rollouts.is_waiting or self._waits.is_waiting
 
     def ask(self, event: Call, now: Seconds) -> list[msgspec.Struct]:
         """Take in a call."""
@@ -136,6 +150,8 @@
         actions: list[msgspec.Struct] = [*self._rollouts.answer(configuration, now)]
         actions += self._waits.answer(ledgers.jobs, now)
         actions += self._answer_orders(now)
+        if self._refused:
+            actions += self._answer_refused(now)
         if now >= self._order_at:
             self._order_at = Seconds(now + ORDER_INTERVAL)
             for change in self._site.switch.unrecorded():
@@ -160,14 +176,39 @@
         ledgers = self._log.ledgers
         configuration = ledgers.configuration.configuration
         command = submission(event.submit, configuration, self._loads_by_data_centre, ledgers.jobs)
+        if not isinstance(command, Refusal):
+            self._log.want(command, ForJob(event.call), CALL_WAIT, now)
+            return []
         known = ledgers.jobs.jobs_by_id.get(event.submit.job_id)
-        if isinstance(command, Refusal):
-            resent = known is not None and known.profile.name == event.submit.profile
-            answer = job_answer(event.submit.job_id, ledgers.jobs) if resent else command
-            return [Reply(event.call, answer)]
-        self._log.want(command, ForJob(event.call), CALL_WAIT, now)
+        if known is not None and known.profile.name == event.submit.profile:
+            return [Reply(event.call, describe_job(known))]
+        if command.reason in PLAIN_REASONS:
+            return [Reply(event.call, command)]
+        self._refused.append(_RefusedSubmission(event, command, now))
         return []
 
+    def _answer_refused(self, now: Seconds) -> list[msgspec.Struct]:
+        """
+        Decide again on submissions that were refused by state that may have been old: an earlier
+        copy of the same submission may have been accepted by another instance.
+        """
+        caught_up_at = now - self._log.status(now).caught_up_age
+        due = [one for one in self._refused if one.asked_at <= caught_up_at]
+        late = [one for one in self._refused if now - one.asked_at >= CALL_WAIT]
+        self._refused = [one for one in self._refused if one not in due and one not in late]
+        actions: list[msgspec.Struct] = []
+        for one in due:
+            actions += self._decide_refused(one, now)
+        doubtful = (one for one in late if one not in due)
+        return actions + [Reply(one.event.call, _in_doubt(one.refusal)) for one in doubtful]
+
+    def _decide_refused(self, one: "_RefusedSubmission", now: Seconds) -> list[msgspec.Struct]:
+        waiting = len(self._refused)
+        actions = self._submit(one.event, now)
+        if len(self._refused) == waiting:
+            return actions
+        return [Reply(one.event.call, self._refused.pop().refusal)]
+
     def _recover(self, event: RecoverAsked, now: Seconds) -> list[msgspec.Struct]:
         recovered = self._log.consensus.force_sole_voter(now)
         if not isinstance(recovered, ForcedRecovery):
@@ -207,3 +248,8 @@
         self._site.switch.withdraw(change_id)
         detail = "too few instances of the data centre could be reached; send it again"
         return Refusal(Reason.NO_QUORUM, detail, Execution.UNKNOWN, RETRY_AFTER)
+
+
+def _in_doubt(refusal: Refusal) -> Refusal:
+    """Return a refusal that does not say whether an earlier copy of the submission ran."""
+    return Refusal(refusal.reason, refusal.detail, Execution.UNKNOWN, RETRY_AFTER)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from bulrushhollow_core.answers import SubmitRequest
+from bulrushhollow_core.answers import JobAnswer, SubmitRequest
 from bulrushhollow_core.changes import (
     ChangeAccepted,
     ChangeConfiguration,
@@ -22,7 +22,7 @@
     Workspace,
 )
 from bulrushhollow_core.node import SubmitAsked
-from bulrushhollow_core.outcomes import Reason, Refusal
+from bulrushhollow_core.outcomes import Execution, Reason, Refusal
 from tests.node_world import RACKS, Endpoint, World
 
 
@@ -95,6 +95,45 @@
         self.assertEqual((), host.node.site.switch.orders())
 
 
+class ResentSubmissionTest(unittest.TestCase):
+    def test_an_instance_that_lags_does_not_refuse_a_job_that_was_accepted(self) -> None:
+        world = World(seed=5, daemons_by_data_centre={"north": 3}, voters=3)
+        world.run(12.0)
+        leader, other, behind = sorted(
+            world.live_hosts(), key=lambda host: not host.node.log.leads(world.clock(host))
+        )
+        world.cuts = {frozenset((behind.peer.name, name)) for name in world.hosts_by_name}
+        sweep = Profile(
+            ProfileName("sweep"),
+            WorkKind.JOB,
+            WorkspaceId("shop"),
+            idempotent=True,
+            shape=Shape(1, Resources(1, 1, 1)),
+        )
+        edits = (
+            PutDataCentre(DataCentre(DataCentreId("north"), racks=RACKS)),
+            PutWorkspace(Workspace(WorkspaceId("shop"))),
+            PutProfile(sweep),
+        )
+        for number, edit in enumerate(edits):
+            world.change(leader, ChangeConfiguration(ChangeId(f"c{number}"), edit, Version(number)))
+            world.run(0.2)
+        submit = SubmitRequest(JobId("j1"), ProfileName("sweep"))
+        world.ask(other, lambda call: SubmitAsked(call, submit))
+        world.run(0.2)
+        resent = world.ask(behind, lambda call: SubmitAsked(call, submit))
+        typo = SubmitRequest(JobId("j2"), ProfileName("swep"))
+        wrong = world.ask(behind, lambda call: SubmitAsked(call, typo))
+        world.cuts = set()
+        world.run(3.0)
+        self.assertIsInstance(world.replies[resent], JobAnswer)
+        refusal = world.replies[wrong]
+        assert isinstance(refusal, Refusal)
+        self.assertEqual(
+            (Reason.NO_SUCH_PROFILE, Execution.NOT_RUN), (refusal.reason, refusal.execution)
+        )
+
+
 class BurstTest(unittest.TestCase):
     def test_a_burst_of_jobs_is_spread(self) -> None:
         world = World(seed=3, daemons_by_data_centre={"north": 1, "south": 1}, voters=1)
