Pass the trace context on to the worker platform

Cause: a start was recorded as a span, and its context went no further. Change: the call that starts tasks carries the context; the span code stands once. Tests: each hop is a span of the same trace, and without an exporter a caller's context is passed on as it came.

--- a/packages/daemon/src/bulrushhollow_daemon/platform_client.py
+++ b/packages/daemon/src/bulrushhollow_daemon/platform_client.py
@@ -5,6 +5,8 @@
 Posts batches of orders to the worker platform of the data centre.
 """
 
+from collections.abc import Sequence
+
 import httpcore
 import msgspec
 
@@ -30,10 +32,13 @@
         self._pool = httpcore.AsyncConnectionPool(max_connections=1, retries=0)
         self._decoder = msgspec.json.Decoder(PlatformAnswer)
 
-    async def sync(self, call: PlatformCall) -> PlatformAnswer:
+    async def sync(
+        self, call: PlatformCall, headers: Sequence[tuple[bytes, bytes]] = ()
+    ) -> PlatformAnswer:
         """
         Post one batch.
 
+        :param headers: sent beside the call's own, such as a trace context.
         :raises PlatformUnreachableError: if there was no whole answer; the batch may have been
             obeyed.
         """
@@ -42,7 +47,7 @@
             async with self._pool.stream(
                 "POST",
                 self._url,
-                headers={"content-type": "application/json"},
+                headers=[(b"content-type", b"application/json"), *headers],
                 content=msgspec.json.encode(call),
                 extensions={"timeout": timeouts},
             ) as response:
--- a/packages/daemon/src/bulrushhollow_daemon/runtime.py
+++ b/packages/daemon/src/bulrushhollow_daemon/runtime.py
@@ -8,6 +8,7 @@
 
 import logging
 from collections.abc import Callable, Iterable
+from contextlib import AbstractContextManager, nullcontext
 from typing import Any
 
 import anyio
@@ -45,7 +46,7 @@
 from bulrushhollow_daemon.flights import Flight, Flights
 from bulrushhollow_daemon.journal import Journal
 from bulrushhollow_daemon.platform_client import PlatformClient
-from bulrushhollow_daemon.tracing import Tracer
+from bulrushhollow_daemon.tracing import Span, Tracer
 from bulrushhollow_daemon.transport import Hello, Transport
 from bulrushhollow_daemon.waiters import Waiter
 
@@ -236,14 +237,16 @@
     async def _call_platform(self, call: PlatformCall) -> None:
         assert self._platform is not None
         answer = None
-        starts = [order.task for order in call.orders if isinstance(order, StartTask)]
         try:
-            with anyio.fail_after(PLATFORM_TIMEOUT):
-                if starts:
-                    with self._tracer.span("start", None, tasks=",".join(starts)):
-                        answer = await self._platform.sync(call)
-                else:
-                    answer = await self._platform.sync(call)
+            with anyio.fail_after(PLATFORM_TIMEOUT), self._platform_span(call) as span:
+                answer = await self._platform.sync(call, span.headers())
         except (PlatformUnreachableError, TimeoutError) as error:
             logger.warning("platform_unreachable", extra={"detail": str(error)})
         self.post(PlatformAnswered(answer))
+
+    def _platform_span(self, call: PlatformCall) -> AbstractContextManager[Span]:
+        """Open a span for the start of tasks; a call that starts none has none."""
+        starts = [order.task for order in call.orders if isinstance(order, StartTask)]
+        if not starts:
+            return nullcontext(Span())
+        return self._tracer.span("start", None, tasks=",".join(starts))
