Remove what nothing calls

Cause: a read of the whole change found five methods of the core and one of the transport that have no caller, and a count of dropped messages that nothing shows. Change: they are gone, and the transport asks a link whether anything waits instead of looking at its queue.

--- a/packages/core/src/bulrushhollow_core/jobs/_departures.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_departures.py
@@ -72,10 +72,6 @@
         self._misfits.pop(job, None)
         self._proposed_at_by_job.pop(job, None)
 
-    def is_misfit(self, job: JobId) -> bool:
-        """Return whether a job fits none of the declared racks here."""
-        return job in self._misfits
-
     def due(self, epoch: Epoch, permitted: bool, now: Seconds) -> list[JobCommand]:
         """
         Return commands for jobs that are to leave, a bounded number at a time.
--- a/packages/core/src/bulrushhollow_core/jobs/_health.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_health.py
@@ -57,11 +57,6 @@
         records = self._records_by_worker.items()
         return tuple(sorted(worker for worker, record in records if record.until is not None))
 
-    def is_on_probation(self, worker: WorkerId) -> bool:
-        """Return whether a worker has to prove itself with one job at a time."""
-        record = self._records_by_worker.get(worker)
-        return record is not None and record.probing
-
     @property
     def on_probation(self) -> list[WorkerId]:
         """Return the workers that have to prove themselves."""
@@ -126,10 +121,6 @@
             if record.probing and now - record.probing_since >= PROBATION
         ]
 
-    def forget_worker(self, worker: WorkerId) -> None:
-        """Forget a worker that the platform no longer lists."""
-        self._records_by_worker.pop(worker, None)
-
     def _accuse(self, worker: WorkerId, job: JobId, now: Seconds) -> None:
         record = self._records_by_worker.setdefault(worker, _Record())
         record.failed_jobs[job] = None
--- a/packages/core/src/bulrushhollow_core/jobs/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_scheduler.py
@@ -117,11 +117,6 @@
         self._permitted = True
         self._lead: _Leadership | None = None
 
-    @property
-    def is_leading(self) -> bool:
-        """Return whether this instance decides for the data centre."""
-        return self._lead is not None
-
     @property
     def urgent_call(self) -> bool:
         """Return whether the next call should not wait for the interval."""
--- a/packages/core/src/bulrushhollow_core/node/_site.py
+++ b/packages/core/src/bulrushhollow_core/node/_site.py
@@ -99,11 +99,6 @@
         self._clock: _PlatformClock | None = None
         self._call_at = now
 
-    @property
-    def leading_epoch(self) -> Epoch | None:
-        """The epoch under which the scheduler decides, None while it does not."""
-        return self._epoch
-
     def follow_lease(self, jobs: JobLedger, now: Seconds) -> list[msgspec.Struct]:
         """Start or stop deciding as the lease comes and goes."""
         held = self.authority.held(now)
--- a/packages/daemon/src/bulrushhollow_daemon/transport.py
+++ b/packages/daemon/src/bulrushhollow_daemon/transport.py
@@ -10,7 +10,7 @@
 import asyncio
 import logging
 import socket
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Any, Protocol
 
@@ -126,13 +126,16 @@
         self._outbox: list[PeerMessage] = []
         self._wake = anyio.Event()
         self._hurry = anyio.Event()
-        self.dropped = 0
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether any message waits."""
+        return bool(self._outbox)
 
     def put(self, message: PeerMessage) -> None:
         """Queue one message."""
         if len(self._outbox) >= OUTBOX_LIMIT:
             self._outbox.pop(0)
-            self.dropped += 1
         self._outbox.append(message)
         self._wake.set()
         if not isinstance(message, PERIODIC):
@@ -181,7 +184,7 @@
             self._start_dialling(group)
             yield self
             with anyio.move_on_after(GRACE):
-                while any(link._outbox for link in self._links_by_name.values()):
+                while any(link.is_waiting for link in self._links_by_name.values()):
                     await anyio.sleep(GRACE / 10)
             group.cancel_scope.cancel()
         self._server.close()
@@ -208,10 +211,6 @@
         """Bytes received from all peers, without those of TCP and IP."""
         return self._codec.received_bytes
 
-    def links(self) -> Iterable[Hello]:
-        """Return what each connected peer said of itself."""
-        return [link.hello for link in self._links_by_name.values()]
-
     def __mapping__(self) -> dict[str, Handler]:
         """Name the one gRPC method, in the form that grpclib's server asks for."""
         return {METHOD: Handler(self._accept, Cardinality.STREAM_STREAM, Envelope, Envelope)}
