Account for calls that fail after their caller has gone on

Cause: a call that has used up its time is cancelled, and what it still raises when its connection breaks was never looked at; asyncio then wrote 'Task exception was never retrieved' with a trace. Ruled out: a fault of the call itself; its failure is reported to the caller either way. Change: an abandoned attempt is cancelled and its outcome taken note of in one place. Test: tests.test_domain_rpc, which failed first with exactly that message.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,7 +3,7 @@
 import importlib
 import sys
 
-BENCHES = ("daemon", "state", "policy", "requests", "failures", "capacity")
+BENCHES = ("daemon", "state", "policy", "requests", "failures", "capacity", "domain")
 
 
 def main() -> int:
--- a/packages/core/src/bulrushhollow_core/domain/_demands.py
+++ b/packages/core/src/bulrushhollow_core/domain/_demands.py
@@ -64,6 +64,22 @@
         """Return its core-seconds."""
         return weight_of(self.step.needs) * self.duration * len(self.indexes)
 
+    def rest(self, indexes: Sequence[int]) -> "Demand":
+        """Return a demand for some of its tasks, which counts what was placed of the others."""
+        return Demand(
+            self.ref,
+            self.service,
+            self.step,
+            indexes,
+            self.urgency,
+            self.is_guaranteed,
+            self.avoided,
+            self.may_leave_rack,
+            self.duration,
+            dict(self.placed_by_worker),
+            self.may_evict,
+        )
+
     def limit_on(self, host: Host) -> int:
         """Return how many of its tasks a host may take by its own rules."""
         if self.step.max_per_worker == 0:
@@ -81,6 +97,13 @@
     def __init__(self, runs: list[Run], urgency: int, is_guaranteed: bool, waste: float) -> None:
         """Name the runs and what stopping them costs."""
         self.runs = runs
+        self.rooms_by_life: dict[WorkerLife, Resources] = {}
+        """What stopping them frees on each worker."""
+        for run in runs:
+            room = self.rooms_by_life.get(run.life)
+            self.rooms_by_life[run.life] = run.needs if room is None else room.plus(run.needs)
+        self.is_chosen = False
+        """Whether the plan being made stops them already."""
         self.urgency = urgency
         self.is_guaranteed = is_guaranteed
         self.waste = waste
--- a/packages/core/src/bulrushhollow_core/domain/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/_fleet.py
@@ -210,9 +210,12 @@
     def free(self) -> Resources:
         """Return what no run takes."""
         left = self.capacity
-        for run in self.runs_by_task.values():
-            left = left.minus(run.needs)
-        return left
+        taken = [run.needs for run in self.runs_by_task.values()]
+        return Resources(
+            left.cpu - sum(needs.cpu for needs in taken),
+            left.memory - sum(needs.memory for needs in taken),
+            left.accelerators - sum(needs.accelerators for needs in taken),
+        )
 
     # Its clock and its lease.
 
--- a/packages/core/src/bulrushhollow_core/domain/_hosts.py
+++ b/packages/core/src/bulrushhollow_core/domain/_hosts.py
@@ -56,6 +56,8 @@
 
 def slots_in(room: Resources, needs: Resources, limit: int) -> int:
     """Return how many tasks fit into some room, at most a limit."""
+    if needs.accelerators > room.accelerators or needs.cpu > room.cpu:
+        return 0
     slots = limit
     if needs.cpu > 0:
         slots = min(slots, room.cpu // needs.cpu)
--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -6,11 +6,16 @@
 runs, or keeps room that becomes free so that later and smaller demands don't starve it.
 """
 
+import heapq
+import math
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
+from typing import NamedTuple
 
+from bulrushhollow_core.domain._configuration import ServiceName
 from bulrushhollow_core.domain._demands import Demand, Victim
-from bulrushhollow_core.domain._evictions import EvictionSearch
+from bulrushhollow_core.domain._evictions import EvictionSearch, VictimIndex
+from bulrushhollow_core.domain._groups import Group, best_group, groups_for, room_of, slots_of
 from bulrushhollow_core.domain._hosts import Departure, Host, by_rack, slots_in, tightness
 from bulrushhollow_core.domain._jobs import Resources, TaskRef, WorkerLife
 from bulrushhollow_core.ids import RackId, Seconds
@@ -32,6 +37,10 @@
 THRIFT = 0.2
 """The same for any other job: it has the time to wait, and its victims lose what it gains."""
 
+SEARCHES = 8
+"""Demands beyond a guarantee for which victims are looked for in one plan; the rest of a long queue
+waits for the next plan, so that a plan stays short."""
+
 
 class Placement:
     """A task and the worker that it is to start on."""
@@ -58,24 +67,46 @@
         self.blocked: list[Demand] = []
 
 
+class Shape(NamedTuple):
+    """What makes two demands alike: where one finds no room, neither does a larger one after it."""
+
+    service: ServiceName
+    label: str
+    needs: Resources
+    is_gang: bool
+    same_rack: bool
+    near: str
+
+
 class Planner:
     """
     Makes one plan.
 
     :param hosts: workers that may get work.
-    :param victims: runs that might be stopped.
-    :param departures: runs that will end by themselves.
+    :param victims: returns the runs that might be stopped; called only if something finds no room.
+    :param departures: returns the runs that will end by themselves; called likewise.
     """
 
     def __init__(
-        self, hosts: Sequence[Host], victims: Sequence[Victim], departures: Sequence[Departure]
+        self,
+        hosts: Sequence[Host],
+        victims: Callable[[], Sequence[Victim]],
+        departures: Callable[[], Sequence[Departure]],
     ) -> None:
         """Begin with the room as it is."""
         self._hosts = hosts
         self._hosts_by_life = {host.life: host for host in hosts}
-        self._victims = list(victims)
-        self._departures = sorted(departures, key=lambda each: each.at)
+        self._find_victims = victims
+        self._victims: Sequence[Victim] | None = None
+        self._indexes_by_standing: dict[tuple[int, bool], VictimIndex] = {}
+        self._find_departures = departures
+        self._departures_by_rack: dict[RackId, list[Departure]] | None = None
+        self._eligible_by_kind: dict[tuple[ServiceName, str], list[Host]] = {}
+        self._groups_by_shape: dict[tuple[Shape, int], list[Group]] = {}
+        self._full: dict[tuple[Shape, bool], int] = {}
+        """The fewest tasks of each shape that found no room, in what is free and in what will be."""
         self._kept = 0
+        self._searches = 0
         self.plan = Plan()
 
     def make(self, demands: Iterable[Demand]) -> Plan:
@@ -89,58 +120,90 @@
         return self.plan
 
     def _eligible(self, demand: Demand) -> list[Host]:
-        label = demand.step.label
-        return [
-            host
-            for host in self._hosts
-            if host.service == demand.service
-            and host.life not in demand.avoided
-            and (not label or label in host.labels)
-        ]
+        kind = (demand.service, demand.step.label)
+        if kind not in self._eligible_by_kind:
+            self._eligible_by_kind[kind] = [
+                host
+                for host in self._hosts
+                if host.service == demand.service
+                and (not demand.step.label or demand.step.label in host.labels)
+            ]
+        hosts = self._eligible_by_kind[kind]
+        if not demand.avoided:
+            return hosts
+        return [host for host in hosts if host.life not in demand.avoided]
+
+    # What found no room before.
+
+    def _is_full(self, demand: Demand, with_stopping: bool, near: str = "") -> bool:
+        """Return whether a demand like this one, and no larger, has found no room in this plan."""
+        least = self._full.get((_shape(demand, near), with_stopping), math.inf)
+        return len(demand.indexes) >= least
+
+    def _note_full(self, demand: Demand, with_stopping: bool, count: int, near: str = "") -> None:
+        if not demand.avoided and not demand.step.max_per_worker:
+            key = (_shape(demand, near), with_stopping)
+            self._full[key] = min(count, self._full.get(key, count))
 
     # Gangs.
 
     def _serve_gang(self, demand: Demand, hosts: list[Host]) -> None:
-        groups = _groups(demand, hosts)
-        found = _best_group(demand, groups, with_stopping=False)
+        groups = self._groups(demand, hosts)
+        found = self._best_group(demand, groups, with_stopping=False)
         if found is not None:
             placements = self._assign(demand, found, with_stopping=False)
             self.plan.placements.append((demand, placements))
             return
         self.plan.blocked.append(demand)
-        if _best_group(demand, groups, with_stopping=True) is not None or self._evict_for(
-            demand, groups
-        ):
-            found = _best_group(demand, groups, with_stopping=True)
-            if found is not None:
-                self._assign(demand, found, with_stopping=True)
+        found = self._best_group(demand, groups, with_stopping=True)
+        if found is None and self._evict_for(demand, groups):
+            found = self._best_group(demand, groups, with_stopping=True)
+        if found is not None:
+            self._assign(demand, found, with_stopping=True)
             return
         self._keep_room(demand, groups)
 
-    def _assign(
-        self, demand: Demand, hosts: Sequence[Host], with_stopping: bool
-    ) -> list[Placement]:
+    def _groups(self, demand: Demand, hosts: list[Host]) -> list[Group]:
+        if demand.avoided or demand.step.max_per_worker:
+            return groups_for(demand, hosts)
+        key = (_shape(demand, ""), len(demand.indexes))
+        if key not in self._groups_by_shape:
+            self._groups_by_shape[key] = groups_for(demand, hosts)
+        return self._groups_by_shape[key]
+
+    def _best_group(
+        self, demand: Demand, groups: Sequence[Group], with_stopping: bool
+    ) -> Group | None:
+        if self._is_full(demand, with_stopping):
+            return None
+        found = best_group(demand, groups, with_stopping)
+        if found is None:
+            self._note_full(demand, with_stopping, len(demand.indexes))
+        return found
+
+    def _assign(self, demand: Demand, hosts: Group, with_stopping: bool) -> list[Placement]:
         """Fill the fullest hosts first."""
         needs = demand.step.needs
         waiting = list(demand.indexes)
         placements: list[Placement] = []
-        ordered = sorted(hosts, key=lambda host: tightness(host, _room(host, with_stopping)))
-        for host in ordered:
-            slots = slots_in(_room(host, with_stopping), needs, demand.limit_on(host))
+        for host in sorted(hosts, key=lambda host: tightness(host, room_of(host, with_stopping))):
+            slots = slots_in(room_of(host, with_stopping), needs, demand.limit_on(host))
             for _ in range(min(slots, len(waiting))):
                 host.take(needs)
                 placements.append(Placement(demand.ref.task(waiting.pop(0)), host.life))
+            if not waiting:
+                break
         return placements
 
-    def _keep_room(self, demand: Demand, groups: Sequence[Sequence[Host]]) -> None:
+    def _keep_room(self, demand: Demand, groups: Sequence[Group]) -> None:
         """Keep room where it is expected to become free first."""
         if self._kept >= KEPT_GANGS:
             return
-        best: tuple[Seconds, list[Host]] | None = None
+        best: tuple[Seconds, Group] | None = None
         for group in groups:
             at = self._free_at(demand, group)
             if at is not None and (best is None or at < best[0]):
-                best = (at, list(group))
+                best = (at, group)
         if best is None:
             return
         self._kept += 1
@@ -152,14 +215,26 @@
             for _ in range(slots):
                 host.take(demand.step.needs)
 
-    def _free_at(self, demand: Demand, group: Sequence[Host]) -> Seconds | None:
+    def _departing(self, group: Group) -> Sequence[Departure]:
+        """Return the runs on a group that will end, the next one first."""
+        if self._departures_by_rack is None:
+            self._departures_by_rack = {}
+            for departure in sorted(self._find_departures(), key=lambda each: each.at):
+                host = self._hosts_by_life.get(departure.life)
+                if host is not None:
+                    self._departures_by_rack.setdefault(host.rack, []).append(departure)
+        racks = {host.rack for host in group}
+        listed = [self._departures_by_rack.get(rack, []) for rack in racks]
+        return listed[0] if len(listed) == 1 else list(heapq.merge(*listed, key=_end_of))
+
+    def _free_at(self, demand: Demand, group: Group) -> Seconds | None:
         """Return when enough runs of a group are expected to have ended."""
         rooms = {host.life: host.soon for host in group}
         limits = {host.life: demand.limit_on(host) for host in group}
         needs = demand.step.needs
         slots = {life: slots_in(room, needs, limits[life]) for life, room in rooms.items()}
         total = sum(slots.values())
-        for departure in self._departures:
+        for departure in self._departing(group):
             life = departure.life
             if life not in rooms:
                 continue
@@ -171,9 +246,9 @@
                 return departure.at
         return None
 
-    def _expected_rooms(self, group: Sequence[Host], at: Seconds) -> dict[WorkerLife, Resources]:
+    def _expected_rooms(self, group: Group, at: Seconds) -> dict[WorkerLife, Resources]:
         rooms = {host.life: host.soon for host in group}
-        for departure in self._departures:
+        for departure in self._departing(group):
             if departure.at <= at and departure.life in rooms:
                 rooms[departure.life] = rooms[departure.life].plus(departure.needs)
         return rooms
@@ -181,33 +256,35 @@
     # Tasks by themselves.
 
     def _serve_plain(self, demand: Demand, hosts: list[Host]) -> None:
-        near = [host for host in hosts if host.rack == demand.step.data_rack]
-        if demand.step.data_rack and near and not demand.may_leave_rack:
-            hosts = near
-        placements = self._place_each(demand, hosts, self._allowance(demand))
-        if placements:
-            self.plan.placements.append((demand, placements))
-        placed = {placement.task.member for placement in placements}
-        left = [index for index in demand.indexes if index not in placed]
-        if not left:
-            return
+        near = ""
+        if demand.step.data_rack and not demand.may_leave_rack:
+            close = [host for host in hosts if host.rack == demand.step.data_rack]
+            if close:
+                near, hosts = demand.step.data_rack, close
+        left = list(demand.indexes)
+        if not self._is_full(demand, False, near):
+            placements = self._place_each(demand, hosts, self._allowance(demand))
+            if placements:
+                self.plan.placements.append((demand, placements))
+            placed = {placement.task.member for placement in placements}
+            left = [index for index in demand.indexes if index not in placed]
+            if not left:
+                return
+            self._note_full(demand, False, 1, near)
         self.plan.blocked.append(demand)
-        rest = Demand(
-            demand.ref,
-            demand.service,
-            demand.step,
-            left,
-            demand.urgency,
-            demand.is_guaranteed,
-            demand.avoided,
-            demand.may_leave_rack,
-            demand.duration,
-            dict(demand.placed_by_worker),
-            demand.may_evict,
-        )
-        if _slots(rest, hosts, with_stopping=True) >= len(left) or self._evict_for(rest, [hosts]):
+        rest = demand.rest(left)
+        if self._will_fit(rest, hosts, near) or self._evict_for(rest, [hosts]):
             self._assign(rest, hosts, with_stopping=True)
 
+    def _will_fit(self, demand: Demand, hosts: Group, near: str) -> bool:
+        """Return whether there is room once what is being stopped has ended."""
+        if self._is_full(demand, True, near):
+            return False
+        if slots_of(demand, hosts, with_stopping=True) >= len(demand.indexes):
+            return True
+        self._note_full(demand, True, len(demand.indexes), near)
+        return False
+
     def _allowance(self, demand: Demand) -> int:
         """Return how many of a demand's tasks may start, for the sake of urgent work to come."""
         step = demand.step
@@ -219,18 +296,21 @@
         room = free - HEADROOM * total
         return max(0, min(len(demand.indexes), int(room // step.needs.accelerators)))
 
-    def _place_each(self, demand: Demand, hosts: Sequence[Host], most: int) -> list[Placement]:
+    def _place_each(self, demand: Demand, hosts: Group, most: int) -> list[Placement]:
         """
         Fill the racks and workers that are nearly full, so that whole racks stay free for gangs.
         """
         needs = demand.step.needs
+        roomy = [host for host in hosts if needs.fits(host.free)]
+        if not roomy or most <= 0:
+            return []
         data_rack = demand.step.data_rack
         free_by_rack = {
             rack: sum(max(0, host.free.accelerators) for host in group)
             for rack, group in by_rack(self._hosts).items()
         }
         ordered = sorted(
-            hosts,
+            roomy,
             key=lambda host: (
                 host.is_doubted,
                 bool(data_rack) and host.rack != data_rack,
@@ -256,37 +336,48 @@
 
     # Eviction.
 
-    def _evict_for(self, demand: Demand, groups: Sequence[Sequence[Host]]) -> bool:
+    def _evict_for(self, demand: Demand, groups: Sequence[Group]) -> bool:
         """Stop the runs whose loss costs least, if that is enough and allowed."""
         if not demand.may_evict:
             return False
-        best: tuple[float, list[Victim]] | None = None
+        most = math.inf
+        if not demand.is_guaranteed:
+            if self._searches >= SEARCHES:
+                return False
+            self._searches += 1
+            most = demand.work * (URGENT_THRIFT if demand.urgency == 0 else THRIFT)
+        index = self._victims_for(demand)
+        best: list[Victim] | None = None
         for group in groups:
-            chosen = self._victims_in(demand, group)
-            if chosen is None:
-                continue
-            waste = sum(victim.waste for victim in chosen)
-            if best is None or waste < best[0]:
-                best = (waste, chosen)
+            chosen = EvictionSearch(demand, group, index, most).find()
+            if chosen is not None:
+                best = chosen
+                most = sum(victim.waste for victim in chosen)
         if best is None:
             return False
-        thrift = URGENT_THRIFT if demand.urgency == 0 else THRIFT
-        if not demand.is_guaranteed and best[0] > thrift * demand.work:
-            return False
-        for victim in best[1]:
-            self._victims.remove(victim)
+        self._full.clear()
+        for victim in best:
+            victim.is_chosen = True
             self.plan.evictions.append((demand, victim))
-            for run in victim.runs:
-                host = self._hosts_by_life.get(run.life)
+            for life, room in victim.rooms_by_life.items():
+                host = self._hosts_by_life.get(life)
                 if host is not None:
-                    host.expect(run.needs)
+                    host.expect(room)
         return True
 
-    def _victims_in(self, demand: Demand, group: Sequence[Host]) -> list[Victim] | None:
-        """Return victims that make enough room in a group, the cheapest ones first."""
-        allowed = [victim for victim in self._victims if _may_evict(demand, victim)]
-        search = EvictionSearch(demand, group, allowed)
-        return search.find()
+    def _victims_for(self, demand: Demand) -> VictimIndex:
+        """Return the runs that may be stopped for demands of this one's standing."""
+        standing = (demand.urgency, demand.is_guaranteed)
+        if standing not in self._indexes_by_standing:
+            if self._victims is None:
+                self._victims = self._find_victims()
+            allowed = [victim for victim in self._victims if _may_evict(demand, victim)]
+            self._indexes_by_standing[standing] = VictimIndex(allowed)
+        return self._indexes_by_standing[standing]
+
+
+def _end_of(departure: Departure) -> Seconds:
+    return departure.at
 
 
 def _may_evict(demand: Demand, victim: Victim) -> bool:
@@ -296,46 +387,6 @@
     return demand.is_guaranteed and is_surplus
 
 
-def _room(host: Host, with_stopping: bool) -> Resources:
-    return host.soon if with_stopping else host.free
-
-
-def _slots(demand: Demand, hosts: Iterable[Host], with_stopping: bool) -> int:
-    return sum(
-        slots_in(_room(host, with_stopping), demand.step.needs, demand.limit_on(host))
-        for host in hosts
-    )
-
-
-def _groups(demand: Demand, hosts: Sequence[Host]) -> list[Sequence[Host]]:
-    """Return the sets of hosts of which a gang may use one."""
-    if not demand.step.same_rack:
-        return [hosts]
-    racks: dict[RackId, list[Host]] = by_rack(hosts)
-    large_enough: list[Sequence[Host]] = [
-        group
-        for group in racks.values()
-        if sum(slots_in(host.capacity, demand.step.needs, demand.limit_on(host)) for host in group)
-        >= len(demand.indexes)
-    ]
-    return large_enough or [hosts]
-
-
-def _best_group(
-    demand: Demand, groups: Sequence[Sequence[Host]], with_stopping: bool
-) -> Sequence[Host] | None:
-    """Return the group that holds a whole gang and has least room left over."""
-    fitting = [
-        group for group in groups if _slots(demand, group, with_stopping) >= len(demand.indexes)
-    ]
-    trusted = [
-        group
-        for group in fitting
-        if _slots(demand, [host for host in group if not host.is_doubted], with_stopping)
-        >= len(demand.indexes)
-    ]
-    return min(
-        trusted or fitting,
-        key=lambda group: sum(_room(host, with_stopping).accelerators for host in group),
-        default=None,
-    )
+def _shape(demand: Demand, near: str) -> Shape:
+    step = demand.step
+    return Shape(demand.service, step.label, step.needs, step.is_gang, step.same_rack, near)
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -59,22 +59,29 @@
         self._waiting_since_by_step: dict[StepRef, Seconds] = {}
         self._capacity_due = Seconds(-math.inf)
 
-    def plan(self, now: Seconds, wall: WallTime) -> None:
-        """Look at the queue and the room, and decide."""
+    def plan(self, now: Seconds, wall: WallTime) -> bool:
+        """
+        Look at the queue and the room, and decide.
+
+        :return: whether anything went on waiting for room.
+        """
         self._shared.plan_due = Seconds(now + PLAN_INTERVAL)
         guaranteed = guaranteed_jobs(self._shared.state)
         waiting = waiting_steps(self._shared.state, self._shared.proposed_by_task, guaranteed, wall)
         self._forget_waits({each.ref for each in waiting})
         if not waiting:
-            return
+            return False
         hosts = self._hosts(now)
         self._note_capacity(hosts, waiting, now)
         if not hosts:
-            return
-        planner = Planner(hosts, self._victims(guaranteed, now), self._departures(now))
+            return True
+        planner = Planner(
+            hosts, lambda: self._victims(guaranteed, now), lambda: self._departures(now)
+        )
         racks = {host.rack for host in hosts}
         plan = planner.make(self._demand(each, racks, guaranteed, now) for each in waiting)
         self._carry_out(plan, now)
+        return bool(plan.blocked)
 
     def _forget_waits(self, present: set[StepRef]) -> None:
         for ref in [each for each in self._waiting_since_by_step if each not in present]:
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler.py
@@ -49,6 +49,10 @@
 PLAN_SPACING = Seconds(0.02)
 """Seconds between two plans at the least, so that a burst of ends is planned for at once."""
 
+BLOCKED_SPACING = Seconds(0.05)
+"""The same after a plan that left something waiting: such plans take longest, and little of what
+ends makes room for much of what waits."""
+
 
 class Scheduler:
     """The leader's side of all workers.
@@ -69,6 +73,7 @@
         self._watch = Watch(self._shared, self._dispatch, self._losses)
         self._planning = Planning(self._shared, self._dispatch)
         self._planned_at = Seconds(-math.inf)
+        self._spacing = PLAN_SPACING
         self._look_due = now
 
     def drain(self) -> list[msgspec.Struct]:
@@ -97,9 +102,10 @@
             self._look_due = Seconds(now + LOOK_INTERVAL)
             for worker in list(self._shared.fleet.workers_by_life.values()):
                 self._watch.look_after(worker, now)
-        if now >= max(self._shared.plan_due, self._planned_at + PLAN_SPACING):
+        if now >= max(self._shared.plan_due, self._planned_at + self._spacing):
             self._planned_at = now
-            self._planning.plan(now, wall)
+            is_blocked = self._planning.plan(now, wall)
+            self._spacing = BLOCKED_SPACING if is_blocked else PLAN_SPACING
 
     def hear(self, news: WorkerNews, now: Seconds) -> None:
         """Take in what a worker announced; late, repeated and outlived announcements count not."""
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_rpc.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_rpc.py
@@ -189,7 +189,7 @@
         try:
             await asyncio.wait([task], timeout=timeout)
         except asyncio.CancelledError:
-            task.cancel()
+            _abandon(task)
             raise
         if task.done() and not task.cancelled() and task.exception() is None:
             return task.result()
@@ -202,7 +202,7 @@
             self._channel = None
         channel.close()
         if not task.done():
-            task.cancel()
+            _abandon(task)
             return CallFailure(was_sent, "no answer in time")
         error = None if task.cancelled() else task.exception()
         if error is not None and not isinstance(error, BROKEN):
@@ -210,6 +210,12 @@
         return CallFailure(was_sent, repr(error))
 
 
+def _abandon(task: "asyncio.Future[Any]") -> None:
+    """Cancel an attempt whose caller has gone on; what it still raises was accounted for."""
+    task.add_done_callback(lambda done: done.cancelled() or done.exception())
+    task.cancel()
+
+
 class _Attempt:
     """One call, which knows whether it may have arrived."""
 
--- a/standins/domain_oracle.py
+++ b/standins/domain_oracle.py
@@ -19,7 +19,7 @@
     WorkerLife,
 )
 from bulrushhollow_core.ids import JobId
-from standins.domain_workers import Worker
+from standins.domain_workers import LiveRun, Worker
 
 CANCEL_TIME = 3.0
 """Seconds after a cancelling was acknowledged, from which on nothing of the job may start."""
@@ -102,9 +102,10 @@
             )
         others.append((worker, order.run))
 
-    def ended(self, worker: Worker, task: TaskRef, run: RunNumber, outcome: Outcome) -> None:
+    def ended(self, worker: Worker, run: LiveRun, outcome: Outcome) -> None:
         """Note that a run is over."""
-        self.running[task] = [each for each in self.running[task] if each != (worker, run)]
+        task, number = run.order.task, run.order.run
+        self.running[task] = [each for each in self.running[task] if each != (worker, number)]
         self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
         if outcome is Outcome.DONE:
             self.done.add(task)
--- a/standins/domain_workers.py
+++ b/standins/domain_workers.py
@@ -51,7 +51,7 @@
     def started(self, worker: "Worker", order: OrderStart) -> None:
         """A run has begun."""
 
-    def ended(self, worker: "Worker", task: TaskRef, run: RunNumber, outcome: Outcome) -> None:
+    def ended(self, worker: "Worker", run: "LiveRun", outcome: Outcome) -> None:
         """A run is over."""
 
     def acknowledged(self, worker: "Worker", row: EndedRow) -> None:
@@ -68,7 +68,11 @@
 
 
 class LiveRun:
-    """A run on a worker."""
+    """
+    A run on a worker.
+
+    :param duration: seconds of work that the task takes in all.
+    """
 
     def __init__(self, order: OrderStart, step: Step, duration: float, at: float) -> None:
         self.order = order
@@ -77,17 +81,21 @@
         self.arrived_at = at
         self.begun_at = math.inf
         self.is_stopping = False
+        self.slowness = 1.0
+        """Seconds that one second of its work takes here."""
         self.done_before = float(order.saved.partition(":")[2] or 0.0)
 
     def progress(self, now: float) -> float:
         """Return seconds of work that are done."""
-        return self.done_before + max(0.0, now - self.begun_at)
+        return self.done_before + max(0.0, now - self.begun_at) / self.slowness
 
     def saved(self, now: float) -> str:
-        """Return the latest checkpoint."""
-        if not self.step.checkpoints or self.progress(now) < SAVE_EVERY:
+        """Return the latest checkpoint; one is made at a stop as well."""
+        progress = self.progress(now)
+        if not self.step.checkpoints or progress < SAVE_EVERY:
             return self.order.saved
-        return f"{self.order.task.job}:{int(self.progress(now) / SAVE_EVERY) * SAVE_EVERY}"
+        kept = progress if self.is_stopping else int(progress / SAVE_EVERY) * SAVE_EVERY
+        return f"{self.order.task.job}:{kept:.3f}"
 
     def percent(self, now: float) -> int:
         """Return how far it is."""
@@ -95,7 +103,12 @@
 
 
 class Site:
-    """All workers, and the gangs that run over several of them."""
+    """
+    All workers, and the gangs that run over several of them.
+
+    :param remote_factor: times as long that a task takes away from its data, or a gang that wants
+        one rack on several.
+    """
 
     def __init__(
         self,
@@ -104,7 +117,9 @@
         step_of: Callable[[TaskRef], Step],
         duration_of: Callable[[TaskRef], float],
         rng: random.Random,
+        remote_factor: float = 1.0,
     ) -> None:
+        self.remote_factor = remote_factor
         self.time = time
         self.watcher = watcher
         self.step_of = step_of
@@ -125,12 +140,24 @@
 
 
 class Worker:
-    """One machine for tasks, with one life after the other."""
+    """
+    One machine for tasks, with one life after the other.
+
+    :param slowness: seconds that one second of work takes on it.
+    """
 
     def __init__(
-        self, site: Site, name: str, data_centre: str, rack: str, capacity: Resources, born: int
+        self,
+        site: Site,
+        name: str,
+        data_centre: str,
+        rack: str,
+        capacity: Resources,
+        born: int,
+        slowness: float = 1.0,
     ) -> None:
         self.site = site
+        self.slowness = slowness
         self.name = name
         self.address = f"{name}:80"
         self.data_centre = DataCentreId(data_centre)
@@ -242,14 +269,25 @@
 
     def _work(self, members: list[tuple["Worker", LiveRun]]) -> None:
         now = self.site.time.now
-        left = max(run.duration - run.done_before for _, run in members)
+        slowness = self._slowness_of(members)
+        left = slowness * max(run.duration - run.done_before for _, run in members)
         for worker, run in members:
             run.begun_at = now
+            run.slowness = slowness
             fails = worker.is_grey or self.site.rng.random() < 0.01
             outcome = Outcome.FAILED if fails else Outcome.DONE
             delay = 0.2 if fails else max(0.01, left)
             worker.site.time.later(delay, lambda w=worker, r=run, o=outcome: w._finish(r, o))
 
+    def _slowness_of(self, members: list[tuple["Worker", LiveRun]]) -> float:
+        """Return that of the slowest member, since they work together."""
+        step = members[0][1].step
+        racks = {worker.rack for worker, _ in members}
+        is_remote = step.same_rack and len(racks) > 1
+        is_remote = is_remote or bool(step.data_rack) and racks != {step.data_rack}
+        slowest = max(worker.slowness for worker, _ in members)
+        return slowest * (self.site.remote_factor if is_remote else 1.0)
+
     def _finish(self, run: LiveRun, outcome: Outcome) -> None:
         if self.is_up and self.runs.get(run.order.task) is run and not run.is_stopping:
             self._end(run, outcome)
@@ -352,7 +390,7 @@
         others = self.site.gang(run) if run.step.is_gang else []
         del self.runs[task]
         self.highest[task] = max(run.order.run, self.highest.get(task, RunNumber(0)))
-        self.site.watcher.ended(self, task, run.order.run, outcome)
+        self.site.watcher.ended(self, run, outcome)
         if outcome is Outcome.DONE:
             for worker, other in others:
                 if other is not run and worker.runs.get(other.order.task) is other:
@@ -369,7 +407,7 @@
         task = run.order.task
         del self.runs[task]
         self.highest[task] = max(run.order.run, self.highest.get(task, RunNumber(0)))
-        self.site.watcher.ended(self, task, run.order.run, outcome)
+        self.site.watcher.ended(self, run, outcome)
         self.count += 1
         self.ended_at[self.count] = self.site.time.now
         saved = run.saved(self.site.time.now)
--- a/tests/test_domain_planner.py
+++ b/tests/test_domain_planner.py
@@ -78,34 +78,38 @@
     return Run(task, RunNumber(1), on.life, needs, NOW)
 
 
+def planner(hosts: list[Host], victims: list[Victim], departures: list[Departure]) -> Planner:
+    return Planner(hosts, lambda: victims, lambda: departures)
+
+
 class GangTest(unittest.TestCase):
     def test_a_gang_goes_into_the_rack_that_it_fills_best(self) -> None:
         hosts = [host("a", "r1"), host("b", "r1"), host("c", "r2", 4), host("d", "r2", 2)]
-        plan = Planner(hosts, [], []).make([demand("j", 3, 2)])
+        plan = planner(hosts, [], []).make([demand("j", 3, 2)])
         [(_, placements)] = plan.placements
         self.assertEqual({"c", "d"}, {each.life.id for each in placements})
 
     def test_a_gang_too_large_for_any_rack_spans_racks(self) -> None:
         hosts = [host("a", "r1"), host("b", "r2")]
-        plan = Planner(hosts, [], []).make([demand("j", 2, 8)])
+        plan = planner(hosts, [], []).make([demand("j", 2, 8)])
         [(_, placements)] = plan.placements
         self.assertEqual(2, len(placements))
 
     def test_a_gang_is_placed_whole_or_not_at_all(self) -> None:
         hosts = [host("a", "r1"), host("b", "r1", 0)]
-        plan = Planner(hosts, [], []).make([demand("j", 2, 8)])
+        plan = planner(hosts, [], []).make([demand("j", 2, 8)])
         self.assertEqual([], plan.placements)
 
     def test_small_work_does_not_starve_a_waiting_gang(self) -> None:
         hosts = [host("a", "r1"), host("b", "r1", 0)]
         departures = [Departure(hosts[1].life, WHOLE, Seconds(NOW + 1))]
         small = demand("small", 8, 1, urgency=2, gang=False, same_rack=False)
-        plan = Planner(hosts, [], departures).make([demand("large", 2, 8), small])
+        plan = planner(hosts, [], departures).make([demand("large", 2, 8), small])
         self.assertEqual([], plan.placements)
 
     def test_a_doubted_worker_is_a_second_choice(self) -> None:
         hosts = [host("a", "r1", 8, doubted=True), host("b", "r2", 8)]
-        plan = Planner(hosts, [], []).make([demand("j", 1, 8)])
+        plan = planner(hosts, [], []).make([demand("j", 1, 8)])
         [(_, [placement])] = plan.placements
         self.assertEqual("b", placement.life.id)
 
@@ -113,11 +117,11 @@
 class ServiceTest(unittest.TestCase):
     def test_work_goes_only_to_workers_of_its_service(self) -> None:
         hosts = [host("a", "r1", service="other"), host("b", "r1")]
-        [(_, placements)] = Planner(hosts, [], []).make([demand("j", 1, 2)]).placements
+        [(_, placements)] = planner(hosts, [], []).make([demand("j", 1, 2)]).placements
         self.assertEqual(["b"], [each.life.id for each in placements])
         plain = demand("k", 12, 1, gang=False, same_rack=False)
         hosts = [host("a", "r1", service="other"), host("b", "r1")]
-        [(_, placements)] = Planner(hosts, [], []).make([plain]).placements
+        [(_, placements)] = planner(hosts, [], []).make([plain]).placements
         self.assertEqual({"b"}, {each.life.id for each in placements})
 
 
@@ -125,38 +129,38 @@
     def test_tasks_stay_near_their_data(self) -> None:
         hosts = [host("a", "r1", 4), host("b", "r2", 8)]
         one = demand("j", 1, 1, gang=False, same_rack=False, data_rack="r2")
-        [(_, [placement])] = Planner(hosts, [], []).make([one]).placements
+        [(_, [placement])] = planner(hosts, [], []).make([one]).placements
         self.assertEqual("b", placement.life.id)
 
     def test_tasks_wait_for_their_rack_before_they_leave_it(self) -> None:
         hosts = [host("a", "r1", 4), host("b", "r2", 0)]
         one = demand("j", 1, 1, gang=False, same_rack=False, data_rack="r2")
-        self.assertEqual([], Planner(hosts, [], []).make([one]).placements)
+        self.assertEqual([], planner(hosts, [], []).make([one]).placements)
         late = demand("j", 1, 1, gang=False, same_rack=False, data_rack="r2", may_leave_rack=True)
-        [(_, [placement])] = Planner(hosts, [], []).make([late]).placements
+        [(_, [placement])] = planner(hosts, [], []).make([late]).placements
         self.assertEqual("a", placement.life.id)
 
     def test_background_work_leaves_room_for_a_burst_of_urgent_work(self) -> None:
         hosts = [host(name, "r1") for name in "ab"]
         background = demand("j", 16, 1, urgency=2, gang=False, same_rack=False)
-        [(_, placements)] = Planner(hosts, [], []).make([background]).placements
+        [(_, placements)] = planner(hosts, [], []).make([background]).placements
         self.assertEqual(14, len(placements))
         usual = demand("k", 2, 1, urgency=1, gang=False, same_rack=False)
         hosts = [host(name, "r1", 1) for name in "ab"]
-        [(_, placements)] = Planner(hosts, [], []).make([usual]).placements
+        [(_, placements)] = planner(hosts, [], []).make([usual]).placements
         self.assertEqual(2, len(placements))
 
     def test_small_tasks_fill_one_rack_before_they_touch_the_next(self) -> None:
         hosts = [host("a", "r1"), host("b", "r2"), host("c", "r1", 4), host("d", "r2", 8)]
         small = demand("j", 12, 1, gang=False, same_rack=False)
-        [(_, placements)] = Planner(hosts, [], []).make([small]).placements
+        [(_, placements)] = planner(hosts, [], []).make([small]).placements
         self.assertEqual({"a", "c"}, {each.life.id for each in placements})
 
     def test_a_limit_per_worker_counts_tasks_that_are_on_their_way(self) -> None:
         hosts = [host("a", "r1")]
         placed = {hosts[0].life: 1}
         one = demand("j", 4, 1, gang=False, same_rack=False, max_per_worker=2, placed=placed)
-        [(_, placements)] = Planner(hosts, [], []).make([one]).placements
+        [(_, placements)] = planner(hosts, [], []).make([one]).placements
         self.assertEqual(1, len(placements))
 
 
@@ -166,7 +170,7 @@
         dear = Victim([running("dear", hosts[0])], 2, False, 500.0)
         cheap = Victim([running("cheap", hosts[1])], 2, False, 5.0)
         one = demand("j", 1, 8, urgency=0, guaranteed=True)
-        plan = Planner(hosts, [dear, cheap], []).make([one])
+        plan = planner(hosts, [dear, cheap], []).make([one])
         self.assertEqual([cheap], [victim for _, victim in plan.evictions])
 
     def test_a_burst_of_large_tasks_stops_no_more_than_the_room_that_they_take(self) -> None:
@@ -178,7 +182,7 @@
             for each in hosts
         ]
         one = demand("j", 1, 8, urgency=0)
-        plan = Planner(hosts, victims, []).make([one])
+        plan = planner(hosts, victims, []).make([one])
         workers = {run.life.id for _, victim in plan.evictions for run in victim.runs}
         self.assertEqual((8, 1), (len(plan.evictions), len(workers)))
 
@@ -187,7 +191,7 @@
         hosts[0].expect(WHOLE)
         victim = Victim([running("other", hosts[0])], 2, False, 5.0)
         one = demand("j", 1, 8, urgency=0, guaranteed=True)
-        plan = Planner(hosts, [victim], []).make([one])
+        plan = planner(hosts, [victim], []).make([one])
         self.assertEqual([], plan.evictions)
 
     def test_room_that_is_being_freed_is_kept_for_whom_it_is_freed(self) -> None:
@@ -195,14 +199,14 @@
         hosts[0].expect(Resources(32_000, 128_000, 4))
         urgent = demand("urgent", 1, 8, urgency=0, guaranteed=True)
         small = demand("small", 1, 4, urgency=2, gang=False, same_rack=False)
-        plan = Planner(hosts, [], []).make([urgent, small])
+        plan = planner(hosts, [], []).make([urgent, small])
         self.assertEqual([], plan.placements)
 
     def test_work_is_not_thrown_away_for_less_work(self) -> None:
         hosts = [host("a", "r1", 0)]
         victim = Victim([running("other", hosts[0])], 2, False, 10_000.0)
         one = demand("j", 1, 8, urgency=0)
-        plan = Planner(hosts, [victim], []).make([one])
+        plan = planner(hosts, [victim], []).make([one])
         self.assertEqual([], plan.evictions)
 
     def test_only_urgent_work_throws_away_more_than_a_little(self) -> None:
@@ -210,7 +214,7 @@
             hosts = [host("a", "r1", 0)]
             victim = Victim([running("other", hosts[0])], 2, False, 100.0)
             one = demand("j", 1, 8, urgency=urgency)
-            plan = Planner(hosts, [victim], []).make([one])
+            plan = planner(hosts, [victim], []).make([one])
             self.assertEqual(evicted, len(plan.evictions), urgency)
 
     def test_a_job_that_is_served_last_evicts_nothing(self) -> None:
@@ -218,13 +222,13 @@
         hosts = [host("a", "r1", 0)]
         victim = Victim([running("other", hosts[0])], 2, False, 1.0)
         one = demand("j", 1, 8, urgency=0, may_evict=False)
-        self.assertEqual([], Planner(hosts, [victim], []).make([one]).evictions)
+        self.assertEqual([], planner(hosts, [victim], []).make([one]).evictions)
 
     def test_a_guarantee_is_reclaimed_from_urgent_work_beyond_its_own(self) -> None:
         hosts = [host("a", "r1", 0)]
         victim = Victim([running("other", hosts[0])], 0, False, 10_000.0)
         one = demand("j", 1, 8, urgency=0, guaranteed=True)
-        plan = Planner(hosts, [victim], []).make([one])
+        plan = planner(hosts, [victim], []).make([one])
         self.assertEqual([victim], [each for _, each in plan.evictions])
 
 
--- /dev/null
+++ b/tests/test_domain_rpc.py
@@ -0,0 +1,39 @@
+"""Calls between instances whose connection breaks after the caller has gone on."""
+
+import asyncio
+import gc
+import socket
+import unittest
+
+from bulrushhollow_core.domain import Probe
+from bulrushhollow_core.ids import Seconds
+from bulrushhollow_daemon.domain._rpc import CallFailure, Link
+
+
+class SilentServer(asyncio.Protocol):
+    """Accepts a connection and never answers."""
+
+    transports: list[asyncio.BaseTransport] = []
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transports.append(transport)
+
+
+class LateFailureTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_call_that_fails_after_its_limit_leaves_no_error_behind(self) -> None:
+        loop = asyncio.get_running_loop()
+        errors: list[dict[str, object]] = []
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        sock = socket.create_server(("127.0.0.1", 0))
+        server = await loop.create_server(SilentServer, sock=sock)
+        link = Link("127.0.0.1", sock.getsockname()[1])
+        calls = [link.ask(Probe(), Seconds(limit)) for limit in (0.05, 0.1)]
+        results = await asyncio.gather(*calls)
+        for result in results:
+            self.assertIsInstance(result, CallFailure)
+        await asyncio.sleep(0.05)
+        gc.collect()
+        await asyncio.sleep(0)
+        server.close()
+        link.close()
+        self.assertEqual([], [each["message"] for each in errors])
