Keep gangs whose members are done, and let a new leader know its workers

Ruled out: processor time of the entry instances, placement in the wrong rack (0 away).

Tests: StallTest and TakeoverTest failed first.

--- a/packages/core/src/bulrushhollow_core/domain/__init__.py
+++ b/packages/core/src/bulrushhollow_core/domain/__init__.py
@@ -6,6 +6,7 @@
 replicated log. Jobs are graphs of steps; nothing here has input or output.
 """
 
+from bulrushhollow_core.domain._announcements import Availability, WorkerNews
 from bulrushhollow_core.domain._calls import (
     Announce,
     Answer,
@@ -45,7 +46,6 @@
     invalidity_of,
 )
 from bulrushhollow_core.domain._events import Event, Note, note
-from bulrushhollow_core.domain._fleet import Availability, WorkerNews
 from bulrushhollow_core.domain._jobs import (
     JobState,
     Occurrence,
--- a/packages/core/src/bulrushhollow_core/domain/_call_handler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_call_handler.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from bulrushhollow_core.domain._announcements import Availability
 from bulrushhollow_core.domain._calls import (
     Announce,
     Answer,
@@ -43,7 +44,6 @@
 )
 from bulrushhollow_core.domain._configuration import Queue, invalidity_of
 from bulrushhollow_core.domain._events import Event, Note, note
-from bulrushhollow_core.domain._fleet import Availability
 from bulrushhollow_core.domain._jobs import JobState, WallTime, WorkerLife
 from bulrushhollow_core.domain._queueing import pending_jobs
 from bulrushhollow_core.domain._scheduler import Scheduler
--- a/packages/core/src/bulrushhollow_core/domain/_calls.py
+++ b/packages/core/src/bulrushhollow_core/domain/_calls.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
+from bulrushhollow_core.domain._announcements import WorkerNews
 from bulrushhollow_core.domain._configuration import CallLimits, Configuration
-from bulrushhollow_core.domain._fleet import WorkerNews
 from bulrushhollow_core.domain._jobs import JobState, Work
 from bulrushhollow_core.ids import DataCentreId, Seconds, WorkerId
 
--- a/packages/core/src/bulrushhollow_core/domain/_commands.py
+++ b/packages/core/src/bulrushhollow_core/domain/_commands.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from bulrushhollow_core.domain._announcements import WorkerNews
 from bulrushhollow_core.domain._configuration import Configuration, Queue
 from bulrushhollow_core.domain._jobs import RunNumber, TaskRef, WallTime, Work, WorkerLife
 from bulrushhollow_core.ids import DataCentreId, JobId, WorkspaceId
@@ -103,8 +104,28 @@
     worker: WorkerLife
 
 
+class RegisterWorker(msgspec.Struct, frozen=True, array_like=True, tag="register_worker"):
+    """Record what a worker is, so that the next leader need not wait for its announcement."""
+
+    news: WorkerNews
+
+
+class ForgetWorker(msgspec.Struct, frozen=True, array_like=True, tag="forget_worker"):
+    """Forget a life of a worker that is over or silent for long."""
+
+    worker: WorkerLife
+
+
 Command = (
-    PutConfiguration | SetEvacuation | SubmitJob | CancelJob | StartRuns | EndRuns | DrainWorker
+    PutConfiguration
+    | SetEvacuation
+    | SubmitJob
+    | CancelJob
+    | StartRuns
+    | EndRuns
+    | DrainWorker
+    | RegisterWorker
+    | ForgetWorker
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/core/src/bulrushhollow_core/domain/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/_fleet.py
@@ -10,11 +10,9 @@
 from enum import Enum
 from typing import NamedTuple
 
-import msgspec
-
-from bulrushhollow_core.domain._configuration import ServiceName
+from bulrushhollow_core.domain._announcements import WorkerNews
 from bulrushhollow_core.domain._jobs import Resources, RunNumber, TaskRef, WorkerLife
-from bulrushhollow_core.ids import DataCentreId, JobId, RackId, Seconds
+from bulrushhollow_core.ids import JobId, Seconds, WorkerId
 
 CLOCK_SLOWNESS = 0.98
 """Rate of the slowest clock of a worker against a true one; the platform promises 2 %."""
@@ -39,37 +37,15 @@
 UNKNOWN_DURATION = Seconds(0.0)
 """Duration of a run without an estimate."""
 
+WHOLE = 100
+"""Percent of work that is done."""
+
 PACE_SAMPLE = Seconds(1.2)
 """Seconds of work after which a run's pace is judged; about half of a short task."""
 
 
-class Availability(Enum):
-    """What a worker says of itself."""
-
-    READY = "ready"
-    DRAINING = "draining"
-
-
-class WorkerNews(msgspec.Struct, frozen=True, array_like=True):
-    """
-    What a worker announced last.
-
-    :param sequence: number of the announcement in this life; a later one is greater.
-    :param clock: the worker's own steady clock, in seconds.
-    :param remaining: seconds that a draining worker surely stays.
-    """
-
-    life: WorkerLife
-    service: ServiceName
-    address: str
-    data_centre: DataCentreId
-    rack: RackId
-    labels: tuple[str, ...]
-    capacity: Resources
-    availability: Availability
-    sequence: int
-    clock: Seconds
-    remaining: Seconds
+OVERDUE = Seconds(0.3)
+"""Seconds after its expected end for which a run still counts as about to end."""
 
 
 class RunRef(NamedTuple):
@@ -98,6 +74,7 @@
 
     :param needs: what it takes.
     :param duration: seconds that it is expected to take where it is.
+    :param is_gang: whether it works only together with others.
     """
 
     def __init__(
@@ -108,8 +85,10 @@
         needs: Resources,
         now: Seconds,
         duration: Seconds = UNKNOWN_DURATION,
+        is_gang: bool = False,
     ) -> None:
         """Begin as proposed."""
+        self.is_gang = is_gang
         self.duration = duration
         self.task = task
         self.number = number
@@ -119,6 +98,8 @@
         self.begun_at = now
         self.tries = 0
         self.percent = 0
+        self.paced_percent = 0
+        """Latest percent that its pace can be told from."""
         self.first_percent: int | None = None
         self.first_percent_at = now
         self.progress_at = now
@@ -131,9 +112,11 @@
 
     def note_progress(self, percent: int, saved: str, now: Seconds) -> None:
         """Take in how far the worker says it is."""
-        self.sampled_at = now
         if self.first_percent is None:
             self.first_percent, self.first_percent_at = percent, now
+        if percent < WHOLE:
+            self.sampled_at = now
+            self.paced_percent = percent
         if percent != self.percent:
             self.percent = percent
             self.progress_at = now
@@ -153,20 +136,34 @@
         if is_fresh:
             self.first_percent, self.first_percent_at = 0, now
 
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether its own work is done, and it waits for the others of its gang."""
+        return self.is_gang and self.percent >= WHOLE
+
     def remaining(self, now: Seconds) -> Seconds:
         """Return the seconds that it is expected to take yet, by its progress if known."""
-        if self.first_percent is not None and self.percent > self.first_percent:
+        if self.is_waiting:
+            return Seconds(0.0)
+        if self.first_percent is not None and self.paced_percent > self.first_percent:
             elapsed = max(0.05, self.sampled_at - self.first_percent_at)
-            pace = (self.percent - self.first_percent) / elapsed
-            return Seconds((100 - self.percent) / pace - (now - self.sampled_at))
+            pace = (self.paced_percent - self.first_percent) / elapsed
+            return Seconds((WHOLE - self.paced_percent) / pace - (now - self.sampled_at))
         return Seconds(max(0.1, self.duration - (now - self.begun_at)))
 
+    def ends_within(self, limit: Seconds, now: Seconds) -> bool:
+        """Return whether it is about to end by itself, as far as its fresh progress tells."""
+        is_known = self.first_percent is not None and self.percent > self.first_percent
+        if not is_known or self.phase is not RunPhase.RUNNING:
+            return False
+        return self.is_waiting or -OVERDUE <= self.remaining(now) <= limit
+
     def total(self) -> Seconds | None:
         """Return the seconds that it takes in all by its pace so far, if that can be told."""
         elapsed = self.sampled_at - self.first_percent_at
         if self.first_percent is None or elapsed < PACE_SAMPLE:
             return None
-        return Seconds(100 * elapsed / max(1, self.percent - self.first_percent))
+        return Seconds(WHOLE * elapsed / max(1, self.paced_percent - self.first_percent))
 
 
 class Worker:
@@ -310,6 +307,8 @@
         """Begin with none."""
         self.workers_by_life: dict[WorkerLife, Worker] = {}
         self.sequence_by_life: dict[WorkerLife, int] = {}
+        self._lives_by_id: dict[WorkerId, set[WorkerLife]] = {}
+        self._lives_by_address: dict[str, set[WorkerLife]] = {}
 
     def get(self, life: WorkerLife) -> Worker | None:
         """Return a worker that is known."""
@@ -320,25 +319,39 @@
         worker = self.workers_by_life.get(life)
         if worker is None:
             worker = self.workers_by_life[life] = Worker(life, address, now)
+            self._lives_by_id.setdefault(life.id, set()).add(life)
+            self._lives_by_address.setdefault(address, set()).add(life)
         return worker
 
+    def take_news(self, worker: Worker, news: WorkerNews) -> None:
+        """Take in what a worker announced last."""
+        self._lives_by_address[worker.address].discard(worker.life)
+        self._lives_by_address.setdefault(news.address, set()).add(worker.life)
+        worker.news = news
+        worker.address = news.address
+
     def drop(self, life: WorkerLife) -> None:
         """Forget a worker."""
-        self.workers_by_life.pop(life, None)
+        worker = self.workers_by_life.pop(life, None)
+        if worker is not None:
+            self._lives_by_id[life.id].discard(life)
+            self._lives_by_address[worker.address].discard(life)
+
+    def lives_of(self, worker_id: WorkerId) -> frozenset[WorkerLife]:
+        """Return the lives that are known under an id."""
+        return frozenset(self._lives_by_id.get(worker_id, ()))
 
     def outlived_by(self, news: WorkerNews) -> list[Worker]:
         """Return the workers that an announcement proves to be over."""
-        return [
-            worker
-            for life, worker in self.workers_by_life.items()
-            if life != news.life
-            and (life.id == news.life.id or worker.address == news.address)
-            and life.born < news.life.born
-        ]
+        lives = self._lives_near(news)
+        return [self.workers_by_life[life] for life in lives if life.born < news.life.born]
 
     def is_outlived(self, news: WorkerNews) -> bool:
         """Return whether an announcement comes from a life that is known to be over."""
-        return any(
-            life.born > news.life.born and (life.id == news.life.id or w.address == news.address)
-            for life, w in self.workers_by_life.items()
-        )
+        return any(life.born > news.life.born for life in self._lives_near(news))
+
+    def _lives_near(self, news: WorkerNews) -> list[WorkerLife]:
+        """Return the other lives under the same id or address, in a fixed order."""
+        by_address = self._lives_by_address.get(news.address, set())
+        lives = (self.lives_of(news.life.id) | by_address) - {news.life}
+        return sorted(lives, key=lambda life: (life.id, life.born))
--- a/packages/core/src/bulrushhollow_core/domain/_groups.py
+++ b/packages/core/src/bulrushhollow_core/domain/_groups.py
@@ -44,18 +44,23 @@
 
 
 def best_group(demand: Demand, groups: Sequence[Group], with_stopping: bool) -> Group | None:
-    """Return the group that holds a whole gang, on trusted workers if possible, with least room."""
+    """
+    Return the group that holds a whole gang and has least room, if possible one in which the gang
+    needs no slow worker, which would hold up all its members, and no doubted one.
+    """
     wanted = len(demand.indexes)
-    fitting = [group for group in groups if slots_of(demand, group, with_stopping) >= wanted]
+
+    def holds(hosts: Iterable[Host]) -> bool:
+        return slots_of(demand, hosts, with_stopping) >= wanted
+
+    fitting = [group for group in groups if holds(group)]
     if not fitting:
         return None
-    trusted = [
-        group
-        for group in fitting
-        if slots_of(demand, [host for host in group if not host.is_doubted], with_stopping)
-        >= wanted
+    trusted = [group for group in fitting if holds(h for h in group if not h.is_doubted)]
+    sound = [
+        group for group in trusted if holds(h for h in group if not (h.is_doubted or h.is_slow))
     ]
     return min(
-        trusted or fitting,
+        sound or trusted or fitting,
         key=lambda group: sum(room_of(host, with_stopping).accelerators for host in group),
     )
--- a/packages/core/src/bulrushhollow_core/domain/_hosts.py
+++ b/packages/core/src/bulrushhollow_core/domain/_hosts.py
@@ -19,6 +19,7 @@
     :param service: whose tasks it runs.
     :param free: what no run takes.
     :param is_doubted: whether it is a second choice.
+    :param is_slow: whether tasks take longer on it than elsewhere.
     """
 
     def __init__(
@@ -31,6 +32,7 @@
         capacity: Resources,
         free: Resources,
         is_doubted: bool,
+        is_slow: bool = False,
     ) -> None:
         """Begin with the room as it is."""
         self.life = life
@@ -43,6 +45,7 @@
         self.soon = free
         """What is free once every run that is being stopped has ended."""
         self.is_doubted = is_doubted
+        self.is_slow = is_slow
 
     def take(self, needs: Resources) -> None:
         """Give room to a task, or keep it for one."""
@@ -68,9 +71,9 @@
     return max(0, slots)
 
 
-def tightness(host: Host, room: Resources) -> tuple[bool, int, int]:
-    """Return a key that puts trusted and nearly full workers first."""
-    return (host.is_doubted, room.accelerators, room.cpu)
+def tightness(host: Host, room: Resources) -> tuple[bool, bool, int, int]:
+    """Return a key that puts trusted, fast and nearly full workers first."""
+    return (host.is_doubted, host.is_slow, room.accelerators, room.cpu)
 
 
 def by_rack(hosts: Iterable[Host]) -> dict[RackId, list[Host]]:
--- a/packages/core/src/bulrushhollow_core/domain/_losses.py
+++ b/packages/core/src/bulrushhollow_core/domain/_losses.py
@@ -53,7 +53,7 @@
         }
         if is_life_over:
             self._shared.gone.add(worker.life)
-            self._shared.fleet.drop(worker.life)
+            self._shared.forget_worker(worker.life)
         self._shared.plan_soon(now)
 
     def move_runs(self, old: Worker, later: Worker, now: Seconds) -> None:
--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -34,7 +34,7 @@
 """Most unsaved work that may be thrown away for an urgent job beyond its guarantee, as a part of
 its own work: urgent jobs are small, and late ones are worth a fifth."""
 
-THRIFT = 0.2
+THRIFT = 0.05
 """The same for any other job: it has the time to wait, and its victims lose what it gains."""
 
 SEARCHES = 8
@@ -104,7 +104,7 @@
         self._eligible_by_kind: dict[tuple[ServiceName, str], list[Host]] = {}
         self._groups_by_shape: dict[tuple[Shape, int], list[Group]] = {}
         self._full: dict[tuple[Shape, bool], int] = {}
-        """The fewest tasks of each shape that found no room, in what is free and in what will be."""
+        """The fewest tasks of each shape that found no room, free now or once stops have ended."""
         self._kept = 0
         self._searches = 0
         self.plan = Plan()
@@ -314,6 +314,7 @@
             key=lambda host: (
                 host.is_doubted,
                 bool(data_rack) and host.rack != data_rack,
+                host.is_slow is (demand.urgency == 0),
                 free_by_rack[host.rack],
                 host.rack,
                 host.free.accelerators,
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -8,6 +8,7 @@
 import math
 from collections import Counter
 
+from bulrushhollow_core.domain._announcements import Availability, WorkerNews
 from bulrushhollow_core.domain._commands import (
     Start,
     StartRuns,
@@ -18,11 +19,9 @@
 from bulrushhollow_core.domain._events import Event, note
 from bulrushhollow_core.domain._fleet import (
     HEARTBEATS_MISSED,
-    Availability,
     Run,
     RunPhase,
     Worker,
-    WorkerNews,
 )
 from bulrushhollow_core.domain._hosts import Departure, Host
 from bulrushhollow_core.domain._jobs import (
@@ -138,29 +137,54 @@
         """Return the workers that may get new work."""
         silence = HEARTBEATS_MISSED * self._shared.settings.heartbeat
         return [
-            _host_of(worker, worker.news)
+            self._host_of(worker, worker.news, now)
             for worker in self._shared.fleet.workers_by_life.values()
             if worker.news is not None
             and worker.news.availability is Availability.READY
             and worker.life not in self._shared.state.draining
             and worker.life not in self._shared.gone
             and worker.news.data_centre not in self._shared.state.evacuated
+            and worker.has_clock
             and worker.silent_since is None
             and now - worker.heard_at < silence
             and now >= worker.no_room_until
             and now >= worker.quarantined_until
         ]
 
+    def _host_of(self, worker: Worker, news: WorkerNews, now: Seconds) -> Host:
+        host = Host(
+            life=worker.life,
+            service=news.service,
+            data_centre=news.data_centre,
+            rack=news.rack,
+            labels=frozenset(news.labels),
+            capacity=news.capacity,
+            free=worker.free,
+            is_doubted=worker.is_doubted,
+            is_slow=self._shared.paces.is_slow(worker.life),
+        )
+        soon = self._shared.settings.stop_timeout
+        for run in worker.runs_by_task.values():
+            is_ending = not run.is_gang and run.ends_within(soon, now)
+            if run.phase is RunPhase.STOPPING or is_ending:
+                host.expect(run.needs)
+        return host
+
     def _victims(self, guaranteed: set[JobId], now: Seconds) -> list[Victim]:
         runs_by_unit: dict[tuple[object, ...], list[Run]] = {}
         for run in self._shared.runs():
             job = self._shared.state.jobs_by_id.get(run.task.job)
             if job is None or job.is_over or run.phase not in (RunPhase.RUNNING, RunPhase.STARTING):
                 continue
-            is_gang = job.work.steps[run.task.step].is_gang
-            unit = (*run.task[:3], run.number) if is_gang else (*run.task, run.number)
+            unit = (*run.task[:3], run.number) if run.is_gang else (*run.task, run.number)
             runs_by_unit.setdefault(unit, []).append(run)
-        return [self._victim(runs, guaranteed, now) for runs in runs_by_unit.values()]
+        limit = self._shared.settings.stop_timeout
+        return [
+            self._victim(runs, guaranteed, now)
+            for runs in runs_by_unit.values()
+            # To stop what is about to end frees its room no earlier.
+            if not all(run.ends_within(limit, now) for run in runs)
+        ]
 
     def _victim(self, runs: list[Run], guaranteed: set[JobId], now: Seconds) -> Victim:
         job = self._shared.state.jobs_by_id[runs[0].task.job]
@@ -196,7 +220,15 @@
                 number = gang_run if demand.step.is_gang else own
                 worker = self._shared.fleet.workers_by_life[placement.life]
                 duration = self._duration_at(demand, placements, worker)
-                run = Run(placement.task, number, worker.life, demand.step.needs, now, duration)
+                run = Run(
+                    placement.task,
+                    number,
+                    worker.life,
+                    demand.step.needs,
+                    now,
+                    duration,
+                    demand.step.is_gang,
+                )
                 worker.runs_by_task[placement.task] = run
                 self._shared.proposed_by_task[placement.task] = run
                 starts.append(Start(placement.task, number, worker.life, worker.address))
@@ -256,20 +288,3 @@
                 ),
             )
         )
-
-
-def _host_of(worker: Worker, news: WorkerNews) -> Host:
-    host = Host(
-        life=worker.life,
-        service=news.service,
-        data_centre=news.data_centre,
-        rack=news.rack,
-        labels=frozenset(news.labels),
-        capacity=news.capacity,
-        free=worker.free,
-        is_doubted=worker.is_doubted,
-    )
-    for run in worker.runs_by_task.values():
-        if run.phase is RunPhase.STOPPING:
-            host.expect(run.needs)
-    return host
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler.py
@@ -10,22 +10,20 @@
 
 import msgspec
 
+from bulrushhollow_core.domain._announcements import Availability, WorkerNews
 from bulrushhollow_core.domain._answers import Answers
 from bulrushhollow_core.domain._commands import (
     CancelJob,
     Command,
     EndRuns,
+    RegisterWorker,
     SetEvacuation,
     StartRuns,
     SubmitJob,
 )
 from bulrushhollow_core.domain._dispatch import Dispatch
 from bulrushhollow_core.domain._events import Event, note
-from bulrushhollow_core.domain._fleet import (
-    Availability,
-    Worker,
-    WorkerNews,
-)
+from bulrushhollow_core.domain._fleet import Worker
 from bulrushhollow_core.domain._jobs import (
     WallTime,
     WorkerLife,
@@ -41,7 +39,7 @@
 from bulrushhollow_core.domain._settings import DomainSettings
 from bulrushhollow_core.domain._state import DomainState
 from bulrushhollow_core.domain._watch import Watch
-from bulrushhollow_core.ids import JobId, Seconds, Term
+from bulrushhollow_core.ids import JobId, Seconds, Term, WorkerId
 
 LOOK_INTERVAL = Seconds(0.05)
 """Seconds between two looks at all workers; what an event touches is looked at with it."""
@@ -126,8 +124,8 @@
                 self._losses.move_runs(old, worker, now)
             self._losses.lose_runs(old, "outlived", now)
         before = worker.news
-        worker.news = news
-        worker.address = news.address
+        self._shared.fleet.take_news(worker, news)
+        self._shared.register(news)
         worker.heard_at = now
         if is_new or before is None or before.availability is not news.availability:
             self._note_worker(worker, news)
@@ -144,7 +142,7 @@
 
     def find_life(self, worker_id: str) -> WorkerLife | None:
         """Return the latest known life under an id."""
-        lives = [life for life in self._shared.fleet.workers_by_life if life.id == worker_id]
+        lives = self._shared.fleet.lives_of(WorkerId(worker_id))
         return max(lives, key=lambda life: life.born, default=None)
 
     def committed(self, command: Command, now: Seconds) -> None:
@@ -166,6 +164,8 @@
                 self._shared.plan_soon(now)
             case SetEvacuation():
                 self._shared.plan_soon(now)
+            case RegisterWorker(news=news):
+                self._shared.registering.discard(news.life)
 
     def start_answered(self, answer: StartAnswered, now: Seconds) -> None:
         """Take in what came of an order to start."""
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
@@ -10,9 +10,12 @@
 
 import msgspec
 
+from bulrushhollow_core.domain._announcements import WorkerNews
 from bulrushhollow_core.domain._commands import (
     Command,
+    ForgetWorker,
     Outcome,
+    RegisterWorker,
     RunEnd,
 )
 from bulrushhollow_core.domain._events import Event, note
@@ -58,6 +61,11 @@
         self.proposals: list[Command] = []
         self.ends: list[RunEnd] = []
         self.outbox: list[msgspec.Struct] = []
+        self.registering: set[WorkerLife] = set()
+        """Workers whose registration is on its way into the log."""
+        for life, news in state.workers_by_life.items():
+            worker = self.fleet.ensure(life, news.address, now)
+            worker.news = news
         for ref, task in state.active_tasks():
             if task.worker is not None:
                 self.adopt(ref, task.run, task.worker, task.address, now)
@@ -74,7 +82,7 @@
         job = self.state.jobs_by_id[ref.job]
         worker = self.fleet.ensure(life, address, now)
         step = job.work.steps[ref.step]
-        run = Run(ref, number, life, step.needs, now, step.estimate)
+        run = Run(ref, number, life, step.needs, now, step.estimate, step.is_gang)
         run.phase = RunPhase.ADOPTED
         worker.runs_by_task[ref] = run
         worker.poll_due = now
@@ -113,6 +121,22 @@
         for step in [each for each in self.avoided_by_step if each.job == job]:
             del self.avoided_by_step[step]
 
+    def register(self, news: WorkerNews) -> None:
+        """Propose to record what a worker is, unless that is known."""
+        lasting = news.lasting()
+        if self.state.workers_by_life.get(news.life) != lasting and (
+            news.life not in self.registering
+        ):
+            self.registering.add(news.life)
+            self.proposals.append(RegisterWorker(lasting))
+
+    def forget_worker(self, life: WorkerLife) -> None:
+        """Forget a worker, also in the log."""
+        self.fleet.drop(life)
+        self.paces.forget_worker(life)
+        if life in self.state.workers_by_life or life in self.state.draining:
+            self.proposals.append(ForgetWorker(life))
+
     def saved_of(self, ref: TaskRef) -> str:
         """Return the checkpoint that a task goes on from; empty for none."""
         record = self.state.find_step(ref)
--- a/packages/core/src/bulrushhollow_core/domain/_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_state.py
@@ -11,13 +11,16 @@
 
 import msgspec
 
+from bulrushhollow_core.domain._announcements import WorkerNews
 from bulrushhollow_core.domain._commands import (
     CancelJob,
     Command,
     DrainWorker,
     EndRuns,
+    ForgetWorker,
     Outcome,
     PutConfiguration,
+    RegisterWorker,
     RunEnd,
     SetEvacuation,
     Start,
@@ -52,6 +55,7 @@
     evacuated: list[DataCentreId]
     draining: list[WorkerLife]
     accepted: int
+    workers: list[WorkerNews] = []
 
 
 class DomainState:
@@ -73,6 +77,8 @@
         """Jobs that are not over, or of which something may still run."""
         self.evacuated: set[DataCentreId] = set()
         self.draining: set[WorkerLife] = set()
+        self.workers_by_life: dict[WorkerLife, WorkerNews] = {}
+        """What each worker is, as it last announced it."""
         self._accepted = 0
 
     @property
@@ -133,6 +139,10 @@
                     self._end(end, at)
             case DrainWorker(worker=worker):
                 self.draining.add(worker)
+            case RegisterWorker(news=news):
+                self._register(news)
+            case ForgetWorker(worker=worker):
+                self._forget_worker(worker)
             case _ as never:
                 assert_never(never)
 
@@ -257,6 +267,21 @@
                 return
             del self.jobs_by_id[oldest.id]
 
+    # Workers.
+
+    def _register(self, news: WorkerNews) -> None:
+        known = [life for life in self.workers_by_life if life.id == news.life.id]
+        if any(life.born > news.life.born for life in known):
+            return
+        for life in known:
+            if life != news.life:
+                self._forget_worker(life)
+        self.workers_by_life[news.life] = news
+
+    def _forget_worker(self, worker: WorkerLife) -> None:
+        self.workers_by_life.pop(worker, None)
+        self.draining.discard(worker)
+
     # Snapshots.
 
     def encode(self) -> bytes:
@@ -268,6 +293,7 @@
                 evacuated=sorted(self.evacuated),
                 draining=sorted(self.draining, key=lambda life: (life.id, life.born)),
                 accepted=self._accepted,
+                workers=list(self.workers_by_life.values()),
             )
         )
 
@@ -285,6 +311,7 @@
         state.evacuated = set(snapshot.evacuated)
         state.draining = set(snapshot.draining)
         state._accepted = snapshot.accepted
+        state.workers_by_life = {news.life: news for news in snapshot.workers}
         return state
 
 
--- a/packages/core/src/bulrushhollow_core/domain/_watch.py
+++ b/packages/core/src/bulrushhollow_core/domain/_watch.py
@@ -54,7 +54,7 @@
             self._losses.lose_runs(worker, "it has left", now)
             return
         if not worker.runs_by_task and now - worker.heard_at > FORGET_AFTER:
-            self._shared.fleet.drop(worker.life)
+            self._shared.forget_worker(worker.life)
             return
         for run in list(worker.runs_by_task.values()):
             self._watch(worker, run, now)
@@ -71,7 +71,7 @@
         if worker.leaves_at < math.inf and self._should_move(worker, run, now):
             self._dispatch.note_stop(run, "its worker leaves")
             self._dispatch.stop(worker, run, now)
-        elif not self._is_fresh(worker, now) or self._shared.is_lasting(run):
+        elif run.is_waiting or not self._is_fresh(worker, now) or self._shared.is_lasting(run):
             return
         elif now - run.progress_at > STALL_LIMIT:
             self._losses.take_from(worker, run, "a run stands still", now)
