Serve background work in its turn, elect at once after a loss of power, and spare dear victims

Background work came after all usual work, whatever its deadline. - After a loss of power of all instances with a disk, voters waited a whole election timeout for a leader that could not be there. - A job within its guarantee stopped any victim at once, also a gang of 13 that had nearly done its work, where room that costs nothing comes within a second; the smallest urgent jobs were allowed to throw nothing away. - Calls whose outcome is open were held for 2 s of the 3 s that callers usually wait.

Changes: urgent work first, all other work by deadline, on-time jobs before late ones, with 10 s of grace for each step less urgent; a voter that has heard no leader since it began asks for votes as soon as a majority is here (where one leads, the others refuse); a guarantee is reclaimed at any cost after 1 s, before that like other urgent work, which may always throw 500 core-seconds away; open calls are answered as unknown after 1.4 s; tasks wait two durations for their data's rack, which is what leaving it costs.

--- a/packages/core/src/bulrushhollow_core/consensus/_consensus.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_consensus.py
@@ -147,8 +147,19 @@
         if self._leader:
             self._leader.connect(peer)
             self._leader.tick(now)
+        elif self._replica.is_voter and self._may_elect_after_boot():
+            self._election.hurry(now)
         return self.flush(now)
 
+    def _may_elect_after_boot(self) -> bool:
+        """
+        Return whether a majority is here and no leader was heard since this process began, as
+        after a loss of power everywhere. Where one leads, the others grant no vote.
+        """
+        members = self._replica.log.members
+        here = members.voters & {*self._connected_by_id, self._me}
+        return self._follower.has_heard_none and len(here) >= members.quorum
+
     def learn_place(self, name: InstanceName, place: str) -> None:
         """Take in which failure domain an instance is in, so that voters are spread over them."""
         self._place_by_name[name] = place
--- a/packages/core/src/bulrushhollow_core/consensus/_follower.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_follower.py
@@ -64,6 +64,11 @@
         self.leader: InstanceId | None = None
         self.heard_at = Seconds(-math.inf)
 
+    @property
+    def has_heard_none(self) -> bool:
+        """Return whether no leader was heard since this process began."""
+        return math.isinf(self.heard_at)
+
     def quorum_age(self, now: Seconds) -> Seconds:
         """Return seconds since a majority was last known to follow the leader."""
         return Seconds(now - self._quorum_at)
--- a/packages/core/src/bulrushhollow_core/domain/_demands.py
+++ b/packages/core/src/bulrushhollow_core/domain/_demands.py
@@ -30,6 +30,7 @@
     :param duration: seconds that one of its tasks is expected to take.
     :param placed_by_worker: tasks of the step that already run, for a limit per worker.
     :param may_evict: whether runs may be stopped for it; never for one that is served after them.
+    :param is_reclaiming: whether its guarantee is due, whatever is thrown away for it.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         duration: Seconds,
         placed_by_worker: dict[WorkerLife, int],
         may_evict: bool = True,
+        is_reclaiming: bool = False,
     ) -> None:
         """Name what waits."""
         self.ref = ref
@@ -58,6 +60,7 @@
         self.duration = duration
         self.placed_by_worker = placed_by_worker
         self.may_evict = may_evict
+        self.is_reclaiming = is_reclaiming
 
     @property
     def work(self) -> float:
@@ -78,6 +81,7 @@
             self.duration,
             dict(self.placed_by_worker),
             self.may_evict,
+            self.is_reclaiming,
         )
 
     def limit_on(self, host: Host) -> int:
--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -34,8 +34,12 @@
 """Part of all accelerators that is left free at the most."""
 
 URGENT_THRIFT = 2.0
-"""Most unsaved work that may be thrown away for an urgent job beyond its guarantee, as a part of
-its own work: urgent jobs are small, and late ones are worth a fifth."""
+"""Most unsaved work that may be thrown away for an urgent job, as a part of its own work, unless it
+is to be reclaimed at any cost: urgent jobs are small, and late ones are worth a fifth."""
+
+URGENT_BASE = 500.0
+"""Core-seconds that may be thrown away besides, since the smallest job is worth a third of a usual
+one to its caller."""
 
 THRIFT = 0.05
 """The same for any other job: it has the time to wait, and its victims lose what it gains."""
@@ -348,12 +352,11 @@
         """Stop the runs whose loss costs least, if that is enough and allowed."""
         if not demand.may_evict:
             return False
-        most = math.inf
         if not demand.is_guaranteed:
             if self.searches >= SEARCHES:
                 return False
             self.searches += 1
-            most = demand.work * (URGENT_THRIFT if demand.urgency == 0 else THRIFT)
+        most = _most_waste(demand)
         index = self._victims_for(demand)
         best: list[Victim] | None = None
         for group in groups:
@@ -388,6 +391,15 @@
     return departure.at
 
 
+def _most_waste(demand: Demand) -> float:
+    """Return the core-seconds that may be thrown away for a demand."""
+    if demand.is_reclaiming:
+        return math.inf
+    if demand.urgency == 0:
+        return URGENT_THRIFT * demand.work + URGENT_BASE
+    return THRIFT * demand.work
+
+
 def _may_evict(demand: Demand, victim: Victim) -> bool:
     if victim.urgency > demand.urgency:
         return True
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -45,6 +45,10 @@
 PLAN_INTERVAL = Seconds(0.25)
 """Seconds after which the queue is looked at again although nothing happened."""
 
+RECLAIM_AFTER = Seconds(1.0)
+"""Seconds for which a job within its guarantee waits for room that costs little; after that any
+victim is stopped, in time for the three seconds within which a guarantee is to be had."""
+
 CAPACITY_INTERVAL = Seconds(1.0)
 """Seconds between two notes of the room while anything waits."""
 
@@ -121,6 +125,7 @@
             placed_by_worker=self._placed_by_worker(ref) if step.max_per_worker else {},
             may_evict=not waiting.standing.is_surplus
             or waiting.standing.prospect is Prospect.ON_TIME,
+            is_reclaiming=waiting.job.id in guaranteed and now - since >= RECLAIM_AFTER,
         )
 
     def _service_of(self, queue: Queue) -> ServiceName:
--- a/packages/core/src/bulrushhollow_core/domain/_queueing.py
+++ b/packages/core/src/bulrushhollow_core/domain/_queueing.py
@@ -5,8 +5,9 @@
 Which tasks wait, and in which order they are served.
 
 Jobs within their workspace's guarantee come first. Then come the jobs that can still be worth
-something to their callers, by urgency; among equals those that can still be on time go before
-those that are late already, and the earliest deadline goes first.
+something to their callers, urgent ones before all others; among these, those that can still be on
+time go before those that are late already, and the earliest deadline goes first. Less urgent jobs
+count as due some seconds later than they are, so that they give way and still get their turn.
 """
 
 from collections.abc import Iterator, Mapping
@@ -30,8 +31,12 @@
 LATE_FACTOR = 3.0
 """Objectives after which a result is worth nothing to its caller, as the users state it."""
 
-PATIENCE = 1.0
-"""Durations for which a task waits for its data's rack; away from it, it loses two."""
+YIELD = Seconds(10.0)
+"""Seconds by which a job's deadline counts as later for each step that it is less urgent than usual
+work; about a third of the time that such jobs have."""
+
+PATIENCE = 2.0
+"""Durations for which a task waits for its data's rack; away from it, it loses as many."""
 
 
 class Prospect(IntEnum):
@@ -47,7 +52,7 @@
 
     is_surplus: bool
     is_worthless: bool
-    urgency: int
+    is_usual: bool
     prospect: Prospect
     deadline: float
     order: int
@@ -138,9 +143,9 @@
     return Standing(
         not is_guaranteed,
         prospect is Prospect.WORTHLESS,
-        job.queue.urgency,
+        job.queue.urgency > 0,
         prospect,
-        deadline,
+        deadline + YIELD * max(0, job.queue.urgency - 1),
         job.order,
         occurrence,
     )
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_leader.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_leader.py
@@ -44,9 +44,10 @@
 REFUSE_AT_ONCE = Seconds(0.12)
 """Seconds in which every known instance is asked for the leader once more."""
 
-GIVE_UP_AFTER = Seconds(2.0)
+GIVE_UP_AFTER = Seconds(1.4)
 """Seconds for which a call that may have been made is made again at the next leader, before it is
-answered as unknown; an election and the way to its winner take less."""
+answered as unknown; an election and the way to its winner take less, and a caller that waits three
+seconds has as long again to ask elsewhere."""
 
 LOOK_INTERVAL = Seconds(0.1)
 """Seconds between two looks for a leader."""
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -79,6 +79,29 @@
         status = core.status(cluster.now)
         self.assertEqual((status.role, status.term), (Role.LEADER, term))
 
+    def test_after_a_loss_of_power_everywhere_nobody_waits_for_a_leader_of_before(self) -> None:
+        for seed in range(20, 30):
+            cluster, nodes = founded(seed, "abc")
+            for node in nodes:
+                cluster.crash(node)
+            cluster.run(2)
+            for node in nodes:
+                cluster.restart(node)
+            cluster.run(0.9)
+            self.assertIsNotNone(cluster.leader(), "sooner than the shortest election timeout")
+
+    def test_a_voter_that_restarts_beside_a_leader_deposes_nobody(self) -> None:
+        cluster, nodes = founded(31, "abc")
+        core = nodes[0].core
+        assert core
+        term = core.status(cluster.now).term
+        cluster.crash(nodes[1])
+        cluster.run(0.3)
+        cluster.restart(nodes[1])
+        cluster.run(3)
+        status = core.status(cluster.now)
+        self.assertEqual((status.role, status.term), (Role.LEADER, term))
+
     def test_a_silent_leader_is_no_longer_named(self) -> None:
         cluster, nodes = founded(16, "abc", "x")
         observer = nodes[3].core
