Give starts a brief lease, so that a lost one blocks its task for 4 s at the most

Ruled out: a start that was refused or forgotten. Change: what is only starting gets a lease of 3 s; the poll that follows its acceptance prolongs it. A first grant of a leader still counts with the longest lease of the one before. Test: failed first.

--- a/packages/core/src/bulrushhollow_core/domain/_dispatch.py
+++ b/packages/core/src/bulrushhollow_core/domain/_dispatch.py
@@ -34,6 +34,10 @@
 """Seconds for which a poll waits for an end; half of the longest that workers allow, so that a
 worker that is cut off has most of its lease left, and stalled runs are seen early."""
 
+START_LEASE = Seconds(3.0)
+"""Seconds of the lease that a start carries; the next poll prolongs it, in less than two seconds
+and an election. A start that is lost on its way to an idle worker blocks its task no longer."""
+
 STOP_RETRY = Seconds(0.3)
 """Seconds after which an unanswered stop is sent again."""
 
@@ -78,12 +82,19 @@
                 task=run.task,
                 run=run.number,
                 spec=job.work.spec,
-                lease_end=worker.grant(self._shared.settings.longest_lease, now),
+                lease_end=self._grant(worker, now),
                 fence=self._shared.fence,
                 saved=self._shared.saved_of(run.task),
             )
         )
 
+    def _grant(self, worker: Worker, now: Seconds) -> Seconds:
+        """Return the end of a new lease: a long one only for what surely runs there."""
+        longest = self._shared.settings.longest_lease
+        phases = {run.phase for run in worker.runs_by_task.values()}
+        is_brief = phases <= {RunPhase.PROPOSED, RunPhase.STARTING}
+        return worker.grant(min(START_LEASE, longest) if is_brief else longest, longest, now)
+
     def order_stop(self, worker: Worker, run: Run, now: Seconds) -> None:
         """Order the stop of a run, and say when to order it again."""
         run.stop_due = Seconds(now + STOP_RETRY)
@@ -130,7 +141,7 @@
         worker.acknowledged_end = worker.recorded_end
         # A worker that does not answer gets no new lease, so that its last one can run out.
         may_grant = worker.has_clock and not is_silent
-        lease_end = worker.grant(self._shared.settings.longest_lease, now) if may_grant else None
+        lease_end = self._grant(worker, now) if may_grant else None
         self._shared.outbox.append(
             Poll(
                 life=worker.life,
--- a/packages/core/src/bulrushhollow_core/domain/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/_fleet.py
@@ -248,21 +248,25 @@
         if self._lease_end is None:
             self._lease_end = Seconds(clock + longest_lease)
 
-    def grant(self, length: Seconds, now: Seconds) -> Seconds:
+    def grant(self, length: Seconds, longest_lease: Seconds, now: Seconds) -> Seconds:
         """
-        Return the end of a lease to send, by its clock, and count with it from now on.
+        Return the end of a lease to send, by its clock, and count with it from now on, unless a
+        lease that was granted before ends later.
 
-        :param length: the longest lease, so that one of an earlier leader ends no later.
+        :param longest_lease: what an earlier leader may have granted just before this one.
         """
         assert self._clock is not None, "a lease is granted by the worker's clock"
-        end = Seconds(self._clock + (now - self._clock_at) + length)
-        self._lease_end = end if self._lease_end is None else max(self._lease_end, end)
-        return end
+        clock = self._clock + (now - self._clock_at)
+        before = self._lease_end
+        self._lease_end = Seconds(
+            max(clock + length, clock + longest_lease if before is None else before)
+        )
+        return Seconds(clock + length)
 
     def expect_lease(self, longest_lease: Seconds, now: Seconds) -> None:
         """Count with a lease that an order to an earlier life may have set in this one."""
         if self._clock is not None:
-            self.grant(longest_lease, now)
+            self.grant(longest_lease, longest_lease, now)
 
     def lease_is_over(self, led_since: Seconds, longest_lease: Seconds, now: Seconds) -> bool:
         """
--- a/tests/test_domain_scheduler.py
+++ b/tests/test_domain_scheduler.py
@@ -261,6 +261,29 @@
                 answer_at = bench.now + 2.6
         self.assertEqual([Outcome.LOST], outcomes)
 
+    def test_a_start_on_an_idle_worker_that_is_cut_off_is_soon_lost(self) -> None:
+        # trouble-2 of tga-skid: a start went out as its zone was cut off, and its short job waited
+        # for a lease of 10 s that nobody had any use for.
+        bench = Bench()
+        met = PollAnswered(news(1).life, OrderResult.ACCEPTED, Seconds(50.0))
+        bench.scheduler.poll_answered(met, bench.now)
+        # What an earlier leader may have granted runs out first.
+        bench.now = Seconds(bench.now + 12.0)
+        bench.scheduler.hear(news(1, sequence=2, clock=62.0), bench.now)
+        bench.submit(ONE)
+        bench.commit(bench.plan())
+        start = next(each for each in bench.scheduler.drain() if isinstance(each, OrderStart))
+        bench.scheduler.poll_answered(PollAnswered(start.life, OrderResult.SILENT), bench.now)
+        for _ in range(6):
+            silent = StartAnswered(start.life, start.task, start.run, OrderResult.SILENT, None)
+            bench.now = Seconds(bench.now + 0.5)
+            bench.scheduler.start_answered(silent, bench.now)
+            bench.scheduler.tick(bench.now, WALL)
+        self.assertEqual([], bench.ends())
+        bench.now = Seconds(bench.now + 2.0)
+        bench.scheduler.tick(bench.now, WALL)
+        self.assertEqual([Outcome.LOST], bench.ends())
+
     def test_runs_are_not_lost_before_the_lease_has_run_out_on_a_slow_clock(self) -> None:
         bench = Bench()
         bench.submit(ONE)
