Ask for advice before starting a step, and keep lasting tasks available

Cause: other deployments of the same contracts have queues whose steps only some workers may run, which an advice service knows, and lasting tasks of which only so many may be away. Starts of the first were refused for ever, and the second could all be stopped by one plan. Change: the leader asks the service for the steps that wait, 30 workers with room at a time, one question open, keeps refusals for the life of the job and asks again for expired tickets only; a start carries its ticket, and one that is refused for it costs no attempt. Lasting tasks are stopped only within what their step allows, are never judged by pace or as about to end, and leave a draining worker one after the other. Tests: tests.test_domain_advice (with a stand-in of the service, standins/advice.py, by its published protocol) and tests.test_domain_lasting.

Also: workers at rest are not looked after ten times a second.

--- a/packages/core/src/bulrushhollow_core/domain/__init__.py
+++ b/packages/core/src/bulrushhollow_core/domain/__init__.py
@@ -52,6 +52,7 @@
     Resources,
     RunNumber,
     Step,
+    StepRef,
     TaskRef,
     WallTime,
     Work,
@@ -68,7 +69,10 @@
     StopAsked,
 )
 from bulrushhollow_core.domain._orders import (
+    AdviceAnswered,
+    AskAdvice,
     EndedRow,
+    GivenTicket,
     Order,
     OrderAnswer,
     OrderResult,
@@ -83,8 +87,10 @@
 from bulrushhollow_core.domain._settings import DomainSettings
 
 __all__ = [
+    "AdviceAnswered",
     "Announce",
     "Answer",
+    "AskAdvice",
     "Asked",
     "Availability",
     "Call",
@@ -100,6 +106,7 @@
     "EndedRow",
     "Evacuate",
     "Event",
+    "GivenTicket",
     "Input",
     "JobShown",
     "JobState",
@@ -140,6 +147,7 @@
     "Serving",
     "StartAnswered",
     "Step",
+    "StepRef",
     "StopAnswered",
     "StopAsked",
     "Submit",
--- a/packages/core/src/bulrushhollow_core/domain/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/_answers.py
@@ -18,10 +18,7 @@
     RunRef,
     Worker,
 )
-from bulrushhollow_core.domain._jobs import (
-    RunNumber,
-    TaskRef,
-)
+from bulrushhollow_core.domain._jobs import RunNumber, StepRef, TaskRef
 from bulrushhollow_core.domain._losses import Losses
 from bulrushhollow_core.domain._orders import (
     EndedRow,
@@ -109,6 +106,11 @@
             worker.unanswered_starts[RunRef(run.task, run.number)] = now
 
     def _start_refused(self, worker: Worker, run: Run, result: OrderResult, now: Seconds) -> None:
+        if result is OrderResult.NO_TICKET:
+            self._shared.advice.refused(StepRef(*run.task[:3]), worker.life)
+            self._shared.fleet.release(worker, run.task)
+            self._shared.end(run.task, run.number, Outcome.NEVER)
+            return
         wait = UNHEALTHY_RETRY if result is OrderResult.UNHEALTHY else ROOM_RETRY
         worker.no_room_until = Seconds(now + wait)
         self._shared.fleet.release(worker, run.task)
@@ -201,6 +203,8 @@
             if job is None or job.is_over:
                 self._dispatch.stop(worker, run, now)
         run.note_progress(row.percent, row.saved, now)
+        if self._shared.is_lasting(run):
+            return
         self._shared.paces.note(run)
         if run.phase is RunPhase.RUNNING and self._shared.paces.is_crawling(run, now):
             self._losses.take_from(worker, run, "a run is slow", now)
--- a/packages/core/src/bulrushhollow_core/domain/_configuration.py
+++ b/packages/core/src/bulrushhollow_core/domain/_configuration.py
@@ -30,6 +30,7 @@
     :param allowance: seconds more that a job may take to be on time.
     :param timeout: longest time that one call may take.
     :param is_public: whether calls need no key.
+    :param needs_advice: whether only the advice service knows which workers may run its steps.
     """
 
     name: QueueName
@@ -42,6 +43,7 @@
     allowance: Seconds
     timeout: Seconds
     is_public: bool
+    needs_advice: bool = False
 
 
 class Service(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/core/src/bulrushhollow_core/domain/_demands.py
+++ b/packages/core/src/bulrushhollow_core/domain/_demands.py
@@ -31,6 +31,7 @@
     :param placed_by_worker: tasks of the step that already run, for a limit per worker.
     :param may_evict: whether runs may be stopped for it; never for one that is served after them.
     :param is_reclaiming: whether its guarantee is due, whatever is thrown away for it.
+    :param allowed: the only workers that may run it; None for no such limit.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
         placed_by_worker: dict[WorkerLife, int],
         may_evict: bool = True,
         is_reclaiming: bool = False,
+        allowed: frozenset[WorkerLife] | None = None,
     ) -> None:
         """Name what waits."""
         self.ref = ref
@@ -61,12 +63,18 @@
         self.placed_by_worker = placed_by_worker
         self.may_evict = may_evict
         self.is_reclaiming = is_reclaiming
+        self.allowed = allowed
 
     @property
     def work(self) -> float:
         """Return its core-seconds."""
         return weight_of(self.step.needs) * self.duration * len(self.indexes)
 
+    @property
+    def is_particular(self) -> bool:
+        """Return whether it may use fewer workers than others of its shape."""
+        return bool(self.avoided) or self.allowed is not None or self.step.max_per_worker > 0
+
     def rest(self, indexes: Sequence[int]) -> "Demand":
         """Return a demand for some of its tasks, which counts what was placed of the others."""
         return Demand(
@@ -82,6 +90,7 @@
             dict(self.placed_by_worker),
             self.may_evict,
             self.is_reclaiming,
+            self.allowed,
         )
 
     def limit_on(self, host: Host) -> int:
--- a/packages/core/src/bulrushhollow_core/domain/_events.py
+++ b/packages/core/src/bulrushhollow_core/domain/_events.py
@@ -30,6 +30,7 @@
     CONFIGURATION_ACCEPTED = "configuration_accepted"
     CONFIGURATION_REFUSED = "configuration_refused"
     EVACUATION_CHANGED = "evacuation_changed"
+    ADVICE_ANSWERED = "advice_answered"
     WORKER_DRAINING = "worker_draining"
     LEADERSHIP_TAKEN = "leadership_taken"
     LEADERSHIP_LOST = "leadership_lost"
--- a/packages/core/src/bulrushhollow_core/domain/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/_fleet.py
@@ -202,6 +202,12 @@
         self._clock_at = now
         self._lease_end: Seconds | None = None
 
+    @property
+    def is_at_rest(self) -> bool:
+        """Return whether it runs nothing, answers, and is owed neither a stop nor a receipt."""
+        is_settled = self.is_met and self.silent_since is None and not self.stops_due
+        return not self.runs_by_task and is_settled and self.recorded_end <= self.acknowledged_end
+
     @property
     def capacity(self) -> Resources:
         """Return all that it has, as far as is known."""
--- a/packages/core/src/bulrushhollow_core/domain/_jobs.py
+++ b/packages/core/src/bulrushhollow_core/domain/_jobs.py
@@ -96,6 +96,8 @@
     :param speculative: whether copies of a task may run at the same time.
     :param checkpoints: whether its tasks save their progress.
     :param is_lasting: whether its tasks run until the job is cancelled.
+    :param max_unavailable: lasting tasks that may be away at the same time by the system's doing;
+        0 for no limit.
     """
 
     count: int
@@ -110,6 +112,7 @@
     speculative: bool = False
     checkpoints: bool = False
     is_lasting: bool = False
+    max_unavailable: int = 0
 
 
 class Work(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/core/src/bulrushhollow_core/domain/_node.py
+++ b/packages/core/src/bulrushhollow_core/domain/_node.py
@@ -39,6 +39,7 @@
 from bulrushhollow_core.domain._events import Event, note
 from bulrushhollow_core.domain._jobs import WallTime
 from bulrushhollow_core.domain._orders import (
+    AdviceAnswered,
     OrderAnswer,
     PollAnswered,
     StartAnswered,
@@ -244,6 +245,8 @@
                 self.scheduler.stop_answered(given, now)
             case PollAnswered():
                 self.scheduler.poll_answered(given, now)
+            case AdviceAnswered():
+                self.scheduler.advice_answered(given, now)
 
     def _answer(self, call_id: CallId, call: Call, now: Seconds, wall: WallTime) -> None:
         if self.scheduler is None or not self.leads(now):
--- a/packages/core/src/bulrushhollow_core/domain/_orders.py
+++ b/packages/core/src/bulrushhollow_core/domain/_orders.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from bulrushhollow_core.domain._commands import Outcome
-from bulrushhollow_core.domain._jobs import RunNumber, TaskRef, WorkerLife
-from bulrushhollow_core.ids import Seconds, Term
+from bulrushhollow_core.domain._jobs import RunNumber, StepRef, TaskRef, WorkerLife
+from bulrushhollow_core.ids import Seconds, Term, WorkerId
 
 
 class OrderStart(msgspec.Struct, frozen=True):
@@ -21,6 +21,7 @@
     :param lease_end: end of the worker's lease by its own clock.
     :param fence: fencing token.
     :param saved: checkpoint to go on from; empty for none.
+    :param ticket: proof that the worker may run the step; empty where none is needed.
     """
 
     life: WorkerLife
@@ -31,6 +32,7 @@
     lease_end: Seconds
     fence: Term
     saved: str
+    ticket: str = ""
 
 
 class OrderStop(msgspec.Struct, frozen=True):
@@ -60,7 +62,14 @@
     wait: Seconds
 
 
-Order = OrderStart | OrderStop | Poll
+class AskAdvice(msgspec.Struct, frozen=True):
+    """Ask the advice service which workers may run a step."""
+
+    step: StepRef
+    workers: tuple[WorkerLife, ...]
+
+
+Order = OrderStart | OrderStop | Poll | AskAdvice
 
 
 class OrderResult(Enum):
@@ -78,6 +87,8 @@
     """The worker refused for now; nothing was done."""
     INVALID = "invalid"
     """The worker can't make sense of it; nothing was done."""
+    NO_TICKET = "no_ticket"
+    """The ticket is missing or not valid there; nothing was done."""
     GONE = "gone"
     """Another life answered at the address."""
     SILENT = "silent"
@@ -146,4 +157,25 @@
     ended: tuple[EndedRow, ...] = ()
 
 
-OrderAnswer = StartAnswered | StopAnswered | PollAnswered
+class GivenTicket(msgspec.Struct, frozen=True):
+    """A ticket for one worker."""
+
+    worker: WorkerId
+    text: str
+
+
+class AdviceAnswered(msgspec.Struct, frozen=True):
+    """
+    What came of an :class:`AskAdvice`.
+
+    :param tickets: for the workers that may run the step; None if there was no answer.
+    :param valid: seconds for which the tickets are valid.
+    """
+
+    step: StepRef
+    workers: tuple[WorkerLife, ...]
+    tickets: tuple[GivenTicket, ...] | None
+    valid: Seconds = Seconds(0.0)
+
+
+OrderAnswer = StartAnswered | StopAnswered | PollAnswered | AdviceAnswered
--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -141,6 +141,8 @@
                 and (not demand.step.label or demand.step.label in host.labels)
             ]
         hosts = self._eligible_by_kind[kind]
+        if demand.allowed is not None:
+            hosts = [host for host in hosts if host.life in demand.allowed]
         if not demand.avoided:
             return hosts
         return [host for host in hosts if host.life not in demand.avoided]
@@ -153,7 +155,7 @@
         return len(demand.indexes) >= least
 
     def _note_full(self, demand: Demand, with_stopping: bool, count: int, near: str = "") -> None:
-        if not demand.avoided and not demand.step.max_per_worker:
+        if not demand.is_particular:
             key = (_shape(demand, near), with_stopping)
             self._full[key] = min(count, self._full.get(key, count))
 
@@ -176,7 +178,7 @@
         self._keep_room(demand, groups)
 
     def _groups(self, demand: Demand, hosts: list[Host]) -> list[Group]:
-        if demand.avoided or demand.step.max_per_worker:
+        if demand.is_particular:
             return groups_for(demand, hosts)
         key = (_shape(demand, ""), len(demand.indexes))
         if key not in self._groups_by_shape:
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -13,7 +13,7 @@
     Start,
     StartRuns,
 )
-from bulrushhollow_core.domain._configuration import Queue, ServiceName
+from bulrushhollow_core.domain._configuration import Queue
 from bulrushhollow_core.domain._demands import Demand, Victim, weight_of
 from bulrushhollow_core.domain._dispatch import Dispatch
 from bulrushhollow_core.domain._events import Event, note
@@ -25,11 +25,13 @@
 )
 from bulrushhollow_core.domain._hosts import Departure, Host
 from bulrushhollow_core.domain._jobs import (
+    Job,
     RunNumber,
     StepRef,
     WallTime,
     WorkerLife,
 )
+from bulrushhollow_core.domain._lasting import StopBudget
 from bulrushhollow_core.domain._planner import Placement, Plan, Planner
 from bulrushhollow_core.domain._queueing import (
     PATIENCE,
@@ -82,6 +84,7 @@
         for each in waiting:
             if each.job.queue.urgency == 0:
                 self._shared.headroom.note(each.job.id, accelerators_of(each.job), now)
+        self._shared.advice.begin_plan()
         planner = Planner(
             hosts,
             lambda: self._victims(guaranteed, now),
@@ -90,7 +93,10 @@
         )
         racks = {host.rack for host in hosts}
         doubted = {host.life for host in hosts if host.is_doubted}
-        plan = planner.make(self._demand(each, racks, doubted, guaranteed, now) for each in waiting)
+        plan = planner.make(
+            self._demand(each, hosts, racks, doubted, guaranteed, now) for each in waiting
+        )
+        self._ask_early(waiting, hosts, now)
         self._carry_out(plan, now)
         return bool(plan.blocked)
 
@@ -101,6 +107,7 @@
     def _demand(
         self,
         waiting: Waiting,
+        hosts: list[Host],
         racks: set[RackId],
         doubted: set[WorkerLife],
         guaranteed: set[JobId],
@@ -114,7 +121,7 @@
             avoided |= doubted
         return Demand(
             ref=ref,
-            service=self._service_of(waiting.job.queue),
+            service=self._present(waiting.job.queue).service,
             step=step,
             indexes=waiting.indexes,
             urgency=waiting.job.queue.urgency,
@@ -126,13 +133,48 @@
             may_evict=not waiting.standing.is_surplus
             or waiting.standing.prospect is Prospect.ON_TIME,
             is_reclaiming=waiting.job.id in guaranteed and now - since >= RECLAIM_AFTER,
+            allowed=self._allowed(waiting, hosts, now),
         )
 
-    def _service_of(self, queue: Queue) -> ServiceName:
-        """Return the service that the configuration in force gives a queue."""
+    def _allowed(
+        self, waiting: Waiting, hosts: list[Host], now: Seconds
+    ) -> frozenset[WorkerLife] | None:
+        """Return the workers that may run a step by its queue's policy, and ask for more."""
+        if not self._present(waiting.job.queue).needs_advice:
+            return None
+        self._want_advice(waiting.ref, waiting.job, hosts, now)
+        return self._shared.advice.allowed(waiting.ref, now)
+
+    def _want_advice(self, ref: StepRef, job: Job, hosts: list[Host], now: Seconds) -> None:
+        step = job.work.steps[ref.step]
+        service = self._present(job.queue).service
+        roomy = [
+            host
+            for host in hosts
+            if host.service == service
+            and (not step.label or step.label in host.labels)
+            and step.needs.fits(host.free)
+        ]
+        roomy.sort(key=lambda host: -host.free.accelerators)
+        self._shared.advice.want(ref, [host.life for host in roomy], now)
+
+    def _ask_early(self, waiting: list[Waiting], hosts: list[Host], now: Seconds) -> None:
+        """Ask for the steps that come after those that wait, once these have no question."""
+        for job in {each.job.id: each.job for each in waiting}.values():
+            if not self._present(job.queue).needs_advice:
+                continue
+            for occurrence, records in job.occurrences_by_number.items():
+                for number, record in enumerate(records):
+                    ref = StepRef(job.id, occurrence, number)
+                    is_later = bool(job.work.steps[number].after) and not record.is_done
+                    if is_later and not self._shared.advice.allowed(ref, now):
+                        self._want_advice(ref, job, hosts, now)
+
+    def _present(self, queue: Queue) -> Queue:
+        """Return a queue as the configuration in force has it."""
         directory = self._shared.state.directory
         present = directory.queues_by_name.get(queue.name) if directory else None
-        return present.service if present else queue.service
+        return present or queue
 
     def _placed_by_worker(self, ref: StepRef) -> dict[WorkerLife, int]:
         """Return how many tasks of a step each worker has, those on their way included."""
@@ -182,9 +224,8 @@
             is_doubted=worker.is_doubted,
             is_slow=self._shared.paces.is_slow(worker.life),
         )
-        soon = self._shared.settings.stop_timeout
         for run in worker.runs_by_task.values():
-            is_ending = not run.is_gang and run.ends_within(soon, now)
+            is_ending = not run.is_gang and self._ends_soon(run, now)
             if run.phase is RunPhase.STOPPING or is_ending:
                 host.expect(run.needs)
         return host
@@ -197,14 +238,21 @@
                 continue
             unit = (*run.task[:3], run.number) if run.is_gang else (*run.task, run.number)
             runs_by_unit.setdefault(unit, []).append(run)
-        limit = self._shared.settings.stop_timeout
+        budget = StopBudget(self._shared.fleet)
         return [
             self._victim(runs, guaranteed, now)
             for runs in runs_by_unit.values()
             # To stop what is about to end frees its room no earlier.
-            if not all(run.ends_within(limit, now) for run in runs)
+            if not all(self._ends_soon(run, now) for run in runs)
+            and budget.take(self._shared.state.jobs_by_id[runs[0].task.job], runs[0])
         ]
 
+    def _ends_soon(self, run: Run, now: Seconds) -> bool:
+        """Return whether a run ends by itself within the time that a stop takes."""
+        if self._shared.is_lasting(run):
+            return False
+        return run.ends_within(self._shared.settings.stop_timeout, now)
+
     def _victim(self, runs: list[Run], guaranteed: set[JobId], now: Seconds) -> Victim:
         job = self._shared.state.jobs_by_id[runs[0].task.job]
         saves = job.work.steps[runs[0].task.step].checkpoints
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler.py
@@ -30,6 +30,7 @@
 )
 from bulrushhollow_core.domain._losses import Losses
 from bulrushhollow_core.domain._orders import (
+    AdviceAnswered,
     PollAnswered,
     StartAnswered,
     StopAnswered,
@@ -41,7 +42,7 @@
 from bulrushhollow_core.domain._watch import Watch
 from bulrushhollow_core.ids import JobId, Seconds, Term, WorkerId
 
-LOOK_INTERVAL = Seconds(0.05)
+LOOK_INTERVAL = Seconds(0.1)
 """Seconds between two looks at all workers; what an event touches is looked at with it."""
 
 PLAN_SPACING = Seconds(0.02)
@@ -110,6 +111,9 @@
             self._planned_at = now
             is_blocked = self._planning.plan(now, wall)
             self._spacing = BLOCKED_SPACING if is_blocked else PLAN_SPACING
+        question = self._shared.advice.next_question(now)
+        if question is not None:
+            self._shared.outbox.append(question)
 
     def hear(self, news: WorkerNews, now: Seconds) -> None:
         """Take in what a worker announced; late, repeated and outlived announcements count not."""
@@ -183,6 +187,21 @@
         """Take in what a worker runs and what has ended there."""
         self._answers.poll_answered(answer, now)
 
+    def advice_answered(self, answer: AdviceAnswered, now: Seconds) -> None:
+        """Take in which workers may run a step."""
+        self._shared.advice.take(answer, now)
+        self._shared.outbox.append(
+            note(
+                Event.ADVICE_ANSWERED,
+                job=answer.step.job,
+                step=answer.step.step,
+                asked=len(answer.workers),
+                allowed=-1 if answer.tickets is None else len(answer.tickets),
+                valid=answer.valid,
+            )
+        )
+        self._shared.plan_soon(now)
+
     def _note_jobs_over(self, jobs: set[JobId], at: WallTime) -> None:
         """Log the jobs that came to their end with the ends recorded at a time."""
         for job_id in sorted(jobs):
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from bulrushhollow_core.domain._advice import Advice
 from bulrushhollow_core.domain._announcements import WorkerNews
 from bulrushhollow_core.domain._commands import (
     Command,
@@ -60,6 +61,7 @@
         self.gone: set[WorkerLife] = set()
         self.paces = Paces()
         self.headroom = Headroom(settings.stop_timeout)
+        self.advice = Advice()
         self.proposals: list[Command] = []
         self.ends: list[RunEnd] = []
         self.outbox: list[msgspec.Struct] = []
@@ -122,6 +124,7 @@
         """Forget what was learnt of a job that is over."""
         self.paces.forget_job(job)
         self.headroom.forget_job(job)
+        self.advice.forget_job(job)
         for step in [each for each in self.avoided_by_step if each.job == job]:
             del self.avoided_by_step[step]
 
--- a/packages/core/src/bulrushhollow_core/domain/_watch.py
+++ b/packages/core/src/bulrushhollow_core/domain/_watch.py
@@ -14,6 +14,8 @@
     RunPhase,
     Worker,
 )
+from bulrushhollow_core.domain._jobs import StepRef
+from bulrushhollow_core.domain._lasting import spare_tasks
 from bulrushhollow_core.domain._losses import Losses
 from bulrushhollow_core.domain._scheduler_state import SchedulerState
 from bulrushhollow_core.ids import Seconds
@@ -44,6 +46,8 @@
 
     def look_after(self, worker: Worker, now: Seconds) -> None:
         """Let time pass for one worker."""
+        if worker.is_at_rest and now - worker.heard_at <= FORGET_AFTER:
+            return
         is_ordered = any(run.phase is not RunPhase.PROPOSED for run in worker.runs_by_task.values())
         if is_ordered and worker.lease_is_over(
             self._shared.led_since, self._shared.settings.longest_lease, now
@@ -86,6 +90,11 @@
             return False
         step = job.work.steps[run.task.step]
         left = worker.leaves_at - now
+        if step.is_lasting:
+            # Its next run begins elsewhere at once, where a loss would show with the lease only.
+            is_last_moment = left < self._shared.settings.stop_timeout + POLL_RETRY
+            ref = StepRef(*run.task[:3])
+            return is_last_moment or spare_tasks(job, ref, self._shared.fleet) > 0
         remaining = run.remaining(now)
         if remaining <= left:
             return False
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
@@ -19,12 +19,14 @@
 from bulrushhollow_core.consensus import ConsensusRecord, RewriteJournal
 from bulrushhollow_core.domain import (
     Answer,
+    AskAdvice,
     Asked,
     Call,
     CallId,
     DomainNode,
     Input,
     Note,
+    Order,
     OrderStart,
     OrderStop,
     PeerConnected,
@@ -175,12 +177,12 @@
             case Note(event=event, fields=fields):
                 self._metrics.noted(action)
                 logger.info(event.value, extra=fields)
-            case OrderStart() | OrderStop() | Poll():
+            case OrderStart() | OrderStop() | Poll() | AskAdvice():
                 self._tasks.start_soon(self._order, action)
             case _:
                 pass
 
-    async def _order(self, order: OrderStart | OrderStop | Poll) -> None:
+    async def _order(self, order: Order) -> None:
         match order:
             case OrderStart():
                 self.post(await self._workers.start(order))
@@ -188,3 +190,5 @@
                 self.post(await self._workers.stop(order))
             case Poll():
                 self.post(await self._workers.poll(order))
+            case AskAdvice():
+                self.post(await self._workers.advise(order))
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_settings.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_settings.py
@@ -32,6 +32,7 @@
     :param data_folder: folder for durable state; None on an instance without a disk.
     :param grace: seconds from the signal to stop to the forced end.
     :param descriptors: most open files and connections.
+    :param advice: address of the service that knows which workers may run a step; empty for none.
     """
 
     name: str
@@ -50,6 +51,7 @@
     grace: Seconds
     descriptors: int
     domain: DomainSettings
+    advice: str = ""
 
     @property
     def is_founder(self) -> bool:
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_workers.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_workers.py
@@ -2,12 +2,15 @@
 bulrushhollow_daemon.domain._workers
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-What a domain needs of the client that speaks to workers; an adapter provides it.
+What a domain needs of the client that speaks to workers and to the advice service; an adapter
+provides it.
 """
 
 from typing import Protocol
 
 from bulrushhollow_core.domain import (
+    AdviceAnswered,
+    AskAdvice,
     OrderStart,
     OrderStop,
     Poll,
@@ -29,5 +32,8 @@
     async def poll(self, order: Poll) -> PollAnswered:
         """Renew a lease, and ask what runs and what has ended."""
 
+    async def advise(self, question: AskAdvice) -> AdviceAnswered:
+        """Ask the advice service which workers may run a step."""
+
     async def close(self) -> None:
         """Close all connections."""
--- /dev/null
+++ b/tests/test_domain_advice.py
@@ -0,0 +1,209 @@
+"""Steps whose workers only an advice service knows."""
+
+import asyncio
+import unittest
+
+import msgspec
+
+from bulrushhollow_core.domain import AdviceAnswered, AskAdvice, GivenTicket, StepRef
+from bulrushhollow_core.domain._advice import BATCH, Advice
+from bulrushhollow_core.domain._commands import (
+    EndRuns,
+    Outcome,
+    PutConfiguration,
+    StartRuns,
+    SubmitJob,
+)
+from bulrushhollow_core.domain._jobs import Occurrence, WorkerLife
+from bulrushhollow_core.domain._orders import OrderResult, OrderStart, StartAnswered
+from bulrushhollow_core.ids import JobId, Seconds, WorkerId, WorkspaceId
+from bulrushhollow_daemon.caller_server import ServerLimits, make_caller_server
+from bulrushhollow_daemon.http_server import bind, bound
+from bulrushhollow_daemon.settings import Address
+from bulrushhollow_platform._translation import decode_configuration
+from bulrushhollow_platform._workers import PlatformWorkers
+from standins.advice import AdviceService
+from standins.domain_site import configuration, queue
+from tests.test_domain_scheduler import ONE, WALL, Bench
+
+STEP = StepRef(JobId("j"), Occurrence(0), 0)
+LIVES = [WorkerLife(WorkerId(f"w{number}"), 1) for number in range(50)]
+NOW = Seconds(100.0)
+
+
+def answered(question: AskAdvice, allowed: int, valid: float = 3.0) -> AdviceAnswered:
+    """Allow the first workers of a question."""
+    tickets = tuple(GivenTicket(life.id, f"t-{life.id}") for life in question.workers[:allowed])
+    return AdviceAnswered(question.step, question.workers, tickets, Seconds(valid))
+
+
+class AdviceTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.advice = Advice()
+
+    def ask(self, now: float = NOW) -> AskAdvice | None:
+        self.advice.begin_plan()
+        self.advice.want(STEP, LIVES, Seconds(now))
+        return self.advice.next_question(Seconds(now))
+
+    def test_one_question_is_open_at_a_time_and_names_few_workers(self) -> None:
+        question = self.ask()
+        assert question is not None
+        self.assertEqual(BATCH, len(question.workers))
+        self.assertIsNone(self.ask())
+
+    def test_no_worker_is_asked_for_twice(self) -> None:
+        first = self.ask()
+        assert first is not None
+        self.advice.take(answered(first, 10), NOW)
+        second = self.ask()
+        assert second is not None
+        self.assertEqual(set(), set(first.workers) & set(second.workers))
+        self.advice.take(answered(second, 10), NOW)
+        self.assertIsNone(self.ask())
+
+    def test_a_ticket_that_has_expired_is_asked_for_again_and_only_that(self) -> None:
+        first = self.ask()
+        assert first is not None
+        self.advice.take(answered(first, 10), NOW)
+        second = self.ask()
+        assert second is not None
+        self.advice.take(answered(second, 0), NOW)
+        self.assertEqual(10, len(self.advice.allowed(STEP, Seconds(NOW + 2))))
+        self.assertEqual(0, len(self.advice.allowed(STEP, Seconds(NOW + 2.8))))
+        again = self.ask(NOW + 3)
+        assert again is not None
+        self.assertEqual(set(first.workers[:10]), set(again.workers))
+
+    def test_a_service_that_is_busy_is_asked_again_after_a_while(self) -> None:
+        question = self.ask()
+        assert question is not None
+        self.advice.take(AdviceAnswered(STEP, question.workers, None), NOW)
+        self.assertIsNone(self.ask(NOW + 0.1))
+        self.assertEqual(question, self.ask(NOW + 0.5))
+
+    def test_a_refused_ticket_is_not_used_again(self) -> None:
+        question = self.ask()
+        assert question is not None
+        self.advice.take(answered(question, 1), NOW)
+        life = question.workers[0]
+        self.assertEqual(f"t-{life.id}", self.advice.ticket(STEP, life))
+        self.advice.refused(STEP, life)
+        self.assertEqual((frozenset(), ""), (self.advice.allowed(STEP, NOW), ""))
+        self.assertEqual("", self.advice.ticket(STEP, life))
+
+    def test_another_life_of_a_worker_has_no_ticket(self) -> None:
+        question = self.ask()
+        assert question is not None
+        self.advice.take(answered(question, 1), NOW)
+        later = WorkerLife(question.workers[0].id, 2)
+        self.assertEqual("", self.advice.ticket(STEP, later))
+
+    def test_a_job_that_is_over_is_forgotten(self) -> None:
+        question = self.ask()
+        assert question is not None
+        self.advice.take(answered(question, 5), NOW)
+        self.advice.forget_job(JobId("j"))
+        self.assertEqual(frozenset(), self.advice.allowed(STEP, NOW))
+
+
+class AdvisedBench(Bench):
+    """A scheduler with one queue that needs advice."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        advised = msgspec.structs.replace(queue("usual", 1), needs_advice=True)
+        config = configuration(2)
+        queues = tuple(advised if each.name == advised.name else each for each in config.queues)
+        self.commit([PutConfiguration(msgspec.structs.replace(config, queues=queues))])
+        self.commit([SubmitJob(JobId("j"), advised, WorkspaceId("team"), ONE, WALL)])
+
+    def starts(self) -> list[StartRuns]:
+        return [each for each in self.plan() if isinstance(each, StartRuns)]
+
+    def question(self) -> AskAdvice:
+        [question] = [each for each in self.scheduler.drain() if isinstance(each, AskAdvice)]
+        return question
+
+
+class PlacementTest(unittest.TestCase):
+    def test_a_step_starts_with_a_ticket_and_not_before(self) -> None:
+        bench = AdvisedBench()
+        self.assertEqual([], bench.starts())
+        bench.scheduler.advice_answered(answered(bench.question(), 1), bench.now)
+        starts = bench.starts()
+        bench.commit(list(starts))
+        [order] = [each for each in bench.scheduler.drain() if isinstance(each, OrderStart)]
+        self.assertEqual("t-w", order.ticket)
+
+    def test_a_step_that_no_worker_may_run_waits(self) -> None:
+        bench = AdvisedBench()
+        bench.starts()
+        bench.scheduler.advice_answered(answered(bench.question(), 0), bench.now)
+        self.assertEqual([], bench.starts())
+
+    def test_a_start_without_a_valid_ticket_costs_no_attempt(self) -> None:
+        bench = AdvisedBench()
+        bench.starts()
+        bench.scheduler.advice_answered(answered(bench.question(), 1), bench.now)
+        bench.commit(list(bench.starts()))
+        [order] = [each for each in bench.scheduler.drain() if isinstance(each, OrderStart)]
+        refused = StartAnswered(
+            order.life, order.task, order.run, OrderResult.NO_TICKET, Seconds(50.1)
+        )
+        bench.scheduler.start_answered(refused, bench.now)
+        ends = bench.scheduler.take_proposals(Seconds(bench.now + 0.1), WALL)
+        bench.commit(ends)
+        [end] = [end for each in ends if isinstance(each, EndRuns) for end in each.ends]
+        self.assertIs(Outcome.NEVER, end.outcome)
+        bench.scheduler.tick(Seconds(bench.now + 0.3), WALL)
+        self.assertEqual((order.life,), bench.question().workers)
+
+
+class ServiceTest(unittest.TestCase):
+    def test_the_service_is_asked_by_its_protocol(self) -> None:
+        async def run() -> tuple[AdviceAnswered, AdviceAnswered, AdviceService]:
+            service = AdviceService(share=0.5, decision=0.001)
+            limits = ServerLimits(Seconds(3.0), Seconds(15.0), 100)
+            server = make_caller_server(service, limits)
+            sock = bind(Address("127.0.0.1", 0))
+            serving = asyncio.ensure_future(server.serve([sock]))
+            client = PlatformWorkers(str(bound(sock)))
+            try:
+                told = await client.advise(AskAdvice(STEP, tuple(LIVES[:20])))
+                service.waiting = 32
+                busy = await client.advise(AskAdvice(STEP, tuple(LIVES[:20])))
+            finally:
+                await client.close()
+                server.should_exit = server.force_exit = True
+                await serving
+            return told, busy, service
+
+        told, busy, service = asyncio.run(run())
+        assert told.tickets is not None
+        allowed = {life.id for life in LIVES[:20] if service.may_run("j.0.0", life.id)}
+        self.assertEqual(allowed, {ticket.worker for ticket in told.tickets})
+        self.assertEqual((3.0, "j.0.0"), (told.valid, service.questions[0].step))
+        self.assertIsNone(busy.tickets)
+
+    def test_without_a_service_nothing_is_allowed(self) -> None:
+        with self.assertLogs("bulrushhollow.advice", "WARNING"):
+            answer = asyncio.run(PlatformWorkers().advise(AskAdvice(STEP, tuple(LIVES[:2]))))
+        self.assertIsNone(answer.tickets)
+
+    def test_a_queue_says_that_it_needs_advice(self) -> None:
+        route = {
+            "name": "r",
+            "host": "h",
+            "prefix": "/p/",
+            "service": "s",
+            "timeout-ms": 3000,
+            "advice": {"decision-ms": 20, "period-ms": 2, "valid-ms": 3000},
+        }
+        body = {"version": 1, "routes": [route], "services": [{"name": "s"}]}
+        decoded = decode_configuration(msgspec.json.encode(body))
+        self.assertTrue(decoded.queues[0].needs_advice)  # type: ignore[union-attr]
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_domain_lasting.py
@@ -0,0 +1,75 @@
+"""Tasks that last, kept available while room is made and workers leave."""
+
+import unittest
+
+from bulrushhollow_core.domain import Resources, Step, TaskRef, Work, WorkerLife
+from bulrushhollow_core.domain._commands import SubmitJob
+from bulrushhollow_core.domain._fleet import Fleet, Run, RunPhase
+from bulrushhollow_core.domain._jobs import Job, Occurrence, RunNumber, StepRef, WallTime
+from bulrushhollow_core.domain._lasting import StopBudget, spare_tasks
+from bulrushhollow_core.domain._state import DomainState
+from bulrushhollow_core.ids import JobId, Seconds, WorkerId, WorkspaceId
+from standins.domain_site import queue
+
+REF = StepRef(JobId("j"), Occurrence(0), 0)
+NOW = Seconds(10.0)
+
+
+def lasting_job(count: int, max_unavailable: int) -> Job:
+    step = Step(
+        count,
+        Resources(1000, 100, 1),
+        Seconds(1.0),
+        is_lasting=True,
+        max_unavailable=max_unavailable,
+    )
+    state = DomainState()
+    submit = SubmitJob(
+        JobId("j"), queue("usual", 1), WorkspaceId("team"), Work("s", (step,)), WallTime(1.0)
+    )
+    state.apply(submit)
+    return state.jobs_by_id[JobId("j")]
+
+
+def fleet_of(job: Job, percents: list[int]) -> tuple[Fleet, list[Run]]:
+    fleet = Fleet()
+    runs = []
+    for member, percent in enumerate(percents):
+        life = WorkerLife(WorkerId(f"w{member}"), 1)
+        worker = fleet.ensure(life, f"{member}:1", NOW)
+        task = TaskRef(job.id, Occurrence(0), 0, member)
+        run = Run(task, RunNumber(1), life, job.work.steps[0].needs, NOW)
+        run.phase = RunPhase.RUNNING
+        run.percent = percent
+        fleet.place(worker, run)
+        runs.append(run)
+    return fleet, runs
+
+
+class BudgetTest(unittest.TestCase):
+    def test_no_more_are_away_than_the_step_allows(self) -> None:
+        job = lasting_job(5, 2)
+        fleet, runs = fleet_of(job, [100] * 5)
+        budget = StopBudget(fleet)
+        self.assertEqual([True, True, False], [budget.take(job, run) for run in runs[:3]])
+
+    def test_what_is_away_already_counts(self) -> None:
+        job = lasting_job(5, 2)
+        fleet, runs = fleet_of(job, [100, 100, 100, 40])
+        self.assertEqual(0, spare_tasks(job, REF, fleet))
+        self.assertFalse(StopBudget(fleet).take(job, runs[0]))
+
+    def test_one_that_has_not_begun_to_serve_may_be_stopped(self) -> None:
+        job = lasting_job(2, 1)
+        fleet, runs = fleet_of(job, [100, 30])
+        self.assertTrue(StopBudget(fleet).take(job, runs[1]))
+
+    def test_a_step_without_a_limit_has_none(self) -> None:
+        job = lasting_job(3, 0)
+        fleet, runs = fleet_of(job, [100] * 3)
+        budget = StopBudget(fleet)
+        self.assertTrue(all(budget.take(job, run) for run in runs))
+
+
+if __name__ == "__main__":
+    unittest.main()
