Leave at most a tenth free for urgent work, and throw more away for it at once

Up to a quarter of all accelerators was kept from background work for ten seconds after each burst of urgent work. Change: a tenth at the most, as for work without checkpoints before; four times an urgent job's own work and 1,000 core-seconds may be thrown away for it before its guarantee is reclaimed at any cost.

--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -27,17 +27,15 @@
 """Urgency from which on work leaves room for urgent work to come."""
 
 HEADROOM = 0.1
-"""Part of all accelerators that background work without checkpoints leaves free at the least:
-stopping it would throw its work away, and bursts of urgent work take about as much."""
+"""Part of all accelerators that background work without checkpoints always leaves free, since
+stopping it would throw its work away, and that any other leaves free at the most: bursts of urgent
+work take about as much, and background work starves for more."""
 
-MOST_HEADROOM = 0.25
-"""Part of all accelerators that is left free at the most."""
-
-URGENT_THRIFT = 2.0
+URGENT_THRIFT = 4.0
 """Most unsaved work that may be thrown away for an urgent job, as a part of its own work, unless it
 is to be reclaimed at any cost: urgent jobs are small, and late ones are worth a fifth."""
 
-URGENT_BASE = 500.0
+URGENT_BASE = 1000.0
 """Core-seconds that may be thrown away besides, since the smallest job is worth a third of a usual
 one to its caller."""
 
@@ -115,7 +113,7 @@
         self._full: dict[tuple[Shape, bool], int] = {}
         """The fewest tasks of each shape that found no room, free now or once stops have ended."""
         self._total = sum(host.capacity.accelerators for host in hosts)
-        self._headroom = min(headroom, int(MOST_HEADROOM * self._total))
+        self._headroom = min(headroom, int(HEADROOM * self._total))
         self._kept = 0
         self.searches = 0
         """Demands beyond a guarantee for which victims were looked for."""
--- a/tests/test_domain_planner.py
+++ b/tests/test_domain_planner.py
@@ -62,6 +62,7 @@
     placed: dict[WorkerLife, int] | None = None,
     may_evict: bool = True,
     reclaiming: bool = False,
+    saves: bool = False,
 ) -> Demand:
     needs = Resources(1_000, 1_000, accelerators)
     step = Step(
@@ -72,6 +73,7 @@
         same_rack=same_rack,
         data_rack=data_rack,
         max_per_worker=max_per_worker,
+        checkpoints=saves,
     )
     ref = StepRef(JobId(name), Occurrence(0), 0)
     return Demand(
@@ -159,10 +161,12 @@
 
 class HeadroomTest(unittest.TestCase):
     def test_a_burst_of_urgent_work_finds_room_that_background_work_left(self) -> None:
-        hosts = [host(name, "r1") for name in "abcdefgh"]
-        background = demand("j", 64, 1, urgency=2, gang=False, same_rack=False)
-        [(_, placements)] = planner(hosts, [], [], headroom=12).make([background]).placements
-        self.assertEqual(64 - 12, len(placements))
+        for headroom, left in ((8, 8), (64, 12)):
+            hosts = [host(name, "r1") for name in "abcdefghijklmnop"]
+            background = demand("j", 128, 1, urgency=2, gang=False, same_rack=False, saves=True)
+            made = planner(hosts, [], [], headroom=headroom)
+            [(_, placements)] = made.make([background]).placements
+            self.assertEqual(128 - left, len(placements), "a tenth of all at the most")
 
     def test_other_work_may_use_all_room(self) -> None:
         for urgency in (0, 1):
