--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -38,8 +38,8 @@
 
 REGRESSIONS = (104, 141, 2043)
 """Seeds that failed once. 104: a silent voter was removed before its successor counted, and the log
-stood still for ever. 141: a list older than a start was taken as proof that its run was gone. 2043: a
-call that came during a planned stop was cut off with a 500 at its end."""
+stood still for ever. 141: a list older than a start was taken as proof that its run was gone. 2043:
+a call that came during a planned stop was cut off with a 500 at its end."""
 
 FINAL = {JobState.DONE, JobState.FAILED, JobState.CANCELLED}
 
