--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -36,10 +36,11 @@
 CALL_RATE = 0.15
 """Seconds between two submissions, on average."""
 
-REGRESSIONS = (104, 141, 2043)
+REGRESSIONS = (104, 141, 2043, 2004)
 """Seeds that failed once. 104: a silent voter was removed before its successor counted, and the log
 stood still for ever. 141: a list older than a start was taken as proof that its run was gone. 2043:
-a call that came during a planned stop was cut off with a 500 at its end."""
+a call that came during a planned stop was cut off with a 500 at its end. 2004: an accepted job did
+not end; open, see KNOWN-RED.txt."""
 
 FINAL = {JobState.DONE, JobState.FAILED, JobState.CANCELLED}
 
@@ -85,8 +86,6 @@
             await self._configure(START_LIMIT)
             await self._play(tasks)
             await self._settle()
-            breaches = self._around.oracle.breaches
-            assert not breaches, breaches[0]
         finally:
             await self._around.close()
             for task in tasks:
@@ -213,6 +212,8 @@
                 if await self._read_one(job) in FINAL:
                     waiting.discard(job)
             await asyncio.sleep(0.3)
+        breaches = self._around.oracle.breaches
+        assert not breaches, breaches[0]
         assert not waiting, f"{len(waiting)} accepted jobs have not ended: {sorted(waiting)[:3]}"
         started = {task.job for task in self._around.oracle.running}
         for job, is_open in self._refused.items():
