--- a/bench/domain_site.py
+++ b/bench/domain_site.py
@@ -6,7 +6,6 @@
 log, state, scheduler and orders; only the disk and the network are stand-ins.
 """
 
-import heapq
 import itertools
 import random
 import time
@@ -31,12 +30,10 @@
     Event,
     Input,
     Note,
-    OrderResult,
     OrderStart,
     OrderStop,
     Outcome,
     Poll,
-    PollAnswered,
     PutConfig,
     Queue,
     QueueName,
@@ -44,16 +41,15 @@
     Resources,
     Service,
     ServiceName,
-    StartAnswered,
     Step,
-    StopAnswered,
     Submit,
     TaskRef,
     WallTime,
     Workspace,
 )
 from bulrushhollow_core.ids import InstanceId, JobId, Seconds, Version, WorkspaceId
-from standins.domain_workers import LiveRun, Site, Worker
+from standins.domain_workers import LiveRun, Site, Worker, unanswered
+from standins.virtual_time import VirtualTime
 
 TICK = 0.05
 """Seconds between two steps of the leader at the most."""
@@ -116,7 +112,7 @@
     return needs.cpu / 1000 + 8 * needs.accelerators
 
 
-class DomainSite:
+class DomainSite(VirtualTime):
     """
     A leader with its workers.
 
@@ -126,14 +122,13 @@
 
     def __init__(self, seed: int, workers: int, workspaces: int, guaranteed: int) -> None:
         """Begin with idle workers and a configuration in force."""
-        self.now = 0.0
+        super().__init__()
         self.rng = random.Random(seed)
         self.figures = Figures()
         self.jobs_by_id: dict[JobId, Job] = {}
         self.reasons: Counter[str] = Counter()
         self.cut: set[str] = set()
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._numbers = itertools.count()
+        self._call_numbers = itertools.count()
         self._calls_by_id: dict[CallId, Callable[[Answer], None]] = {}
         self._inbox: list[Input] = []
         self._is_stepping = False
@@ -187,20 +182,6 @@
             lambda answer: None,
         )
 
-    # Time.
-
-    def later(self, delay: float, act: Callable[[], None]) -> None:
-        """Act after a delay."""
-        heapq.heappush(self._events, (self.now + delay, next(self._numbers), act))
-
-    def run(self, seconds: float) -> None:
-        """Let time pass."""
-        end = self.now + seconds
-        while self._events and self._events[0][0] <= end:
-            self.now, _, act = heapq.heappop(self._events)
-            act()
-        self.now = end
-
     # The leader.
 
     def _tick(self) -> None:
@@ -254,7 +235,7 @@
         self.reasons[cause] += 1
 
     def _ask(self, call: msgspec.Struct, take: Callable[[Answer], None]) -> None:
-        number = CallId(next(self._numbers))
+        number = CallId(next(self._call_numbers))
         self._calls_by_id[number] = take
         self._post(Asked(number, call))  # type: ignore[arg-type]
 
@@ -307,7 +288,7 @@
         def give_up() -> None:
             if not state["answered"]:
                 state["answered"] = True
-                self._post(_silence(order))
+                self._post(unanswered(order))
 
         self.later(wait + ORDER_LIMIT, give_up)
         if worker.name not in self.cut:
@@ -353,14 +334,3 @@
 
     def acknowledged(self, worker: Worker, row: EndedRow) -> None:
         """Take no note of it."""
-
-
-def _silence(order: OrderStart | OrderStop | Poll) -> Input:
-    silent = OrderResult.SILENT
-    match order:
-        case OrderStart():
-            return StartAnswered(order.life, order.task, order.run, silent, None)
-        case OrderStop():
-            return StopAnswered(order.life, order.task, order.run, silent, None)
-        case Poll():
-            return PollAnswered(order.life, silent)
--- a/packages/core/src/bulrushhollow_core/domain/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/_answers.py
@@ -18,7 +18,7 @@
     RunRef,
     Worker,
 )
-from bulrushhollow_core.domain._jobs import RunNumber, StepRef, TaskRef
+from bulrushhollow_core.domain._jobs import RunNumber, TaskRef
 from bulrushhollow_core.domain._losses import Losses
 from bulrushhollow_core.domain._orders import (
     EndedRow,
@@ -110,12 +110,10 @@
 
     def _start_refused(self, worker: Worker, run: Run, result: OrderResult, now: Seconds) -> None:
         if result is OrderResult.NO_TICKET:
-            self._shared.advice.refused(StepRef(*run.task[:3]), worker.life)
-            self._shared.fleet.release(worker, run.task)
-            self._shared.end(run.task, run.number, Outcome.NEVER)
-            return
-        wait = UNHEALTHY_RETRY if result is OrderResult.UNHEALTHY else ROOM_RETRY
-        worker.no_room_until = Seconds(now + wait)
+            self._shared.advice.refused(run.task.step_ref, worker.life)
+        else:
+            wait = UNHEALTHY_RETRY if result is OrderResult.UNHEALTHY else ROOM_RETRY
+            worker.no_room_until = Seconds(now + wait)
         self._shared.fleet.release(worker, run.task)
         self._shared.end(run.task, run.number, Outcome.NEVER)
 
--- a/packages/core/src/bulrushhollow_core/domain/_dispatch.py
+++ b/packages/core/src/bulrushhollow_core/domain/_dispatch.py
@@ -19,7 +19,7 @@
     RunPhase,
     Worker,
 )
-from bulrushhollow_core.domain._jobs import StepRef, WorkerLife
+from bulrushhollow_core.domain._jobs import WorkerLife
 from bulrushhollow_core.domain._orders import (
     OrderStart,
     OrderStop,
@@ -83,7 +83,7 @@
                 lease_end=self._grant(worker, now),
                 fence=self._shared.fence,
                 saved=self._shared.saved_of(run.task),
-                ticket=self._shared.advice.ticket(StepRef(*run.task[:3]), worker.life),
+                ticket=self._shared.advice.ticket(run.task.step_ref, worker.life),
             )
         )
 
--- a/packages/core/src/bulrushhollow_core/domain/_evictions.py
+++ b/packages/core/src/bulrushhollow_core/domain/_evictions.py
@@ -13,9 +13,7 @@
 
 from bulrushhollow_core.domain._demands import Demand, Victim
 from bulrushhollow_core.domain._hosts import Host, slots_in
-from bulrushhollow_core.domain._jobs import Resources, WorkerLife
-
-NOTHING = Resources(0, 0, 0)
+from bulrushhollow_core.domain._jobs import NOTHING, Resources, WorkerLife
 
 
 class VictimIndex:
--- a/packages/core/src/bulrushhollow_core/domain/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/_fleet.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 from bulrushhollow_core.domain._announcements import WorkerNews
-from bulrushhollow_core.domain._jobs import Resources, RunNumber, TaskRef, WorkerLife
+from bulrushhollow_core.domain._jobs import NOTHING, Resources, RunNumber, TaskRef, WorkerLife
 from bulrushhollow_core.ids import JobId, Seconds, WorkerId
 
 CLOCK_SLOWNESS = 0.98
@@ -49,8 +49,6 @@
 """Seconds for which an order without an answer may still be carried out; the platform says some
 seconds, and was seen to take twelve."""
 
-NOTHING = Resources(0, 0, 0)
-
 OVERDUE = Seconds(0.3)
 """Seconds after its expected end for which a run still counts as about to end."""
 
@@ -218,7 +216,7 @@
     @property
     def capacity(self) -> Resources:
         """Return all that it has, as far as is known."""
-        return self.news.capacity if self.news else Resources(0, 0, 0)
+        return self.news.capacity if self.news else NOTHING
 
     @property
     def free(self) -> Resources:
--- a/packages/core/src/bulrushhollow_core/domain/_hosts.py
+++ b/packages/core/src/bulrushhollow_core/domain/_hosts.py
@@ -47,6 +47,10 @@
         self.is_doubted = is_doubted
         self.is_slow = is_slow
 
+    def serves(self, service: ServiceName, label: str) -> bool:
+        """Return whether it runs tasks of a service that ask for a label; empty for any."""
+        return self.service == service and (not label or label in self.labels)
+
     def take(self, needs: Resources) -> None:
         """Give room to a task, or keep it for one."""
         self.free = self.free.minus(needs)
--- a/packages/core/src/bulrushhollow_core/domain/_jobs.py
+++ b/packages/core/src/bulrushhollow_core/domain/_jobs.py
@@ -31,6 +31,11 @@
     step: int
     member: int
 
+    @property
+    def step_ref(self) -> "StepRef":
+        """Return the step that it belongs to."""
+        return StepRef(self.job, self.occurrence, self.step)
+
 
 class StepRef(NamedTuple):
     """Which step of which repetition of a job."""
@@ -81,6 +86,10 @@
         )
 
 
+NOTHING = Resources(0, 0, 0)
+"""What takes no room."""
+
+
 class Step(msgspec.Struct, frozen=True, array_like=True):
     """
     One step of a job.
--- a/packages/core/src/bulrushhollow_core/domain/_lasting.py
+++ b/packages/core/src/bulrushhollow_core/domain/_lasting.py
@@ -25,7 +25,7 @@
     step = job.work.steps[ref.step]
     if not step.is_lasting or step.max_unavailable == 0:
         return step.count
-    at_work = sum(is_at_work(run) for run in fleet.runs_of(job.id) if run.task[:3] == ref)
+    at_work = sum(is_at_work(run) for run in fleet.runs_of(job.id) if run.task.step_ref == ref)
     return max(0, step.max_unavailable - (step.count - at_work))
 
 
@@ -43,7 +43,7 @@
 
     def take(self, job: Job, run: Run) -> bool:
         """Return whether a run may be stopped, and count it if so."""
-        ref = StepRef(*run.task[:3])
+        ref = run.task.step_ref
         step = job.work.steps[ref.step]
         if not step.is_lasting or step.max_unavailable == 0 or not is_at_work(run):
             return True
--- a/packages/core/src/bulrushhollow_core/domain/_paces.py
+++ b/packages/core/src/bulrushhollow_core/domain/_paces.py
@@ -56,8 +56,7 @@
         total = run.total()
         if total is None:
             return
-        step = StepRef(*run.task[:3])
-        self._paces_by_step.setdefault(step, {})[run.task] = Pace(run.life, total)
+        self._paces_by_step.setdefault(run.task.step_ref, {})[run.task] = Pace(run.life, total)
         usual = self._usual(run)
         if usual is not None:
             self._keep_ratio(run, total / usual)
@@ -88,7 +87,7 @@
 
     def _usual(self, run: Run) -> Seconds | None:
         """Return what a run's siblings on other workers take, if there are enough of them."""
-        paces = self._paces_by_step.get(StepRef(*run.task[:3]), {})
+        paces = self._paces_by_step.get(run.task.step_ref, {})
         others = [pace.total for pace in paces.values() if pace.life != run.life]
         return Seconds(median(others)) if len(others) >= SIBLINGS else None
 
--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -132,12 +132,7 @@
     def _eligible(self, demand: Demand) -> list[Host]:
         kind = (demand.service, demand.step.label)
         if kind not in self._eligible_by_kind:
-            self._eligible_by_kind[kind] = [
-                host
-                for host in self._hosts
-                if host.service == demand.service
-                and (not demand.step.label or demand.step.label in host.labels)
-            ]
+            self._eligible_by_kind[kind] = [host for host in self._hosts if host.serves(*kind)]
         hosts = self._eligible_by_kind[kind]
         if demand.allowed is not None:
             hosts = [host for host in hosts if host.life in demand.allowed]
@@ -195,10 +190,17 @@
 
     def _assign(self, demand: Demand, hosts: Group, with_stopping: bool) -> list[Placement]:
         """Fill the fullest hosts first."""
+        ordered = sorted(hosts, key=lambda host: tightness(host, room_of(host, with_stopping)))
+        return self._fill(demand, ordered, demand.indexes, with_stopping)
+
+    def _fill(
+        self, demand: Demand, hosts: Iterable[Host], indexes: Iterable[int], with_stopping: bool
+    ) -> list[Placement]:
+        """Give some tasks of a demand the room on hosts, in their order."""
         needs = demand.step.needs
-        waiting = list(demand.indexes)
+        waiting = list(indexes)
         placements: list[Placement] = []
-        for host in sorted(hosts, key=lambda host: tightness(host, room_of(host, with_stopping))):
+        for host in hosts:
             slots = slots_in(room_of(host, with_stopping), needs, demand.limit_on(host))
             for _ in range(min(slots, len(waiting))):
                 host.take(needs)
@@ -332,17 +334,9 @@
                 host.free.cpu,
             ),
         )
-        waiting = list(demand.indexes)[:most]
+        placements = self._fill(demand, ordered, demand.indexes[:most], with_stopping=False)
         placed = Counter(demand.placed_by_worker)
-        placements: list[Placement] = []
-        for host in ordered:
-            slots = slots_in(host.free, needs, demand.limit_on(host))
-            for _ in range(min(slots, len(waiting))):
-                host.take(needs)
-                placed[host.life] += 1
-                placements.append(Placement(demand.ref.task(waiting.pop(0)), host.life))
-            if not waiting:
-                break
+        placed.update(placement.life for placement in placements)
         demand.placed_by_worker = dict(placed)
         return placements
 
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -162,9 +162,7 @@
         roomy = [
             host
             for host in hosts
-            if host.service == service
-            and (not step.label or step.label in host.labels)
-            and step.needs.fits(host.free)
+            if host.serves(service, step.label) and step.needs.fits(host.free)
         ]
         roomy.sort(key=lambda host: -host.free.accelerators)
         self._shared.advice.want(ref, [host.life for host in roomy], now)
@@ -190,7 +188,7 @@
     def _placed_by_worker(self, ref: StepRef) -> dict[WorkerLife, int]:
         """Return how many tasks of a step each worker has, those on their way included."""
         runs = self._shared.fleet.runs_of(ref.job)
-        return Counter(run.life for run in runs if run.task[:3] == ref)
+        return Counter(run.life for run in runs if run.task.step_ref == ref)
 
     def _is_last_attempt(self, waiting: Waiting) -> bool:
         records = waiting.job.occurrences_by_number.get(waiting.ref.occurrence)
@@ -247,7 +245,7 @@
             job = self._shared.state.jobs_by_id.get(run.task.job)
             if job is None or job.is_over or run.phase not in (RunPhase.RUNNING, RunPhase.STARTING):
                 continue
-            unit = (*run.task[:3], run.number) if run.is_gang else (*run.task, run.number)
+            unit = (run.task.step_ref if run.is_gang else run.task, run.number)
             runs_by_unit.setdefault(unit, []).append(run)
         budget = StopBudget(self._shared.fleet)
         return [
--- a/packages/core/src/bulrushhollow_core/domain/_queueing.py
+++ b/packages/core/src/bulrushhollow_core/domain/_queueing.py
@@ -52,7 +52,7 @@
 
     is_surplus: bool
     is_worthless: bool
-    is_usual: bool
+    can_wait: bool
     prospect: Prospect
     deadline: float
     order: int
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
@@ -113,12 +113,11 @@
     def gang_of(self, task: TaskRef, number: RunNumber) -> Iterator[Run]:
         """Return the members of one run of a gang that may be running."""
         runs = self.fleet.runs_of(task.job)
-        return (run for run in runs if run.number == number and run.task[:3] == task[:3])
+        return (run for run in runs if run.number == number and run.task.step_ref == task.step_ref)
 
     def avoid(self, task: TaskRef, life: WorkerLife) -> None:
         """Start no task of a step on a worker that has failed one."""
-        step = StepRef(task.job, task.occurrence, task.step)
-        self.avoided_by_step.setdefault(step, set()).add(life)
+        self.avoided_by_step.setdefault(task.step_ref, set()).add(life)
 
     def forget_job(self, job: JobId) -> None:
         """Forget what was learnt of a job that is over."""
--- a/packages/core/src/bulrushhollow_core/domain/_watch.py
+++ b/packages/core/src/bulrushhollow_core/domain/_watch.py
@@ -14,7 +14,6 @@
     RunPhase,
     Worker,
 )
-from bulrushhollow_core.domain._jobs import StepRef
 from bulrushhollow_core.domain._lasting import spare_tasks
 from bulrushhollow_core.domain._losses import Losses
 from bulrushhollow_core.domain._scheduler_state import SchedulerState
@@ -93,8 +92,7 @@
         if step.is_lasting:
             # Its next run begins elsewhere at once, where a loss would show with the lease only.
             is_last_moment = left < self._shared.settings.stop_timeout + POLL_RETRY
-            ref = StepRef(*run.task[:3])
-            return is_last_moment or spare_tasks(job, ref, self._shared.fleet) > 0
+            return is_last_moment or spare_tasks(job, run.task.step_ref, self._shared.fleet) > 0
         remaining = run.remaining(now)
         if remaining <= left:
             return False
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
@@ -9,14 +9,13 @@
 import logging
 import time
 from collections.abc import Iterable
-from typing import Any
 
 import anyio
 import msgspec
 from anyio.abc import TaskGroup
 
-from bulrushhollow_core.actions import Persist, Send
-from bulrushhollow_core.consensus import ConsensusRecord, RewriteJournal
+from bulrushhollow_core.actions import Send
+from bulrushhollow_core.consensus import ConsensusRecord
 from bulrushhollow_core.domain import (
     Answer,
     AskAdvice,
@@ -42,7 +41,7 @@
 from bulrushhollow_daemon.domain._metrics import CoreMetrics
 from bulrushhollow_daemon.domain._peers import Peers
 from bulrushhollow_daemon.domain._workers import WorkerClient
-from bulrushhollow_daemon.journal import Journal
+from bulrushhollow_daemon.journal import Journal, records_after_rewrites
 from bulrushhollow_daemon.waiters import Waiter
 
 TICK = 0.05
@@ -151,14 +150,7 @@
 
     def _sync(self, actions: Iterable[msgspec.Struct]) -> None:
         """Put all records of a batch on disk."""
-        records: list[Any] = []
-        for action in actions:
-            if isinstance(action, Persist):
-                records.append(action.record)
-            elif isinstance(action, RewriteJournal):
-                self._journal.append(records)
-                records = []
-                self._journal.rewrite(action.records)
+        records = records_after_rewrites(self._journal, actions)
         if not records:
             return
         before = clock.now()
--- a/packages/daemon/src/bulrushhollow_daemon/journal/__init__.py
+++ b/packages/daemon/src/bulrushhollow_daemon/journal/__init__.py
@@ -6,6 +6,7 @@
 synced before anything rests on it, and rewritten as a whole when it has grown.
 """
 
+from bulrushhollow_daemon.journal._batch import records_after_rewrites
 from bulrushhollow_daemon.journal._errors import (
     JournalCorruptError,
     JournalError,
@@ -25,4 +26,5 @@
     "JournalFailedError",
     "JournalForeignError",
     "JournalLockedError",
+    "records_after_rewrites",
 ]
--- a/packages/daemon/src/bulrushhollow_daemon/runtime.py
+++ b/packages/daemon/src/bulrushhollow_daemon/runtime.py
@@ -15,8 +15,8 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from bulrushhollow_core.actions import Persist, Send
-from bulrushhollow_core.consensus import ConsensusRecord, RewriteJournal
+from bulrushhollow_core.actions import Send
+from bulrushhollow_core.consensus import ConsensusRecord
 from bulrushhollow_core.ids import InstanceId
 from bulrushhollow_core.node import (
     Action,
@@ -44,7 +44,7 @@
 from bulrushhollow_daemon.dispatch import Dispatcher
 from bulrushhollow_daemon.exceptions import PlatformUnreachableError
 from bulrushhollow_daemon.flights import Flight, Flights
-from bulrushhollow_daemon.journal import Journal
+from bulrushhollow_daemon.journal import Journal, records_after_rewrites
 from bulrushhollow_daemon.platform_client import PlatformClient
 from bulrushhollow_daemon.tracing import Span, Tracer
 from bulrushhollow_daemon.transport import Hello, Transport
@@ -173,15 +173,7 @@
         """Put all records of a batch on disk."""
         if self._journal is None:
             return
-        records: list[Any] = []
-        for action in actions:
-            if isinstance(action, Persist):
-                records.append(action.record)
-            elif isinstance(action, RewriteJournal):
-                self._journal.append(records)
-                records = []
-                self._journal.rewrite(action.records)
-        self._journal.append(records)
+        self._journal.append(records_after_rewrites(self._journal, actions))
 
     def _carry_out(self, action: Action) -> None:
         match action:
--- a/standins/domain_workers.py
+++ b/standins/domain_workers.py
@@ -45,6 +45,20 @@
 """Seconds of work between two checkpoints."""
 
 
+def unanswered(
+    order: OrderStart | OrderStop | Poll,
+) -> StartAnswered | StopAnswered | PollAnswered:
+    """Return what a leader is told of an order that nobody answered."""
+    silent = OrderResult.SILENT
+    match order:
+        case OrderStart():
+            return StartAnswered(order.life, order.task, order.run, silent, None)
+        case OrderStop():
+            return StopAnswered(order.life, order.task, order.run, silent, None)
+        case Poll():
+            return PollAnswered(order.life, silent)
+
+
 class Watcher(Protocol):
     """Told of what workers do."""
 
--- a/tests/domain_world.py
+++ b/tests/domain_world.py
@@ -6,7 +6,6 @@
 after they were given up.
 """
 
-import heapq
 import itertools
 import json
 import random
@@ -32,7 +31,6 @@
     NoSuchJob,
     Note,
     NotLeader,
-    OrderResult,
     OrderStart,
     OrderStop,
     OutcomeUnknown,
@@ -40,14 +38,11 @@
     PeerDisconnected,
     PeerSaid,
     Poll,
-    PollAnswered,
     PutConfig,
     Read,
     Refused,
     Reply,
     Resources,
-    StartAnswered,
-    StopAnswered,
     Submit,
     TaskRef,
     WallTime,
@@ -57,7 +52,8 @@
 from bulrushhollow_core.ids import InstanceId, JobId, Seconds, name_of
 from standins.domain_oracle import Oracle
 from standins.domain_site import HOST, KEY
-from standins.domain_workers import LONGEST_LEASE, Site, Worker
+from standins.domain_workers import LONGEST_LEASE, Site, Worker, unanswered
+from standins.virtual_time import VirtualTime
 
 TICK = 0.05
 DELAY = 0.001
@@ -177,20 +173,18 @@
                 self.world.log.append(json.dumps({"instance": self.address, **line}))
 
 
-class World:
+class World(VirtualTime):
     """All of it, in virtual time."""
 
     def __init__(
         self, seed: int, instances: int = 4, workers: int = 12, late_orders: float = 0.0
     ) -> None:
+        super().__init__()
         self.rng = random.Random(seed)
-        self.now = 0.0
         self.log: list[str] = []
         """The decisions of all instances, as their processes write them."""
         self.late_orders = late_orders
         self.settings = DomainSettings(longest_lease=LONGEST_LEASE, heartbeat=Seconds(HEARTBEAT))
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._numbers = itertools.count()
         self.cuts: set[frozenset[str]] = set()
         self.announced: set[WorkerLife] = set()
         self.works: dict[JobId, Work] = {}
@@ -217,18 +211,6 @@
     def wall(self) -> WallTime:
         return WallTime(WALL + self.now)
 
-    # Time.
-
-    def later(self, delay: float, act: Callable[[], None]) -> None:
-        heapq.heappush(self._events, (self.now + delay, next(self._numbers), act))
-
-    def run(self, seconds: float) -> None:
-        end = self.now + seconds
-        while self._events and self._events[0][0] <= end:
-            self.now, _, act = heapq.heappop(self._events)
-            act()
-        self.now = end
-
     def run_until(self, condition: Callable[[], bool], seconds: float) -> bool:
         end = self.now + seconds
         while self.now < end:
@@ -334,17 +316,7 @@
         if state["answered"]:
             return
         state["answered"] = True
-        silent = OrderResult.SILENT
-        match order:
-            case OrderStart():
-                result: msgspec.Struct = StartAnswered(
-                    order.life, order.task, order.run, silent, None
-                )
-            case OrderStop():
-                result = StopAnswered(order.life, order.task, order.run, silent, None)
-            case Poll():
-                result = PollAnswered(order.life, silent)
-        self.answered(source, generation, result)
+        self.answered(source, generation, unanswered(order))
 
     # Callers.
 
--- a/tests/test_domain_scheduler.py
+++ b/tests/test_domain_scheduler.py
@@ -88,6 +88,17 @@
             self.state.apply(command)
             self.scheduler.committed(command, self.now)
 
+    def launch(self) -> OrderStart:
+        """Plan, commit and return the first order to start."""
+        self.commit(self.plan())
+        return next(each for each in self.scheduler.drain() if isinstance(each, OrderStart))
+
+    def accept(self, start: OrderStart) -> None:
+        accepted = StartAnswered(
+            start.life, start.task, start.run, OrderResult.ACCEPTED, Seconds(50.2)
+        )
+        self.scheduler.start_answered(accepted, self.now)
+
     def ends(self) -> list[Outcome]:
         proposals = self.scheduler.take_proposals(Seconds(self.now + 1), WALL)
         return [e.outcome for p in proposals if isinstance(p, EndRuns) for e in p.ends]
@@ -124,8 +135,7 @@
         # life, and the task was started elsewhere while that run was still being stopped.
         bench = Bench()
         bench.submit(ONE)
-        bench.commit(bench.plan())
-        start = next(each for each in bench.scheduler.drain() if isinstance(each, OrderStart))
+        start = bench.launch()
         for result in (OrderResult.SILENT, OrderResult.ACCEPTED):
             answer = StartAnswered(start.life, start.task, start.run, result, Seconds(50.2))
             bench.scheduler.start_answered(answer, bench.now)
@@ -272,12 +282,8 @@
         # Each unanswered poll granted a new lease, so the runs of a dead worker were never lost.
         bench = Bench()
         bench.submit(ONE)
-        bench.commit(bench.plan())
-        start = next(each for each in bench.scheduler.drain() if isinstance(each, OrderStart))
-        accepted = StartAnswered(
-            start.life, start.task, start.run, OrderResult.ACCEPTED, Seconds(50.2)
-        )
-        bench.scheduler.start_answered(accepted, bench.now)
+        start = bench.launch()
+        bench.accept(start)
         outcomes: list[Outcome] = []
         answer_at = bench.now + 2.6
         for _ in range(300):
@@ -302,8 +308,7 @@
         bench.now = Seconds(bench.now + 12.0)
         bench.scheduler.hear(news(1, sequence=2, clock=62.0), bench.now)
         bench.submit(ONE)
-        bench.commit(bench.plan())
-        start = next(each for each in bench.scheduler.drain() if isinstance(each, OrderStart))
+        start = bench.launch()
         bench.scheduler.poll_answered(PollAnswered(start.life, OrderResult.SILENT), bench.now)
         for _ in range(6):
             silent = StartAnswered(start.life, start.task, start.run, OrderResult.SILENT, None)
@@ -318,12 +323,8 @@
     def test_runs_are_not_lost_before_the_lease_has_run_out_on_a_slow_clock(self) -> None:
         bench = Bench()
         bench.submit(ONE)
-        bench.commit(bench.plan())
-        start = next(each for each in bench.scheduler.drain() if isinstance(each, OrderStart))
-        accepted = StartAnswered(
-            start.life, start.task, start.run, OrderResult.ACCEPTED, Seconds(50.2)
-        )
-        bench.scheduler.start_answered(accepted, bench.now)
+        start = bench.launch()
+        bench.accept(start)
         longest = DomainSettings().longest_lease
         bench.scheduler.poll_answered(PollAnswered(start.life, OrderResult.SILENT), bench.now)
         bench.now = Seconds(bench.now + longest / 0.98)
@@ -335,12 +336,8 @@
     def run_at(self, percent: int, step: Step) -> list[OrderStop]:
         bench = Bench()
         bench.submit(Work("spec", (step,)))
-        bench.commit(bench.plan())
-        start = next(each for each in bench.scheduler.drain() if isinstance(each, OrderStart))
-        accepted = StartAnswered(
-            start.life, start.task, start.run, OrderResult.ACCEPTED, Seconds(50.2)
-        )
-        bench.scheduler.start_answered(accepted, bench.now)
+        start = bench.launch()
+        bench.accept(start)
         bench.now = Seconds(bench.now + 2)
         row = RunningRow(start.task, start.run, "", percent)
         answer = PollAnswered(start.life, OrderResult.ACCEPTED, Seconds(52.2), running=(row,))
@@ -357,12 +354,8 @@
     def stops(self, percent: int) -> int:
         bench = Bench()
         bench.submit(Work("spec", (Step(1, Resources(1000, 100, 1), Seconds(8.0)),)))
-        bench.commit(bench.plan())
-        start = next(each for each in bench.scheduler.drain() if isinstance(each, OrderStart))
-        accepted = StartAnswered(
-            start.life, start.task, start.run, OrderResult.ACCEPTED, Seconds(50.2)
-        )
-        bench.scheduler.start_answered(accepted, bench.now)
+        start = bench.launch()
+        bench.accept(start)
         bench.now = Seconds(bench.now + 2)
         row = RunningRow(start.task, start.run, "", percent)
         answer = PollAnswered(start.life, OrderResult.ACCEPTED, Seconds(52.2), running=(row,))
