Take a refused start as final only if no earlier order for the run went unanswered

The first order to start run 1 was carried out and its answer came too late; the run ended; the repeated order was answered "superseded", and the leader recorded "never started" in the same step in which the worker listed the end. The end then met a task that was no longer active and had no effect, and the task ran again after its end had been acknowledged.

Change: after an unanswered order a refusal (superseded, no room, unhealthy, no ticket) leads to a stop instead of to the end of the run. The stop keeps the run from starting later; the list that is read after the stop was accepted shows the run's end, or proves that it never started.

Ruled out: the same fault in `jobs/`. There a start has no answer of its own: an attempt is requeued as never started only from the platform's reported task states or from an order that was never sent. A leader that takes over adopts every recorded run and ends it from the list, so it has no refusals of orders that it did not send itself.

--- a/packages/core/src/bulrushhollow_core/domain/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/_answers.py
@@ -122,6 +122,12 @@
         else:
             backoff = UNHEALTHY_BACKOFF if result is OrderResult.UNHEALTHY else NO_ROOM_BACKOFF
             worker.backoff_until = Seconds(now + backoff)
+        if RunRef(run.task, run.number) in worker.unanswered_starts:
+            # An earlier order for this run went unanswered, so the run may have started and even
+            # ended. The stop keeps it from starting later, and the next list shows what became
+            # of it.
+            self._dispatcher.stop(worker, run, now)
+            return
         self._shared.fleet.release(worker, run.task)
         self._shared.propose_end(run.task, run.number, Outcome.NEVER_STARTED)
 
--- a/tests/domain_world.py
+++ b/tests/domain_world.py
@@ -3,12 +3,13 @@
 domain's invariants.
 
 Tests inject the faults: instances die, lose their disks, freeze and are partitioned; workers crash,
-return under their old id and are partitioned; orders are answered late, lost, or carried out
-seconds after they have timed out.
+return under their old id and are partitioned; orders are answered late, lost, carried out without
+an answer, or carried out seconds after they have timed out.
 """
 
 import itertools
 import json
+import math
 import random
 from collections.abc import Callable, Iterable
 
@@ -178,13 +179,19 @@
     """The instances, workers, network and callers of a domain, in virtual time."""
 
     def __init__(
-        self, seed: int, instances: int = 4, workers: int = 12, late_order_rate: float = 0.0
+        self,
+        seed: int,
+        instances: int = 4,
+        workers: int = 12,
+        late_order_rate: float = 0.0,
+        lost_answer_rate: float = 0.0,
     ) -> None:
         super().__init__()
         self.rng = random.Random(seed)
         self.log: list[str] = []
         """The decision logs of all instances, as their processes write them."""
         self.late_order_rate = late_order_rate
+        self.lost_answer_rate = lost_answer_rate
         self.settings = DomainSettings(
             longest_lease=LONGEST_LEASE, heartbeat_interval=Seconds(HEARTBEAT_INTERVAL)
         )
@@ -298,6 +305,14 @@
             delay = self.rng.uniform(2, 8)
             self.call_later(delay, lambda: self.execute_order_late(worker, order))
             return
+        if self.rng.random() < self.lost_answer_rate:
+            # Carried out at once, but the answer is lost or arrives after the timeout.
+            delay = self.rng.choice((math.inf, ORDER_TIMEOUT * self.rng.uniform(1, 3)))
+            self.call_later(
+                MESSAGE_DELAY,
+                lambda: self.execute_order(worker, order, self.delay_answer(deliver_once, delay)),
+            )
+            return
         self.call_later(MESSAGE_DELAY, lambda: self.execute_order(worker, order, deliver_once))
 
     def execute_order(
@@ -313,6 +328,17 @@
             case Poll():
                 worker.poll(order, answer)
 
+    def delay_answer(
+        self, answer: Callable[[msgspec.Struct], None], delay: float
+    ) -> Callable[[msgspec.Struct], None]:
+        """Return a callback that passes an answer on after a delay; never if that is infinite."""
+
+        def answer_later(result: msgspec.Struct) -> None:
+            if delay < math.inf:
+                self.call_later(delay, lambda: answer(result))
+
+        return answer_later
+
     def execute_order_late(self, worker: Worker, order: msgspec.Struct) -> None:
         worker.is_order_delayed = True
         self.execute_order(worker, order, lambda answer: None)
--- a/tests/test_domain_machine.py
+++ b/tests/test_domain_machine.py
@@ -15,9 +15,14 @@
 out in the next life of its worker, after the task was done elsewhere. 9 guards against an oracle
 that takes an end before an expired lease for binding."""
 
+LOST_ANSWER_SEEDS = (1, 2, 3, 4)
+"""Seeds of the runs in which workers carry out orders and their answers are lost."""
 
-def start_domain(seed: int, late_order_rate: float = 0.0) -> World:
-    world = World(seed, late_order_rate=late_order_rate)
+
+def start_domain(
+    seed: int, late_order_rate: float = 0.0, lost_answer_rate: float = 0.0
+) -> World:
+    world = World(seed, late_order_rate=late_order_rate, lost_answer_rate=lost_answer_rate)
     world.run(4)
     assert world.put_configuration(configuration(1))
     world.run(1)
@@ -126,9 +131,14 @@
         worker.begin_life(worker.life.born + 1)
 
 
-def run_seed(seed: int, seconds: float = 40.0, late_order_rate: float = 0.04) -> World:
+def run_seed(
+    seed: int,
+    seconds: float = 40.0,
+    late_order_rate: float = 0.04,
+    lost_answer_rate: float = 0.0,
+) -> World:
     """Submit jobs and inject faults, then repair everything and check that every job has ended."""
-    world = start_domain(seed, late_order_rate)
+    world = start_domain(seed, late_order_rate, lost_answer_rate)
     rng = random.Random(seed * 7919)
     faults = Faults(world, rng)
     queue_by_job: dict[JobId, str] = {}
@@ -146,7 +156,7 @@
             faults.inject()
             next_fault = world.now + rng.uniform(1, 6)
         world.run(rng.uniform(0.1, 1.2))
-    world.late_order_rate = 0.0
+    world.late_order_rate = world.lost_answer_rate = 0.0
     world.run(12)
     world.heal()
     for instance in world.instances:
@@ -205,6 +215,14 @@
             with self.subTest(seed=seed):
                 run_seed(seed)
 
+    def test_invariants_hold_when_answers_of_workers_are_lost(self) -> None:
+        first = int(os.environ.get("FUZZ_SEED", "0"))
+        count = int(os.environ.get("FUZZ_STEPS", "0")) // 1000
+        seeds = range(first, first + count) if first and count else LOST_ANSWER_SEEDS
+        for seed in seeds:
+            with self.subTest(seed=seed):
+                run_seed(seed, lost_answer_rate=0.3)
+
 
 if __name__ == "__main__":
     unittest.main()
