Keep the epochs of data centres apart in the job ledger, and tell a holder that it is fenced

The holder learned of each refusal, released the attempt and proposed it again in the same step, some hundred times a second, and nothing told the authority that a higher epoch was recorded (only an applied start did).

Change: commands of a holder name the data centre of their lease, and the ledger refuses them if the job is no longer there. A job whose start was refused stays out of the queue for 2 s or until its record changes. A refused command is logged (`command_refused`). `bench failures` checks that the log gains at most 30 entries in 3 s without load.

Ruled out: a start refused because the data centre is out of service (the ledger had all three in service), and a stale record in the scheduler (attempts and states agreed).

Tests, each failing before: commands of another data centre leave the epoch alone (3 subtests); a fenced holder starts its job within 8 s (before: never, with the log growing); a refused start is proposed 3 times in 6 s (before: without end in one step).

--- a/bench/failures.py
+++ b/bench/failures.py
@@ -24,7 +24,11 @@
 from bench.failures_promises import PROMISES
 from bench.failures_records import REQUEST_KINDS, Kind, Records, Window
 from bench.failures_site import LAYOUTS_BY_NAME, FailureSite, now
-from bench.failures_watch import sample_statuses, wait_until_recovered
+from bench.failures_watch import (
+    count_idle_log_entries,
+    sample_statuses,
+    wait_until_recovered,
+)
 from bench.report import emit
 
 BENCH = "failures"
@@ -70,6 +74,7 @@
                     await self._inject_fault(name)
                 callers.stop()
             await self._wait_for_open_jobs()
+            self.records.idle_log_entries = await count_idle_log_entries(self._site)
             sampling_tasks.cancel_scope.cancel()
         await self._site.collect(self.records)
 
--- a/bench/failures_promises.py
+++ b/bench/failures_promises.py
@@ -29,6 +29,9 @@
 SETTLE_SECONDS = 3.0
 """Seconds after the end of a fault before all links count as up."""
 
+MAX_IDLE_LOG_ENTRIES = 30
+"""Entries that the log may gain in the seconds without load; ends of late work need a few."""
+
 TASKS_BY_KIND = {Kind.JOB: 1, Kind.JOB_ONCE: 1, Kind.GANG: 4, Kind.GANG_ONCE: 4, Kind.CLAIM: 4}
 """Tasks of a job of each kind."""
 
@@ -257,6 +260,13 @@
     return sorted(accepted - ended)
 
 
+def idle_log_growth(records: Records) -> list[str]:
+    """Return a breach if the log keeps growing without load."""
+    if records.idle_log_entries <= MAX_IDLE_LOG_ENTRIES:
+        return []
+    return [f"{records.idle_log_entries} entries without load"]
+
+
 PROMISES: dict[str, Callable[[Records], list[str]]] = {
     count.__name__: count
     for count in (
@@ -271,6 +281,7 @@
         slow_configuration,
         slots_exceeded,
         jobs_left,
+        idle_log_growth,
     )
 }
 """Functions that return the breaches of each promise, by the name of the promise."""
--- a/bench/failures_records.py
+++ b/bench/failures_records.py
@@ -153,6 +153,8 @@
         self.job_outcomes: list[JobOutcome] = []
         self.final_values_by_profile: dict[str, float] = {}
         self.requests_beyond_slots = 0
+        self.idle_log_entries = 0
+        """Entries that the log gained in a few seconds after the load, with nothing to do."""
         self.starts_by_task: dict[str, int] = {}
 
     def runs_by_marker(self) -> dict[str, list[RequestRun]]:
--- a/bench/failures_watch.py
+++ b/bench/failures_watch.py
@@ -28,6 +28,9 @@
 RECOVERY_POLL_INTERVAL = 0.1
 """Seconds between two checks of whether the site has recovered."""
 
+IDLE_SECONDS = 3.0
+"""Seconds without load over which the growth of the log is measured."""
+
 RECOVERY_LIMIT = 45.0
 """Seconds after which a site counts as not recovered."""
 
@@ -49,6 +52,18 @@
         await anyio.sleep(SAMPLE_INTERVAL)
 
 
+async def count_idle_log_entries(site: FailureSite) -> int:
+    """Return how many entries the log gains in :data:`IDLE_SECONDS` without load."""
+    before = await _last_log_index(site)
+    await anyio.sleep(IDLE_SECONDS)
+    return await _last_log_index(site) - before
+
+
+async def _last_log_index(site: FailureSite) -> int:
+    statuses = [await ask_status(site, name) for name in site.daemons]
+    return max((status.last_index for status in statuses if status is not None), default=0)
+
+
 async def ask_status(site: FailureSite, name: str) -> InstanceStatus | None:
     """Return the status of a daemon, or None if it fails or takes too long."""
     with anyio.move_on_after(STATUS_TIMEOUT):
--- a/packages/core/src/bulrushhollow_core/jobs/_commands.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_commands.py
@@ -3,7 +3,8 @@
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 The commands about jobs in the replicated log. A command of a lease holder carries its epoch as a
-fencing token, so that commands of a former holder that are still in flight are refused.
+fencing token, so that commands of a former holder that are still in flight are refused. Epochs of
+different data centres are not comparable, so these commands also name the data centre of the lease.
 """
 
 from enum import Enum
@@ -70,6 +71,7 @@
     :param attempt: the last attempt; 0 for a job that was never started.
     :param execution: whether any task ran, as far as the lease holder knows.
     :param epoch: fencing token of the lease holder.
+    :param lease_data_centre: the data centre of that lease.
     """
 
     job: JobId
@@ -79,6 +81,7 @@
     detail: str = ""
     execution: Execution = Execution.UNKNOWN
     epoch: Epoch | None = None
+    lease_data_centre: DataCentreId | None = None
 
 
 class RequeueJob(msgspec.Struct, frozen=True, tag="job_requeue"):
@@ -90,6 +93,7 @@
     :param proof: why running the work again does not repeat it.
     :param blame: whether the job itself is suspected of having caused the loss.
     :param epoch: fencing token of the lease holder.
+    :param lease_data_centre: the data centre of that lease.
     """
 
     job: JobId
@@ -99,6 +103,7 @@
     proof: RequeueProof = RequeueProof.NONE
     blame: bool = False
     epoch: Epoch | None = None
+    lease_data_centre: DataCentreId | None = None
 
 
 class CancelJob(msgspec.Struct, frozen=True, tag="job_cancel"):
@@ -113,11 +118,13 @@
 
     :param data_centre: the data centre that the job moves to.
     :param epoch: fencing token of the lease holder that proposes the move; None without a holder.
+    :param lease_data_centre: the data centre of that lease, which the job leaves.
     """
 
     job: JobId
     data_centre: DataCentreId
     epoch: Epoch | None = None
+    lease_data_centre: DataCentreId | None = None
 
 
 JobCommand = SubmitJob | IntendStart | EndJob | RequeueJob | CancelJob | MoveJob
--- a/packages/core/src/bulrushhollow_core/jobs/_ledger.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_ledger.py
@@ -135,6 +135,10 @@
             case MoveJob():
                 return self._move(command)
 
+    def highest_epoch(self, data_centre: DataCentreId) -> Epoch:
+        """Return the highest epoch of a data centre's lease in any command so far."""
+        return self._epochs_by_data_centre.get(data_centre, NO_EPOCH)
+
     def live_records(self, data_centre: DataCentreId) -> list[JobRecord]:
         """Return the queued and started jobs of a data centre in the order of submission."""
         job_ids = [
@@ -188,7 +192,7 @@
         if record is None:
             return no_such_job(command.job)
         if record.data_centre != command.data_centre:
-            return Refusal(Reason.INVALID, "the job was moved to another data centre")
+            return _moved()
         if record.state is not JobState.QUEUED or record.cancelled:
             return Refusal(Reason.INVALID, "the job is not queued")
         if command.attempt != record.attempt + 1:
@@ -206,7 +210,7 @@
         )
 
     def _end(self, command: EndJob) -> JobRecord | Refusal:
-        record = self._current_record(command.job, command.attempt, command.epoch)
+        record = self._current_record(command)
         if isinstance(record, Refusal):
             return record
         if record.state is JobState.QUEUED and command.end is JobEnd.SUCCEEDED:
@@ -215,7 +219,7 @@
         return self._store_ended(record, command.end, command.reason, command.detail, execution)
 
     def _requeue(self, command: RequeueJob) -> JobRecord | Refusal:
-        record = self._current_record(command.job, command.attempt, command.epoch)
+        record = self._current_record(command)
         if isinstance(record, Refusal):
             return record
         if record.state is not JobState.STARTED:
@@ -263,27 +267,39 @@
             return Refusal(Reason.INVALID, "only a queued job can be moved")
         if record.data_centre == command.data_centre:
             return record
-        if command.epoch is not None and self._is_fenced(record.data_centre, command.epoch):
-            return _fenced()
-        return self._store(msgspec.structs.replace(record, data_centre=command.data_centre))
+        refusal = self._check_lease(record, command.lease_data_centre, command.epoch)
+        return refusal or self._store(
+            msgspec.structs.replace(record, data_centre=command.data_centre)
+        )
 
-    def _current_record(
-        self, job: JobId, attempt: Attempt, epoch: Epoch | None
-    ) -> JobRecord | Refusal:
-        record = self.jobs_by_id.get(job)
+    def _current_record(self, command: EndJob | RequeueJob) -> JobRecord | Refusal:
+        record = self.jobs_by_id.get(command.job)
         if record is None:
-            return no_such_job(job)
+            return no_such_job(command.job)
         if record.state is JobState.ENDED:
             return Refusal(Reason.INVALID, "the job has ended")
-        if record.attempt != attempt:
+        if record.attempt != command.attempt:
             return Refusal(Reason.INVALID, "another attempt is the current one")
-        if epoch is not None and self._is_fenced(record.data_centre, epoch):
-            return _fenced()
-        return record
+        return self._check_lease(record, command.lease_data_centre, command.epoch) or record
+
+    def _check_lease(
+        self, record: JobRecord, lease_data_centre: DataCentreId | None, epoch: Epoch | None
+    ) -> Refusal | None:
+        """
+        Return why the holder of a lease may not change a job, or None if it may.
+
+        :param lease_data_centre: the data centre of the lease; None in commands that were logged
+            before they named it.
+        :param epoch: epoch of the lease; None for a command without a lease.
+        """
+        if epoch is None:
+            return None
+        if lease_data_centre not in (None, record.data_centre):
+            return _moved()
+        return _fenced() if self._is_fenced(record.data_centre, epoch) else None
 
     def _is_fenced(self, data_centre: DataCentreId, epoch: Epoch) -> bool:
-        highest = self._epochs_by_data_centre.get(data_centre, NO_EPOCH)
-        if epoch < highest:
+        if epoch < self.highest_epoch(data_centre):
             return True
         self._epochs_by_data_centre[data_centre] = epoch
         return False
@@ -355,5 +371,9 @@
     return Refusal(Reason.NO_SUCH_JOB, detail, Execution.UNKNOWN)
 
 
+def _moved() -> Refusal:
+    return Refusal(Reason.INVALID, "the job was moved to another data centre")
+
+
 def _fenced() -> Refusal:
     return Refusal(Reason.INVALID, "a later holder of the data centre's lease has sent commands")
--- a/packages/core/src/bulrushhollow_core/jobs/_outcomes.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_outcomes.py
@@ -88,6 +88,7 @@
         proof=proof,
         blame=blame,
         epoch=epoch,
+        lease_data_centre=run.record.data_centre,
     )
 
 
@@ -101,6 +102,7 @@
         detail=run.detail,
         execution=execution_of(run),
         epoch=epoch,
+        lease_data_centre=run.record.data_centre,
     )
 
 
--- a/packages/core/src/bulrushhollow_core/jobs/_rebalancer.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_rebalancer.py
@@ -111,7 +111,7 @@
                 chosen = min(eligible, key=lambda load: (load.free, load.data_centre))
                 del idle_loads[chosen.data_centre]
                 self._proposed_at_by_job[record.job] = now
-                moves.append(MoveJob(record.job, chosen.data_centre, epoch))
+                moves.append(MoveJob(record.job, chosen.data_centre, epoch, self._data_centre))
         return moves
 
     def _can_move(self, record: JobRecord, now: Seconds) -> bool:
@@ -138,7 +138,7 @@
             return self._end_command(record, chosen, epoch)
         if chosen == self._data_centre:
             return None
-        return MoveJob(job, chosen, epoch)
+        return MoveJob(job, chosen, epoch, self._data_centre)
 
     def _end_command(self, record: JobRecord, refusal: Refusal, epoch: Epoch) -> JobCommand | None:
         if refusal.reason is not Reason.NEVER_FITS:
@@ -151,6 +151,7 @@
             detail=refusal.detail,
             execution=Execution.NOT_RUN,
             epoch=epoch,
+            lease_data_centre=self._data_centre,
         )
 
 
--- a/packages/core/src/bulrushhollow_core/jobs/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_scheduler.py
@@ -58,6 +58,8 @@
         self.needs_planning = True
         self.last_planned_at = Seconds(float("-inf"))
         self.records_by_job: dict[JobId, JobRecord] = {}
+        self.refused_until_by_job: dict[JobId, Seconds] = {}
+        """Jobs whose start the log refused, and until when each stays out of the queue."""
         self.fleet = Fleet()
         self.guarantees = GuaranteePlacements(self.fleet)
         self.health = WorkerHealth(settings)
@@ -208,7 +210,12 @@
     def command_refused(
         self, command: JobCommand, refusal: Refusal, now: Seconds
     ) -> list[SchedulerAction]:
-        """Release the attempt whose start the log refused; ignore other refused commands."""
+        """
+        Release the attempt whose start the log refused; ignore other refused commands.
+
+        The job is queued again when its record changes, or after a delay: until then the same
+        proposal would only be refused again.
+        """
         active = self._active
         if active is None or not isinstance(command, IntendStart):
             return []
@@ -216,6 +223,7 @@
         if run is None or run.phase is not Phase.COMMITTING_START or run.proposal != command:
             return []
         active.gangs.release(run)
+        active.refused_until_by_job[run.job] = Seconds(now + self._settings.proposal_timeout)
         return self.tick(now)
 
     def platform_answered(self, answer: PlatformAnswer, now: Seconds) -> list[SchedulerAction]:
@@ -258,6 +266,7 @@
         self._apply_health(active, now)
         self._drain(active, now)
         can_start = self._can_start(active)
+        self._requeue_refused(active, now)
         self._requeue_released(active, now)
         if can_start and (active.needs_planning or now - active.last_planned_at >= PLAN_INTERVAL):
             active.needs_planning = False
@@ -344,6 +353,7 @@
     def _job_changed(self, active: _ActiveState, record: JobRecord, now: Seconds) -> None:
         is_live = record.state is not JobState.ENDED and record.data_centre == self._data_centre
         active.needs_planning = True
+        active.refused_until_by_job.pop(record.job, None)
         if is_live:
             active.records_by_job[record.job] = record
         else:
@@ -378,7 +388,7 @@
             active.rebalancer.forget(record.job)
             active.health.job_ended(record.job)
         elif record.state is JobState.QUEUED:
-            if active.reports.has_orphans(record.job):
+            if active.reports.has_orphans(record.job) or record.job in active.refused_until_by_job:
                 return
             active.queue.put(record, now)
             active.rebalancer.check_fit(record)
@@ -400,6 +410,16 @@
             active.needs_planning = True
         active.gangs.released_runs.clear()
 
+    def _requeue_refused(self, active: _ActiveState, now: Seconds) -> None:
+        """Queue the jobs again whose refused starts may be proposed once more."""
+        due = [job for job, until in active.refused_until_by_job.items() if now >= until]
+        for job in due:
+            del active.refused_until_by_job[job]
+            record = active.records_by_job.get(job)
+            if record is not None and job not in active.gangs.runs_by_job:
+                self._queue_or_adopt(active, record, True, now)
+                active.needs_planning = True
+
     def _adopt_started(self, active: _ActiveState, now: Seconds) -> None:
         """Adopt started jobs; non-preemptible ones come first, since they can't be moved."""
         started = [
--- a/packages/core/src/bulrushhollow_core/node/__init__.py
+++ b/packages/core/src/bulrushhollow_core/node/__init__.py
@@ -5,7 +5,7 @@
 A complete instance: all components of the core behind :meth:`Node.step`.
 """
 
-from bulrushhollow_core.node._actions import Action, CallPlatform, Reply
+from bulrushhollow_core.node._actions import Action, CallPlatform, LogCommandRefused, Reply
 from bulrushhollow_core.node._events import (
     AnnouncementReceived,
     AttemptFinished,
@@ -47,6 +47,7 @@
     "Ledgers",
     "LoadReport",
     "Node",
+    "LogCommandRefused",
     "NodeStatus",
     "OutcomeReady",
     "Peer",
--- a/packages/core/src/bulrushhollow_core/node/_actions.py
+++ b/packages/core/src/bulrushhollow_core/node/_actions.py
@@ -9,7 +9,10 @@
 
 from bulrushhollow_core.actions import Persist, Send
 from bulrushhollow_core.consensus import RewriteJournal
+from bulrushhollow_core.ids import LogIndex
+from bulrushhollow_core.node._commands import Command
 from bulrushhollow_core.node._events import CallId
+from bulrushhollow_core.outcomes import Refusal
 from bulrushhollow_core.platform import PlatformCall
 from bulrushhollow_core.requests import Dispatch, FinishRequest, Forward, ProposeSettlement
 
@@ -32,6 +35,14 @@
     call: PlatformCall
 
 
+class LogCommandRefused(msgspec.Struct, frozen=True):
+    """Log that the replicated state refused a command of this instance's scheduler."""
+
+    index: LogIndex
+    command: Command
+    refusal: Refusal
+
+
 Action = (
     Send
     | Persist
@@ -42,4 +53,5 @@
     | Forward
     | ProposeSettlement
     | FinishRequest
+    | LogCommandRefused
 )
--- a/packages/core/src/bulrushhollow_core/node/_node.py
+++ b/packages/core/src/bulrushhollow_core/node/_node.py
@@ -22,10 +22,10 @@
 from bulrushhollow_core.configuration import AppliedVersion, Rollout
 from bulrushhollow_core.consensus import Committed, RestoredState, Role, SnapshotRestored
 from bulrushhollow_core.ids import DataCentreId, InstanceId, LogIndex, Seconds
-from bulrushhollow_core.jobs import DataCentreLoad, Fenced, IntendStart, JobRecord, ProposeCommand
+from bulrushhollow_core.jobs import DataCentreLoad, Fenced, JobRecord, ProposeCommand
 from bulrushhollow_core.models import Configuration
 from bulrushhollow_core.node import _events as events
-from bulrushhollow_core.node._actions import Action
+from bulrushhollow_core.node._actions import Action, LogCommandRefused
 from bulrushhollow_core.node._calls import CallHandler
 from bulrushhollow_core.node._duties import LeaderDuties
 from bulrushhollow_core.node._effective import EffectiveConfiguration
@@ -379,16 +379,10 @@
         result = applied.result
         if isinstance(result, JobRecord):
             actions += self.site.job_changed(result, now)
-        if isinstance(applied.command, IntendStart) and isinstance(result, JobRecord):
-            self._raise_epoch_floor(applied.command, now)
         if applied.pending is not None:
             actions += self._complete_proposal(applied, applied.pending, now)
         return actions
 
-    def _raise_epoch_floor(self, intent: IntendStart, now: Seconds) -> None:
-        if intent.data_centre == self.identity.data_centre:
-            self.site.authority.raise_epoch_floor(intent.epoch, now)
-
     def _complete_proposal(
         self, applied: AppliedCommand, pending: PendingProposal, now: Seconds
     ) -> list[msgspec.Struct]:
@@ -398,7 +392,8 @@
             case ForKey(request=request) if isinstance(result, KeyRecord | Refusal):
                 return [*self.entry.router.handle_reservation(request, result, now)]
             case ForScheduler() if isinstance(result, Refusal):
-                return self.site.command_refused(applied.command, result, now)
+                log_line = LogCommandRefused(applied.index, applied.command, result)
+                return [log_line, *self.site.command_refused(applied.command, result, now)]
             case _:
                 return self._call_handler.command_applied(applied, now)
 
--- a/packages/core/src/bulrushhollow_core/node/_site.py
+++ b/packages/core/src/bulrushhollow_core/node/_site.py
@@ -103,7 +103,11 @@
         self._last_call_at = now
 
     def update_lease(self, jobs: JobLedger, now: Seconds) -> list[msgspec.Struct]:
-        """Start the scheduler when this instance gets the lease; stop it when the lease is lost."""
+        """
+        Start the scheduler when this instance gets the lease; stop it when the lease is lost. A
+        lease with an epoch below one in the log is given up: the log refuses its commands.
+        """
+        self.authority.raise_epoch_floor(jobs.highest_epoch(self.data_centre), now)
         held = self.authority.held_lease(now)
         epoch = None if held is None else held.epoch
         if epoch == self._epoch:
--- a/packages/daemon/src/bulrushhollow_daemon/runtime.py
+++ b/packages/daemon/src/bulrushhollow_daemon/runtime.py
@@ -25,6 +25,7 @@
     CallId,
     CallPlatform,
     Event,
+    LogCommandRefused,
     Node,
     OutcomeReady,
     PeerConnected,
@@ -196,6 +197,8 @@
                 self.post(OutcomeReady(command_with_body))
             case FinishRequest(request_id=request_id, result=result):
                 self._finish(request_id, result)
+            case LogCommandRefused():
+                logger.warning("command_refused", extra=_refused_command_fields(action))
 
     def _finish(self, request_id: Any, result: Any) -> None:
         request = self.in_flight_requests.get(request_id)
@@ -244,3 +247,16 @@
         if not starts:
             return nullcontext(Span())
         return self._tracer.span("start", None, tasks=",".join(starts))
+
+
+def _refused_command_fields(action: LogCommandRefused) -> dict[str, Any]:
+    command = action.command
+    return {
+        "index": action.index,
+        "command": type(command).__name__,
+        "job": getattr(command, "job", None),
+        "attempt": getattr(command, "attempt", None),
+        "epoch": getattr(command, "epoch", None),
+        "reason": action.refusal.reason.value,
+        "detail": action.refusal.detail,
+    }
--- a/tests/test_domain_machine.py
+++ b/tests/test_domain_machine.py
@@ -19,9 +19,7 @@
 """Seeds of the runs in which workers carry out orders and their answers are lost."""
 
 
-def start_domain(
-    seed: int, late_order_rate: float = 0.0, lost_answer_rate: float = 0.0
-) -> World:
+def start_domain(seed: int, late_order_rate: float = 0.0, lost_answer_rate: float = 0.0) -> World:
     world = World(seed, late_order_rate=late_order_rate, lost_answer_rate=lost_answer_rate)
     world.run(4)
     assert world.put_configuration(configuration(1))
--- a/tests/test_domain_scheduler.py
+++ b/tests/test_domain_scheduler.py
@@ -175,7 +175,9 @@
             harness.scheduler.start_answered(answer, harness.now)
         return harness, start
 
-    def stop_and_list(self, harness: SchedulerHarness, start: OrderStart, *ended: ListedEnd) -> None:
+    def stop_and_list(
+        self, harness: SchedulerHarness, start: OrderStart, *ended: ListedEnd
+    ) -> None:
         """Accept the stop of the refused run, and answer a poll that was sent after that."""
         stopped = StopAnswered(
             start.life, start.task, start.run, OrderResult.ACCEPTED, Seconds(51.1)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -131,6 +131,12 @@
 
 
 class OrderPromisesTest(unittest.TestCase):
+    def test_a_log_that_grows_without_load_is_a_violation(self) -> None:
+        records = make_records()
+        self.assertEqual(0, count_violations("idle_log_growth", records))
+        records.idle_log_entries = 300
+        self.assertEqual(1, count_violations("idle_log_growth", records))
+
     def test_a_start_after_the_allowed_time_is_a_violation(self) -> None:
         for last, expected in ((None, 0), (9.9, 0), (10.1, 1)):
             records = Records()
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -8,13 +8,14 @@
     DataCentreId,
     GuaranteeName,
     JobId,
+    LogIndex,
     ProfileName,
     RackId,
     Seconds,
     WorkerId,
     WorkspaceId,
 )
-from bulrushhollow_core.jobs import JobEnd, JobRecord, JobState
+from bulrushhollow_core.jobs import JobEnd, JobRecord, JobState, ProposeCommand
 from bulrushhollow_core.models import (
     Adjacency,
     Configuration,
@@ -111,6 +112,24 @@
         self.assertIs(self.record(job).end, JobEnd.SUCCEEDED)
         self.assertIs(self.record(job).execution, Execution.RAN)
 
+    def test_a_refused_start_is_not_proposed_again_at_once(self) -> None:
+        # bench failures, out_while_cut: the same four starts were refused some hundred times a
+        # second, each with an entry in the log.
+        [scheduler] = self.site.schedulers_by_id.values()
+        queued = JobRecord(JobId("a"), SMALL, NORTH, LogIndex(1))
+        actions = scheduler.jobs_changed([queued], self.site.now)
+        refused_at: list[Seconds] = []
+        for step in range(60):
+            now = Seconds(self.site.now + step * 0.1)
+            actions = [*actions, *scheduler.tick(now)]
+            while actions:
+                action = actions.pop(0)
+                assert isinstance(action, ProposeCommand)
+                refused_at.append(now)
+                refusal = Refusal(Reason.INVALID, "refused")
+                actions += scheduler.command_refused(action.command, refusal, now)
+        self.assertEqual(3, len(refused_at), refused_at)
+
     def test_claim_preempts_borrowed_work_within_seconds(self) -> None:
         small = [self.submit(f"s{n}", SMALL, run=9_000.0) for n in range(16)]
         self.advance(300.0)
--- a/tests/test_jobs_ledger.py
+++ b/tests/test_jobs_ledger.py
@@ -90,6 +90,24 @@
         self.assert_refused(make_start(2, epoch=4))
         self.apply_accepted(make_start(2, epoch=5))
 
+    def test_commands_of_another_data_centre_do_not_raise_the_epoch_of_this_one(self) -> None:
+        # bench failures, out_while_cut: the holder of a data centre that was taken out proposed a
+        # move twice while the log was out of reach. The second one met the job in its new data
+        # centre and raised the epoch there, and the log refused every start of that data centre's
+        # own holder from then on.
+        self.submit()
+        self.apply_accepted(MoveJob(JOB, SOUTH, Epoch(9), NORTH))
+        late_commands = (
+            MoveJob(JOB, DataCentreId("east"), Epoch(9), NORTH),
+            EndJob(JOB, Attempt(0), JobEnd.REFUSED, epoch=Epoch(9), lease_data_centre=NORTH),
+            RequeueJob(JOB, Attempt(0), False, epoch=Epoch(9), lease_data_centre=NORTH),
+        )
+        for command in late_commands:
+            with self.subTest(command=type(command).__name__):
+                self.assert_refused(command)
+                self.assertEqual(0, self.ledger.highest_epoch(SOUTH))
+        self.apply_accepted(make_start(1, epoch=2, data_centre=SOUTH))
+
     def test_non_idempotent_job_that_may_have_run_is_not_requeued(self) -> None:
         self.submit()
         self.apply_accepted(make_start(1))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,7 +11,16 @@
     PutWorkspace,
     SetDataCentreService,
 )
-from bulrushhollow_core.ids import ChangeId, DataCentreId, JobId, ProfileName, Version, WorkspaceId
+from bulrushhollow_core.ids import (
+    ChangeId,
+    DataCentreId,
+    Epoch,
+    JobId,
+    ProfileName,
+    Version,
+    WorkspaceId,
+)
+from bulrushhollow_core.jobs import JobEnd
 from bulrushhollow_core.models import (
     DataCentre,
     Profile,
@@ -136,6 +145,43 @@
         )
 
 
+class FencedHolderTest(unittest.TestCase):
+    def test_a_holder_whose_epoch_the_log_has_overtaken_stands_for_the_lease_again(self) -> None:
+        # bench failures, out_while_cut: the log refused every start of a holder as fenced. The
+        # holder kept its lease and proposed the same starts some hundred times a second.
+        world = World(seed=6, daemons_by_data_centre={"north": 1}, voters=1)
+        world.run(12.0)
+        host = world.hosts_by_name["north-1"]
+        profile = Profile(
+            ProfileName("sweep"),
+            WorkKind.JOB,
+            WorkspaceId("shop"),
+            idempotent=True,
+            shape=Shape(1, Resources(1, 1, 1)),
+        )
+        edits = (
+            PutDataCentre(DataCentre(DataCentreId("north"), racks=RACKS)),
+            PutWorkspace(Workspace(WorkspaceId("shop"))),
+            PutProfile(profile),
+        )
+        for number, edit in enumerate(edits):
+            change = ChangeConfiguration(ChangeId(f"c{number}"), edit, Version(number))
+            world.request_change(host, change)
+            world.run(1.0)
+        assert host.node is not None
+        epochs_by_data_centre = host.node.log.ledgers.jobs._epochs_by_data_centre
+        held = host.node.site.authority.held_lease(world.clock(host))
+        assert held is not None
+        epochs_by_data_centre[DataCentreId("north")] = Epoch(held.epoch + 1_000_000)
+        applied_before = host.node.log.ledgers.applied
+        submit = SubmitRequest(JobId("j1"), ProfileName("sweep"))
+        world.call(host, lambda call: SubmitRequested(call, submit))
+        world.run(8.0)
+        record = host.node.log.ledgers.jobs.jobs_by_id[JobId("j1")]
+        self.assertEqual((1, JobEnd.SUCCEEDED), (record.attempt, record.end))
+        self.assertLess(host.node.log.ledgers.applied - applied_before, 10)
+
+
 class BurstTest(unittest.TestCase):
     def test_burst_of_jobs_is_spread_over_data_centres(self) -> None:
         world = World(seed=3, daemons_by_data_centre={"north": 1, "south": 1}, voters=1)
