--- a/packages/core/src/bulrushhollow_core/domain/_demands.py
+++ b/packages/core/src/bulrushhollow_core/domain/_demands.py
@@ -10,13 +10,10 @@
 from bulrushhollow_core.domain._configuration import ServiceName
 from bulrushhollow_core.domain._fleet import Run
 from bulrushhollow_core.domain._hosts import Host
-from bulrushhollow_core.domain._jobs import Resources, Step, StepRef, WorkerLife
+from bulrushhollow_core.domain._jobs import Resources, Step, StepRef, WorkerLife, core_equivalents
 from bulrushhollow_core.domain._queueing import Priority
 from bulrushhollow_core.ids import Seconds
 
-CORES_PER_ACCELERATOR = 8
-"""Cores that one accelerator counts as when amounts of work are compared; the platform's figure."""
-
 
 class Demand:
     """
@@ -142,8 +139,3 @@
         self.priority = priority
         self.is_guaranteed = is_guaranteed
         self.lost_work = lost_work
-
-
-def core_equivalents(needs: Resources) -> float:
-    """Return the cores that a task takes, with its accelerators converted into cores."""
-    return needs.cpu / 1000 + CORES_PER_ACCELERATOR * needs.accelerators
--- a/packages/core/src/bulrushhollow_core/domain/_hosts.py
+++ b/packages/core/src/bulrushhollow_core/domain/_hosts.py
@@ -5,7 +5,7 @@
 Free resources of workers, as one plan counts them.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from bulrushhollow_core.domain._configuration import ServiceName
 from bulrushhollow_core.domain._jobs import Resources, WorkerLife
@@ -29,7 +29,7 @@
         service: ServiceName,
         data_centre: DataCentreId,
         rack: RackId,
-        labels: frozenset[str],
+        labels: Collection[str],
         capacity: Resources,
         free: Resources,
         is_suspect: bool,
--- a/packages/core/src/bulrushhollow_core/domain/_jobs.py
+++ b/packages/core/src/bulrushhollow_core/domain/_jobs.py
@@ -93,6 +93,14 @@
 NO_RESOURCES = Resources(0, 0, 0)
 """The zero of :class:`Resources`."""
 
+CORES_PER_ACCELERATOR = 8
+"""Cores that one accelerator counts as when amounts of work are compared; the platform's figure."""
+
+
+def core_equivalents(needs: Resources) -> float:
+    """Return the cores that a task takes, with its accelerators converted into cores."""
+    return needs.cpu / 1000 + CORES_PER_ACCELERATOR * needs.accelerators
+
 
 class Step(msgspec.Struct, frozen=True, array_like=True):
     """
--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -33,7 +33,7 @@
 from bulrushhollow_core.domain._jobs import Resources, TaskRef, WorkerLife
 from bulrushhollow_core.ids import RackId, Seconds
 
-MAX_GANG_RESERVATIONS = 4
+MAX_GANG_RESERVATIONS = 2
 """Waiting gangs that reserve resources in one plan; more reservations would leave workers idle."""
 
 BACKGROUND_URGENCY = 2
@@ -125,6 +125,7 @@
         self._victim_indexes_by_rank: dict[tuple[int, bool], VictimIndex] = {}
         self._find_expected_ends = expected_ends
         self._expected_ends_by_rack: dict[RackId, list[ExpectedEnd]] | None = None
+        self._expected_ends_by_racks: dict[frozenset[RackId], list[ExpectedEnd]] = {}
         self._eligible_by_kind: dict[tuple[ServiceName, str], list[Host]] = {}
         self._groups_by_shape: dict[tuple[DemandShape, int], list[HostGroup]] = {}
         self._smallest_rejected_by_shape: dict[tuple[DemandShape, bool], int] = {}
@@ -285,13 +286,15 @@
                 host = self._hosts_by_life.get(expected_end.life)
                 if host is not None:
                     self._expected_ends_by_rack.setdefault(host.rack, []).append(expected_end)
-        racks = {host.rack for host in group}
-        ends_by_rack = [self._expected_ends_by_rack.get(rack, []) for rack in racks]
-        return (
-            ends_by_rack[0]
-            if len(ends_by_rack) == 1
-            else list(heapq.merge(*ends_by_rack, key=_end_time))
-        )
+        racks = frozenset(host.rack for host in group)
+        if racks not in self._expected_ends_by_racks:
+            ends_by_rack = [self._expected_ends_by_rack.get(rack, []) for rack in sorted(racks)]
+            self._expected_ends_by_racks[racks] = (
+                ends_by_rack[0]
+                if len(ends_by_rack) == 1
+                else list(heapq.merge(*ends_by_rack, key=_end_time))
+            )
+        return self._expected_ends_by_racks[racks]
 
     def _earliest_start(self, demand: Demand, group: HostGroup) -> Seconds | None:
         """Return when a demand is expected to fit on a group, or None if that is unknown."""
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -17,7 +17,7 @@
     StartRuns,
 )
 from bulrushhollow_core.domain._configuration import Queue
-from bulrushhollow_core.domain._demands import Demand, Victim, core_equivalents
+from bulrushhollow_core.domain._demands import Demand, Victim
 from bulrushhollow_core.domain._dispatch import OrderDispatcher
 from bulrushhollow_core.domain._events import Event, log_event
 from bulrushhollow_core.domain._fleet import (
@@ -34,6 +34,7 @@
     TaskRef,
     WallTime,
     WorkerLife,
+    core_equivalents,
 )
 from bulrushhollow_core.domain._lasting import DisruptionBudget
 from bulrushhollow_core.domain._planner import Placement, Plan, Planner
@@ -265,7 +266,7 @@
             service=announcement.service,
             data_centre=announcement.data_centre,
             rack=announcement.rack,
-            labels=frozenset(announcement.labels),
+            labels=announcement.labels,
             capacity=announcement.capacity,
             free=worker.free,
             is_suspect=worker.is_suspect,
@@ -300,9 +301,8 @@
 
     def _ends_soon(self, run: Run, now: Seconds) -> bool:
         """Return whether a run is expected to end by itself within the time that a stop takes."""
-        if self._shared.is_long_running(run):
-            return False
-        return run.ends_within(self._shared.settings.stop_timeout, now)
+        ends_within = run.ends_within(self._shared.settings.stop_timeout, now)
+        return ends_within and not self._shared.is_long_running(run)
 
     def _build_victim(
         self, runs: list[Run], guaranteed: set[JobId], now: Seconds, wall: WallTime
