--- a/packages/core/src/bulrushhollow_core/domain/_queueing.py
+++ b/packages/core/src/bulrushhollow_core/domain/_queueing.py
@@ -5,10 +5,9 @@
 The queue: which tasks may start now, and the order in which they are served.
 
 Jobs within their workspace's guarantee are served first, and jobs whose result has lost its value
-last. In between, urgent jobs precede all others, and jobs that can still be on time precede late
-ones. Urgent jobs go by their deadlines. The others go by their size with aging: when there is more
-work than room, many small jobs are served on time instead of few large ones, and a large job is
-overtaken only for a while.
+last. In between, urgent jobs precede all others, jobs that can still be on time precede late ones,
+and then the earliest deadline goes first. The deadlines of less urgent jobs are shifted by some
+seconds, so that these jobs yield to more urgent ones without starving.
 """
 
 from collections.abc import Iterator, Set
@@ -25,7 +24,6 @@
     TaskRef,
     TaskState,
     WallTime,
-    core_equivalents,
 )
 from bulrushhollow_core.domain._state import DomainState
 from bulrushhollow_core.ids import JobId, Seconds, WorkspaceId
@@ -33,13 +31,9 @@
 WORTHLESS_FACTOR = 3.0
 """Multiple of a job's time objective after which its result has no value, as the users state it."""
 
-AGING_RATE = 400.0
-"""Core-seconds by which a waiting job becomes smaller each second, compared with jobs that arrive
-later. A usual gang has some thousand core-seconds."""
-
-URGENCY_SHIFT = Seconds(10.0)
-"""Seconds of waiting that a job needs to make up for each level of urgency beyond 1, the usual one;
-about a third of the time that such jobs have."""
+URGENCY_DEADLINE_SHIFT = Seconds(10.0)
+"""Seconds added to a job's deadline for each level of urgency beyond 1, the usual one; about a
+third of the time that such jobs have."""
 
 LOCALITY_WAIT_FACTOR = 2.0
 """Time for which a task waits for the rack of its data, as a multiple of its duration. A task that
@@ -62,7 +56,7 @@
     :param is_surplus: whether the job is outside its workspace's guarantee.
     :param is_worthless: whether the job's result will no longer have any value.
     :param is_deferrable: whether the job is not urgent.
-    :param rank: deadline of an urgent job; size of another job, less what it has aged.
+    :param deadline: deadline, shifted for less urgent jobs.
     :param order: position of the job among all accepted jobs.
     """
 
@@ -70,7 +64,7 @@
     is_worthless: bool
     is_deferrable: bool
     timeliness: Timeliness
-    rank: float
+    deadline: float
     order: int
     occurrence: int
 
@@ -172,18 +166,12 @@
         timeliness is Timeliness.WORTHLESS,
         job.queue.urgency > 0,
         timeliness,
-        deadline if job.queue.urgency == 0 else _aged_size(job, due),
+        deadline + URGENCY_DEADLINE_SHIFT * max(0, job.queue.urgency - 1),
         job.sequence,
         occurrence,
     )
 
 
-def _aged_size(job: Job, due: WallTime) -> float:
-    """Return the size of a job in seconds of aging, counted from when it was due."""
-    size = sum(step.count * step.estimate * core_equivalents(step.needs) for step in job.work.steps)
-    return due + size / AGING_RATE + URGENCY_SHIFT * (job.queue.urgency - 1)
-
-
 def _waiting_steps_of(
     job: Job, occurrence: Occurrence, priority: Priority, busy_tasks: Set[TaskRef]
 ) -> Iterator[WaitingStep]:
