--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -173,10 +173,7 @@
         )
 
     def _may_evict(self, waiting_step: WaitingStep) -> bool:
-        """
-        Return whether runs may be evicted for a step: if it is guaranteed or can still be on time,
-        and not while the resources of its last evictions are being freed.
-        """
+        """Return whether runs may be evicted for a step: it is guaranteed or can be on time."""
         priority = waiting_step.priority
         return not priority.is_surplus or priority.timeliness is Timeliness.ON_TIME
 
--- a/packages/core/src/bulrushhollow_core/jobs/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_scheduler.py
@@ -39,8 +39,6 @@
 PLAN_INTERVAL = Seconds(1.0)
 """Seconds between two passes through the queue if nothing has happened in between."""
 
-NO_EPOCH = Epoch(0)
-
 
 class _ActiveState:
     """
@@ -211,10 +209,8 @@
         self, command: JobCommand, refusal: Refusal, now: Seconds
     ) -> list[SchedulerAction]:
         """
-        Release the attempt whose start the log refused; ignore other refused commands.
-
-        The job is queued again when its record changes, or after a delay: until then the same
-        proposal would only be refused again.
+        Release the attempt whose start the log refused; ignore other refused commands. The job is
+        queued again when its record changes, or after a delay.
         """
         active = self._active
         if active is None or not isinstance(command, IntendStart):
@@ -415,9 +411,8 @@
         due = [job for job, until in active.refused_until_by_job.items() if now >= until]
         for job in due:
             del active.refused_until_by_job[job]
-            record = active.records_by_job.get(job)
-            if record is not None and job not in active.gangs.runs_by_job:
-                self._queue_or_adopt(active, record, True, now)
+            if job in active.records_by_job and job not in active.gangs.runs_by_job:
+                self._queue_or_adopt(active, active.records_by_job[job], True, now)
                 active.needs_planning = True
 
     def _adopt_started(self, active: _ActiveState, now: Seconds) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,6 +6,7 @@
 from bulrushhollow_core.changes import (
     ChangeAccepted,
     ChangeConfiguration,
+    Edit,
     PutDataCentre,
     PutProfile,
     PutWorkspace,
@@ -35,6 +36,19 @@
 from tests.node_world import RACKS, Endpoint, World
 
 
+def edits_for_jobs(*data_centres: str, accelerators: int = 1) -> tuple[Edit, ...]:
+    """Return the edits that configure data centres and a profile `sweep` of jobs with one task."""
+    profile = Profile(
+        ProfileName("sweep"),
+        WorkKind.JOB,
+        WorkspaceId("shop"),
+        idempotent=True,
+        shape=Shape(1, Resources(accelerators, 1, 1)),
+    )
+    declared = (PutDataCentre(DataCentre(DataCentreId(name), racks=RACKS)) for name in data_centres)
+    return (*declared, PutWorkspace(Workspace(WorkspaceId("shop"))), PutProfile(profile))
+
+
 class RestartTest(unittest.TestCase):
     def test_restarted_process_does_not_mistake_old_proposal_for_its_own(self) -> None:
         world = World(seed=1, daemons_by_data_centre={"north": 1}, voters=1)
@@ -112,18 +126,7 @@
             world.live_hosts(), key=lambda host: not host.node.log.is_leader(world.clock(host))
         )
         world.cut_links = {frozenset((lagging.peer.name, name)) for name in world.hosts_by_name}
-        profile = Profile(
-            ProfileName("sweep"),
-            WorkKind.JOB,
-            WorkspaceId("shop"),
-            idempotent=True,
-            shape=Shape(1, Resources(1, 1, 1)),
-        )
-        edits = (
-            PutDataCentre(DataCentre(DataCentreId("north"), racks=RACKS)),
-            PutWorkspace(Workspace(WorkspaceId("shop"))),
-            PutProfile(profile),
-        )
+        edits = edits_for_jobs("north")
         for number, edit in enumerate(edits):
             world.request_change(
                 leader, ChangeConfiguration(ChangeId(f"c{number}"), edit, Version(number))
@@ -152,18 +155,7 @@
         world = World(seed=6, daemons_by_data_centre={"north": 1}, voters=1)
         world.run(12.0)
         host = world.hosts_by_name["north-1"]
-        profile = Profile(
-            ProfileName("sweep"),
-            WorkKind.JOB,
-            WorkspaceId("shop"),
-            idempotent=True,
-            shape=Shape(1, Resources(1, 1, 1)),
-        )
-        edits = (
-            PutDataCentre(DataCentre(DataCentreId("north"), racks=RACKS)),
-            PutWorkspace(Workspace(WorkspaceId("shop"))),
-            PutProfile(profile),
-        )
+        edits = edits_for_jobs("north")
         for number, edit in enumerate(edits):
             change = ChangeConfiguration(ChangeId(f"c{number}"), edit, Version(number))
             world.request_change(host, change)
@@ -187,19 +179,7 @@
         world = World(seed=3, daemons_by_data_centre={"north": 1, "south": 1}, voters=1)
         world.run(12.0)
         host = world.hosts_by_name["north-1"]
-        profile = Profile(
-            ProfileName("sweep"),
-            WorkKind.JOB,
-            WorkspaceId("shop"),
-            idempotent=True,
-            shape=Shape(1, Resources(8, 1, 1)),
-        )
-        edits = (
-            PutDataCentre(DataCentre(DataCentreId("north"), racks=RACKS)),
-            PutDataCentre(DataCentre(DataCentreId("south"), racks=RACKS)),
-            PutWorkspace(Workspace(WorkspaceId("shop"))),
-            PutProfile(profile),
-        )
+        edits = edits_for_jobs("north", "south", accelerators=8)
         for number, edit in enumerate(edits):
             change = ChangeConfiguration(ChangeId(f"c{number}"), edit, Version(number))
             world.request_change(host, change)
