Elect a new leader without split votes, and never within the lease of the old one

After a loss of power a voter that had just started was reached only 0.35 s after it had called (the reconnect interval of its peer).

Two leaders could act around a hand-over.

Change: a candidate stands again after its vote timeout instead of a full election timeout; a voter that supports a pre-vote does not stand for a moment, and of two candidates one yields; the random part of the timeout is 0.2 s instead of 0.6 s. Only a refused connection or another incarnation at its address shows that a leader has ended; a lost connection alone changes nothing. A restarted voter grants no vote before the shortest timeout unless every voter is accounted for (an emptied disk that came back counts). A leader forgets the contact of a voter whose process has ended. An instance is reached again as soon as it calls. Followers step each 0.05 s.

--- a/packages/core/src/bulrushhollow_core/consensus/_consensus.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_consensus.py
@@ -45,7 +45,7 @@
     RestoredState,
     Timing,
 )
-from bulrushhollow_core.ids import InstanceId, InstanceName, LogIndex, Seconds, Term
+from bulrushhollow_core.ids import InstanceId, InstanceName, LogIndex, Seconds, Term, name_of
 
 RANDOM_ID_BITS = 31
 """Bits of the random ids of logs and processes."""
@@ -95,6 +95,7 @@
         self._election = Election(self._replica, timing, rng, now)
         self._leader: Leader | None = None
         self._connected_by_id: dict[InstanceId, bool] = {}
+        self._started_at = now
         self._foreign_peers: frozenset[InstanceId] = frozenset()
 
     # Events.
@@ -149,39 +150,58 @@
         if self._leader:
             self._leader.peer_connected(peer)
             self._leader.tick(now)
-        elif self._replica.is_voter and self._can_elect_after_restart():
+        elif (
+            self._replica.is_voter
+            and self._follower.has_never_heard_leader
+            and self._accounts_for_all_voters()
+        ):
+            # All voters are back, as after a power failure of all instances.
             self._election.expedite(now)
         return self.flush(now)
 
-    def _can_elect_after_restart(self) -> bool:
+    def _accounts_for_all_voters(self) -> bool:
         """
-        Return whether a majority can be reached and no leader was heard since this process
-        started, as after a power failure of all machines. If there is a leader after all, the
-        others hear it and grant no vote.
+        Return whether each voter is connected, or has ended: another incarnation of its name is
+        connected, as after the loss of its disk.
+        """
+        reachable_names = {name_of(peer) for peer in self._connected_by_id}
+        others = self._replica.log.members.voters - {self._me}
+        return {name_of(voter) for voter in others} <= reachable_names
+
+    def _may_have_forgotten_leader(self, now: Seconds) -> bool:
+        """
+        Return whether this process started so recently that the process before it may have
+        confirmed the lease of a leader that is out of reach now.
         """
-        members = self._replica.log.members
-        reachable_voters = members.voters & {*self._connected_by_id, self._me}
         return (
-            self._follower.has_never_heard_leader and len(reachable_voters) >= members.quorum_size
+            self._follower.has_never_heard_leader
+            and now - self._started_at < self._timing.min_election_timeout
+            and not self._accounts_for_all_voters()
         )
 
     def set_failure_domain(self, name: InstanceName, domain: str) -> None:
         """Record the failure domain of an instance; voters are spread over failure domains."""
         self._failure_domains_by_name[name] = domain
 
-    def peer_disconnected(self, peer: InstanceId, now: Seconds) -> list[msgspec.Struct]:
+    def peer_disconnected(
+        self, peer: InstanceId, now: Seconds, has_ended: bool = True
+    ) -> list[msgspec.Struct]:
         """
-        Handle the loss of the connection to an incarnation of a peer. If it was the leader, an
-        election starts within :attr:`Timing.disconnect_timeout`; the other voters grant their votes
-        only if they have lost the leader too.
+        Handle the loss of the connection to an incarnation of a peer. If it was the leader and has
+        ended, an election starts within :attr:`Timing.disconnect_timeout`; the other voters grant
+        their votes only if they have lost the leader too.
 
+        :param has_ended: whether the peer's process is known to have ended. A lost connection alone
+            does not show this: the leader may go on leading until its lease ends.
         :return: actions in the order in which to carry them out.
         """
         self._connected_by_id.pop(peer, None)
         self._foreign_peers -= {peer}
         if self._leader:
+            if has_ended:
+                self._leader.forget_contact(peer)
             self._leader.update_peers()
-        elif self._follower.leader == peer:
+        elif has_ended and self._follower.leader == peer:
             self._follower.clear_leader()
             self._election.expedite(now)
         return self.flush(now)
@@ -302,6 +322,13 @@
         """Return the newest members in this instance's log."""
         return self._replica.log.members
 
+    @property
+    def reaches_quorum(self) -> bool:
+        """Return whether this instance is connected to enough voters for an election."""
+        members = self._replica.log.members
+        reachable_voters = members.voters & {*self._connected_by_id, self._me}
+        return len(reachable_voters) >= members.quorum_size
+
     def quorum_age(self, now: Seconds) -> Seconds:
         """Return seconds since a majority was last known to follow one leader."""
         leader = self._leader
@@ -362,13 +389,18 @@
     def _receive_request_vote(self, source: InstanceId, message: RequestVote, now: Seconds) -> None:
         if not self._replica.has_disk:
             return
-        is_leader_live = self._has_live_leader(now) and not message.is_transfer
+        is_leader_live = not message.is_transfer and (
+            self._has_live_leader(now) or self._may_have_forgotten_leader(now)
+        )
         if message.is_pre_vote:
             granted = (
                 message.term > self._replica.term
                 and not is_leader_live
                 and self._is_candidate_up_to_date(message)
+                and not self._has_precedence_over(source, message)
             )
+            if granted:
+                self._election.yield_to_candidate(now)
             self._answer_vote(source, message, granted)
             return
         if is_leader_live:
@@ -432,6 +464,14 @@
         log = self._replica.log
         return (log.last_term, log.last_index) <= (message.last_term, message.last_index)
 
+    def _has_precedence_over(self, source: InstanceId, message: RequestVote) -> bool:
+        """Return whether this instance stands as well, and stays the candidate of the two."""
+        if self._election.phase is Phase.IDLE:
+            return False
+        log = self._replica.log
+        own_rank = (log.last_term, log.last_index, self._me)
+        return own_rank > (message.last_term, message.last_index, source)
+
     # Roles.
 
     def _adopt_term(self, log_id: LogId, term: Term, now: Seconds) -> None:
--- a/packages/core/src/bulrushhollow_core/consensus/_election.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_election.py
@@ -16,6 +16,14 @@
 from bulrushhollow_core.consensus._types import Timing
 from bulrushhollow_core.ids import InstanceId, Seconds, Term
 
+PRE_VOTE_RETRY_SHARE = 0.4
+"""Share of the vote timeout after which a pre-vote is repeated; it takes no disk sync."""
+
+YIELD_SHARE = 0.15
+"""Share of the vote timeout for which a voter that supports a candidate does not stand itself. This
+is shorter than the time after which the candidate stands again, so that a candidate that can't win
+does not keep others from standing."""
+
 
 class Phase(Enum):
     """Stage of an election."""
@@ -51,10 +59,18 @@
 
     def reset(self, now: Seconds) -> None:
         """Stop any election and restart the election timeout."""
-        timeout = self._rng.uniform(
-            self._timing.min_election_timeout, self._timing.max_election_timeout
-        )
-        self._timeout_at = Seconds(now + timeout)
+        jitter = self._rng.uniform(0.0, self._timing.election_jitter)
+        self._timeout_at = Seconds(now + self._timing.min_election_timeout + jitter)
+        self.phase = Phase.IDLE
+        self.granted_by = frozenset()
+
+    def yield_to_candidate(self, now: Seconds) -> None:
+        """
+        Stop standing and wait a moment, since this instance supports another candidate. Two
+        candidates that stand at the same time would split the votes.
+        """
+        yield_time = YIELD_SHARE * self._timing.vote_timeout
+        self._timeout_at = max(self._timeout_at, Seconds(now + yield_time))
         self.phase = Phase.IDLE
         self.granted_by = frozenset()
 
@@ -73,19 +89,22 @@
 
     def start_pre_vote(self, now: Seconds) -> None:
         """Ask the other voters whether they would grant a vote."""
-        self.reset(now)
-        self.phase = Phase.PRE_VOTE
+        self._stand(Phase.PRE_VOTE, PRE_VOTE_RETRY_SHARE * self._timing.vote_timeout, now)
         self._request_votes(Term(self._replica.term + 1), is_transfer=False, now=now)
 
     def start_vote(self, now: Seconds, is_transfer: bool = False) -> None:
         """Enter the next term, vote for this instance and request the votes of the others."""
         replica = self._replica
         assert replica.log_id is not None, "a voter has a log"
-        self.reset(now)
-        self.phase = Phase.VOTE
+        self._stand(Phase.VOTE, self._timing.vote_timeout, now)
         replica.set_term(replica.log_id, Term(replica.term + 1), replica.me)
         self._request_votes(replica.term, is_transfer, now)
 
+    def _stand(self, phase: Phase, max_wait: float, now: Seconds) -> None:
+        """Enter a phase; the next attempt follows after half to all of the longest wait."""
+        self.phase = phase
+        self._timeout_at = Seconds(now + max_wait * self._rng.uniform(0.5, 1.0))
+
     def record_vote(self, source: InstanceId, answer: VoteAnswer) -> None:
         """Count a vote if it answers the request of the current phase."""
         requested_term = self._replica.term + (1 if self.phase is Phase.PRE_VOTE else 0)
--- a/packages/core/src/bulrushhollow_core/consensus/_leader.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_leader.py
@@ -113,6 +113,15 @@
         self.update_peers()
         self.progress_by_id[peer].restart_probing()
 
+    def forget_contact(self, peer: InstanceId) -> None:
+        """
+        Forget when a peer whose process has ended was last heard. Its next process does not know of
+        the lease that the last contact confirmed.
+        """
+        progress = self.progress_by_id.get(peer)
+        if progress is not None:
+            progress.last_contact_at = DISTANT_PAST
+
     def tick(self, now: Seconds) -> None:
         """Send the heartbeats that are due and abandon a leadership transfer that timed out."""
         if now >= self._transfer_deadline:
--- a/packages/core/src/bulrushhollow_core/consensus/_types.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_types.py
@@ -103,10 +103,13 @@
         member.
     :param min_election_timeout: shortest election timeout in seconds. A voter that heard from its
         leader within this time grants no vote.
-    :param max_election_timeout: longest election timeout in seconds. A leader that has not heard
-        from a majority for this time steps down.
-    :param disconnect_timeout: longest time in seconds from the loss of the connection to the leader
-        to the start of an election.
+    :param election_jitter: longest random time in seconds that is added to it.
+    :param max_election_timeout: seconds for which a leader leads without having heard from a
+        majority, and after which a voter counts as silent.
+    :param vote_timeout: longest time in seconds for which a candidate waits for votes before it
+        stands again. Long enough for two syncs of a slow disk.
+    :param disconnect_timeout: longest time in seconds from the end of the leader's process to the
+        start of an election.
     :param is_coalescing: whether to send fewer messages: a new commit index goes with the next
         message, and members without a vote get new entries with their heartbeats.
     """
@@ -114,6 +117,8 @@
     heartbeat_interval: Seconds = Seconds(0.25)
     observer_heartbeat_interval: Seconds = Seconds(0.5)
     min_election_timeout: Seconds = Seconds(1.0)
+    election_jitter: Seconds = Seconds(1.0)
     max_election_timeout: Seconds = Seconds(2.0)
+    vote_timeout: Seconds = Seconds(1.0)
     disconnect_timeout: Seconds = Seconds(0.5)
     is_coalescing: bool = False
--- a/packages/core/src/bulrushhollow_core/domain/_node.py
+++ b/packages/core/src/bulrushhollow_core/domain/_node.py
@@ -54,8 +54,10 @@
     heartbeat_interval=Seconds(0.2),
     observer_heartbeat_interval=Seconds(0.4),
     min_election_timeout=Seconds(0.7),
+    election_jitter=Seconds(0.2),
     max_election_timeout=Seconds(1.3),
-    disconnect_timeout=Seconds(0.3),
+    vote_timeout=Seconds(0.6),
+    disconnect_timeout=Seconds(0.1),
     is_coalescing=True,
 )
 """Intervals of the log within one region, where a message takes about a millisecond."""
@@ -86,9 +88,14 @@
 
 
 class PeerDisconnected(msgspec.Struct, frozen=True):
-    """A peer became unreachable."""
+    """
+    A peer became unreachable.
+
+    :param has_ended: whether its process is known to have ended.
+    """
 
     peer: InstanceId
+    has_ended: bool = False
 
 
 class MessageReceived(msgspec.Struct, frozen=True):
@@ -235,8 +242,8 @@
                 if data_centre:
                     self._log.set_failure_domain(name_of(peer), data_centre)
                 self._handle_log_actions(self._log.peer_connected(peer, True, now), now)
-            case PeerDisconnected(peer=peer):
-                self._handle_log_actions(self._log.peer_disconnected(peer, now), now)
+            case PeerDisconnected(peer=peer, has_ended=has_ended):
+                self._handle_log_actions(self._log.peer_disconnected(peer, now, has_ended), now)
             case StopRequested():
                 self._handle_log_actions(self._log.transfer_leadership(now), now)
             case CallReceived(id=call_id, call=call):
@@ -256,7 +263,7 @@
         if self.scheduler is None or not self.is_leading(now):
             leader = self.leader(now)
             hint = str(name_of(leader)) if leader and leader != self.me else None
-            self._actions.append(Reply(call_id, NotLeader(hint)))
+            self._actions.append(Reply(call_id, NotLeader(hint, self._log.reaches_quorum)))
             return
         if (
             self.state.configuration_index is None
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_peers.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_peers.py
@@ -45,8 +45,8 @@
     def peer_connected(self, instance: InstanceId, data_centre: str) -> None:
         """Record that an incarnation can be reached."""
 
-    def peer_disconnected(self, instance: InstanceId) -> None:
-        """Record that an incarnation can't be reached any more."""
+    def peer_disconnected(self, instance: InstanceId, has_ended: bool) -> None:
+        """Record that an incarnation can't be reached any more, or that its process has ended."""
 
 
 class _Peer:
@@ -59,6 +59,8 @@
         self.address = address
         self.client = RpcClient(address, port)
         self.instance: InstanceId | None = None
+        self.lost_instance: InstanceId | None = None
+        """The incarnation that was reached last, while it is not known whether it has ended."""
         self.failed_deliveries = 0
         self._queue: list[ConsensusMessage] = []
         self._wake = anyio.Event()
@@ -70,6 +72,16 @@
         self._queue.append(message)
         self._wake.set()
 
+    def wake(self) -> None:
+        """Try to reach the instance now instead of after the reconnect interval."""
+        self._wake.set()
+
+    async def wait_to_reconnect(self) -> None:
+        """Wait for ``RECONNECT_INTERVAL``, or until woken."""
+        self._wake = anyio.Event()
+        with anyio.move_on_after(RECONNECT_INTERVAL):
+            await self._wake.wait()
+
     async def next_batch(self) -> tuple[ConsensusMessage, ...]:
         """Wait for messages and return them; return none after ``KEEPALIVE_INTERVAL``."""
         if not self._queue:
@@ -146,8 +158,14 @@
             peer.enqueue(message)
 
     def add_sender(self, sender: PeerInfo) -> None:
-        """Add the address of an instance that called, and the addresses that it knows."""
+        """
+        Add the address of an instance that called, and the addresses that it knows. A process that
+        has just started is thus reached at once.
+        """
         self.add_addresses((sender.address, *sender.known_addresses))
+        peer = self._peers_by_address.get(sender.address)
+        if peer is not None and peer.instance is None:
+            peer.wake()
 
     async def _exchange_messages(self, peer: _Peer) -> None:
         while (
@@ -158,8 +176,10 @@
             batch = MessageBatch(self._describe_self(), peer.instance, messages)
             result = await peer.client.deliver(batch, DELIVER_TIMEOUT)
             if isinstance(result, CallFailure):
-                self._mark_unreachable(peer, result.detail)
-                await anyio.sleep(RECONNECT_INTERVAL)
+                was_reachable = peer.instance is not None
+                self._mark_unreachable(peer, result.detail, has_ended=result.is_refused)
+                if not was_reachable:
+                    await peer.wait_to_reconnect()
             else:
                 self._mark_reachable(peer, result)
         del self._peers_by_address[peer.address]
@@ -167,18 +187,22 @@
     def _mark_reachable(self, peer: _Peer, info: PeerInfo) -> None:
         peer.failed_deliveries = 0
         if peer.instance != info.instance:
-            if peer.instance is not None:
-                self._mark_unreachable(peer, "another incarnation answered")
-            peer.instance = info.instance
+            has_ended = info.instance not in (peer.instance, peer.lost_instance)
+            self._mark_unreachable(peer, "another incarnation answered", has_ended)
+            peer.instance, peer.lost_instance = info.instance, None
             logger.info("peer_connected", extra={"peer": info.instance})
             self._observer.peer_connected(info.instance, info.data_centre)
         self.add_addresses(info.known_addresses)
 
-    def _mark_unreachable(self, peer: _Peer, detail: str) -> None:
+    def _mark_unreachable(self, peer: _Peer, detail: str, has_ended: bool) -> None:
+        """Report once that the incarnation is out of reach, and once that its process has ended."""
         peer.failed_deliveries += 1
-        if peer.instance is None:
+        instance = peer.instance or (peer.lost_instance if has_ended else None)
+        if instance is None:
             return
-        logger.info("peer_disconnected", extra={"peer": peer.instance, "reason": detail})
-        instance, peer.instance = peer.instance, None
+        logger.info(
+            "peer_disconnected", extra={"peer": instance, "reason": detail, "ended": has_ended}
+        )
+        peer.instance, peer.lost_instance = None, None if has_ended else instance
         peer.clear_queue()
-        self._observer.peer_disconnected(instance)
+        self._observer.peer_disconnected(instance, has_ended)
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_rpc.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_rpc.py
@@ -91,10 +91,12 @@
     A call that got no answer.
 
     :param was_sent: whether the call may have arrived.
+    :param is_refused: whether the connection was refused, so that no process listens there.
     """
 
     was_sent: bool
     detail: str
+    is_refused: bool = False
 
 
 class RpcServer:
@@ -215,7 +217,7 @@
         error = None if task.cancelled() else task.exception()
         if error is not None and not isinstance(error, CONNECTION_ERRORS):
             raise error
-        return CallFailure(was_sent, repr(error))
+        return CallFailure(was_sent, repr(error), isinstance(error, ConnectionRefusedError))
 
 
 def _cancel_and_ignore(task: "asyncio.Future[Any]") -> None:
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
@@ -47,7 +47,7 @@
 LEADER_STEP_INTERVAL = 0.05
 """Longest time, in seconds, between two steps of a leader; a quarter of the log's heartbeat."""
 
-IDLE_STEP_INTERVAL = 0.1
+IDLE_STEP_INTERVAL = 0.05
 """Longest time, in seconds, between two steps of any other instance."""
 
 logger = logging.getLogger("bulrushhollow.domain")
@@ -98,9 +98,9 @@
         """Queue the input that an incarnation can be reached."""
         self.post(PeerConnected(instance, data_centre))
 
-    def peer_disconnected(self, instance: InstanceId) -> None:
-        """Queue the input that an incarnation can't be reached any more."""
-        self.post(PeerDisconnected(instance))
+    def peer_disconnected(self, instance: InstanceId, has_ended: bool) -> None:
+        """Queue the input that an incarnation can't be reached any more, or has ended."""
+        self.post(PeerDisconnected(instance, has_ended))
 
     def receive_messages(self, source: InstanceId, messages: Iterable[msgspec.Struct]) -> None:
         """Queue messages of the log from another instance."""
