Hold calls while a leader is expected, and move them to it when it appears

Entry instances refused after 0.12 to 0.6 s with a Retry-After of 1 s although a leader appeared meanwhile, and a call at a leader that stood still waited 0.7 s although another one led before.

Change: a call that has not run waits up to 2 s while a leader is expected (4 s after the last answer, or after the start of the process, and a quorum within reach of some instance in the last second). An instance that is cut off refuses after 0.25 s. After 0.15 s without an answer all instances are asked who leads, one search for all calls; a call under way moves to the new leader. Retry-After follows the length of the outage, 1 to 3 s. A search sends probes instead of the calls themselves.

--- a/packages/core/src/bulrushhollow_core/domain/_calls.py
+++ b/packages/core/src/bulrushhollow_core/domain/_calls.py
@@ -129,9 +129,11 @@
     The call has had no effect on this instance, which does not lead.
 
     :param leader: address of the leader; None if unknown.
+    :param reaches_quorum: whether this instance reaches enough others for an election.
     """
 
     leader: str | None
+    reaches_quorum: bool = True
 
 
 class NoSuchQueue(msgspec.Struct, frozen=True, array_like=True, tag="no_queue"):
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_leader.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_leader.py
@@ -33,29 +33,42 @@
 ATTEMPT_TIMEOUT = Seconds(0.7)
 """Seconds for one attempt. A commit takes some 20 ms, ten times that on a slow disk."""
 
-ELECTION_DURATION = Seconds(1.2)
-"""Seconds after the leader's last answer within which a new leader is likely to answer; an election
-takes about as long. After that, a call searches no longer than ``MIN_SEARCH_TIME``."""
+HEDGE_DELAY = Seconds(0.15)
+"""Seconds without an answer after which the other instances are asked whether one of them leads. A
+commit takes longer only on a slow disk."""
 
-MAX_SEARCH_TIME = Seconds(0.6)
-"""Longest time, in seconds, for which a call that was certainly not executed searches for a leader;
-after that, its caller should retry later."""
+EXPECTED_OUTAGE = Seconds(4.0)
+"""Seconds after the leader's last answer, or after the start of this process, within which a new
+leader is expected. A restart of all instances and an election take about half of it."""
 
-MIN_SEARCH_TIME = Seconds(0.12)
-"""Seconds for which a call searches for a leader when an election should be over; enough to ask
-every known instance once more."""
+QUORUM_MEMORY = Seconds(1.0)
+"""Seconds for which an instance that reached a quorum is expected to reach it still. After that,
+this process counts as cut off, and its callers are refused early so that they ask elsewhere."""
 
-RETRY_WINDOW = Seconds(1.4)
+MAX_SEARCH_TIME = Seconds(2.0)
+"""Longest time, in seconds, for which a call that was certainly not executed waits for an expected
+leader. Callers wait three seconds as a rule."""
+
+MIN_SEARCH_TIME = Seconds(0.25)
+"""Seconds for which a call searches for a leader when none is expected; enough to ask every known
+instance."""
+
+RETRY_WINDOW = Seconds(2.0)
 """Seconds for which a call that may have been executed is retried at the next leader before its
-outcome is reported as unknown. An election and the search for its winner take less, and a caller
-that waits three seconds has as long again to ask another instance."""
+outcome is reported as unknown. An election and the search for its winner take less."""
 
-SEARCH_INTERVAL = Seconds(0.1)
+SEARCH_INTERVAL = Seconds(0.05)
 """Seconds between two rounds of the search for a leader."""
 
-RETRY_AFTER = Seconds(1.0)
-"""Seconds after which the caller of a refused call should retry; an election takes about as
-long."""
+SEARCH_TIMEOUT = Seconds(0.25)
+"""Seconds within which an instance must answer whether it leads."""
+
+MIN_RETRY_AFTER = Seconds(1.0)
+"""Seconds after which the caller of a refused call should retry at the earliest; an election takes
+about as long."""
+
+MAX_RETRY_AFTER = Seconds(3.0)
+"""Seconds after which the caller of a refused call should retry at the latest."""
 
 FAILURE_BACKOFF = Seconds(0.6)
 """Seconds for which an instance that did not answer is skipped while other instances can be
@@ -95,8 +108,12 @@
         self._candidates: list[str] = []
         self._probe_answer: Serving | None = None
         self._probe_answered_at = Seconds(-math.inf)
-        self._last_answered_at = Seconds(-math.inf)
-        """Reading of this process's clock when a leader last answered any call."""
+        self._last_answered_at = clock.now()
+        """Reading of this process's clock when a leader last answered any call, or at the start."""
+        self._quorum_reached_at = Seconds(clock.now() + EXPECTED_OUTAGE - QUORUM_MEMORY)
+        """Reading of this process's clock when an instance last reached a quorum. A quorum is
+        expected as long as a leader after the start of this process."""
+        self._is_searching = False
         self._retry_at_by_address: dict[str, Seconds] = {}
         self.address: str | None = None
 
@@ -126,17 +143,17 @@
             answer, or :class:`Refused` if no leader was found.
         """
         started = clock.now()
-        search_until = started + self._search_timeout(started)
         is_outcome_unknown = False
         for address in self._addresses_to_ask():
             now = clock.now()
-            if now >= min(deadline, started + RETRY_WINDOW if is_outcome_unknown else search_until):
+            window = RETRY_WINDOW if is_outcome_unknown else self._search_time(now)
+            if now >= min(deadline, started + window):
                 break
             if address is None:
-                await anyio.sleep(min(SEARCH_INTERVAL, max(0.0, deadline - now)))
+                await self._search_for_leader(deadline)
                 continue
             timeout = Seconds(min(ATTEMPT_TIMEOUT, deadline - now))
-            answer = await self._ask_at(address, call, timeout)
+            answer = await self._ask_unless_replaced(address, call, timeout)
             if isinstance(answer, CallFailure):
                 is_outcome_unknown |= answer.was_sent and not isinstance(call, READ_ONLY_CALLS)
                 self._mark_failed(address, answer.detail)
@@ -149,31 +166,103 @@
                 return self._accept_answer(address, answer, is_outcome_unknown)
         if is_outcome_unknown:
             return OutcomeUnknown()
-        return Refused(RefusalReason.NO_LEADER, RETRY_AFTER)
+        return Refused(RefusalReason.NO_LEADER, self._retry_after(clock.now()))
 
-    def _search_timeout(self, now: Seconds) -> Seconds:
+    def _search_time(self, now: Seconds) -> Seconds:
         """Return the seconds for which a call may search for a leader."""
-        remaining = self._last_answered_at + ELECTION_DURATION - now
-        return Seconds(min(MAX_SEARCH_TIME, max(MIN_SEARCH_TIME, remaining)))
+        is_leader_expected = (
+            now - self._last_answered_at < EXPECTED_OUTAGE
+            and now - self._quorum_reached_at < QUORUM_MEMORY
+        )
+        return MAX_SEARCH_TIME if is_leader_expected else MIN_SEARCH_TIME
+
+    def _retry_after(self, now: Seconds) -> Seconds:
+        """Return when to retry: an outage is expected to last as long again as it has lasted."""
+        outage = now - self._last_answered_at
+        return Seconds(min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, outage)))
 
     def _addresses_to_ask(self) -> Iterator[str | None]:
         """
-        Yield the addresses to ask, without end. The known leader comes first, also when it changes
-        meanwhile; None stands for a pause after all addresses were asked.
+        Yield the addresses to ask, without end: the known leader, also when it changes meanwhile,
+        then once every other instance, then each leader that a search finds. None stands for a
+        search.
         """
-        while True:
-            asked = set()
-            while self.address is not None and self.address not in asked:
+        asked = set()
+        while self.address is not None and self.address not in asked:
+            asked.add(self.address)
+            yield self.address
+        for address in self._eligible_candidates():
+            if self.address is not None and self.address not in asked:
                 asked.add(self.address)
                 yield self.address
-            for address in self._eligible_candidates():
-                if self.address is not None and self.address not in asked:
-                    asked.add(self.address)
-                    yield self.address
-                if address not in asked:
-                    asked.add(address)
-                    yield address
+            if address not in asked:
+                asked.add(address)
+                yield address
+        while True:
             yield None
+            if self.address is not None:
+                yield self.address
+
+    async def _ask_unless_replaced(
+        self, address: str, call: Call, timeout: Seconds
+    ) -> Answer | CallFailure:
+        """Ask an instance, but stop waiting for its answer once another instance leads."""
+        answer: Answer | CallFailure = CallFailure(was_sent=True, detail="another instance leads")
+        async with anyio.create_task_group() as tasks:
+            attempt_ends_at = Seconds(clock.now() + timeout)
+            tasks.start_soon(self._cancel_if_replaced, address, attempt_ends_at, tasks.cancel_scope)
+            answer = await self._ask_at(address, call, timeout)
+            tasks.cancel_scope.cancel()
+        return answer
+
+    async def _cancel_if_replaced(
+        self, address: str, deadline: Seconds, attempt: anyio.CancelScope
+    ) -> None:
+        """Cancel an attempt at an instance that is slow to answer once another instance leads."""
+        await anyio.sleep(HEDGE_DELAY)
+        while self.address in (None, address):
+            await self._search_for_leader(deadline, other_than=address)
+        attempt.cancel()
+
+    async def _search_for_leader(self, deadline: Seconds, other_than: str | None = None) -> None:
+        """
+        Ask all instances at once whether they lead, and wait ``SEARCH_INTERVAL`` if none does. One
+        search serves all calls that wait.
+        """
+        if self._is_searching:
+            await anyio.sleep(_limited(SEARCH_INTERVAL, deadline))
+            return
+        timeout = _limited(SEARCH_TIMEOUT, deadline)
+        self._is_searching = True
+        try:
+            async with anyio.create_task_group() as tasks:
+                for address in self._candidates:
+                    if address != other_than:
+                        tasks.start_soon(
+                            self._ask_whether_leading, address, timeout, tasks.cancel_scope
+                        )
+            if self.address in (None, other_than):
+                await anyio.sleep(_limited(SEARCH_INTERVAL, deadline))
+        finally:
+            self._is_searching = False
+
+    async def _ask_whether_leading(
+        self, address: str, timeout: Seconds, search: anyio.CancelScope
+    ) -> None:
+        """Ask one instance whether it leads, and end the search if it does."""
+        answer = await self._ask_at(address, Probe(), timeout)
+        if isinstance(answer, NotLeader):
+            self._record_follower(answer)
+        elif not isinstance(answer, CallFailure | OutcomeUnknown):
+            self._record_leader(address)
+            search.cancel()
+
+    def _record_follower(self, answer: NotLeader) -> None:
+        """Record what an instance that does not lead knows of the others."""
+        if answer.reaches_quorum:
+            self._quorum_reached_at = max(self._quorum_reached_at, clock.now())
+        if answer.leader is not None:
+            self.add_candidates((answer.leader,))
 
     def _eligible_candidates(self) -> list[str]:
         """Return the candidates that have not failed lately, or all if every one has."""
@@ -198,18 +287,21 @@
         Record the leader that answered, and return its answer. A refusal does not show that an
         earlier attempt without an answer was not executed, so that outcome stays unknown.
         """
+        self._record_leader(address)
+        is_refusal = isinstance(answer, REFUSAL_ANSWERS)
+        return OutcomeUnknown() if is_outcome_unknown and is_refusal else answer
+
+    def _record_leader(self, address: str) -> None:
         if self.address != address:
             logger.info("leader_found", extra={"leader": address})
         self.address = address
-        self._last_answered_at = clock.now()
+        self._last_answered_at = self._quorum_reached_at = clock.now()
         self.add_candidates((address,))
-        is_refusal = isinstance(answer, REFUSAL_ANSWERS)
-        return OutcomeUnknown() if is_outcome_unknown and is_refusal else answer
 
     def _follow_redirect(self, address: str, answer: NotLeader) -> None:
+        self._record_follower(answer)
         leader = answer.leader
         if leader is not None and leader != address and not self._is_backing_off(leader):
-            self.add_candidates((leader,))
             self.address = leader
         elif self.address == address:
             self.address = None
@@ -219,3 +311,8 @@
         if self.address == address:
             logger.info("leader_lost", extra={"leader": address, "reason": detail})
             self.address = None
+
+
+def _limited(duration: Seconds, deadline: Seconds) -> Seconds:
+    """Return a duration, shortened so that it ends at a deadline."""
+    return Seconds(max(0.0, min(duration, deadline - clock.now())))
--- a/tests/domain_entry.py
+++ b/tests/domain_entry.py
@@ -84,6 +84,7 @@
             messages.append(message)
 
         async def sleep(seconds: float) -> None:
+            await asyncio.sleep(0)  # a task that is cancelled by now does not sleep
             self.world.run(seconds)
 
         scope = {
