Place nothing new on workers that are probably out of reach

Three starts of 0.5 s each went unanswered, then the gang was broken and its task blocked until the lease had run out: 5 to 13 s for jobs of 2 s. One worker that had left a start unanswered got two more jobs before the third attempt had failed.

Change (correlated failures): a data centre counts as silent once four heartbeats at the rate of all its workers are missing, at least 0.4 s; a worker gets no new work 1.3 heartbeat intervals after its last contact, or once it has left a start unanswered, and is polled at once. Running work is not touched by this.

Ruled out: looks at idle workers; heartbeats give the same at no cost.

--- a/packages/core/src/bulrushhollow_core/domain/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/_answers.py
@@ -102,7 +102,6 @@
                 self._dispatcher.send_start(worker, run, now)
             case OrderResult.NO_ANSWER:
                 self._record_unanswered_start(worker, run, answer.result, now)
-                worker.silent_since = worker.silent_since or now
                 self._dispatcher.stop(worker, run, now)
             case _:
                 self._handle_refused_start(worker, run, answer.result, now)
@@ -110,9 +109,15 @@
     def _record_unanswered_start(
         self, worker: Worker, run: Run, result: OrderResult, now: Seconds
     ) -> None:
-        """Record a start without an answer; it may still be carried out, even in a later life."""
+        """
+        Record a start without an answer; it may still be carried out, even in a later life. The
+        worker gets no more work until it answers, and is polled to see whether it does.
+        """
         if result is OrderResult.NO_ANSWER:
             worker.unanswered_starts[RunRef(run.task, run.number)] = now
+            worker.silent_since = worker.silent_since or now
+            worker.poll_due = min(worker.poll_due, now)
+            self._dispatcher.poll(worker, now)
 
     def _handle_refused_start(
         self, worker: Worker, run: Run, result: OrderResult, now: Seconds
--- a/packages/core/src/bulrushhollow_core/domain/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/_fleet.py
@@ -21,9 +21,6 @@
 LEASE_MARGIN = Seconds(0.25)
 """Seconds added to the computed end of a lease, for rounded clocks and late timers."""
 
-MAX_MISSED_HEARTBEATS = 2.5
-"""Heartbeat intervals without contact after which a worker gets no new work."""
-
 FAILURES_TO_QUARANTINE = 2
 """Different jobs that must fail on a worker, with no success in between, before it is quarantined.
 A single failure may be the job's own fault."""
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -20,12 +20,7 @@
 from bulrushhollow_core.domain._demands import Demand, Victim
 from bulrushhollow_core.domain._dispatch import OrderDispatcher
 from bulrushhollow_core.domain._events import Event, log_event
-from bulrushhollow_core.domain._fleet import (
-    MAX_MISSED_HEARTBEATS,
-    Run,
-    RunPhase,
-    Worker,
-)
+from bulrushhollow_core.domain._fleet import Run, RunPhase, Worker
 from bulrushhollow_core.domain._hosts import ExpectedEnd, Host
 from bulrushhollow_core.domain._jobs import (
     Job,
@@ -47,6 +42,7 @@
     priority_of,
     waiting_steps,
 )
+from bulrushhollow_core.domain._reachability import Reachability
 from bulrushhollow_core.domain._scheduler_state import SchedulerState
 from bulrushhollow_core.ids import JobId, RackId, Seconds
 
@@ -241,7 +237,11 @@
 
     def _usable_hosts(self, now: Seconds) -> list[Host]:
         """Return the workers that may get new work."""
-        max_silence = MAX_MISSED_HEARTBEATS * self._shared.settings.heartbeat_interval
+        reachability = Reachability(
+            self._shared.fleet.workers_by_life.values(),
+            self._shared.settings.heartbeat_interval,
+            now,
+        )
         return [
             self._build_host(worker, worker.announcement, now)
             for worker in self._shared.fleet.workers_by_life.values()
@@ -251,8 +251,7 @@
             and worker.life not in self._shared.departed_lives
             and worker.announcement.data_centre not in self._shared.state.evacuated_data_centres
             and worker.has_clock
-            and worker.silent_since is None
-            and now - worker.last_contact_at < max_silence
+            and reachability.is_likely(worker)
             and now >= worker.backoff_until
             and now >= worker.quarantined_until
         ]
