Remember in the log which workers have left

A worker that deregistered was known as gone to the leader alone. The next leader, or the same instance after a restart, took it as usable again when one of its announcements arrived late. A deregistration is now committed like a draining, and a life that drained or left stays remembered after it was forgotten (the latest 4,096). A worker that was only silent for long may return.

--- a/packages/core/src/bulrushhollow_core/domain/_call_handler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_call_handler.py
@@ -132,9 +132,11 @@
                     if call.born is None
                     else WorkerLife(call.worker, call.born)
                 )
-                if life is not None:
-                    scheduler.deregister(life, now)
-                return ImmediateAnswer(self._done)
+                if life is None:
+                    return ImmediateAnswer(self._done)
+                scheduler.deregister(life, now)
+                # Recorded, so that the next leader does not use the worker either.
+                return DeferredAnswer(DrainWorker(life), self._done)
             case Probe():
                 configuration = state.configuration
                 limits = configuration.limits if configuration else None
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
@@ -61,7 +61,7 @@
         """Runs whose start is proposed to the log and not yet committed."""
         self.excluded_workers_by_step: dict[StepRef, set[WorkerLife]] = {}
         """Workers on which a task of the step failed, stalled or was too slow."""
-        self.departed_lives: set[WorkerLife] = set()
+        self.departed_lives: set[WorkerLife] = set(state.departed_workers)
         """Lives that have left or are known to be over."""
         self.straggler_detector = StragglerDetector()
         self.headroom = Headroom(settings.stop_timeout)
--- a/packages/core/src/bulrushhollow_core/domain/_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_state.py
@@ -43,6 +43,10 @@
 )
 from bulrushhollow_core.ids import DataCentreId, JobId
 
+MAX_DEPARTED_WORKERS = 4096
+"""Lives of departed workers that are remembered, so that a late announcement brings none of them
+back. Announcements are late by seconds, in which far fewer workers leave."""
+
 ENDED_JOB_RETENTION = 900.0
 """Seconds for which an ended job is kept; several times as long as callers may ask for it."""
 
@@ -56,6 +60,7 @@
     draining_workers: list[WorkerLife]
     accepted_count: int
     announcements: list[WorkerNews] = []
+    departed_workers: list[WorkerLife] = []
 
 
 class DomainState:
@@ -79,6 +84,8 @@
         self.draining_workers: set[WorkerLife] = set()
         self.announcements_by_life: dict[WorkerLife, WorkerNews] = {}
         """The last recorded announcement of each worker."""
+        self.departed_workers: dict[WorkerLife, None] = {}
+        """Lives that drained or left and were forgotten, the oldest first."""
         self._accepted_count = 0
 
     @property
@@ -274,6 +281,8 @@
     # Workers.
 
     def _register_worker(self, announcement: WorkerNews) -> None:
+        if announcement.life in self.departed_workers:
+            return
         lives = [life for life in self.announcements_by_life if life.id == announcement.life.id]
         if any(life.born > announcement.life.born for life in lives):
             return
@@ -284,7 +293,11 @@
 
     def _forget_worker(self, worker: WorkerLife) -> None:
         self.announcements_by_life.pop(worker, None)
-        self.draining_workers.discard(worker)
+        if worker in self.draining_workers:
+            self.draining_workers.discard(worker)
+            self.departed_workers[worker] = None
+            if len(self.departed_workers) > MAX_DEPARTED_WORKERS:
+                del self.departed_workers[next(iter(self.departed_workers))]
 
     # Snapshots.
 
@@ -300,6 +313,7 @@
                 ),
                 accepted_count=self._accepted_count,
                 announcements=list(self.announcements_by_life.values()),
+                departed_workers=list(self.departed_workers),
             )
         )
 
@@ -320,6 +334,7 @@
         state.announcements_by_life = {
             announcement.life: announcement for announcement in snapshot.announcements
         }
+        state.departed_workers = dict.fromkeys(snapshot.departed_workers)
         return state
 
 
