Do not take a long run for stalled while it works on one percent

Progress is reported in whole percent, and any run without a new percent for 3 s was stopped and its worker quarantined: every task longer than five minutes. The timeout now is a twentieth of the estimate, at least 3 s, and 60 s without an estimate. The test failed before.

--- a/packages/core/src/bulrushhollow_core/domain/_watch.py
+++ b/packages/core/src/bulrushhollow_core/domain/_watch.py
@@ -10,6 +10,7 @@
 from bulrushhollow_core.domain._answers import POLL_RETRY_INTERVAL
 from bulrushhollow_core.domain._dispatch import OrderDispatcher
 from bulrushhollow_core.domain._fleet import (
+    UNKNOWN_DURATION,
     Run,
     RunPhase,
     Worker,
@@ -22,9 +23,16 @@
 MAX_REPORT_AGE = Seconds(1.6)
 """Seconds for which a worker's list of runs counts as current; the limit of one poll."""
 
-STALL_TIMEOUT = Seconds(3.0)
-"""Seconds without progress after which a run is stopped. Longer than two polls and a restore, and
-as long as a member of a gang waits for the others."""
+MIN_STALL_TIMEOUT = Seconds(3.0)
+"""Seconds without progress after which a short run is stopped. Longer than two polls and a restore,
+and as long as a member of a gang waits for the others."""
+
+STALL_SHARE = 0.05
+"""Share of its duration for which a long run may show no progress. Progress is reported in whole
+percent, and estimates of durations are off by half and more."""
+
+UNKNOWN_STALL_TIMEOUT = Seconds(60.0)
+"""Seconds without progress after which a run without an estimate is stopped."""
 
 DEPARTURE_GRACE = Seconds(1.5)
 """Seconds that a leaving worker is expected to stay beyond what it announced. A run without
@@ -87,7 +95,7 @@
             or self._shared.is_long_running(run)
         ):
             return
-        elif now - run.progress_at > STALL_TIMEOUT:
+        elif now - run.progress_at > _stall_timeout(run):
             self._loss_handler.stop_and_quarantine(worker, run, "a run stands still", now)
 
     def _has_current_report(self, worker: Worker, now: Seconds) -> bool:
@@ -113,3 +121,10 @@
         if step.is_checkpointable:
             return time_left < self._shared.settings.stop_timeout + POLL_RETRY_INTERVAL
         return remaining > max(0.0, time_left) + DEPARTURE_GRACE
+
+
+def _stall_timeout(run: Run) -> Seconds:
+    """Return the seconds without progress after which a run counts as stalled."""
+    if run.duration == UNKNOWN_DURATION:
+        return UNKNOWN_STALL_TIMEOUT
+    return Seconds(max(MIN_STALL_TIMEOUT, STALL_SHARE * run.duration))
--- a/tests/test_domain_scheduler.py
+++ b/tests/test_domain_scheduler.py
@@ -274,6 +274,14 @@
     def test_a_stalled_run_is_stopped(self) -> None:
         self.assertTrue(self.stopped_at(40, SINGLE_TASK))
 
+    def test_a_long_run_that_takes_longer_for_a_percent_is_not_stalled(self) -> None:
+        # Hours take more than a minute for each percent; such runs were stopped after 3 s.
+        step = SINGLE_TASK.steps[0]
+        hour = Work("spec", (msgspec.structs.replace(step, estimate=Seconds(3600.0)),))
+        self.assertEqual([], self.stopped_at(40, hour))
+        unknown = Work("spec", (msgspec.structs.replace(step, estimate=Seconds(0.0)),))
+        self.assertEqual([], self.stopped_at(40, unknown))
+
     def test_a_gang_member_that_waits_for_its_gang_is_not_stalled(self) -> None:
         # Such a member was stopped as stalled: its whole gang lost its work, and healthy workers
         # were quarantined.
