Withhold orders once the lease has ended, and survive an unexpected error of a call

A leader whose disk stalled between a decision and its orders sent them without looking at its lease again; they are now recorded as unanswered. An error that grpclib raised and nobody expected left the task group of the peers and ended the process; it is a failed call and a log line now.

--- a/bench/domain_site.py
+++ b/bench/domain_site.py
@@ -46,9 +46,10 @@
     TaskRef,
     WallTime,
     Workspace,
+    no_answer_to,
 )
 from bulrushhollow_core.ids import InstanceId, JobId, Seconds, Version, WorkspaceId
-from standins.domain_workers import LiveRun, Worker, WorkerPool, no_answer_to
+from standins.domain_workers import LiveRun, Worker, WorkerPool
 from standins.virtual_time import VirtualTime
 
 TICK_INTERVAL = 0.05
--- a/packages/core/src/bulrushhollow_core/domain/__init__.py
+++ b/packages/core/src/bulrushhollow_core/domain/__init__.py
@@ -84,6 +84,7 @@
     PollAnswered,
     StartAnswered,
     StopAnswered,
+    no_answer_to,
 )
 from bulrushhollow_core.domain._settings import DomainSettings
 
@@ -160,4 +161,5 @@
     "Workspace",
     "find_invalidity",
     "log_event",
+    "no_answer_to",
 ]
--- a/packages/core/src/bulrushhollow_core/domain/_orders.py
+++ b/packages/core/src/bulrushhollow_core/domain/_orders.py
@@ -182,4 +182,18 @@
     valid_for: Seconds = Seconds(0.0)
 
 
+def no_answer_to(
+    order: OrderStart | OrderStop | Poll,
+) -> StartAnswered | StopAnswered | PollAnswered:
+    """Return the answer that a leader records for an order that got none."""
+    result = OrderResult.NO_ANSWER
+    match order:
+        case OrderStart():
+            return StartAnswered(order.life, order.task, order.run, result, None)
+        case OrderStop():
+            return StopAnswered(order.life, order.task, order.run, result, None)
+        case Poll():
+            return PollAnswered(order.life, result)
+
+
 OrderAnswer = StartAnswered | StopAnswered | PollAnswered | AdviceAnswered
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_rpc.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_rpc.py
@@ -216,7 +216,7 @@
             return CallFailure(was_sent, "no answer in time")
         error = None if task.cancelled() else task.exception()
         if error is not None and not isinstance(error, CONNECTION_ERRORS):
-            raise error
+            logger.error("call_failed_unexpectedly", exc_info=error)
         return CallFailure(was_sent, repr(error), isinstance(error, ConnectionRefusedError))
 
 
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
@@ -35,6 +35,7 @@
     Reply,
     StopRequested,
     WallTime,
+    no_answer_to,
 )
 from bulrushhollow_core.ids import InstanceId
 from bulrushhollow_daemon import clock
@@ -152,8 +153,22 @@
         actions = self.node.step(batch, clock.now(), WallTime(time.time()))
         self._metrics.observe_step(time.thread_time() - started)
         self._sync_records(actions)
+        may_order = self.node.is_leading(clock.now())
         for action in actions:
-            self._execute(action)
+            if isinstance(action, OrderStart | OrderStop | Poll) and not may_order:
+                self._withhold(action)
+            else:
+                self._execute(action)
+
+    def _withhold(self, order: OrderStart | OrderStop | Poll) -> None:
+        """
+        Record an order as unanswered instead of sending it: the leader lease ended while the
+        records of its step were synced, so another instance may lead.
+        """
+        logger.warning(
+            "order_withheld", extra={"kind": type(order).__name__, "worker": order.life.id}
+        )
+        self.post(no_answer_to(order))
 
     def _sync_records(self, actions: Iterable[msgspec.Struct]) -> None:
         """Write all records of a step to the journal and sync them to disk."""
--- a/packages/daemon/src/bulrushhollow_daemon/http_server.py
+++ b/packages/daemon/src/bulrushhollow_daemon/http_server.py
@@ -10,12 +10,16 @@
 import itertools
 import socket
 from collections.abc import Iterator
+from typing import TYPE_CHECKING
 
 import uvicorn
 
-from bulrushhollow_daemon.api import Api
 from bulrushhollow_daemon.settings import Address, Limits
 
+if TYPE_CHECKING:
+    # The instances of a domain have no such API; without it they start in half of the time.
+    from bulrushhollow_daemon.api import Api
+
 MAX_HEADER_BYTES = 16 * 1024
 """Largest request line and headers of an HTTP request, in bytes."""
 
@@ -71,7 +75,7 @@
             yield connection
 
 
-def make_server(api: Api, limits: Limits) -> HttpServer:
+def make_server(api: "Api", limits: Limits) -> HttpServer:
     """Return a server for the API; run its ``serve`` with a listening socket."""
     config = uvicorn.Config(
         api,
--- a/standins/domain_workers.py
+++ b/standins/domain_workers.py
@@ -46,20 +46,6 @@
 """Seconds of work between two checkpoints."""
 
 
-def no_answer_to(
-    order: OrderStart | OrderStop | Poll,
-) -> StartAnswered | StopAnswered | PollAnswered:
-    """Return the answer that a leader records for an order that timed out."""
-    result = OrderResult.NO_ANSWER
-    match order:
-        case OrderStart():
-            return StartAnswered(order.life, order.task, order.run, result, None)
-        case OrderStop():
-            return StopAnswered(order.life, order.task, order.run, result, None)
-        case Poll():
-            return PollAnswered(order.life, result)
-
-
 class WorkerObserver(Protocol):
     """Receives the events of workers."""
 
--- a/tests/domain_world.py
+++ b/tests/domain_world.py
@@ -50,11 +50,12 @@
     WallTime,
     Work,
     WorkerLife,
+    no_answer_to,
 )
 from bulrushhollow_core.ids import InstanceId, JobId, Seconds, name_of
 from standins.domain_oracle import Oracle
 from standins.domain_site import HOST, KEY
-from standins.domain_workers import LONGEST_LEASE, Worker, WorkerPool, no_answer_to
+from standins.domain_workers import LONGEST_LEASE, Worker, WorkerPool
 from standins.virtual_time import VirtualTime
 
 TICK_INTERVAL = 0.05
--- a/tests/test_domain_rpc.py
+++ b/tests/test_domain_rpc.py
@@ -7,11 +7,15 @@
 
 import asyncio
 import gc
+import logging
+import random
 import socket
 import unittest
+from unittest import mock
 
 from bulrushhollow_core.domain import Probe
 from bulrushhollow_core.ids import Seconds
+from bulrushhollow_daemon.domain import _rpc
 from bulrushhollow_daemon.domain._rpc import CallFailure, RpcClient
 
 
@@ -42,3 +46,31 @@
         server.close()
         client.close()
         self.assertEqual([], [error["message"] for error in errors])
+
+
+class MalformedAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_unexpected_error_of_a_call_does_not_end_the_process(self) -> None:
+        # The error left the task group of the peers and ended the process.
+        client = RpcClient("127.0.0.1", 9)
+        for error in (ValueError("malformed"), RuntimeError("closed"), KeyError("stream")):
+            with (
+                mock.patch.object(_rpc._CallAttempt, "run", side_effect=error),
+                self.assertLogs("bulrushhollow_daemon.domain._rpc", logging.ERROR),
+            ):
+                self.assertIsInstance(await client.ask(Probe(), Seconds(0.5)), CallFailure)
+
+    async def test_a_peer_that_answers_with_noise_is_a_failed_call(self) -> None:
+        noise = random.Random(7)
+
+        class NoisyServer(asyncio.Protocol):
+            def connection_made(self, transport: asyncio.BaseTransport) -> None:
+                assert isinstance(transport, asyncio.Transport)
+                transport.write(noise.randbytes(200))
+
+        sock = socket.create_server(("127.0.0.1", 0))
+        server = await asyncio.get_running_loop().create_server(NoisyServer, sock=sock)
+        client = RpcClient("127.0.0.1", sock.getsockname()[1])
+        for _ in range(20):
+            self.assertIsInstance(await client.ask(Probe(), Seconds(0.1)), CallFailure)
+        client.close()
+        server.close()
--- /dev/null
+++ b/tests/test_domain_runtime.py
@@ -0,0 +1,54 @@
+"""The loop round a node: a leader whose disk stalls sends no orders once its lease has ended."""
+
+import unittest
+from unittest import mock
+
+from bulrushhollow_core.actions import Persist
+from bulrushhollow_core.domain import (
+    OrderResult,
+    OrderStart,
+    Poll,
+    PollAnswered,
+    StartAnswered,
+    TaskRef,
+    WorkerLife,
+)
+from bulrushhollow_core.domain._jobs import Occurrence, RunNumber
+from bulrushhollow_core.ids import JobId, Seconds, Term, WorkerId
+from bulrushhollow_daemon.domain._runtime import CoreRuntime
+
+LIFE = WorkerLife(WorkerId("w"), 1)
+TASK = TaskRef(JobId("j"), Occurrence(0), 0, 0)
+START = OrderStart(LIFE, "w:1", TASK, RunNumber(1), "spec", Seconds(9.0), Term(3), "")
+POLL = Poll(LIFE, "w:1", Term(3), 0, Seconds(9.0), Seconds(1.0))
+
+
+class StallingDiskTest(unittest.TestCase):
+    def step(self, leads_after_sync: bool) -> tuple[list[object], list[object]]:
+        """Return the orders sent and the inputs queued by a step whose sync takes long."""
+        node = mock.Mock()
+        node.step.return_value = [Persist(mock.Mock()), START, POLL]
+        synced: list[bool] = []
+        node.is_leading.side_effect = lambda now: leads_after_sync or not synced
+        runtime = CoreRuntime(node, mock.Mock(), mock.Mock(), mock.Mock())
+        runtime._peers = mock.Mock()
+        runtime._tasks = mock.Mock()
+        with mock.patch.object(runtime, "_sync_records", lambda actions: synced.append(True)):
+            runtime._step()
+        orders = [call.args[1] for call in runtime._tasks.start_soon.call_args_list]
+        return orders, runtime._pending_inputs
+
+    def test_orders_leave_while_the_lease_lasts(self) -> None:
+        self.assertEqual(([START, POLL], []), self.step(leads_after_sync=True))
+
+    def test_orders_are_withheld_once_the_lease_has_ended(self) -> None:
+        with self.assertLogs("bulrushhollow.domain", "WARNING") as logs:
+            orders, inputs = self.step(leads_after_sync=False)
+        self.assertEqual([], orders)
+        start_answer = StartAnswered(LIFE, TASK, RunNumber(1), OrderResult.NO_ANSWER, None)
+        self.assertEqual([start_answer, PollAnswered(LIFE, OrderResult.NO_ANSWER)], inputs)
+        self.assertEqual(2, len(logs.records))
+
+
+if __name__ == "__main__":
+    unittest.main()
