Expect heartbeats only of workers that were heard, and log silent data centres

Cause: all known workers of a data centre counted for the rate at which it should be heard, also crashed ones. If five of six had crashed, the sixth got no new work for a third of the time between its heartbeats. A change of the set of silent data centres is logged.

--- a/packages/core/src/bulrushhollow_core/domain/_events.py
+++ b/packages/core/src/bulrushhollow_core/domain/_events.py
@@ -29,6 +29,8 @@
     WORKER_HEARD = "worker_heard"
     WORKER_LOST = "worker_lost"
     WORKER_QUARANTINED = "worker_quarantined"
+    REACHABILITY_CHANGED = "reachability_changed"
+    """Other data centres than before are silent and get no new work."""
     CONFIGURATION_ACCEPTED = "configuration_accepted"
     CONFIGURATION_REFUSED = "configuration_refused"
     EVACUATION_CHANGED = "evacuation_changed"
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -44,7 +44,7 @@
 )
 from bulrushhollow_core.domain._reachability import Reachability
 from bulrushhollow_core.domain._scheduler_state import SchedulerState
-from bulrushhollow_core.ids import JobId, RackId, Seconds
+from bulrushhollow_core.ids import DataCentreId, JobId, RackId, Seconds
 
 MAX_PLAN_INTERVAL = Seconds(0.25)
 """Seconds after which a plan is made even if nothing has happened."""
@@ -67,6 +67,7 @@
         self._waiting_since_by_step: dict[StepRef, Seconds] = {}
         self._claims = ClaimRegister(shared.settings.stop_timeout)
         self._capacity_log_due = Seconds(-math.inf)
+        self._silent_data_centres: frozenset[DataCentreId] = frozenset()
 
     def plan(self, now: Seconds, wall: WallTime) -> bool:
         """
@@ -242,6 +243,7 @@
             self._shared.settings.heartbeat_interval,
             now,
         )
+        self._log_reachability(reachability)
         return [
             self._build_host(worker, worker.announcement, now)
             for worker in self._shared.fleet.workers_by_life.values()
@@ -396,6 +398,17 @@
             )
         )
 
+    def _log_reachability(self, reachability: Reachability) -> None:
+        """Log which data centres are silent if these are others than before."""
+        if reachability.silent_data_centres == self._silent_data_centres:
+            return
+        self._silent_data_centres = reachability.silent_data_centres
+        self._shared.outbox.append(
+            log_event(
+                Event.REACHABILITY_CHANGED, silent=",".join(sorted(self._silent_data_centres))
+            )
+        )
+
     def _log_expired_claim(self, demand: Demand, planner: Planner, now: Seconds) -> None:
         self._shared.outbox.append(
             log_event(
--- a/packages/core/src/bulrushhollow_core/domain/_reachability.py
+++ b/packages/core/src/bulrushhollow_core/domain/_reachability.py
@@ -7,7 +7,7 @@
 before each one of them has missed a heartbeat.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from bulrushhollow_core.domain._fleet import Worker
 from bulrushhollow_core.ids import DataCentreId, Seconds
@@ -24,17 +24,14 @@
 instance is slow."""
 
 
-class _Contacts:
-    """How many workers a data centre has, and when one of them was last heard."""
-
-    def __init__(self) -> None:
-        self.worker_count = 0
-        self.last_at = Seconds(0.0)
-
-    def is_silent(self, heartbeat_interval: Seconds, now: Seconds) -> bool:
-        """Return whether heartbeats of the data centre are missing."""
-        usual_gap = heartbeat_interval / self.worker_count
-        return now - self.last_at > max(MIN_SILENCE, SILENT_HEARTBEATS * usual_gap)
+def _is_silent(contact_times: Sequence[Seconds], heartbeat_interval: Seconds, now: Seconds) -> bool:
+    """Return whether heartbeats of the workers of a data centre are missing, by their contacts."""
+    last_at = max(contact_times)
+    counted_from = last_at - MAX_HEARTBEAT_LATENESS * heartbeat_interval
+    # Workers that had fallen silent before, such as crashed ones, are not expected to be heard.
+    heard_workers = sum(at >= counted_from for at in contact_times)
+    usual_gap = heartbeat_interval / heard_workers
+    return now - last_at > max(MIN_SILENCE, SILENT_HEARTBEATS * usual_gap)
 
 
 class Reachability:
@@ -54,18 +51,17 @@
     ) -> None:
         """Find the data centres that are silent now."""
         self._heard_since = Seconds(now - MAX_HEARTBEAT_LATENESS * heartbeat_interval)
-        contacts_by_data_centre: dict[DataCentreId, _Contacts] = {}
+        contact_times_by_data_centre: dict[DataCentreId, list[Seconds]] = {}
         for worker in workers:
             if worker.announcement is not None:
-                contacts = contacts_by_data_centre.setdefault(
-                    worker.announcement.data_centre, _Contacts()
+                data_centre = worker.announcement.data_centre
+                contact_times_by_data_centre.setdefault(data_centre, []).append(
+                    worker.last_contact_at
                 )
-                contacts.worker_count += 1
-                contacts.last_at = max(contacts.last_at, worker.last_contact_at)
         self.silent_data_centres = frozenset(
             data_centre
-            for data_centre, contacts in contacts_by_data_centre.items()
-            if contacts.is_silent(heartbeat_interval, now)
+            for data_centre, contact_times in contact_times_by_data_centre.items()
+            if _is_silent(contact_times, heartbeat_interval, now)
         )
 
     def is_likely(self, worker: Worker) -> bool:
--- a/tests/test_domain_reachability.py
+++ b/tests/test_domain_reachability.py
@@ -127,6 +127,17 @@
         self.assertEqual(11, len(site.starts))
         self.assertNotIn("a0", {start.life.id for start in site.starts})
 
+    def test_the_last_worker_of_a_data_centre_is_used_between_its_heartbeats(self) -> None:
+        site = TwoDataCentres()
+        site.cut_off = {"b"}
+        for number in range(1, WORKERS_PER_DATA_CENTRE):
+            del site.heartbeat_due_by_name[f"a{number}"]
+        site.run(4.0)
+        for number in range(8):
+            site.submit(f"j{number}", tasks=1, accelerators=1)
+            site.run(0.2)
+            self.assertEqual(number + 1, len(site.starts))
+
     def test_a_worker_that_leaves_a_start_unanswered_gets_no_more_work(self) -> None:
         site = TwoDataCentres()
         site.submit("first", tasks=1, accelerators=1)
