--- a/tests/test_domain_departures.py
+++ b/tests/test_domain_departures.py
@@ -1,16 +1,25 @@
-"""Workers that have left: the next leader does not use them again, whatever arrives late."""
+"""Workers that have left, and keys that were withdrawn: the next leader does not use them again."""
 
 import unittest
 
+import msgspec
+
 from bulrushhollow_core.domain._announcements import Availability
 from bulrushhollow_core.domain._call_handler import CallHandler, DeferredAnswer
-from bulrushhollow_core.domain._calls import Deregister
-from bulrushhollow_core.domain._commands import Command, ForgetWorker, StartRuns
+from bulrushhollow_core.domain._calls import Deregister, Done, NotAllowed, Submit
+from bulrushhollow_core.domain._commands import (
+    Command,
+    ForgetWorker,
+    PutConfiguration,
+    StartRuns,
+)
+from bulrushhollow_core.domain._configuration import Workspace
 from bulrushhollow_core.domain._jobs import WorkerLife
 from bulrushhollow_core.domain._scheduler import Scheduler
 from bulrushhollow_core.domain._settings import DomainSettings
 from bulrushhollow_core.domain._state import DomainState
-from bulrushhollow_core.ids import Term, WorkerId
+from bulrushhollow_core.ids import Seconds, Term, WorkerId, WorkspaceId
+from standins.domain_site import HOST, KEY, configuration
 from tests.test_domain_scheduler import SINGLE_TASK, WALL, SchedulerHarness, announcement
 
 LIFE = WorkerLife(WorkerId("w"), 1)
@@ -76,5 +85,27 @@
         self.assertEqual(2, start.starts[0].worker.born)
 
 
+class WithdrawnKeyTest(unittest.TestCase):
+    def submit(self, state: DomainState) -> object:
+        handler = CallHandler(DomainSettings(), "10.0.0.1")
+        scheduler = Scheduler(state, Term(4), DomainSettings(), Seconds(10.0))
+        call = Submit(HOST, "/usual/" + "a" * 16, KEY, SINGLE_TASK)
+        result = handler.handle(call, state, scheduler, Seconds(10.0), WALL)
+        return result.answer
+
+    def test_a_withdrawn_key_stays_withdrawn_after_a_restart_and_a_late_older_version(self) -> None:
+        state = DomainState()
+        state.apply(PutConfiguration(configuration(1)))
+        self.assertIsInstance(self.submit(state), Done)
+        withdrawn = msgspec.structs.replace(
+            configuration(2), workspaces=(Workspace(WorkspaceId("team"), (), 16),)
+        )
+        state.apply(PutConfiguration(withdrawn))
+        state = DomainState.decode(state.encode())
+        self.assertIsInstance(self.submit(state), NotAllowed)
+        state.apply(PutConfiguration(configuration(1)))
+        self.assertIsInstance(self.submit(state), NotAllowed)
+
+
 if __name__ == "__main__":
     unittest.main()
