--- a/packages/core/src/bulrushhollow_core/domain/_evictions.py
+++ b/packages/core/src/bulrushhollow_core/domain/_evictions.py
@@ -16,6 +16,26 @@
 from bulrushhollow_core.domain._jobs import NO_RESOURCES, Resources, WorkerLife
 
 
+class EvictionCost(NamedTuple):
+    """
+    What an eviction costs; compared in the order of the fields.
+
+    :param stops_urgent: whether it stops urgent work, which will probably be late then.
+    :param lost_work: core-seconds of work that it discards.
+    """
+
+    stops_urgent: bool
+    lost_work: float
+
+
+def cost_of(victims: Sequence[Victim]) -> EvictionCost:
+    """Return what the eviction of some victims costs."""
+    return EvictionCost(
+        any(victim.urgency == 0 for victim in victims),
+        sum(victim.lost_work for victim in victims),
+    )
+
+
 class VictimIndex:
     """
     The victims that demands of equal rank may evict, by worker.
@@ -27,7 +47,7 @@
         """Index the victims by worker."""
         self._victims_by_life: dict[WorkerLife, list[Victim]] = {}
         self._reclaimable_by_life: dict[WorkerLife, Resources] = {}
-        for victim in sorted(victims, key=lambda candidate: candidate.lost_work):
+        for victim in sorted(victims, key=lambda victim: cost_of([victim])):
             for life, freed in victim.freed_by_life.items():
                 self._victims_by_life.setdefault(life, []).append(victim)
                 self._reclaimable_by_life[life] = self._reclaimable_by_life.get(
@@ -44,9 +64,9 @@
 
 
 class EvictionCandidate(NamedTuple):
-    """The cheapest victims that free one more slot on a worker, and the work that this discards."""
+    """The cheapest victims that free one more slot on a worker, and what this costs."""
 
-    lost_work: float
+    cost: EvictionCost
     victims: list[Victim]
 
 
@@ -76,7 +96,7 @@
         self._chosen: list[Victim] = []
         self._versions_by_life = dict.fromkeys(self._free_by_life, 0)
         self._tie_breakers = itertools.count()
-        self._candidates: list[tuple[float, int, WorkerLife, int, EvictionCandidate]] = []
+        self._candidates: list[tuple[EvictionCost, int, WorkerLife, int, EvictionCandidate]] = []
 
     def find(self) -> list[Victim] | None:
         """Return the victims, or None if no permitted eviction frees enough slots."""
@@ -91,7 +111,7 @@
             _, _, life, version, candidate = heapq.heappop(self._candidates)
             if version != self._versions_by_life[life]:
                 continue
-            lost_work += candidate.lost_work
+            lost_work += candidate.cost.lost_work
             if lost_work > self._max_lost_work:
                 return None
             for victim in candidate.victims:
@@ -129,7 +149,7 @@
             version = self._versions_by_life[life]
             heapq.heappush(
                 self._candidates,
-                (candidate.lost_work, next(self._tie_breakers), life, version, candidate),
+                (candidate.cost, next(self._tie_breakers), life, version, candidate),
             )
 
     def _next_candidate(self, life: WorkerLife) -> EvictionCandidate | None:
@@ -149,7 +169,7 @@
             free = free.plus(victim.freed_by_life[life])
             if self._slots_on(life, free) > current_slots:
                 needed = self._drop_unneeded(life, picked, free, current_slots)
-                return EvictionCandidate(sum(chosen.lost_work for chosen in needed), needed)
+                return EvictionCandidate(cost_of(needed), needed)
         return None
 
     def _drop_unneeded(
--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -440,8 +440,8 @@
         return True
 
     def _victim_index_for(self, demand: Demand) -> VictimIndex:
-        """Return the victims for demands with the urgency and guarantee of this one."""
-        rank = (demand.urgency, demand.is_guaranteed)
+        """Return the victims for demands that may evict the same runs as this one."""
+        rank = (demand.urgency, demand.is_reclaiming)
         if rank not in self._victim_indexes_by_rank:
             if self._victims is None:
                 self._victims = self._find_victims()
@@ -464,12 +464,13 @@
 def _may_evict(demand: Demand, victim: Victim) -> bool:
     """
     Return whether a victim is less urgent than a demand, or urgent work beyond its workspace's
-    guarantee while the demand is within one.
+    guarantee while the guarantee of the demand is due. Before that, one urgent job would only be
+    late in place of another.
     """
     if victim.urgency > demand.urgency:
         return True
     is_surplus = victim.urgency == demand.urgency == 0 and not victim.is_guaranteed
-    return demand.is_guaranteed and is_surplus
+    return demand.is_reclaiming and is_surplus
 
 
 def _shape_of(demand: Demand, only_rack: str) -> DemandShape:
