Tell no call that it has not run once an entry with commands of its batch is proposed

The commands of one step go into several entries if they are large. When the log took the first entry and refused a later one, all calls of the step were answered as not executed, and entry instances passed this on as a refusal, although the first entry committed. Their outcome is unknown now.

tests.test_domain_proposals: the first test failed before.

--- a/packages/core/src/bulrushhollow_core/domain/_node.py
+++ b/packages/core/src/bulrushhollow_core/domain/_node.py
@@ -296,10 +296,10 @@
         self, commands: list[Command], pending: list[_PendingCall], now: Seconds
     ) -> bool:
         """Propose commands to the log; return whether it accepted all of them."""
-        for payload in _split_into_entries(commands):
+        for number, payload in enumerate(_split_into_entries(commands)):
             proposed = self._log.propose(payload, now)
             if not isinstance(proposed, Proposed):
-                self._reply_not_leader(pending, proposed)
+                self._reply_not_proposed(pending, proposed, is_partly_proposed=number > 0)
                 return False
             last_proposed = proposed
             self._handle_log_actions(proposed.actions, now)
@@ -307,12 +307,19 @@
             self._pending_calls_by_index[last_proposed.index] = (last_proposed.term, pending)
         return True
 
-    def _reply_not_leader(self, pending: list[_PendingCall], reason: msgspec.Struct) -> None:
-        """Answer the calls of a rejected proposal with a hint to the leader."""
+    def _reply_not_proposed(
+        self, pending: list[_PendingCall], reason: msgspec.Struct, is_partly_proposed: bool
+    ) -> None:
+        """
+        Answer the calls of a rejected proposal with a hint to the leader.
+
+        :param is_partly_proposed: whether earlier entries with commands of these calls were
+            proposed and may commit, so that the outcome of the calls is unknown.
+        """
         leader = reason.leader if isinstance(reason, LogNotLeader) else None
         hint = str(name_of(leader)) if leader and leader != self.me else None
-        for pending_call in pending:
-            self._actions.append(Reply(pending_call.id, NotLeader(hint)))
+        answer = OutcomeUnknown() if is_partly_proposed else NotLeader(hint)
+        self._actions.extend(Reply(pending_call.id, answer) for pending_call in pending)
 
     def _handle_log_actions(self, actions: list[msgspec.Struct], now: Seconds) -> None:
         """Apply committed entries and snapshots, and pass other actions on."""
