--- a/packages/core/src/bulrushhollow_core/consensus/_consensus.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_consensus.py
@@ -45,6 +45,7 @@
     RestoredState,
     Timing,
 )
+from bulrushhollow_core.consensus._voting import VotingRules
 from bulrushhollow_core.ids import InstanceId, InstanceName, LogIndex, Seconds, Term, name_of
 
 RANDOM_ID_BITS = 31
@@ -93,9 +94,9 @@
         self._replica = Replica(me, has_disk, restored)
         self._follower = Follower(self._replica, rng.getrandbits(RANDOM_ID_BITS))
         self._election = Election(self._replica, timing, rng, now)
+        self._voting = VotingRules(self._replica, self._follower, self._election, timing, now)
         self._leader: Leader | None = None
         self._connected_by_id: dict[InstanceId, bool] = {}
-        self._started_at = now
         self._foreign_peers: frozenset[InstanceId] = frozenset()
 
     # Events.
@@ -168,17 +169,6 @@
         others = self._replica.log.members.voters - {self._me}
         return {name_of(voter) for voter in others} <= reachable_names
 
-    def _may_have_forgotten_leader(self, now: Seconds) -> bool:
-        """
-        Return whether this process started so recently that the process before it may have
-        confirmed the lease of a leader that is out of reach now.
-        """
-        return (
-            self._follower.has_never_heard_leader
-            and now - self._started_at < self._timing.min_election_timeout
-            and not self._accounts_for_all_voters()
-        )
-
     def set_failure_domain(self, name: InstanceName, domain: str) -> None:
         """Record the failure domain of an instance; voters are spread over failure domains."""
         self._failure_domains_by_name[name] = domain
@@ -389,16 +379,9 @@
     def _receive_request_vote(self, source: InstanceId, message: RequestVote, now: Seconds) -> None:
         if not self._replica.has_disk:
             return
-        is_leader_live = not message.is_transfer and (
-            self._has_live_leader(now) or self._may_have_forgotten_leader(now)
-        )
+        is_leader_live = self._has_live_leader(now) and not message.is_transfer
         if message.is_pre_vote:
-            granted = (
-                message.term > self._replica.term
-                and not is_leader_live
-                and self._is_candidate_up_to_date(message)
-                and not self._has_precedence_over(source, message)
-            )
+            granted = not is_leader_live and self._voting.grants_pre_vote(source, message)
             if granted:
                 self._election.yield_to_candidate(now)
             self._answer_vote(source, message, granted)
@@ -410,7 +393,7 @@
         granted = (
             message.term == self._replica.term
             and is_vote_free
-            and self._is_candidate_up_to_date(message)
+            and self._voting.is_up_to_date(message)
         )
         if granted:
             self._replica.set_term(message.log_id, message.term, source)
@@ -455,22 +438,12 @@
             self._leader.receive_snapshot_answer(source, answer, now)
 
     def _has_live_leader(self, now: Seconds) -> bool:
+        """Return whether a leader leads, or may do so unknown to this process."""
         if self._leader:
             return self._leader.quorum_age(now) < self._timing.min_election_timeout
-        is_recent = now - self._follower.last_leader_contact_at < self._timing.min_election_timeout
-        return self._follower.leader is not None and is_recent
-
-    def _is_candidate_up_to_date(self, message: RequestVote) -> bool:
-        log = self._replica.log
-        return (log.last_term, log.last_index) <= (message.last_term, message.last_index)
-
-    def _has_precedence_over(self, source: InstanceId, message: RequestVote) -> bool:
-        """Return whether this instance stands as well, and stays the candidate of the two."""
-        if self._election.phase is Phase.IDLE:
-            return False
-        log = self._replica.log
-        own_rank = (log.last_term, log.last_index, self._me)
-        return own_rank > (message.last_term, message.last_index, source)
+        if self._voting.hears_leader(now):
+            return True
+        return self._voting.may_have_forgotten_leader(now) and not self._accounts_for_all_voters()
 
     # Roles.
 
