Bound what a search for the leader costs the other instances

Each entry instance that missed the leader asked all instances twenty times a second. A round now asks three instances at random, each 0.1 s, and follows the leader that they name, whom they know as soon as they hear it.

--- a/packages/daemon/src/bulrushhollow_daemon/domain/_leader.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_leader.py
@@ -8,6 +8,7 @@
 
 import logging
 import math
+import random
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 
 import anyio
@@ -57,9 +58,13 @@
 """Seconds for which a call that may have been executed is retried at the next leader before its
 outcome is reported as unknown. An election and the search for its winner take less."""
 
-SEARCH_INTERVAL = Seconds(0.05)
+SEARCH_INTERVAL = Seconds(0.1)
 """Seconds between two rounds of the search for a leader."""
 
+SEARCH_FANOUT = 3
+"""Instances that one round of a search asks, chosen at random. Each of them knows a new leader as
+soon as it hears it, and hundreds of entry instances search at the same time."""
+
 SEARCH_TIMEOUT = Seconds(0.25)
 """Seconds within which an instance must answer whether it leads."""
 
@@ -226,33 +231,41 @@
 
     async def _search_for_leader(self, deadline: Seconds, other_than: str | None = None) -> None:
         """
-        Ask all instances at once whether they lead, and wait ``SEARCH_INTERVAL`` if none does. One
-        search serves all calls that wait.
+        Ask some instances at once who leads, and wait ``SEARCH_INTERVAL`` if none knows. One search
+        serves all calls that wait.
         """
         if self._is_searching:
             await anyio.sleep(_limited(SEARCH_INTERVAL, deadline))
             return
+        others = [address for address in self._candidates if address != other_than]
+        asked = set(random.sample(others, min(SEARCH_FANOUT, len(others))))
         timeout = _limited(SEARCH_TIMEOUT, deadline)
         self._is_searching = True
         try:
             async with anyio.create_task_group() as tasks:
-                for address in self._candidates:
-                    if address != other_than:
-                        tasks.start_soon(
-                            self._ask_whether_leading, address, timeout, tasks.cancel_scope
-                        )
+                skipped = {*asked, other_than}
+                for address in asked:
+                    tasks.start_soon(
+                        self._ask_whether_leading, address, skipped, timeout, tasks.cancel_scope
+                    )
             if self.address in (None, other_than):
                 await anyio.sleep(_limited(SEARCH_INTERVAL, deadline))
         finally:
             self._is_searching = False
 
     async def _ask_whether_leading(
-        self, address: str, timeout: Seconds, search: anyio.CancelScope
+        self, address: str, skipped: set[str | None], timeout: Seconds, search: anyio.CancelScope
     ) -> None:
-        """Ask one instance whether it leads, and end the search if it does."""
+        """
+        Ask one instance whether it leads, and end the search if it does. If it names another
+        instance that is not skipped, that one is asked in turn.
+        """
         answer = await self._ask_at(address, Probe(), timeout)
         if isinstance(answer, NotLeader):
             self._record_follower(answer)
+            if answer.leader is not None and answer.leader not in skipped:
+                skipped.add(answer.leader)
+                await self._ask_whether_leading(answer.leader, skipped, timeout, search)
         elif not isinstance(answer, CallFailure | OutcomeUnknown):
             self._record_leader(address)
             search.cancel()
--- a/tests/test_domain_failover.py
+++ b/tests/test_domain_failover.py
@@ -129,6 +129,26 @@
         asyncio.run(run())
         self.assertLessEqual(probes, 0.5 / _leader.SEARCH_INTERVAL + 1)
 
+    def test_a_search_asks_few_instances_and_follows_what_they_know(self) -> None:
+        # A hundred entry instances that each ask every instance would keep these from electing.
+        elected_at = clock.now() + 0.5
+        probed: list[str] = []
+
+        def follower(name: str) -> Instance:
+            async def answer(call: Call) -> Answer:
+                probed.append(name)
+                return NotLeader(None if clock.now() < elected_at else "b")
+
+            return answer
+
+        followers = {f"f{number}": follower(f"f{number}") for number in range(20)}
+        answer, waited, _ = self.ask({**followers, "b": leading_from(elected_at)})
+        self.assertIsInstance(answer, Done)
+        self.assertLess(waited, 0.5 + 2 * _leader.SEARCH_INTERVAL)
+        rounds = 1 + waited / _leader.SEARCH_INTERVAL
+        first_round = len(followers)
+        self.assertLessEqual(len(probed) - first_round, _leader.SEARCH_FANOUT * rounds)
+
     def test_an_instance_that_is_cut_off_refuses_early(self) -> None:
         async def run() -> tuple[list[Answer], float]:
             client = SimulatedInstances({"a": leading_from(clock.now())})
