--- a/packages/daemon/src/bulrushhollow_daemon/domain/_peers.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_peers.py
@@ -185,13 +185,13 @@
         del self._peers_by_address[peer.address]
 
     def _mark_reachable(self, peer: _Peer, info: PeerInfo) -> None:
-        peer.failed_deliveries = 0
         if peer.instance != info.instance:
             has_ended = info.instance not in (peer.instance, peer.lost_instance)
             self._mark_unreachable(peer, "another incarnation answered", has_ended)
             peer.instance, peer.lost_instance = info.instance, None
             logger.info("peer_connected", extra={"peer": info.instance})
             self._observer.peer_connected(info.instance, info.data_centre)
+        peer.failed_deliveries = 0
         self.add_addresses(info.known_addresses)
 
     def _mark_unreachable(self, peer: _Peer, detail: str, has_ended: bool) -> None:
