--- a/packages/core/src/bulrushhollow_core/consensus/_consensus.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_consensus.py
@@ -72,7 +72,7 @@
     :param restored: state from its journal, if there is any.
     :param rng: draws election timeouts and the ids of logs and processes.
     :param voter_limit: maximum number of voters; further instances with a disk stay learners until
-        a voter has been silent for the longest election timeout. None for no limit.
+        a voter has been silent for the silence timeout. None for no limit.
     """
 
     def __init__(
@@ -217,7 +217,7 @@
     def transfer_leadership(self, now: Seconds) -> list[msgspec.Struct]:
         """
         Transfer leadership to another voter, as before a planned stop. The status shows when it is
-        done. The transfer is abandoned after the longest election timeout and can be repeated.
+        done. The transfer is abandoned after the silence timeout and can be repeated.
 
         :return: actions in the order in which to carry them out.
         """
@@ -277,7 +277,7 @@
         log = self._replica.log
         if not self._replica.has_disk or self._replica.log_id is None:
             return MemberChangeRefused(MemberChangeReason.NO_STATE)
-        if self.status(now).quorum_age < self._timing.max_election_timeout:
+        if self.status(now).quorum_age < self._timing.silence_timeout:
             return MemberChangeRefused(MemberChangeReason.QUORUM_PRESENT)
         former_voters = log.members.voters - {self._me}
         last_index, commit_index = log.last_index, self._replica.commit_index
@@ -329,10 +329,10 @@
         return self._replica.records()
 
     def _known_leader(self, now: Seconds) -> InstanceId | None:
-        """Return the leader, unless it has been silent for the longest election timeout."""
+        """Return the leader, unless it has been silent for the silence timeout."""
         if self._leader:
             return self._me
-        is_silent = now - self._follower.last_leader_contact_at > self._timing.max_election_timeout
+        is_silent = now - self._follower.last_leader_contact_at > self._timing.silence_timeout
         return None if is_silent else self._follower.leader
 
     def _caught_up_age(self, now: Seconds) -> Seconds:
@@ -491,7 +491,7 @@
         self._become_leader(frozenset({self._me}), now, now)
 
     def _tick_leader(self, leader: Leader, now: Seconds) -> None:
-        if leader.quorum_age(now) > self._timing.max_election_timeout:
+        if leader.quorum_age(now) > self._timing.silence_timeout:
             self._step_down(now)
             return
         if self._can_change_members(leader) and not leader.transfer_target:
@@ -510,9 +510,9 @@
             candidates=[peer for peer, has_disk in self._connected_by_id.items() if has_disk],
             progress_by_id=leader.progress_by_id,
             commit_index=self._replica.commit_index,
-            silent_before=Seconds(now - self._timing.max_election_timeout),
+            silent_before=Seconds(now - self._timing.silence_timeout),
             voter_limit=self._voter_limit,
-            can_replace=leader.has_led_for(self._timing.max_election_timeout, now),
+            can_replace=leader.has_led_for(self._timing.silence_timeout, now),
             failure_domains_by_name=self._failure_domains_by_name,
         )
         if members:
--- a/packages/core/src/bulrushhollow_core/consensus/_leader.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_leader.py
@@ -195,7 +195,7 @@
         self._transfer_target = max(
             reachable, key=lambda voter: self.progress_by_id[voter].match_index
         )
-        self._transfer_deadline = Seconds(now + self._timing.max_election_timeout)
+        self._transfer_deadline = Seconds(now + self._timing.silence_timeout)
         self._complete_transfer()
         return self._transfer_target
 
--- a/packages/core/src/bulrushhollow_core/consensus/_types.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_types.py
@@ -104,7 +104,7 @@
     :param min_election_timeout: shortest election timeout in seconds. A voter that heard from its
         leader within this time grants no vote.
     :param election_jitter: longest random time in seconds that is added to it.
-    :param max_election_timeout: seconds for which a leader leads without having heard from a
+    :param silence_timeout: seconds for which a leader leads without having heard from a
         majority, and after which a voter counts as silent.
     :param vote_timeout: longest time in seconds for which a candidate waits for votes before it
         stands again. Long enough for two syncs of a slow disk.
@@ -118,7 +118,7 @@
     observer_heartbeat_interval: Seconds = Seconds(0.5)
     min_election_timeout: Seconds = Seconds(1.0)
     election_jitter: Seconds = Seconds(1.0)
-    max_election_timeout: Seconds = Seconds(2.0)
+    silence_timeout: Seconds = Seconds(2.0)
     vote_timeout: Seconds = Seconds(1.0)
     disconnect_timeout: Seconds = Seconds(0.5)
     is_coalescing: bool = False
--- a/packages/core/src/bulrushhollow_core/domain/_node.py
+++ b/packages/core/src/bulrushhollow_core/domain/_node.py
@@ -55,7 +55,7 @@
     observer_heartbeat_interval=Seconds(0.4),
     min_election_timeout=Seconds(0.7),
     election_jitter=Seconds(0.2),
-    max_election_timeout=Seconds(1.3),
+    silence_timeout=Seconds(1.3),
     vote_timeout=Seconds(0.6),
     disconnect_timeout=Seconds(0.1),
     is_coalescing=True,
@@ -377,7 +377,7 @@
             return
         status = self._log.status(now)
         if status.role is Role.LEADER:
-            if status.caught_up_age < TIMING.max_election_timeout:
+            if status.caught_up_age < TIMING.silence_timeout:
                 self.scheduler = Scheduler(self.state, status.term, self._settings, now)
                 self._actions.append(log_event(Event.LEADERSHIP_TAKEN, term=status.term))
             return
