--- a/packages/core/src/bulrushhollow_core/domain/_configuration.py
+++ b/packages/core/src/bulrushhollow_core/domain/_configuration.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from bulrushhollow_core.domain._resources import NO_RESOURCES, Resources
 from bulrushhollow_core.ids import Seconds, Version, WorkspaceId
 
 QueueName = NewType("QueueName", str)
@@ -60,15 +61,20 @@
 
 class Workspace(msgspec.Struct, frozen=True, array_like=True):
     """
-    A workspace: the owner of jobs, with its credentials and its guarantee.
+    A workspace: the owner of jobs, with its credentials, its guarantee and its limits.
 
     :param keys: credentials of its callers.
     :param guaranteed_accelerators: accelerators reserved for its jobs of urgency 0 at all times.
+    :param cap: resources that its tasks may take at the same time; 0 for no limit on a resource.
+    :param weight: its share of the capacity relative to other workspaces, and the number of jobs
+        per second that it is entitled to submit; 0 for neither.
     """
 
     name: WorkspaceId
     keys: tuple[str, ...]
     guaranteed_accelerators: int
+    cap: Resources = NO_RESOURCES
+    weight: float = 0.0
 
 
 class CallLimits(msgspec.Struct, frozen=True, array_like=True):
@@ -162,3 +168,13 @@
         """Return the number of accelerators that are guaranteed to a workspace."""
         entry = self.workspaces_by_name.get(workspace) if workspace else None
         return entry.guaranteed_accelerators if entry else 0
+
+    def cap_of(self, workspace: WorkspaceId | None) -> Resources:
+        """Return the cap of a workspace; 0 for no limit on a resource."""
+        entry = self.workspaces_by_name.get(workspace) if workspace else None
+        return entry.cap if entry else NO_RESOURCES
+
+    def weight_of(self, workspace: WorkspaceId | None) -> float:
+        """Return the weight of a workspace; 0 if it has none."""
+        entry = self.workspaces_by_name.get(workspace) if workspace else None
+        return entry.weight if entry else 0.0
--- a/packages/core/src/bulrushhollow_core/domain/_jobs.py
+++ b/packages/core/src/bulrushhollow_core/domain/_jobs.py
@@ -11,8 +11,32 @@
 import msgspec
 
 from bulrushhollow_core.domain._configuration import Queue
+from bulrushhollow_core.domain._resources import (
+    NO_RESOURCES,
+    Resources,
+    core_equivalents,
+)
 from bulrushhollow_core.ids import JobId, Seconds, WorkerId, WorkspaceId
 
+__all__ = [
+    "NO_RESOURCES",
+    "Job",
+    "JobState",
+    "Occurrence",
+    "Resources",
+    "RunNumber",
+    "Step",
+    "StepRecord",
+    "StepRef",
+    "Task",
+    "TaskRef",
+    "TaskState",
+    "WallTime",
+    "Work",
+    "WorkerLife",
+    "core_equivalents",
+]
+
 RunNumber = NewType("RunNumber", int)
 """Number of one start of a task. It grows with each start; the members of a gang share it."""
 
@@ -53,55 +77,6 @@
         return TaskRef(self.job, self.occurrence, self.step, member)
 
 
-class Resources(msgspec.Struct, frozen=True, array_like=True):
-    """
-    Resources that a task needs or a worker has.
-
-    :param cpu: CPU in thousandths of a core.
-    :param memory: memory in MiB.
-    """
-
-    cpu: int
-    memory: int
-    accelerators: int
-
-    def fits(self, free: "Resources") -> bool:
-        """Return whether a demand of this size fits into the free resources."""
-        return (
-            self.cpu <= free.cpu
-            and self.memory <= free.memory
-            and self.accelerators <= free.accelerators
-        )
-
-    def plus(self, other: "Resources") -> "Resources":
-        """Return the sum of both, resource by resource."""
-        return Resources(
-            self.cpu + other.cpu,
-            self.memory + other.memory,
-            self.accelerators + other.accelerators,
-        )
-
-    def minus(self, other: "Resources") -> "Resources":
-        """Return the difference of both, resource by resource."""
-        return Resources(
-            self.cpu - other.cpu,
-            self.memory - other.memory,
-            self.accelerators - other.accelerators,
-        )
-
-
-NO_RESOURCES = Resources(0, 0, 0)
-"""The zero of :class:`Resources`."""
-
-CORES_PER_ACCELERATOR = 8
-"""Cores that one accelerator counts as when amounts of work are compared; the platform's figure."""
-
-
-def core_equivalents(needs: Resources) -> float:
-    """Return the cores that a task takes, with its accelerators converted into cores."""
-    return needs.cpu / 1000 + CORES_PER_ACCELERATOR * needs.accelerators
-
-
 class Step(msgspec.Struct, frozen=True, array_like=True):
     """
     One step of a job.
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -7,6 +7,7 @@
     Availability,
     Configuration,
     Outcome,
+    Resources,
     TaskRef,
     Work,
     WorkerNews,
@@ -114,6 +115,20 @@
         self.assertEqual(configuration(7).queues, decoded.queues)
         self.assertIsNone(find_invalidity(decoded))
 
+    def test_caps_and_weights_of_workspaces_are_decoded(self) -> None:
+        """Guards against a cap that is dropped on the way in, so that nothing enforces it."""
+        document = json.loads(config_body(configuration(7)))
+        document["tenants"] = [
+            {"name": "a", "api-keys": ["k1"], "weight": 2, "cap": {"cpu": 9000, "mem-mb": 70}},
+            {"name": "b", "api-keys": ["k2"], "guaranteed": {"gpu": 8}},
+        ]
+        decoded = decode_configuration(json.dumps(document).encode())
+        assert isinstance(decoded, Configuration)
+        limited, unlimited = decoded.workspaces
+        self.assertEqual((Resources(9000, 70, 0), 2.0), (limited.cap, limited.weight))
+        self.assertEqual((Resources(0, 0, 0), 0.0), (unlimited.cap, unlimited.weight))
+        self.assertEqual(8, unlimited.guaranteed_accelerators)
+
     def test_truncated_configuration_is_unreadable(self) -> None:
         body = config_body(configuration(7))
         self.assertIsInstance(decode_configuration(body[: len(body) // 2]), Unreadable)
