--- a/packages/core/src/bulrushhollow_core/domain/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/_answers.py
@@ -16,6 +16,7 @@
     Run,
     RunPhase,
     RunRef,
+    UnansweredStart,
     Worker,
 )
 from bulrushhollow_core.domain._jobs import RunNumber, TaskRef
@@ -114,7 +115,8 @@
         worker gets no more work until it answers, and is polled to see whether it does.
         """
         if result is OrderResult.NO_ANSWER:
-            worker.unanswered_starts[RunRef(run.task, run.number)] = now
+            unanswered = UnansweredStart(now, run.needs)
+            worker.unanswered_starts[RunRef(run.task, run.number)] = unanswered
             worker.silent_since = worker.silent_since or now
             worker.poll_due = min(worker.poll_due, now)
             self._dispatcher.poll(worker, now)
--- a/packages/core/src/bulrushhollow_core/domain/_call_handler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_call_handler.py
@@ -34,6 +34,7 @@
     Serving,
     Submit,
 )
+from bulrushhollow_core.domain._caps import CAP_RETRY_AFTER, exceeds_cap
 from bulrushhollow_core.domain._commands import (
     CancelJob,
     Command,
@@ -179,6 +180,17 @@
         if existing is not None:
             repeated = log_event(Event.SUBMISSION_REPEATED, job=job_id, state=existing.state.value)
             return ImmediateAnswer(self._done, (repeated,))
+        configuration_index = state.configuration_index
+        cap = configuration_index.cap_of(authorization.workspace) if configuration_index else None
+        if cap is not None and exceeds_cap(call.work, cap):
+            refusal = RefusalReason.EXCEEDS_CAP
+            refused = log_event(
+                Event.SUBMISSION_REFUSED,
+                job=job_id,
+                workspace=authorization.workspace or "",
+                reason=refusal.value,
+            )
+            return ImmediateAnswer(Refused(refusal, CAP_RETRY_AFTER), (refused,))
         command = SubmitJob(job_id, authorization.queue, authorization.workspace, call.work, wall)
         configuration = state.configuration
         accepted = log_event(
--- a/packages/core/src/bulrushhollow_core/domain/_calls.py
+++ b/packages/core/src/bulrushhollow_core/domain/_calls.py
@@ -97,6 +97,8 @@
     NO_LEADER = "no_leader"
     FOUNDING = "founding"
     """Too few voters have joined the new log so far."""
+    EXCEEDS_CAP = "exceeds_cap"
+    """A gang or a single task of the job needs more than its workspace's cap."""
 
 
 class Done(msgspec.Struct, frozen=True, array_like=True, tag="done"):
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/domain/_caps.py
@@ -0,0 +1,372 @@
+"""
+bulrushhollow_core.domain._caps
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Caps of workspaces: what the tasks of a workspace may take at the same time, on all workers. The
+usage is counted anew for each plan, from the runs that take resources and the starts that may
+still be carried out.
+"""
+
+import math
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from bulrushhollow_core.domain._configuration import ConfigurationIndex
+from bulrushhollow_core.domain._demands import Demand, Victim
+from bulrushhollow_core.domain._events import Event, LogEvent, log_event
+from bulrushhollow_core.domain._evictions import cost_of
+from bulrushhollow_core.domain._hosts import Host
+from bulrushhollow_core.domain._jobs import NO_RESOURCES, Resources, Step, Work
+from bulrushhollow_core.domain._scheduler_state import SchedulerState
+from bulrushhollow_core.ids import Seconds, WorkspaceId
+
+CAP_RETRY_AFTER = Seconds(30.0)
+"""Seconds after which to retry a job that exceeds its workspace's cap; only a new configuration,
+which operators put, helps."""
+
+CAP_LOG_INTERVAL = Seconds(1.0)
+"""Seconds between two log lines about the cap of one workspace."""
+
+
+class CapAccount:
+    """The cap of one workspace, and what its tasks take."""
+
+    def __init__(self, cap: Resources) -> None:
+        """Create an account without any usage."""
+        self.cap = cap
+        self.used = NO_RESOURCES
+        self.used_after_stops = NO_RESOURCES
+        """Usage once every run that is being stopped has ended."""
+        self.reserved = NO_RESOURCES
+        """Part of the cap that waiting gangs of the workspace reserve against later demands."""
+
+    def startable_count(self, needs: Resources, wanted: int, is_service_busy: bool) -> int:
+        """
+        Return how many tasks may start now, at most the wanted number.
+
+        A reservation yields while the workspace uses under half of its cap on a service that is not
+        busy: no job may wait for long then.
+        """
+        count = _count_within(self.cap, self.used.plus(self.reserved), needs, wanted)
+        if count < wanted and not is_service_busy and self.reserved != NO_RESOURCES:
+            doubled_usage, doubled_needs = self.used.plus(self.used), needs.plus(needs)
+            count = max(count, _count_within(self.cap, doubled_usage, doubled_needs, wanted))
+        return count
+
+    def excess_with(self, added: Resources) -> Resources:
+        """Return by how much further tasks would exceed the cap once current stops have ended."""
+        usage = self.used_after_stops.plus(added)
+        return Resources(
+            max(0, usage.cpu - self.cap.cpu) if self.cap.cpu else 0,
+            max(0, usage.memory - self.cap.memory) if self.cap.memory else 0,
+            max(0, usage.accelerators - self.cap.accelerators) if self.cap.accelerators else 0,
+        )
+
+    def charge(self, needs: Resources) -> None:
+        """Count tasks that start now, or as soon as current stops have ended."""
+        self.used = self.used.plus(needs)
+        self.used_after_stops = self.used_after_stops.plus(needs)
+
+
+class CapRelief(NamedTuple):
+    """
+    How the cap can be freed for a demand.
+
+    :param victims: runs of the workspace to stop; none if current stops free enough.
+    :param task_count: tasks of the demand that may start once the stops have ended.
+    """
+
+    victims: list[Victim]
+    task_count: int
+
+    @property
+    def lost_work(self) -> float:
+        """Return the core-seconds of work that stopping the victims discards."""
+        return sum(victim.lost_work for victim in self.victims)
+
+
+class CapLedger:
+    """
+    The usage of all workspaces with a cap, while a plan is made. Other workspaces have no limit.
+
+    :param accounts_by_workspace: accounts of the workspaces with a cap.
+    :param is_service_busy: whether half of the service's capacity or more is in use.
+    """
+
+    def __init__(
+        self,
+        accounts_by_workspace: dict[WorkspaceId, CapAccount] | None = None,
+        is_service_busy: bool = False,
+    ) -> None:
+        """Create a ledger; without accounts it limits nothing."""
+        self._accounts_by_workspace = accounts_by_workspace or {}
+        self._is_service_busy = is_service_busy
+
+    def account_of(self, workspace: WorkspaceId | None) -> CapAccount | None:
+        """Return the account of a workspace; None if it has no cap."""
+        return self._accounts_by_workspace.get(workspace) if workspace is not None else None
+
+    def startable_count(self, demand: Demand) -> int:
+        """Return how many tasks of a demand its workspace may start now."""
+        wanted = len(demand.task_indexes)
+        account = self.account_of(demand.workspace)
+        if account is None:
+            return wanted
+        return account.startable_count(demand.step.needs, wanted, self._is_service_busy)
+
+    def charge(self, demand: Demand, task_count: int) -> None:
+        """Count tasks of a demand that the plan has placed or reserves room for."""
+        account = self.account_of(demand.workspace)
+        if account is not None:
+            account.charge(times(demand.step.needs, task_count))
+
+    def reserve(self, demand: Demand) -> None:
+        """
+        Reserve a part of the cap for a waiting gang, so that smaller demands of its workspace that
+        are served later do not starve it. Only one gang of a workspace reserves.
+        """
+        account = self.account_of(demand.workspace)
+        if account is None or account.reserved != NO_RESOURCES:
+            return
+        total = times(demand.step.needs, len(demand.task_indexes))
+        if is_within(total, account.cap):
+            account.reserved = total
+
+    def count_stop(self, victim: Victim) -> None:
+        """Count the runs of a victim as being stopped."""
+        account = self.account_of(victim.workspace)
+        if account is not None:
+            account.used_after_stops = account.used_after_stops.minus(victim.freed)
+
+    def undo_stop(self, victim: Victim) -> None:
+        """Count the runs of a victim as running again."""
+        account = self.account_of(victim.workspace)
+        if account is not None:
+            account.used_after_stops = account.used_after_stops.plus(victim.freed)
+
+    def fits_after_stops(self, demand: Demand) -> bool:
+        """Return whether all tasks of a demand may start once current stops have ended."""
+        account = self.account_of(demand.workspace)
+        total = times(demand.step.needs, len(demand.task_indexes))
+        return account is None or account.excess_with(total) == NO_RESOURCES
+
+    def find_relief(
+        self, demand: Demand, victims: Iterable[Victim], max_lost_work: float
+    ) -> CapRelief | None:
+        """
+        Return the cheapest victims that free the cap for a demand: for all tasks of a gang, or for
+        as many independent tasks as possible. None if no permitted eviction does.
+
+        :param victims: runs that may be evicted for the demand; those of other workspaces and those
+            that are served before the demand are skipped.
+        :param max_lost_work: core-seconds of work that may be discarded at most.
+        """
+        account = self.account_of(demand.workspace)
+        if account is None:
+            return None
+        candidates = sorted(
+            (
+                victim
+                for victim in victims
+                if victim.workspace == demand.workspace
+                and not victim.is_chosen
+                and victim.priority > demand.priority
+            ),
+            key=lambda victim: cost_of([victim]),
+        )
+        needs = demand.step.needs
+        task_count = _count_within(
+            account.cap,
+            account.used_after_stops.minus(_total_freed(candidates)),
+            needs,
+            len(demand.task_indexes),
+        )
+        if task_count == 0 or (demand.step.is_gang and task_count < len(demand.task_indexes)):
+            return None
+        chosen = _cheapest_victims(candidates, account.excess_with(times(needs, task_count)))
+        relief = CapRelief(chosen, task_count)
+        return relief if relief.lost_work <= max_lost_work else None
+
+
+def times(needs: Resources, count: int) -> Resources:
+    """Return the resources of several tasks."""
+    return Resources(needs.cpu * count, needs.memory * count, needs.accelerators * count)
+
+
+def is_within(total: Resources, cap: Resources) -> bool:
+    """Return whether resources stay within a cap; 0 means no limit on a resource."""
+    return _count_within(cap, NO_RESOURCES, total, 1) == 1
+
+
+def _count_within(cap: Resources, used: Resources, needs: Resources, wanted: int) -> int:
+    """Return how many tasks fit under a cap: none while any limited resource exceeds it."""
+    count = wanted
+    for limit, taken, need in (
+        (cap.cpu, used.cpu, needs.cpu),
+        (cap.memory, used.memory, needs.memory),
+        (cap.accelerators, used.accelerators, needs.accelerators),
+    ):
+        if limit == 0:
+            continue
+        if taken > limit:
+            return 0
+        if need > 0:
+            count = min(count, (limit - taken) // need)
+    return count
+
+
+def _total_freed(victims: Iterable[Victim]) -> Resources:
+    total = NO_RESOURCES
+    for victim in victims:
+        total = total.plus(victim.freed)
+    return total
+
+
+def _cheapest_victims(candidates: Sequence[Victim], excess: Resources) -> list[Victim]:
+    """Return the first candidates that free an excess, without those that turn out unneeded."""
+    picked: list[Victim] = []
+    freed = NO_RESOURCES
+    for victim in candidates:
+        if excess.fits(freed):
+            break
+        if _frees_missing(victim.freed, excess.minus(freed)):
+            picked.append(victim)
+            freed = freed.plus(victim.freed)
+    for victim in reversed(list(picked)):
+        if excess.fits(freed.minus(victim.freed)):
+            picked.remove(victim)
+            freed = freed.minus(victim.freed)
+    return picked
+
+
+def _frees_missing(freed: Resources, missing: Resources) -> bool:
+    return (
+        (freed.cpu > 0 and missing.cpu > 0)
+        or (freed.memory > 0 and missing.memory > 0)
+        or (freed.accelerators > 0 and missing.accelerators > 0)
+    )
+
+
+# The ledger of a plan.
+
+
+def build_cap_ledger(shared: SchedulerState, hosts: Sequence[Host], now: Seconds) -> CapLedger:
+    """
+    Return the usage of the workspaces with a cap: of all runs that take resources, and of starts
+    that may still be carried out.
+
+    :param hosts: workers that may get new work.
+    """
+    accounts_by_workspace = _open_accounts(shared.state.configuration_index)
+    if not accounts_by_workspace:
+        return CapLedger()
+    jobs_by_id = shared.state.jobs_by_id
+    for worker in shared.fleet.workers_by_life.values():
+        for run in worker.runs_by_task.values():
+            job = jobs_by_id.get(run.task.job)
+            account = accounts_by_workspace.get(job.workspace) if job and job.workspace else None
+            if account is None:
+                continue
+            account.used = account.used.plus(run.needs)
+            if not shared.is_freeing_resources(run, now):
+                account.used_after_stops = account.used_after_stops.plus(run.needs)
+        for ref, start in worker.possible_starts(now).items():
+            job = jobs_by_id.get(ref.task.job)
+            account = accounts_by_workspace.get(job.workspace) if job and job.workspace else None
+            if account is not None:
+                account.charge(start.needs)
+    return CapLedger(accounts_by_workspace, _is_busy(hosts))
+
+
+def _open_accounts(
+    configuration_index: ConfigurationIndex | None,
+) -> dict[WorkspaceId, CapAccount]:
+    """Return an empty account of each workspace with a cap."""
+    if configuration_index is None:
+        return {}
+    return {
+        name: CapAccount(workspace.cap)
+        for name, workspace in configuration_index.workspaces_by_name.items()
+        if workspace.cap != NO_RESOURCES
+    }
+
+
+def _is_busy(hosts: Sequence[Host]) -> bool:
+    """Return whether at least half of any resource of the workers is in use."""
+    capacity = free = NO_RESOURCES
+    for host in hosts:
+        capacity = capacity.plus(host.capacity)
+        free = free.plus(host.free)
+    return (
+        2 * free.cpu <= capacity.cpu
+        or 2 * free.memory <= capacity.memory
+        or 2 * free.accelerators <= capacity.accelerators
+    )
+
+
+def withdraw_starts_over_cap(shared: SchedulerState, now: Seconds) -> None:
+    """
+    Withdraw the proposed starts of workspaces that exceed a cap which has just come into force.
+    They were planned under an earlier cap, and are not yet ordered.
+    """
+    ledger = build_cap_ledger(shared, (), now)
+    for task in shared.proposed_runs_by_task:
+        job = shared.state.jobs_by_id.get(task.job)
+        account = ledger.account_of(job.workspace) if job else None
+        if account is not None and not is_within(account.used, account.cap):
+            shared.withdrawn_starts.add(task)
+
+
+# Submissions and log lines.
+
+
+def exceeds_cap(work: Work, cap: Resources) -> bool:
+    """Return whether a gang or a single task of a job can never run under a cap."""
+    return any(not is_within(_smallest_start(step), cap) for step in work.steps)
+
+
+def _smallest_start(step: Step) -> Resources:
+    """Return the resources that must be free at once for a step to make progress."""
+    return times(step.needs, step.count if step.is_gang else 1)
+
+
+class CapReporter:
+    """Reports the workspaces whose work waits for their cap."""
+
+    def __init__(self) -> None:
+        """Start without reports."""
+        self._reported_at_by_workspace: dict[WorkspaceId, Seconds] = {}
+
+    def report(
+        self, held_back: Iterable[Demand], ledger: CapLedger, now: Seconds
+    ) -> list[LogEvent]:
+        """Return a log event for each workspace with waiting tasks, at most one each second."""
+        waiting_by_workspace: dict[WorkspaceId, int] = {}
+        for demand in held_back:
+            if demand.workspace is not None:
+                waiting = waiting_by_workspace.get(demand.workspace, 0)
+                waiting_by_workspace[demand.workspace] = waiting + len(demand.task_indexes)
+        events = []
+        for workspace, task_count in waiting_by_workspace.items():
+            account = ledger.account_of(workspace)
+            reported_at = self._reported_at_by_workspace.get(workspace, -math.inf)
+            if account is None or now - reported_at < CAP_LOG_INTERVAL:
+                continue
+            self._reported_at_by_workspace[workspace] = now
+            events.append(_cap_reached(workspace, account, task_count))
+        return events
+
+
+def _cap_reached(workspace: WorkspaceId, account: CapAccount, task_count: int) -> LogEvent:
+    return log_event(
+        Event.CAP_REACHED,
+        workspace=workspace,
+        cpu=account.used.cpu,
+        cpu_cap=account.cap.cpu,
+        memory=account.used.memory,
+        memory_cap=account.cap.memory,
+        accelerators=account.used.accelerators,
+        accelerators_cap=account.cap.accelerators,
+        reserved_accelerators=account.reserved.accelerators,
+        waiting_tasks=task_count,
+    )
--- a/packages/core/src/bulrushhollow_core/domain/_demands.py
+++ b/packages/core/src/bulrushhollow_core/domain/_demands.py
@@ -10,9 +10,16 @@
 from bulrushhollow_core.domain._configuration import ServiceName
 from bulrushhollow_core.domain._fleet import Run
 from bulrushhollow_core.domain._hosts import Host
-from bulrushhollow_core.domain._jobs import Resources, Step, StepRef, WorkerLife, core_equivalents
+from bulrushhollow_core.domain._jobs import (
+    NO_RESOURCES,
+    Resources,
+    Step,
+    StepRef,
+    WorkerLife,
+    core_equivalents,
+)
 from bulrushhollow_core.domain._queueing import Priority
-from bulrushhollow_core.ids import Seconds
+from bulrushhollow_core.ids import Seconds, WorkspaceId
 
 
 class Demand:
@@ -34,6 +41,7 @@
         its victims.
     :param is_reclaiming: whether its guarantee is due, so that any victim may be evicted.
     :param allowed_workers: the only workers that may run the tasks; None for no such limit.
+    :param workspace: workspace whose cap limits the tasks; None for no cap.
     """
 
     def __init__(
@@ -52,6 +60,7 @@
         may_evict: bool = True,
         is_reclaiming: bool = False,
         allowed_workers: frozenset[WorkerLife] | None = None,
+        workspace: WorkspaceId | None = None,
     ) -> None:
         """Create a demand for the given tasks of a step."""
         self.ref = ref
@@ -68,6 +77,7 @@
         self.may_evict = may_evict
         self.is_reclaiming = is_reclaiming
         self.allowed_workers = allowed_workers
+        self.workspace = workspace
 
     @property
     def core_seconds(self) -> float:
@@ -100,6 +110,7 @@
             self.may_evict,
             self.is_reclaiming,
             self.allowed_workers,
+            self.workspace,
         )
 
     def max_tasks_on(self, host: Host) -> int:
@@ -116,6 +127,7 @@
     :param priority: position in the queue that their job would have; lower is served first.
     :param lost_work: core-seconds that the eviction wastes: all work of a run without checkpoints,
         or the time to restore one that has them.
+    :param workspace: workspace whose cap counts the runs; None for no cap.
     """
 
     def __init__(
@@ -125,6 +137,7 @@
         priority: Priority,
         is_guaranteed: bool,
         lost_work: float,
+        workspace: WorkspaceId | None = None,
     ) -> None:
         """Create a victim and sum up what its eviction frees on each worker."""
         self.runs = runs
@@ -139,3 +152,12 @@
         self.priority = priority
         self.is_guaranteed = is_guaranteed
         self.lost_work = lost_work
+        self.workspace = workspace
+
+    @property
+    def freed(self) -> Resources:
+        """Return the resources that the eviction frees on all workers."""
+        total = NO_RESOURCES
+        for freed in self.freed_by_life.values():
+            total = total.plus(freed)
+        return total
--- a/packages/core/src/bulrushhollow_core/domain/_dispatch.py
+++ b/packages/core/src/bulrushhollow_core/domain/_dispatch.py
@@ -54,6 +54,8 @@
     def dispatch_start(self, start: Start, now: Seconds) -> None:
         """Send a committed start to its worker, or end the run if it must no longer start."""
         self._shared.proposed_runs_by_task.pop(start.task, None)
+        is_withdrawn = start.task in self._shared.withdrawn_starts
+        self._shared.withdrawn_starts.discard(start.task)
         worker = self._shared.fleet.get(start.worker)
         run = worker.runs_by_task.get(start.task) if worker else None
         if worker is None or run is None or run.number != start.run:
@@ -64,7 +66,7 @@
             worker.announcement is not None
             and worker.announcement.data_centre in self._shared.state.evacuated_data_centres
         )
-        if not self._shared.state.can_start(start) or is_evacuated:
+        if not self._shared.state.can_start(start) or is_evacuated or is_withdrawn:
             self._shared.fleet.release(worker, start.task)
             self._shared.propose_end(start.task, start.run, Outcome.NEVER_STARTED)
             return
--- a/packages/core/src/bulrushhollow_core/domain/_events.py
+++ b/packages/core/src/bulrushhollow_core/domain/_events.py
@@ -39,6 +39,8 @@
     LEADERSHIP_TAKEN = "leadership_taken"
     LEADERSHIP_LOST = "leadership_lost"
     MEMBERS_CHANGED = "members_changed"
+    CAP_REACHED = "cap_reached"
+    """Tasks of a workspace wait because of its cap; written at most each second for each one."""
     CAPACITY = "capacity"
     """Written each second by the leader: the free capacity and the work that waits for it."""
 
--- a/packages/core/src/bulrushhollow_core/domain/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/_fleet.py
@@ -6,7 +6,6 @@
 runs that take their resources, and which workers are suspect or quarantined.
 """
 
-import itertools
 import math
 from enum import Enum
 from typing import NamedTuple
@@ -57,6 +56,18 @@
     number: RunNumber
 
 
+class UnansweredStart(NamedTuple):
+    """
+    A start without an answer.
+
+    :param timed_out_at: when the order timed out; it may still be carried out for a while.
+    :param needs: resources that the run takes if it starts.
+    """
+
+    timed_out_at: Seconds
+    needs: Resources
+
+
 class RunPhase(Enum):
     """State of a run as the leader knows it."""
 
@@ -191,8 +202,8 @@
         self.runs_by_task: dict[TaskRef, Run] = {}
         """Changed only by its :class:`Fleet`, which keeps an index of all runs."""
         self._allocated = NO_RESOURCES
-        self.unanswered_starts: dict[RunRef, Seconds] = {}
-        """Starts without an answer, and when each timed out; they may still be carried out."""
+        self.unanswered_starts: dict[RunRef, UnansweredStart] = {}
+        """Starts without an answer; they may still be carried out."""
         self.pending_stops: dict[RunRef, Seconds] = {}
         """Runs that must not start in this life, and when to send their stop again."""
         self.accepted_stops: dict[RunRef, Seconds] = {}
@@ -250,14 +261,26 @@
 
     def possibly_started_tasks(self, now: Seconds) -> set[TaskRef]:
         """Return the tasks that a late order may have started in this life and may still run."""
+        return {ref.task for ref in self._possibly_started_runs(now)}
+
+    def possible_starts(self, now: Seconds) -> dict[RunRef, UnansweredStart]:
+        """Return the starts that may have been carried out late, without runs placed here."""
+        if not (self.pending_stops or self.accepted_stops):
+            return {}
+        placed = {RunRef(run.task, run.number) for run in self.runs_by_task.values()}
+        return {
+            ref: self.unanswered_starts[ref] for ref in self._possibly_started_runs(now) - placed
+        }
+
+    def _possibly_started_runs(self, now: Seconds) -> set[RunRef]:
         for ref in [ref for ref, at in self.accepted_stops.items() if now >= at]:
             del self.accepted_stops[ref]
         unconfirmed = (
             ref
             for ref in self.pending_stops
-            if now - self.unanswered_starts[ref] < LATE_ORDER_WINDOW
+            if now - self.unanswered_starts[ref].timed_out_at < LATE_ORDER_WINDOW
         )
-        return {ref.task for ref in itertools.chain(unconfirmed, self.accepted_stops)}
+        return {*unconfirmed, *self.accepted_stops}
 
     # Clock and lease.
 
--- a/packages/core/src/bulrushhollow_core/domain/_hosts.py
+++ b/packages/core/src/bulrushhollow_core/domain/_hosts.py
@@ -61,6 +61,10 @@
         """Count the resources of a run that is being stopped."""
         self.free_after_stops = self.free_after_stops.plus(needs)
 
+    def remove_stopping(self, needs: Resources) -> None:
+        """Take back what :meth:`add_stopping` counted."""
+        self.free_after_stops = self.free_after_stops.minus(needs)
+
 
 def slots_in(free: Resources, needs: Resources, limit: int) -> int:
     """Return how many tasks fit into free resources, at most a limit."""
--- a/packages/core/src/bulrushhollow_core/domain/_losses.py
+++ b/packages/core/src/bulrushhollow_core/domain/_losses.py
@@ -63,7 +63,9 @@
         """
         later.assume_lease(self._shared.settings.longest_lease, now)
         later.unanswered_starts = {
-            ref: at for ref, at in earlier.unanswered_starts.items() if now - at < LATE_ORDER_WINDOW
+            ref: start
+            for ref, start in earlier.unanswered_starts.items()
+            if now - start.timed_out_at < LATE_ORDER_WINDOW
         }
         later.pending_stops = dict.fromkeys(later.unanswered_starts, now)
         self._dispatcher.resend_stops(later, now)
--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
+from bulrushhollow_core.domain._caps import CapLedger
 from bulrushhollow_core.domain._configuration import ServiceName
 from bulrushhollow_core.domain._demands import Demand, Victim
 from bulrushhollow_core.domain._evictions import EvictionSearch, VictimIndex
@@ -73,6 +74,7 @@
     :ivar placements: tasks to start for each demand, in the order of the demands.
     :ivar evictions: victims to stop for each demand.
     :ivar blocked: demands of which some tasks could not be placed.
+    :ivar held_back: demands whose tasks may not start now because of their workspace's cap.
     """
 
     def __init__(self) -> None:
@@ -80,6 +82,7 @@
         self.placements: list[tuple[Demand, list[Placement]]] = []
         self.evictions: list[tuple[Demand, Victim]] = []
         self.blocked: list[Demand] = []
+        self.held_back: list[Demand] = []
 
 
 class DemandShape(NamedTuple):
@@ -96,6 +99,17 @@
     only_rack: str
 
 
+class LocalHosts(NamedTuple):
+    """
+    The hosts that independent tasks may use because of their data.
+
+    :param only_rack: the only rack that they may use; empty for any.
+    """
+
+    only_rack: str
+    hosts: list[Host]
+
+
 class Planner:
     """
     Makes one plan.
@@ -108,6 +122,7 @@
     :param victims: returns the runs that may be evicted; called only if a demand does not fit.
     :param expected_ends: returns when runs are expected to end; called only for reservations.
     :param headroom: accelerators that background work leaves free for later urgent jobs.
+    :param caps: usage of the workspaces with a cap; by default there are none.
     """
 
     def __init__(
@@ -116,10 +131,12 @@
         victims: Callable[[], Sequence[Victim]],
         expected_ends: Callable[[], Sequence[ExpectedEnd]],
         headroom: int = 0,
+        caps: CapLedger | None = None,
     ) -> None:
         """Start from the current free resources of the hosts."""
         self._hosts = hosts
         self._hosts_by_life = {host.life: host for host in hosts}
+        self._caps = caps or CapLedger()
         self._find_victims = victims
         self._victims: Sequence[Victim] | None = None
         self._victim_indexes_by_rank: dict[tuple[int, bool], VictimIndex] = {}
@@ -142,7 +159,10 @@
         """Return the plan for demands, which are served in the given order."""
         for demand in demands:
             hosts = self._eligible_hosts(demand)
-            if demand.step.is_gang:
+            startable_count = self._caps.startable_count(demand)
+            if startable_count < len(demand.task_indexes):
+                self._place_under_cap(demand, hosts, startable_count)
+            elif demand.step.is_gang:
                 self._place_gang(demand, hosts)
             else:
                 self._place_independent(demand, hosts)
@@ -201,14 +221,21 @@
             self.plan.placements.append((demand, placements))
             return
         self.plan.blocked.append(demand)
-        group = self._best_group(demand, groups, include_stopping=True)
-        if group is None and self._evict_for(demand, groups):
-            group = self._best_group(demand, groups, include_stopping=True)
+        group = self._find_group_after_stops(demand, groups, _max_lost_work(demand))
         if group is not None:
             self._place_in_group(demand, group, include_stopping=True)
             return
         self._reserve_for_gang(demand, groups)
 
+    def _find_group_after_stops(
+        self, demand: Demand, groups: Sequence[HostGroup], max_lost_work: float
+    ) -> HostGroup | None:
+        """Return where a gang fits once current stops have ended; evict for it if necessary."""
+        group = self._best_group(demand, groups, include_stopping=True)
+        if group is None and self._evict_for(demand, groups, max_lost_work):
+            group = self._best_group(demand, groups, include_stopping=True)
+        return group
+
     def _groups_for(self, demand: Demand, hosts: list[Host]) -> list[HostGroup]:
         if demand.has_worker_constraints:
             return candidate_groups(demand, hosts)
@@ -254,6 +281,7 @@
                 placements.append(Placement(demand.ref.task(waiting.pop(0)), host.life))
             if not waiting:
                 break
+        self._caps.charge(demand, len(placements))
         return placements
 
     def _reserve_for_gang(self, demand: Demand, groups: Sequence[HostGroup]) -> None:
@@ -268,6 +296,7 @@
         if best is None:
             return
         self._reservation_count += 1
+        self._caps.reserve(demand)
         free_by_life = self._free_at_time(best[1], best[0])
         waiting = len(demand.task_indexes)
         for host in sorted(
@@ -330,11 +359,7 @@
     # Independent tasks.
 
     def _place_independent(self, demand: Demand, hosts: list[Host]) -> None:
-        only_rack = ""
-        if demand.step.data_rack and not demand.may_leave_data_rack:
-            local_hosts = [host for host in hosts if host.rack == demand.step.data_rack]
-            if local_hosts:
-                only_rack, hosts = demand.step.data_rack, local_hosts
+        only_rack, hosts = _local_hosts(demand, hosts)
         unplaced = list(demand.task_indexes)
         if not self._is_known_not_to_fit(demand, False, only_rack):
             placements = self._place_tasks(demand, hosts, self._startable_count(demand))
@@ -348,7 +373,7 @@
         self.plan.blocked.append(demand)
         remaining = demand.for_tasks(unplaced)
         if self._fits_after_stops(remaining, hosts, only_rack) or self._evict_for(
-            remaining, [hosts]
+            remaining, [hosts], _max_lost_work(remaining)
         ):
             self._place_in_group(remaining, hosts, include_stopping=True)
 
@@ -407,9 +432,9 @@
 
     # Eviction.
 
-    def _evict_for(self, demand: Demand, groups: Sequence[HostGroup]) -> bool:
+    def _may_search_victims(self, demand: Demand) -> bool:
         """
-        Evict the cheapest victims for an urgent demand; return whether enough may be evicted.
+        Return whether victims may be searched for a demand, and count the search.
 
         Work that is not urgent waits: evicting for it costs its victims as much as it gains.
         """
@@ -419,7 +444,12 @@
             if self.victim_searches >= MAX_VICTIM_SEARCHES:
                 return False
             self.victim_searches += 1
-        max_lost_work = _max_lost_work(demand)
+        return True
+
+    def _evict_for(self, demand: Demand, groups: Sequence[HostGroup], max_lost_work: float) -> bool:
+        """Evict the cheapest victims for an urgent demand; return whether enough may be evicted."""
+        if not self._may_search_victims(demand):
+            return False
         index = self._victim_index_for(demand)
         best: list[Victim] | None = None
         for group in groups:
@@ -429,26 +459,126 @@
                 max_lost_work = sum(victim.lost_work for victim in chosen)
         if best is None:
             return False
+        self._count_as_stopping(best)
+        self.plan.evictions.extend((demand, victim) for victim in best)
+        return True
+
+    def _count_as_stopping(self, victims: Sequence[Victim]) -> None:
+        """Count the resources of victims as freed soon."""
         self._smallest_rejected_by_shape.clear()
-        for victim in best:
+        for victim in victims:
             victim.is_chosen = True
-            self.plan.evictions.append((demand, victim))
+            self._caps.count_stop(victim)
             for life, freed in victim.freed_by_life.items():
                 host = self._hosts_by_life.get(life)
                 if host is not None:
                     host.add_stopping(freed)
-        return True
 
     def _victim_index_for(self, demand: Demand) -> VictimIndex:
         """Return the victims for demands that may evict the same runs as this one."""
         rank = (demand.urgency, demand.is_reclaiming)
         if rank not in self._victim_indexes_by_rank:
-            if self._victims is None:
-                self._victims = self._find_victims()
-            permitted = [victim for victim in self._victims if _may_evict(demand, victim)]
-            self._victim_indexes_by_rank[rank] = VictimIndex(permitted)
+            self._victim_indexes_by_rank[rank] = VictimIndex(self._permitted_victims(demand))
         return self._victim_indexes_by_rank[rank]
 
+    def _permitted_victims(self, demand: Demand) -> list[Victim]:
+        if self._victims is None:
+            self._victims = self._find_victims()
+        return [victim for victim in self._victims if _may_evict(demand, victim)]
+
+    # Caps of workspaces.
+
+    def _place_under_cap(self, demand: Demand, hosts: list[Host], startable_count: int) -> None:
+        """
+        Place as many independent tasks as the cap of their workspace allows; a gang waits. For
+        urgent work, less urgent work of the workspace is evicted.
+
+        Work that its cap holds back must not delay other workspaces, so no room is reserved for it
+        and no rejection of its shape is recorded.
+        """
+        held_back = demand
+        if startable_count > 0 and not demand.step.is_gang:
+            admitted = demand.for_tasks(demand.task_indexes[:startable_count])
+            self._place_independent(admitted, hosts)
+            held_back = admitted.for_tasks(demand.task_indexes[startable_count:])
+        self.plan.held_back.append(held_back)
+        if not self._free_cap_for(held_back, hosts) and demand.step.is_gang:
+            self._caps.reserve(demand)
+
+    def _free_cap_for(self, demand: Demand, hosts: list[Host]) -> bool:
+        """
+        Free the cap for an urgent demand, and its room on workers; return whether both succeed.
+
+        What the evictions for the cap free on workers counts before further runs are evicted.
+        """
+        if not self._may_search_victims(demand):
+            return False
+        evictions_before = len(self.plan.evictions)
+        max_lost_work = _max_lost_work(demand)
+        relief = self._caps.find_relief(demand, self._permitted_victims(demand), max_lost_work)
+        if relief is None:
+            return False
+        relieved = demand.for_tasks(demand.task_indexes[: relief.task_count])
+        self._count_as_stopping(relief.victims)
+        group = self._find_room_after_stops(relieved, hosts, max_lost_work - relief.lost_work)
+        if group is None:
+            self._undo_stops(relief.victims)
+            return False
+        victims = relief.victims
+        if len(self.plan.evictions) > evictions_before:
+            victims = self._drop_unneeded(victims, relieved, group)
+        self.plan.evictions.extend((relieved, victim) for victim in victims)
+        self._place_in_group(relieved, group, include_stopping=True)
+        return True
+
+    def _find_room_after_stops(
+        self, demand: Demand, hosts: list[Host], max_lost_work: float
+    ) -> HostGroup | None:
+        """Return where a demand fits once current stops have ended; evict for it if necessary."""
+        if demand.step.is_gang:
+            groups = self._groups_for(demand, hosts)
+            return self._find_group_after_stops(demand, groups, max_lost_work)
+        only_rack, hosts = _local_hosts(demand, hosts)
+        fits = self._fits_after_stops(demand, hosts, only_rack)
+        return hosts if fits or self._evict_for(demand, [hosts], max_lost_work) else None
+
+    def _drop_unneeded(
+        self, victims: Sequence[Victim], demand: Demand, group: HostGroup
+    ) -> list[Victim]:
+        """
+        Return the victims that a demand still needs after further evictions for room on workers;
+        the costliest are dropped first.
+        """
+        needed = list(victims)
+        for victim in reversed(victims):
+            self._undo_stops([victim])
+            has_room = slots_for(demand, group, True) >= len(demand.task_indexes)
+            if has_room and self._caps.fits_after_stops(demand):
+                needed.remove(victim)
+            else:
+                self._count_as_stopping([victim])
+        return needed
+
+    def _undo_stops(self, victims: Sequence[Victim]) -> None:
+        """Count victims that are not evicted after all as running."""
+        for victim in victims:
+            victim.is_chosen = False
+            self._caps.undo_stop(victim)
+            for life, freed in victim.freed_by_life.items():
+                host = self._hosts_by_life.get(life)
+                if host is not None:
+                    host.remove_stopping(freed)
+
+
+def _local_hosts(demand: Demand, hosts: list[Host]) -> LocalHosts:
+    """Return the hosts in the rack of a demand's data, or all if it may leave that rack."""
+    data_rack = demand.step.data_rack
+    if data_rack and not demand.may_leave_data_rack:
+        local_hosts = [host for host in hosts if host.rack == data_rack]
+        if local_hosts:
+            return LocalHosts(data_rack, local_hosts)
+    return LocalHosts("", hosts)
+
 
 def _end_time(expected_end: ExpectedEnd) -> Seconds:
     return expected_end.at
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -11,6 +11,7 @@
 from collections.abc import Set
 
 from bulrushhollow_core.domain._announcements import Availability, WorkerNews
+from bulrushhollow_core.domain._caps import CapReporter, build_cap_ledger
 from bulrushhollow_core.domain._claims import ClaimRegister
 from bulrushhollow_core.domain._commands import (
     Start,
@@ -66,6 +67,7 @@
         self._dispatcher = dispatcher
         self._waiting_since_by_step: dict[StepRef, Seconds] = {}
         self._claims = ClaimRegister(shared.settings.stop_timeout)
+        self._cap_reporter = CapReporter()
         self._capacity_log_due = Seconds(-math.inf)
         self._silent_data_centres: frozenset[DataCentreId] = frozenset()
 
@@ -94,11 +96,13 @@
                     waiting_step.job.id, peak_accelerators(waiting_step.job), now
                 )
         self._shared.advice.clear_requests()
+        caps = build_cap_ledger(self._shared, hosts, now)
         planner = Planner(
             hosts,
             lambda: self._find_victims(guaranteed, now, wall),
             lambda: self._expected_ends(now),
             self._shared.headroom.required_accelerators(now),
+            caps,
         )
         racks = {host.rack for host in hosts}
         suspects = {host.life for host in hosts if host.is_suspect}
@@ -108,10 +112,11 @@
         )
         self._prefetch_advice(waiting, hosts, now)
         self._execute_plan(plan, now)
+        self._shared.outbox.extend(self._cap_reporter.report(plan.held_back, caps, now))
         for demand in plan.blocked:
             if demand.ref in expired_claims:
                 self._log_expired_claim(demand, planner, now)
-        return bool(plan.blocked)
+        return bool(plan.blocked or plan.held_back)
 
     def _order_by_claims(self, waiting: list[WaitingStep]) -> list[WaitingStep]:
         """Return the steps with those that have a claim at the position that they had for it."""
@@ -167,6 +172,7 @@
             is_reclaiming=waiting_step.job.id in guaranteed
             and now - waiting_since >= RECLAIM_DELAY,
             allowed_workers=self._allowed_workers(waiting_step, hosts, now),
+            workspace=waiting_step.job.workspace,
         )
 
     def _may_evict(self, waiting_step: WaitingStep) -> bool:
@@ -271,8 +277,7 @@
             is_slow=self._shared.straggler_detector.is_slow(worker.life),
         )
         for run in worker.runs_by_task.values():
-            is_ending = not run.is_gang and self._ends_soon(run, now)
-            if run.phase is RunPhase.STOPPING or is_ending:
+            if self._shared.is_freeing_resources(run, now):
                 host.add_stopping(run.needs)
         return host
 
@@ -293,15 +298,10 @@
             self._build_victim(runs, guaranteed, now, wall)
             for runs in runs_by_unit.values()
             # Stopping a run that is about to end would not free its resources any earlier.
-            if not all(self._ends_soon(run, now) for run in runs)
+            if not all(self._shared.ends_soon(run, now) for run in runs)
             and budget.try_consume(self._shared.state.jobs_by_id[runs[0].task.job], runs[0])
         ]
 
-    def _ends_soon(self, run: Run, now: Seconds) -> bool:
-        """Return whether a run is expected to end by itself within the time that a stop takes."""
-        ends_within = run.ends_within(self._shared.settings.stop_timeout, now)
-        return ends_within and not self._shared.is_long_running(run)
-
     def _build_victim(
         self, runs: list[Run], guaranteed: set[JobId], now: Seconds, wall: WallTime
     ) -> Victim:
@@ -314,7 +314,9 @@
         )
         is_guaranteed = job.id in guaranteed
         priority = priority_of(job, runs[0].task.occurrence, is_guaranteed, wall)
-        return Victim(runs, job.queue.urgency, priority, is_guaranteed, lost_work)
+        return Victim(
+            runs, job.queue.urgency, priority, is_guaranteed, lost_work, workspace=job.workspace
+        )
 
     def _expected_ends(self, now: Seconds) -> list[ExpectedEnd]:
         expected_ends = []
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler.py
@@ -12,10 +12,12 @@
 
 from bulrushhollow_core.domain._announcements import Availability, WorkerNews
 from bulrushhollow_core.domain._answers import OrderAnswerHandler
+from bulrushhollow_core.domain._caps import withdraw_starts_over_cap
 from bulrushhollow_core.domain._commands import (
     CancelJob,
     Command,
     EndRuns,
+    PutConfiguration,
     RegisterWorker,
     SetEvacuation,
     StartRuns,
@@ -175,6 +177,9 @@
                 self._shared.request_plan(now)
             case SetEvacuation():
                 self._shared.request_plan(now)
+            case PutConfiguration():
+                withdraw_starts_over_cap(self._shared, now)
+                self._shared.request_plan(now)
             case RegisterWorker(announcement=announcement):
                 self._shared.pending_registrations.discard(announcement.life)
 
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
@@ -59,6 +59,8 @@
         self.fleet = Fleet()
         self.proposed_runs_by_task: dict[TaskRef, Run] = {}
         """Runs whose start is proposed to the log and not yet committed."""
+        self.withdrawn_starts: set[TaskRef] = set()
+        """Proposed starts that must not be ordered: a new configuration lowered a cap."""
         self.excluded_workers_by_step: dict[StepRef, set[WorkerLife]] = {}
         """Workers on which a task of the step failed, stalled or was too slow."""
         self.departed_lives: set[WorkerLife] = set(state.departed_workers)
@@ -159,6 +161,15 @@
         is_gang = job.work.steps[ref.step].is_gang
         return record.checkpoint if is_gang else record.tasks[ref.member].checkpoint
 
+    def ends_soon(self, run: Run, now: Seconds) -> bool:
+        """Return whether a run is expected to end by itself within the time that a stop takes."""
+        ends_within = run.ends_within(self.settings.stop_timeout, now)
+        return ends_within and not self.is_long_running(run)
+
+    def is_freeing_resources(self, run: Run, now: Seconds) -> bool:
+        """Return whether a run frees its resources soon: it is being stopped or ends by itself."""
+        return run.phase is RunPhase.STOPPING or (not run.is_gang and self.ends_soon(run, now))
+
     def is_long_running(self, run: Run) -> bool:
         """Return whether a run lasts until its job is cancelled."""
         job = self.state.jobs_by_id.get(run.task.job)
--- /dev/null
+++ b/tests/test_domain_caps.py
@@ -0,0 +1,266 @@
+"""Caps of workspaces under load: starts, evictions, refusals, and plans without caps."""
+
+import hashlib
+import random
+import unittest
+
+from bulrushhollow_core.domain._caps import CapAccount, CapLedger
+from bulrushhollow_core.domain._demands import Demand, Victim
+from bulrushhollow_core.domain._hosts import ExpectedEnd, Host
+from bulrushhollow_core.domain._jobs import Resources
+from bulrushhollow_core.domain._planner import Plan, Planner
+from bulrushhollow_core.ids import Seconds, WorkspaceId
+from tests.test_domain_planner import NOW, make_demand, make_host, make_run, make_victim
+
+TEAM = WorkspaceId("team")
+OTHER = WorkspaceId("other")
+
+
+def demand_of(workspace: WorkspaceId | None, name: str, count: int, **options: object) -> Demand:
+    """Return a demand of tasks with one accelerator each, of a workspace."""
+    demand = make_demand(name, count, 1, same_rack=False, **options)  # type: ignore[arg-type]
+    demand.workspace = workspace
+    return demand
+
+
+def tasks_of(workspace: WorkspaceId, name: str, count: int, urgency: int = 2) -> Demand:
+    return demand_of(workspace, name, count, urgency=urgency, is_gang=False, is_checkpointable=True)
+
+
+def victim_of(
+    workspace: WorkspaceId, name: str, on: Host, accelerators: int = 1, lost_work: float = 1.0
+) -> Victim:
+    victim = make_victim([make_run(name, on, accelerators)], 2, lost_work)
+    victim.workspace = workspace
+    return victim
+
+
+def ledger(cap: int, used: int = 0, is_service_busy: bool = True) -> CapLedger:
+    """Return a ledger in which a workspace may use some accelerators and uses some."""
+    account = CapAccount(Resources(0, 0, cap))
+    account.charge(Resources(0, 0, used))
+    return CapLedger({TEAM: account}, is_service_busy)
+
+
+def plan(
+    caps: CapLedger,
+    demands: list[Demand],
+    hosts: list[Host],
+    victims: list[Victim] | None = None,
+) -> Plan:
+    return Planner(hosts, lambda: victims or [], list, caps=caps).make_plan(demands)
+
+
+def placed(result: Plan) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for demand, placements in result.placements:
+        counts[demand.ref.job] = counts.get(demand.ref.job, 0) + len(placements)
+    return counts
+
+
+def evicted(result: Plan) -> set[str]:
+    return {run.task.job for _, victim in result.evictions for run in victim.runs}
+
+
+class StartTest(unittest.TestCase):
+    def test_a_burst_of_one_workspace_starts_only_what_its_cap_allows(self) -> None:
+        hosts = [make_host(name, "r") for name in "abcd"]
+        burst = [
+            tasks_of(TEAM, "first", 6),
+            tasks_of(TEAM, "second", 6),
+            tasks_of(TEAM, "third", 6),
+        ]
+        result = plan(ledger(cap=13, used=4), burst, hosts)
+        self.assertEqual({"first": 6, "second": 3}, placed(result))
+        self.assertEqual(["second", "third"], [each.ref.job for each in result.held_back])
+
+    def test_each_resource_is_limited_by_itself(self) -> None:
+        hosts = [make_host("a", "r")]
+        for cap, expected in (((3_000, 0, 0), 3), ((0, 2_500, 0), 2), ((9_000, 9_000, 0), 8)):
+            caps = CapLedger({TEAM: CapAccount(Resources(*cap))})
+            burst = tasks_of(TEAM, "j", 8, urgency=1)
+            self.assertEqual({"j": expected}, placed(plan(caps, [burst], [make_host("a", "r")])))
+        self.assertEqual({"j": 8}, placed(plan(ledger(1), [tasks_of(OTHER, "j", 8, 1)], hosts)))
+
+    def test_a_gang_starts_whole_or_not_at_all_under_its_cap(self) -> None:
+        for cap, expected in ((7, {}), (8, {"gang": 4})):
+            gang = demand_of(TEAM, "gang", 4)
+            result = plan(ledger(cap, used=4), [gang], [make_host("a", "r")])
+            self.assertEqual(expected, placed(result))
+
+    def test_nothing_starts_while_usage_exceeds_a_lowered_cap(self) -> None:
+        free_of_accelerators = make_demand("j", 1, 0, is_gang=False, same_rack=False)
+        free_of_accelerators.workspace = TEAM
+        waiting = [free_of_accelerators, tasks_of(TEAM, "k", 1)]
+        self.assertEqual({}, placed(plan(ledger(4, used=5), waiting, [make_host("a", "r")])))
+
+
+class IsolationTest(unittest.TestCase):
+    def test_work_held_back_by_its_cap_delays_no_other_workspace(self) -> None:
+        # A gang that reserved its room or recorded its shape as too large would keep the second
+        # one, of the same shape, from the only worker.
+        for urgency in (0, 1):
+            host = make_host("a", "r")
+            victim = victim_of(OTHER, "victim", host)
+            waiting = [
+                demand_of(TEAM, "held", 8, urgency=urgency),
+                demand_of(OTHER, "same", 8, urgency=1),
+            ]
+            result = plan(ledger(8, used=4), waiting, [host], [victim])
+            self.assertEqual({"same": 8}, placed(result))
+            self.assertEqual(([], []), (result.evictions, result.blocked))
+
+    def test_small_work_of_a_workspace_does_not_starve_its_gang_under_the_cap(self) -> None:
+        for is_service_busy, expected in ((True, {}), (False, {"small": 1})):
+            waiting = [demand_of(TEAM, "gang", 6), tasks_of(TEAM, "small", 8, urgency=1)]
+            caps = ledger(8, used=3, is_service_busy=is_service_busy)
+            result = plan(caps, waiting, [make_host("a", "r"), make_host("b", "r")])
+            self.assertEqual(expected, placed(result), "on an idle service, up to half of the cap")
+
+    def test_a_gang_wider_than_a_lowered_cap_does_not_hold_up_its_workspace(self) -> None:
+        waiting = [demand_of(TEAM, "wide", 6), tasks_of(TEAM, "small", 2)]
+        result = plan(ledger(4, used=1), waiting, [make_host("a", "r")])
+        self.assertEqual({"small": 2}, placed(result))
+
+
+class EvictionTest(unittest.TestCase):
+    def test_urgent_work_evicts_the_cheapest_work_of_its_own_workspace(self) -> None:
+        host = make_host("a", "r", 4)
+        victims = [
+            victim_of(OTHER, "foreign", host, lost_work=0.0),
+            victim_of(TEAM, "dear", host, 2, lost_work=90.0),
+            victim_of(TEAM, "cheap", host, 2, lost_work=5.0),
+        ]
+        urgent = demand_of(TEAM, "urgent", 2, urgency=0)
+        result = plan(ledger(4, used=4), [urgent], [host], victims)
+        self.assertEqual(({}, {"cheap"}), (placed(result), evicted(result)))
+
+    def test_background_work_waits_under_its_cap(self) -> None:
+        host = make_host("a", "r", 4)
+        for urgency in (1, 2):
+            victim = make_victim([make_run("victim", host, 2)], 3, 0.0)
+            victim.workspace = TEAM
+            waiting = demand_of(TEAM, "gang", 2, urgency=urgency)
+            self.assertEqual([], plan(ledger(4, 4), [waiting], [host], [victim]).evictions)
+
+    def test_much_work_is_discarded_for_the_cap_only_once_a_guarantee_is_due(self) -> None:
+        for is_due, expected in ((False, set()), (True, {"victim"})):
+            host = make_host("a", "r", 4)
+            victim = victim_of(TEAM, "victim", host, 2, lost_work=10_000.0)
+            urgent = demand_of(
+                TEAM, "urgent", 2, urgency=0, is_guaranteed=True, is_reclaiming=is_due
+            )
+            self.assertEqual(expected, evicted(plan(ledger(4, 4), [urgent], [host], [victim])))
+
+    def test_the_room_of_a_victim_for_the_cap_is_used_before_more_is_evicted(self) -> None:
+        host = make_host("a", "r", 0)
+        victims = [
+            victim_of(TEAM, "own", host, 4, lost_work=50.0),
+            victim_of(OTHER, "foreign", host, 4, lost_work=1.0),
+        ]
+        urgent = demand_of(TEAM, "urgent", 4, urgency=0)
+        self.assertEqual({"own"}, evicted(plan(ledger(4, 4), [urgent], [host], victims)))
+
+    def test_a_victim_for_the_cap_is_spared_if_those_for_room_free_the_cap_too(self) -> None:
+        # The gang needs one rack. The cheapest victim is in the other rack and frees no room.
+        hosts = [make_host("a", "r1", 0), make_host("b", "r2", 0)]
+        victims = [
+            victim_of(TEAM, "elsewhere", hosts[1], 4, lost_work=1.0),
+            victim_of(TEAM, "here", hosts[0], 8, lost_work=9.0),
+        ]
+        urgent = make_demand("urgent", 8, 1, urgency=0)
+        urgent.workspace = TEAM
+        result = plan(ledger(16, 12), [urgent], hosts, victims)
+        self.assertEqual({"here"}, evicted(result))
+
+    def test_nothing_is_evicted_for_the_cap_if_there_is_no_room_on_workers(self) -> None:
+        host = make_host("a", "r", 0)
+        elsewhere = make_host("b", "r", 0, service="other")
+        victim = victim_of(TEAM, "victim", elsewhere, 4)
+        urgent = demand_of(TEAM, "urgent", 4, urgency=0)
+        small = tasks_of(TEAM, "small", 1)
+        caps = ledger(4, 4)
+        result = plan(caps, [urgent, small], [host, elsewhere], [victim])
+        self.assertEqual(([], False), (result.evictions, victim.is_chosen))
+        account = caps.account_of(TEAM)
+        assert account is not None
+        self.assertEqual(account.used, account.used_after_stops)
+
+    def test_nothing_more_is_evicted_while_the_cap_is_being_freed(self) -> None:
+        host = make_host("a", "r", 2)
+        host.add_stopping(Resources(16_000, 64_000, 2))
+        caps = ledger(4, 4)
+        account = caps.account_of(TEAM)
+        assert account is not None
+        account.used_after_stops = Resources(0, 0, 2)
+        urgent = demand_of(TEAM, "urgent", 2, urgency=0)
+        small = tasks_of(TEAM, "small", 2)
+        result = plan(caps, [urgent, small], [host], [victim_of(TEAM, "victim", host, 2)])
+        self.assertEqual(({}, []), (placed(result), result.evictions))
+
+    def test_urgent_tasks_get_as_much_of_the_cap_as_evictions_free(self) -> None:
+        host = make_host("a", "r")
+        urgent = tasks_of(TEAM, "urgent", 8, urgency=0)
+        victims = [victim_of(TEAM, f"v{n}", host, 1, lost_work=float(n)) for n in range(3)]
+        result = plan(ledger(6, 4), [urgent], [host], victims)
+        self.assertEqual(({"urgent": 2}, 3), (placed(result), len(result.evictions)))
+
+
+DIGEST_BEFORE_CAPS = "50091dbb6c72b2bacfc182c3899b7004dc7cbdfc8d5e855c1f34a2329ca4e575"
+"""Digest of the plans of :class:`PlansWithoutCapsTest` by the planner before caps were added."""
+
+
+class PlansWithoutCapsTest(unittest.TestCase):
+    def random_plan(self, seed: int, caps: CapLedger | None) -> list[str]:
+        rng = random.Random(seed)
+        hosts = [
+            make_host(f"h{n}", f"r{n % 5}", rng.randint(0, 8), is_slow=rng.random() < 0.2)
+            for n in range(20)
+        ]
+        victims = [
+            make_victim([make_run(f"v{n}", rng.choice(hosts), 2)], 2, rng.uniform(0, 400))
+            for n in range(25)
+        ]
+        ends = [
+            ExpectedEnd(host.life, Resources(16_000, 64_000, 2), Seconds(NOW + rng.uniform(0, 9)))
+            for host in hosts
+        ]
+        demands = []
+        for number in range(25):
+            is_gang = rng.random() < 0.5
+            urgency = rng.choice((0, 1, 1, 2))
+            demand = make_demand(
+                f"j{number}",
+                rng.randint(1, 12),
+                rng.randint(0, 4),
+                urgency=urgency,
+                is_gang=is_gang,
+                same_rack=is_gang,
+                data_rack=rng.choice(("", "", "r1")) if not is_gang else "",
+                max_per_worker=rng.choice((0, 0, 2)),
+                is_reclaiming=urgency == 0 and rng.random() < 0.3,
+            )
+            demand.workspace = OTHER
+            demands.append(demand)
+        options = {} if caps is None else {"caps": caps}
+        result = Planner(hosts, lambda: victims, lambda: ends, 6, **options).make_plan(demands)
+        lines = [
+            f"{placement.task.job}.{placement.task.member}@{placement.life.id}"
+            for _, placements in result.placements
+            for placement in placements
+        ]
+        lines += [f"{d.ref.job}-{run.task.job}" for d, v in result.evictions for run in v.runs]
+        lines += [f"{demand.ref.job}?" for demand in result.blocked]
+        return lines
+
+    def test_plans_without_caps_equal_those_of_the_planner_before_caps(self) -> None:
+        digest = hashlib.sha256()
+        for seed in range(60):
+            lines = self.random_plan(seed, None)
+            digest.update("\n".join(lines).encode())
+            self.assertEqual(lines, self.random_plan(seed, ledger(0)), "another has a cap")
+        self.assertEqual(DIGEST_BEFORE_CAPS, digest.hexdigest())
+
+
+if __name__ == "__main__":
+    unittest.main()
