--- a/standins/domain_oracle.py
+++ b/standins/domain_oracle.py
@@ -6,6 +6,7 @@
 time.
 """
 
+import math
 from typing import Protocol
 
 from bulrushhollow_core.domain import (
@@ -13,19 +14,41 @@
     ListedEnd,
     OrderStart,
     Outcome,
+    Resources,
     RunNumber,
     Step,
     TaskRef,
     Work,
     WorkerLife,
 )
-from bulrushhollow_core.ids import JobId
+from bulrushhollow_core.ids import JobId, Version
 from standins.domain_workers import LiveRun, Worker
 
 CANCEL_GRACE = 3.0
 """Seconds after an acknowledged cancel during which a task of the job may still start."""
 
 
+CAP_GRACE = 2.0
+"""Seconds after the acknowledgement of a lower cap during which a start that was ordered before it
+may still be carried out: three attempts, each with a timeout of half a second."""
+
+LATE_CAP_GRACE = 10.0
+"""The same for an order that is carried out up to eight seconds after it has timed out."""
+
+
+class CapRecord:
+    """
+    A cap on the tasks of all jobs, as one version of the configuration sets it.
+
+    :ivar replaced_at: when a later version was acknowledged.
+    """
+
+    def __init__(self, version: Version, cap: Resources) -> None:
+        self.version = version
+        self.cap = cap
+        self.replaced_at = math.inf
+
+
 class World(Protocol):
     """The calls of callers and the announcements of workers up to now."""
 
@@ -53,6 +76,11 @@
         self.violations: list[str] = []
         self.start_count = 0
         self.count_by_outcome: dict[Outcome, int] = {}
+        self.caps: list[CapRecord] = []
+        """Caps that have been requested; without any, the usage is not checked."""
+        self.refused_jobs: set[JobId] = set()
+        self._unforeseeable_runs: set[tuple[TaskRef, RunNumber]] = set()
+        """Runs in lives that the scheduler did not know of when it made its decisions."""
 
     def _require(self, is_kept: bool, text: str) -> None:
         """Record a violation before raising it, as the caller of the oracle may swallow errors."""
@@ -68,6 +96,7 @@
         """Check that a run may start."""
         task = order.task
         self.start_count += 1
+        self._require(task.job not in self.refused_jobs, f"{task} starts though it was refused")
         work = self.world.work_by_job.get(task.job)
         self._require(work is not None, f"{task} was never submitted")
         self._require(order.spec == work.spec, f"{task} started with another spec")
@@ -80,7 +109,9 @@
         if worker.is_order_delayed and worker.life not in self.world.announced_lives:
             # The scheduler cannot know of a life that has not announced itself yet.
             other_runs.append((worker, order.run))
+            self._unforeseeable_runs.add((task, order.run))
             return
+        self._check_cap(worker, task)
         self._require(
             not other_runs, f"{task} runs twice: {other_runs} and {order.run} on {worker.name}"
         )
@@ -109,6 +140,36 @@
             )
         other_runs.append((worker, order.run))
 
+    # Caps.
+
+    def cap_requested(self, version: Version, cap: Resources) -> None:
+        """Record that a configuration with a cap may come into force from now on."""
+        self.caps.append(CapRecord(version, cap))
+
+    def cap_acknowledged(self, version: Version) -> None:
+        """Record that a version is in force, so that no earlier one is."""
+        for record in self.caps:
+            if record.version < version:
+                record.replaced_at = min(record.replaced_at, self.world.now)
+
+    def _check_cap(self, worker: Worker, task: TaskRef) -> None:
+        """Check that the running and stopping tasks stay within the highest cap in force."""
+        grace = LATE_CAP_GRACE if worker.is_order_delayed else CAP_GRACE
+        caps = [each.cap for each in self.caps if each.replaced_at >= self.world.now - grace]
+        if not caps:
+            return
+        used = Resources(0, 0, 0)
+        for other in worker.pool.workers:
+            for run in other.runs.values():
+                if (run.order.task, run.order.run) not in self._unforeseeable_runs:
+                    used = used.plus(run.step.needs)
+        for name in ("cpu", "memory", "accelerators"):
+            limits = [getattr(cap, name) for cap in caps]
+            self._require(
+                0 in limits or getattr(used, name) <= max(limits),
+                f"{task} on {worker.name} raises {name} to {getattr(used, name)}, caps {limits}",
+            )
+
     def run_ended(self, worker: Worker, run: LiveRun, outcome: Outcome) -> None:
         """Record that a run ended."""
         task, number = run.order.task, run.order.run
--- a/standins/domain_site.py
+++ b/standins/domain_site.py
@@ -10,6 +10,7 @@
     Configuration,
     Queue,
     QueueName,
+    Resources,
     Service,
     ServiceName,
     Workspace,
@@ -19,6 +20,7 @@
 KEY = "k-team"
 HOST = "jobs.example"
 QUEUES = ("urgent", "usual", "later")
+NO_CAP = Resources(0, 0, 0)
 
 
 def queue(name: str, urgency: int, attempts: int = 3) -> Queue:
@@ -37,13 +39,13 @@
     )
 
 
-def configuration(version: int, guaranteed: int = 16) -> Configuration:
+def configuration(version: int, guaranteed: int = 16, cap: Resources = NO_CAP) -> Configuration:
     """Return a configuration with three queues and one workspace."""
     return Configuration(
         Version(version),
         (queue("urgent", 0), queue("usual", 1), queue("later", 2, attempts=2)),
         (Service(ServiceName("svc"), True),),
-        (Workspace(WorkspaceId("team"), (KEY,), guaranteed),),
+        (Workspace(WorkspaceId("team"), (KEY,), guaranteed, cap),),
         CallLimits(),
         b"version %d" % version,
     )
--- a/tests/domain_world.py
+++ b/tests/domain_world.py
@@ -42,6 +42,7 @@
     Poll,
     PutConfig,
     Read,
+    RefusalReason,
     Refused,
     Reply,
     Resources,
@@ -68,6 +69,11 @@
 _records = msgspec.msgpack.Decoder(list[ConsensusRecord])
 
 
+def is_over_cap(answer: Answer | None) -> bool:
+    """Return whether a submission was refused because of its workspace's cap."""
+    return isinstance(answer, Refused) and answer.reason is RefusalReason.EXCEEDS_CAP
+
+
 def data_centre_of(address: str) -> str:
     """Return the data centre of an instance; the fourth instance shares that of the first."""
     return f"dc{int(address.split('.')[2]) % 3}"
@@ -425,23 +431,32 @@
 
     def put_configuration(self, config: Configuration) -> bool:
         answers: list[Answer | None] = []
+        self.oracle.cap_requested(config.version, config.workspaces[0].cap)
         self.send_call(PutConfig(config), answers.append)
         self.run_until(lambda: bool(answers), 3)
-        return bool(answers) and isinstance(answers[0], Done)
+        is_done = bool(answers) and isinstance(answers[0], Done)
+        if is_done:
+            self.oracle.cap_acknowledged(config.version)
+        return is_done
 
     def submit(self, job: str, queue_name: str, work: Work, duration: float) -> None:
-        """Submit a job, and repeat that while the outcome is unknown."""
+        """Submit a job, and repeat that while the outcome is unknown or the refusal temporary."""
         job_id = JobId(job)
         self.work_by_job[job_id] = work
         self.durations[job_id] = duration
         call = Submit(HOST, f"/{queue_name}/{job}", KEY, work)
+        unclear_answers: list[Answer | None] = []
 
         def handle_answer(answer: Answer | None) -> None:
             if isinstance(answer, Done):
                 self.accepted[job_id] = self.now
+            elif is_over_cap(answer) and not unclear_answers:
+                self.oracle.refused_jobs.add(job_id)
             elif (
                 isinstance(answer, OutcomeUnknown) or answer is None or isinstance(answer, Refused)
             ):
+                if not isinstance(answer, Refused):
+                    unclear_answers.append(answer)
                 self.call_later(0.5, lambda: self.send_call(call, handle_answer))
             else:
                 raise AssertionError(f"{job} got {answer}")
--- a/tests/test_domain_machine.py
+++ b/tests/test_domain_machine.py
@@ -15,6 +15,9 @@
 out in the next life of its worker, after the task was done elsewhere. 9 guards against an oracle
 that takes an end before an expired lease for binding."""
 
+CAP_SEEDS = (1, 2, 3, 4)
+"""Seeds of the runs in which the cap of the workspace changes."""
+
 LOST_ANSWER_SEEDS = (1, 2, 3, 4)
 """Seeds of the runs in which workers carry out orders and their answers are lost."""
 
@@ -49,6 +52,27 @@
     return Work(f"spec of {name}", tuple(steps))
 
 
+class CapChanges:
+    """Raises, lowers and removes the cap of the workspace at random times."""
+
+    def __init__(self, world: World, seed: int) -> None:
+        self.world = world
+        self.rng = random.Random(seed * 104729)
+        self.version = 1
+        self.due = world.now
+
+    def put_next(self) -> None:
+        if self.world.now < self.due:
+            return
+        self.due = self.world.now + self.rng.uniform(1, 8)
+        accelerators = self.rng.choice((0, 4, 8, 16, 24))
+        self.put(Resources(self.rng.choice((0, 20_000, 48_000)), 0, accelerators))
+
+    def put(self, cap: Resources) -> bool:
+        self.version += 1
+        return self.world.put_configuration(configuration(self.version, cap=cap))
+
+
 class Faults:
     """Injects faults one by one, and repairs each after a while."""
 
@@ -134,11 +158,13 @@
     seconds: float = 40.0,
     late_order_rate: float = 0.04,
     lost_answer_rate: float = 0.0,
+    changes_caps: bool = False,
 ) -> World:
     """Submit jobs and inject faults, then repair everything and check that every job has ended."""
     world = start_domain(seed, late_order_rate, lost_answer_rate)
     rng = random.Random(seed * 7919)
     faults = Faults(world, rng)
+    cap_changes = CapChanges(world, seed)
     queue_by_job: dict[JobId, str] = {}
     end = world.now + seconds
     next_fault = world.now + 2
@@ -150,6 +176,8 @@
         if rng.random() < 0.1:
             job = rng.choice(list(queue_by_job))
             world.cancel(job, queue_by_job[job])
+        if changes_caps:
+            cap_changes.put_next()
         if world.now >= next_fault:
             faults.inject()
             next_fault = world.now + rng.uniform(1, 6)
@@ -160,6 +188,9 @@
     for instance in world.instances:
         if not instance.is_up:
             instance.start()
+    if changes_caps:
+        # Without a cap at the end, also jobs that were accepted under a higher cap can run.
+        world.run_until(lambda: cap_changes.put(Resources(0, 0, 0)), 60)
     world.run_until(lambda: all(_has_ended(world, job) for job in world.accepted), 180)
     for job, queue in queue_by_job.items():
         if job in world.accepted:
@@ -213,6 +244,14 @@
             with self.subTest(seed=seed):
                 run_seed(seed)
 
+    def test_no_cap_is_exceeded_while_caps_change_under_faults(self) -> None:
+        first = int(os.environ.get("FUZZ_SEED", "0"))
+        count = int(os.environ.get("FUZZ_STEPS", "0")) // 1000
+        seeds = range(first, first + count) if first and count else CAP_SEEDS
+        for seed in seeds:
+            with self.subTest(seed=seed):
+                run_seed(seed, lost_answer_rate=0.1 * (seed % 2), changes_caps=True)
+
     def test_invariants_hold_when_answers_of_workers_are_lost(self) -> None:
         first = int(os.environ.get("FUZZ_SEED", "0"))
         count = int(os.environ.get("FUZZ_STEPS", "0")) // 1000
