--- a/packages/core/src/bulrushhollow_core/domain/_caps.py
+++ b/packages/core/src/bulrushhollow_core/domain/_caps.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence, Set
 from typing import NamedTuple
 
 from bulrushhollow_core.domain._configuration import ConfigurationIndex
@@ -35,8 +35,8 @@
         """Create an account without any usage."""
         self.cap = cap
         self.used = NO_RESOURCES
-        self.used_after_stops = NO_RESOURCES
-        """Usage once every run that is being stopped has ended."""
+        self.ending = NO_RESOURCES
+        """Part of the usage that ends soon, by a stop or by itself."""
         self.reserved = NO_RESOURCES
         """Part of the cap that waiting gangs of the workspace reserve against later demands."""
 
@@ -53,6 +53,11 @@
             count = max(count, _count_within(self.cap, doubled_usage, doubled_needs, wanted))
         return count
 
+    @property
+    def used_after_stops(self) -> Resources:
+        """Return the usage once every run that is being stopped has ended."""
+        return self.used.minus(self.ending)
+
     def excess_with(self, added: Resources) -> Resources:
         """Return by how much further tasks would exceed the cap once current stops have ended."""
         usage = self.used_after_stops.plus(added)
@@ -62,11 +67,6 @@
             max(0, usage.accelerators - self.cap.accelerators) if self.cap.accelerators else 0,
         )
 
-    def charge(self, needs: Resources) -> None:
-        """Count tasks that start now, or as soon as current stops have ended."""
-        self.used = self.used.plus(needs)
-        self.used_after_stops = self.used_after_stops.plus(needs)
-
 
 class CapRelief(NamedTuple):
     """
@@ -91,16 +91,20 @@
 
     :param accounts_by_workspace: accounts of the workspaces with a cap.
     :param is_service_busy: whether half of the service's capacity or more is in use.
+    :param find_ending: returns the part of each workspace's usage that ends soon; called only if
+        urgent work is held back.
     """
 
     def __init__(
         self,
         accounts_by_workspace: dict[WorkspaceId, CapAccount] | None = None,
         is_service_busy: bool = False,
+        find_ending: Callable[[], dict[WorkspaceId, Resources]] = dict,
     ) -> None:
         """Create a ledger; without accounts it limits nothing."""
         self._accounts_by_workspace = accounts_by_workspace or {}
         self._is_service_busy = is_service_busy
+        self._find_ending: Callable[[], dict[WorkspaceId, Resources]] | None = find_ending
 
     def account_of(self, workspace: WorkspaceId | None) -> CapAccount | None:
         """Return the account of a workspace; None if it has no cap."""
@@ -118,7 +122,7 @@
         """Count tasks of a demand that the plan has placed or reserves room for."""
         account = self.account_of(demand.workspace)
         if account is not None:
-            account.charge(times(demand.step.needs, task_count))
+            account.used = account.used.plus(times(demand.step.needs, task_count))
 
     def reserve(self, demand: Demand) -> None:
         """
@@ -136,13 +140,13 @@
         """Count the runs of a victim as being stopped."""
         account = self.account_of(victim.workspace)
         if account is not None:
-            account.used_after_stops = account.used_after_stops.minus(victim.freed)
+            account.ending = account.ending.plus(victim.freed)
 
     def undo_stop(self, victim: Victim) -> None:
         """Count the runs of a victim as running again."""
         account = self.account_of(victim.workspace)
         if account is not None:
-            account.used_after_stops = account.used_after_stops.plus(victim.freed)
+            account.ending = account.ending.minus(victim.freed)
 
     def fits_after_stops(self, demand: Demand) -> bool:
         """Return whether all tasks of a demand may start once current stops have ended."""
@@ -164,6 +168,7 @@
         account = self.account_of(demand.workspace)
         if account is None:
             return None
+        self._count_ending()
         candidates = sorted(
             (
                 victim
@@ -177,7 +182,7 @@
         needs = demand.step.needs
         task_count = _count_within(
             account.cap,
-            account.used_after_stops.minus(_total_freed(candidates)),
+            account.used_after_stops.minus(_total_of([victim.freed for victim in candidates])),
             needs,
             len(demand.task_indexes),
         )
@@ -187,6 +192,15 @@
         relief = CapRelief(chosen, task_count)
         return relief if relief.lost_work <= max_lost_work else None
 
+    def _count_ending(self) -> None:
+        """Count the usage that ends soon; done once, before the first use."""
+        if self._find_ending is None:
+            return
+        for workspace, ending in self._find_ending().items():
+            account = self._accounts_by_workspace[workspace]
+            account.ending = account.ending.plus(ending)
+        self._find_ending = None
+
 
 def times(needs: Resources, count: int) -> Resources:
     """Return the resources of several tasks."""
@@ -215,11 +229,12 @@
     return count
 
 
-def _total_freed(victims: Iterable[Victim]) -> Resources:
-    total = NO_RESOURCES
-    for victim in victims:
-        total = total.plus(victim.freed)
-    return total
+def _total_of(parts: Sequence[Resources]) -> Resources:
+    return Resources(
+        sum(part.cpu for part in parts),
+        sum(part.memory for part in parts),
+        sum(part.accelerators for part in parts),
+    )
 
 
 def _cheapest_victims(candidates: Sequence[Victim], excess: Resources) -> list[Victim]:
@@ -260,22 +275,41 @@
     accounts_by_workspace = _open_accounts(shared.state.configuration_index)
     if not accounts_by_workspace:
         return CapLedger()
-    jobs_by_id = shared.state.jobs_by_id
+    workspaces = accounts_by_workspace.keys()
+    for workspace, parts in _usage_by_workspace(shared, workspaces, now).items():
+        accounts_by_workspace[workspace].used = _total_of(parts)
+    return CapLedger(
+        accounts_by_workspace, _is_busy(hosts), lambda: _find_ending(shared, workspaces, now)
+    )
+
+
+def _usage_by_workspace(
+    shared: SchedulerState, workspaces: Set[WorkspaceId], now: Seconds
+) -> dict[WorkspaceId, list[Resources]]:
+    """Return what each run and each possible start takes, for the given workspaces."""
+    usage: dict[WorkspaceId, list[Resources]] = {workspace: [] for workspace in workspaces}
     for worker in shared.fleet.workers_by_life.values():
-        for run in worker.runs_by_task.values():
-            job = jobs_by_id.get(run.task.job)
-            account = accounts_by_workspace.get(job.workspace) if job and job.workspace else None
-            if account is None:
-                continue
-            account.used = account.used.plus(run.needs)
-            if not shared.is_freeing_resources(run, now):
-                account.used_after_stops = account.used_after_stops.plus(run.needs)
+        for task, run in worker.runs_by_task.items():
+            workspace = shared.workspace_of(task.job)
+            if workspace in usage:
+                usage[workspace].append(run.needs)
         for ref, start in worker.possible_starts(now).items():
-            job = jobs_by_id.get(ref.task.job)
-            account = accounts_by_workspace.get(job.workspace) if job and job.workspace else None
-            if account is not None:
-                account.charge(start.needs)
-    return CapLedger(accounts_by_workspace, _is_busy(hosts))
+            workspace = shared.workspace_of(ref.task.job)
+            if workspace in usage:
+                usage[workspace].append(start.needs)
+    return usage
+
+
+def _find_ending(
+    shared: SchedulerState, workspaces: Set[WorkspaceId], now: Seconds
+) -> dict[WorkspaceId, Resources]:
+    """Return what the runs that are being stopped or end soon take, for the given workspaces."""
+    ending: dict[WorkspaceId, list[Resources]] = {workspace: [] for workspace in workspaces}
+    for run in shared.runs():
+        workspace = shared.workspace_of(run.task.job)
+        if workspace in ending and shared.is_freeing_resources(run, now):
+            ending[workspace].append(run.needs)
+    return {workspace: _total_of(parts) for workspace, parts in ending.items()}
 
 
 def _open_accounts(
@@ -311,8 +345,7 @@
     """
     ledger = build_cap_ledger(shared, (), now)
     for task in shared.proposed_runs_by_task:
-        job = shared.state.jobs_by_id.get(task.job)
-        account = ledger.account_of(job.workspace) if job else None
+        account = ledger.account_of(shared.workspace_of(task.job))
         if account is not None and not is_within(account.used, account.cap):
             shared.withdrawn_starts.add(task)
 
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
@@ -35,7 +35,7 @@
 from bulrushhollow_core.domain._paces import StragglerDetector
 from bulrushhollow_core.domain._settings import DomainSettings
 from bulrushhollow_core.domain._state import DomainState
-from bulrushhollow_core.ids import JobId, Seconds, Term
+from bulrushhollow_core.ids import JobId, Seconds, Term, WorkspaceId
 
 
 class SchedulerState:
@@ -161,6 +161,11 @@
         is_gang = job.work.steps[ref.step].is_gang
         return record.checkpoint if is_gang else record.tasks[ref.member].checkpoint
 
+    def workspace_of(self, job_id: JobId) -> WorkspaceId | None:
+        """Return the workspace of a job; None if it has none or the job is unknown."""
+        job = self.state.jobs_by_id.get(job_id)
+        return job.workspace if job is not None else None
+
     def ends_soon(self, run: Run, now: Seconds) -> bool:
         """Return whether a run is expected to end by itself within the time that a stop takes."""
         ends_within = run.ends_within(self.settings.stop_timeout, now)
--- a/tests/test_domain_caps.py
+++ b/tests/test_domain_caps.py
@@ -38,7 +38,7 @@
 def ledger(cap: int, used: int = 0, is_service_busy: bool = True) -> CapLedger:
     """Return a ledger in which a workspace may use some accelerators and uses some."""
     account = CapAccount(Resources(0, 0, cap))
-    account.charge(Resources(0, 0, used))
+    account.used = Resources(0, 0, used)
     return CapLedger({TEAM: account}, is_service_busy)
 
 
@@ -192,7 +192,7 @@
         caps = ledger(4, 4)
         account = caps.account_of(TEAM)
         assert account is not None
-        account.used_after_stops = Resources(0, 0, 2)
+        account.ending = Resources(0, 0, 2)
         urgent = demand_of(TEAM, "urgent", 2, urgency=0)
         small = tasks_of(TEAM, "small", 2)
         result = plan(caps, [urgent, small], [host], [victim_of(TEAM, "victim", host, 2)])
