Order jobs by the fair share and the rate of their workspace

Cause: in the deployment with weights one workspace submits two fifths of all jobs, and its bursts delay the work of the others.

Change: ShareLedger decides for each plan which jobs are beyond their workspace's share of the usable capacity, and RateMeter which were accepted over its rate. Priority.is_over_share, after is_deferrable, puts both after the other jobs of their class. Running work is judged alike, and of two victims that lose as much work the one beyond its share is evicted. Without weights the queue is passed on as it is. The planner's and eviction code are otherwise unchanged, so no capacity is left idle. make_priority in the planner's tests passes the new field.

--- a/packages/core/src/bulrushhollow_core/domain/_configuration.py
+++ b/packages/core/src/bulrushhollow_core/domain/_configuration.py
@@ -151,6 +151,7 @@
         self.workspaces_by_name = {
             workspace.name: workspace for workspace in configuration.workspaces
         }
+        self.has_weights = any(workspace.weight > 0 for workspace in configuration.workspaces)
         self._workspaces_by_key = {
             key: workspace.name for workspace in configuration.workspaces for key in workspace.keys
         }
--- a/packages/core/src/bulrushhollow_core/domain/_events.py
+++ b/packages/core/src/bulrushhollow_core/domain/_events.py
@@ -39,6 +39,8 @@
     LEADERSHIP_TAKEN = "leadership_taken"
     LEADERSHIP_LOST = "leadership_lost"
     MEMBERS_CHANGED = "members_changed"
+    SHARE_EXCEEDED = "share_exceeded"
+    """A workspace has begun or ceased to wait for more than its share."""
     CAPACITY = "capacity"
     """Written each second by the leader: the free capacity and the work that waits for it."""
 
--- a/packages/core/src/bulrushhollow_core/domain/_evictions.py
+++ b/packages/core/src/bulrushhollow_core/domain/_evictions.py
@@ -22,10 +22,12 @@
 
     :param stops_urgent: whether it stops urgent work, which will probably be late then.
     :param lost_work: core-seconds of work that it discards.
+    :param stops_entitled: whether it stops work within its workspace's share.
     """
 
     stops_urgent: bool
     lost_work: float
+    stops_entitled: bool
 
 
 def cost_of(victims: Sequence[Victim]) -> EvictionCost:
@@ -33,6 +35,7 @@
     return EvictionCost(
         any(victim.urgency == 0 for victim in victims),
         sum(victim.lost_work for victim in victims),
+        any(not victim.priority.is_over_share for victim in victims),
     )
 
 
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -78,9 +78,7 @@
         self._shared.plan_due = Seconds(now + MAX_PLAN_INTERVAL)
         guaranteed = guaranteed_jobs(self._shared.state)
         expired_claims = self._claims.expire(now)
-        waiting = self._order_by_claims(
-            waiting_steps(self._shared.state, self._busy_tasks(now), guaranteed, wall)
-        )
+        waiting = waiting_steps(self._shared.state, self._busy_tasks(now), guaranteed, wall)
         self._forget_waiting_times({waiting_step.ref for waiting_step in waiting})
         if not waiting:
             return False
@@ -88,6 +86,7 @@
         self._log_capacity(hosts, waiting, now)
         if not hosts:
             return True
+        waiting = self._order_by_claims(self._order_by_shares(waiting, hosts, now))
         for waiting_step in waiting:
             if waiting_step.job.queue.urgency == 0:
                 self._shared.headroom.record_arrival(
@@ -113,6 +112,15 @@
                 self._log_expired_claim(demand, planner, now)
         return bool(plan.blocked)
 
+    def _order_by_shares(
+        self, waiting: list[WaitingStep], hosts: list[Host], now: Seconds
+    ) -> list[WaitingStep]:
+        """Return the steps with those beyond their workspaces' shares after the others."""
+        shares = self._shared.shares
+        ordered = shares.apply(waiting, self._shared.state, self._shared.fleet, hosts)
+        self._shared.outbox.extend(shares.log_changes(now))
+        return ordered
+
     def _order_by_claims(self, waiting: list[WaitingStep]) -> list[WaitingStep]:
         """Return the steps with those that have a claim at the position that they had for it."""
         return sorted(
@@ -313,7 +321,9 @@
             for run in runs
         )
         is_guaranteed = job.id in guaranteed
-        priority = priority_of(job, runs[0].task.occurrence, is_guaranteed, wall)
+        priority = self._shared.shares.adjust(
+            job.id, priority_of(job, runs[0].task.occurrence, is_guaranteed, wall)
+        )
         return Victim(runs, job.queue.urgency, priority, is_guaranteed, lost_work)
 
     def _expected_ends(self, now: Seconds) -> list[ExpectedEnd]:
@@ -329,6 +339,7 @@
     def _execute_plan(self, plan: Plan, now: Seconds) -> None:
         for demand, _ in plan.placements:
             self._claims.end(demand.ref)
+            self._shared.shares.record_start(demand.ref.job)
         for demand, victim in plan.evictions:
             self._claims.record(demand.ref, demand.priority, now)
             for run in victim.runs:
--- a/packages/core/src/bulrushhollow_core/domain/_queueing.py
+++ b/packages/core/src/bulrushhollow_core/domain/_queueing.py
@@ -56,6 +56,8 @@
     :param is_surplus: whether the job is outside its workspace's guarantee.
     :param is_worthless: whether the job's result will no longer have any value.
     :param is_deferrable: whether the job is not urgent.
+    :param is_over_share: whether the job is beyond its workspace's share of the capacity or rate of
+        submission; False without weights.
     :param deadline: deadline, shifted for less urgent jobs.
     :param order: position of the job among all accepted jobs.
     """
@@ -63,6 +65,7 @@
     is_surplus: bool
     is_worthless: bool
     is_deferrable: bool
+    is_over_share: bool
     timeliness: Timeliness
     deadline: float
     order: int
@@ -144,7 +147,7 @@
 
 
 def priority_of(job: Job, occurrence: Occurrence, is_guaranteed: bool, wall: WallTime) -> Priority:
-    """Return the priority of an occurrence of a job."""
+    """Return the priority of an occurrence of a job, without regard to its workspace's share."""
     critical_path = critical_path_duration(job)
     due = job.due_at(occurrence)
     objective = job.queue.slack_factor * critical_path + job.queue.slo
@@ -165,6 +168,7 @@
         not is_guaranteed,
         timeliness is Timeliness.WORTHLESS,
         job.queue.urgency > 0,
+        False,
         timeliness,
         deadline + URGENCY_DEADLINE_SHIFT * max(0, job.queue.urgency - 1),
         job.sequence,
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler.py
@@ -170,8 +170,10 @@
                 self._log_ended_jobs({end.task.job for end in ends}, at)
                 self._dispatcher.acknowledge_ends(now)
             case CancelJob(id=job_id):
+                self._shared.rate_meter.forget_job(job_id)
                 self._dispatcher.stop_all(self._shared.fleet.runs_of(job_id), now)
-            case SubmitJob():
+            case SubmitJob(id=job_id):
+                self._shared.record_submission(job_id, now)
                 self._shared.request_plan(now)
             case SetEvacuation():
                 self._shared.request_plan(now)
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
@@ -34,6 +34,7 @@
 )
 from bulrushhollow_core.domain._paces import StragglerDetector
 from bulrushhollow_core.domain._settings import DomainSettings
+from bulrushhollow_core.domain._shares import RateMeter, ShareLedger
 from bulrushhollow_core.domain._state import DomainState
 from bulrushhollow_core.ids import JobId, Seconds, Term
 
@@ -66,6 +67,8 @@
         self.straggler_detector = StragglerDetector()
         self.headroom = Headroom(settings.stop_timeout)
         self.advice = AdviceCache()
+        self.rate_meter = RateMeter()
+        self.shares = ShareLedger(self.rate_meter)
         self.proposals: list[Command] = []
         self.pending_ends: list[RunEnd] = []
         self.outbox: list[msgspec.Struct] = []
@@ -126,11 +129,20 @@
         """Exclude a worker from all further tasks of a task's step."""
         self.excluded_workers_by_step.setdefault(task.step_ref, set()).add(life)
 
+    def record_submission(self, job_id: JobId, now: Seconds) -> None:
+        """Meter an accepted job."""
+        job = self.state.jobs_by_id.get(job_id)
+        index = self.state.configuration_index
+        if job is not None and not job.has_ended and index is not None:
+            weight = index.weight_of(job.workspace)
+            self.rate_meter.record_submission(job_id, job.workspace, weight, now)
+
     def forget_job(self, job: JobId) -> None:
         """Drop all data about a job that has ended."""
         self.straggler_detector.forget_job(job)
         self.headroom.forget_job(job)
         self.advice.forget_job(job)
+        self.rate_meter.forget_job(job)
         for step in [step for step in self.excluded_workers_by_step if step.job == job]:
             del self.excluded_workers_by_step[step]
 
--- a/tests/test_domain_planner.py
+++ b/tests/test_domain_planner.py
@@ -102,7 +102,14 @@
 
 def make_priority(urgency: int, is_guaranteed: bool = False, deadline: float = 0.0) -> Priority:
     return Priority(
-        not is_guaranteed, False, urgency > 0, Timeliness.ON_TIME, deadline, order=0, occurrence=0
+        not is_guaranteed,
+        False,
+        urgency > 0,
+        False,
+        Timeliness.ON_TIME,
+        deadline,
+        order=0,
+        occurrence=0,
     )
 
 
