Shorten the time in which the shares of a plan are judged

Change: the runs of a job are summed by step, and steps are copied only if their priority changes. Jobs over the rate are counted after others of their class, as the queue serves them.

Conclusion: the time stays linear in jobs, runs and waiting steps.

--- a/packages/core/src/bulrushhollow_core/domain/_shares.py
+++ b/packages/core/src/bulrushhollow_core/domain/_shares.py
@@ -7,12 +7,13 @@
 urgency. Shares only order work: capacity that nobody else asks for is lent.
 """
 
-from collections.abc import Iterable, Sequence
+from collections import Counter
+from collections.abc import Iterable, Iterator, Sequence
 from typing import NamedTuple
 
 from bulrushhollow_core.domain._configuration import ConfigurationIndex
 from bulrushhollow_core.domain._events import Event, LogEvent, log_event
-from bulrushhollow_core.domain._fleet import Fleet
+from bulrushhollow_core.domain._fleet import Fleet, Run
 from bulrushhollow_core.domain._hosts import Host
 from bulrushhollow_core.domain._jobs import NO_RESOURCES, Job, Resources
 from bulrushhollow_core.domain._queueing import Priority, WaitingStep
@@ -175,7 +176,7 @@
         if not self._is_active or not priority.is_surplus:
             return priority
         is_over_share = job in self._over_share_jobs or self._rate_meter.is_over_rate(job)
-        return priority._replace(is_over_share=is_over_share)
+        return priority._replace(is_over_share=True) if is_over_share else priority
 
     def apply(
         self,
@@ -197,12 +198,14 @@
         demands = self._collect_demands(self._by_rate(waiting), state, fleet)
         capacity = total_of((host.capacity, 1) for host in hosts)
         self._judge(demands, index, capacity)
-        adjusted = [
-            step._replace(priority=self.adjust(step.job.id, step.priority)) for step in waiting
-        ]
+        adjusted = [self._adjust_step(step) for step in waiting]
         adjusted.sort(key=lambda step: (step.priority, step.ref.step))
         return adjusted
 
+    def _adjust_step(self, step: WaitingStep) -> WaitingStep:
+        priority = self.adjust(step.job.id, step.priority)
+        return step if priority is step.priority else step._replace(priority=priority)
+
     def record_start(self, job: JobId) -> None:
         """Record that tasks of a job were placed; its first start sets its place in the count."""
         if self._is_active and job not in self._positions_by_job:
@@ -231,14 +234,17 @@
     # Counting.
 
     def _by_rate(self, waiting: Iterable[WaitingStep]) -> list[WaitingStep]:
-        """Return the steps in the order of the queue, which serves jobs over the rate later."""
-        return sorted(
-            waiting,
-            key=lambda step: step.priority._replace(
-                is_over_share=step.priority.is_surplus
-                and self._rate_meter.is_over_rate(step.job.id)
-            ),
-        )
+        """
+        Return the steps in the order of the queue with jobs over the rate after others of their
+        class. The sort is stable, so the fields of the priority that come later need no comparison.
+        """
+
+        def queue_class(step: WaitingStep) -> tuple[bool, bool, bool, bool]:
+            priority = step.priority
+            is_over_rate = priority.is_surplus and self._rate_meter.is_over_rate(step.job.id)
+            return priority.is_surplus, priority.is_worthless, priority.is_deferrable, is_over_rate
+
+        return sorted(waiting, key=queue_class)
 
     def _collect_demands(
         self, waiting: Iterable[WaitingStep], state: DomainState, fleet: Fleet
@@ -257,7 +263,7 @@
             if runs and job.id not in self._positions_by_job:
                 # It started under an earlier leader or before the first weight was configured.
                 self._assign_position(job.id)
-            used = total_of((run.needs, 1) for run in runs)
+            used = total_of(_needs_of(job, runs)) if runs else NO_RESOURCES
             needs = (
                 (job.work.steps[step.ref.step].needs, len(step.task_indexes)) for step in steps
             )
@@ -322,14 +328,22 @@
         )
 
 
+def _needs_of(job: Job, runs: Sequence[Run]) -> Iterator[tuple[Resources, int]]:
+    """Yield what each task of a step needs, and how many of the runs are of that step."""
+    if len(job.work.steps) == 1:
+        yield job.work.steps[0].needs, len(runs)
+        return
+    for number, count in Counter(run.task.step for run in runs).items():
+        yield job.work.steps[number].needs, count
+
+
 def dominant_share(used: Resources, capacity: Resources) -> float:
     """Return the largest part that an amount takes of any resource of a capacity."""
-    parts = zip(
-        (used.cpu, used.memory, used.accelerators),
-        (capacity.cpu, capacity.memory, capacity.accelerators),
-        strict=True,
+    return max(
+        used.cpu / capacity.cpu if capacity.cpu else 0.0,
+        used.memory / capacity.memory if capacity.memory else 0.0,
+        used.accelerators / capacity.accelerators if capacity.accelerators else 0.0,
     )
-    return max((amount / whole for amount, whole in parts if whole > 0), default=0.0)
 
 
 def total_of(amounts: Iterable[tuple[Resources, int]]) -> Resources:
