Refuse submissions that could not end before they lose all value

Cause: under overload, callers wait for results that will be worthless, and learn it only by waiting.

Change: where capacity can be reclaimed cheaply (DomainSettings.is_reclaim_cheap), the leader computes a lower bound of a job's end from the work ordered before it, and refuses the job with OVERLOADED and a spread retry time if that is later than three times its objective. Urgent, timed and long-running jobs, accepted ids and ids whose submission is not committed yet are never refused. The metrics test counts one refusal, since a labelled counter is exported only once it has a sample.

--- a/packages/core/src/bulrushhollow_core/domain/_call_handler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_call_handler.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from bulrushhollow_core.domain._admission import Refusal
 from bulrushhollow_core.domain._announcements import Availability
 from bulrushhollow_core.domain._calls import (
     Announce,
@@ -109,7 +110,7 @@
         """Return the answer to a call, with the command that must be committed first, if any."""
         match call:
             case Submit():
-                return self._submit_job(call, state, wall)
+                return self._submit_job(call, state, scheduler, now, wall)
             case Cancel():
                 return self._cancel_job(call, state, wall)
             case Read():
@@ -161,7 +162,12 @@
         return _AuthorizedCall(queue, workspace, call.path[len(queue.prefix) :])
 
     def _submit_job(
-        self, call: Submit, state: DomainState, wall: WallTime
+        self,
+        call: Submit,
+        state: DomainState,
+        scheduler: Scheduler,
+        now: Seconds,
+        wall: WallTime,
     ) -> ImmediateAnswer | DeferredAnswer:
         authorization = self._authorize(call, state)
         if not isinstance(authorization, _AuthorizedCall):
@@ -180,6 +186,10 @@
             repeated = log_event(Event.SUBMISSION_REPEATED, job=job_id, state=existing.state.value)
             return ImmediateAnswer(self._done, (repeated,))
         command = SubmitJob(job_id, authorization.queue, authorization.workspace, call.work, wall)
+        refusal = scheduler.admission.find_refusal(command, now)
+        if refusal is not None:
+            return _refuse_overloaded(command, refusal)
+        scheduler.admission.record_proposal(job_id)
         configuration = state.configuration
         accepted = log_event(
             Event.SUBMISSION_ACCEPTED,
@@ -267,6 +277,20 @@
         return ImmediateAnswer(self._done)
 
 
+def _refuse_overloaded(command: SubmitJob, refusal: Refusal) -> ImmediateAnswer:
+    refused = log_event(
+        Event.SUBMISSION_REFUSED,
+        job=command.id,
+        reason=RefusalReason.OVERLOADED.value,
+        queue=command.queue.name,
+        workspace=command.workspace or "",
+        expected_end=round(refusal.expected_end, 3),
+        limit=round(refusal.limit, 3),
+        retry_after=round(refusal.retry_after, 3),
+    )
+    return ImmediateAnswer(Refused(RefusalReason.OVERLOADED, refusal.retry_after), (refused,))
+
+
 def _find_work_error(call: Submit) -> str:
     """Return why the work of a job is invalid, or an empty text if it is valid."""
     steps = call.work.steps
--- a/packages/core/src/bulrushhollow_core/domain/_calls.py
+++ b/packages/core/src/bulrushhollow_core/domain/_calls.py
@@ -97,6 +97,8 @@
     NO_LEADER = "no_leader"
     FOUNDING = "founding"
     """Too few voters have joined the new log so far."""
+    OVERLOADED = "overloaded"
+    """The job could not end before its result loses its value."""
 
 
 class Done(msgspec.Struct, frozen=True, array_like=True, tag="done"):
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -81,10 +81,12 @@
         waiting = waiting_steps(self._shared.state, self._busy_tasks(now), guaranteed, wall)
         self._forget_waiting_times({waiting_step.ref for waiting_step in waiting})
         if not waiting:
+            self._shared.admission.clear_plan()
             return False
         hosts = self._usable_hosts(now)
         self._log_capacity(hosts, waiting, now)
         if not hosts:
+            self._shared.admission.clear_plan()
             return True
         waiting = self._order_by_claims(self._order_by_shares(waiting, hosts, now))
         for waiting_step in waiting:
@@ -107,6 +109,8 @@
         )
         self._prefetch_advice(waiting, hosts, now)
         self._execute_plan(plan, now)
+        placed_by_step = {demand.ref: len(placed) for demand, placed in plan.placements}
+        self._shared.admission.record_plan(hosts, waiting, placed_by_step, now, wall)
         for demand in plan.blocked:
             if demand.ref in expired_claims:
                 self._log_expired_claim(demand, planner, now)
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from bulrushhollow_core.domain._admission import AdmissionController
 from bulrushhollow_core.domain._announcements import Availability, WorkerNews
 from bulrushhollow_core.domain._answers import OrderAnswerHandler
 from bulrushhollow_core.domain._commands import (
@@ -158,6 +159,11 @@
         lives = self._shared.fleet.lives_of(WorkerId(worker_id))
         return max(lives, key=lambda life: life.born, default=None)
 
+    @property
+    def admission(self) -> AdmissionController:
+        """Return the controller that refuses submissions under overload."""
+        return self._shared.admission
+
     def command_committed(self, command: Command, now: Seconds) -> None:
         """Handle a committed command of any leader after the state has applied it."""
         match command:
@@ -173,6 +179,7 @@
                 self._shared.rate_meter.forget_job(job_id)
                 self._dispatcher.stop_all(self._shared.fleet.runs_of(job_id), now)
             case SubmitJob(id=job_id):
+                self._shared.admission.record_commit(job_id)
                 self._shared.record_submission(job_id, now)
                 self._shared.request_plan(now)
             case SetEvacuation():
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from bulrushhollow_core.domain._admission import AdmissionController
 from bulrushhollow_core.domain._advice import AdviceCache
 from bulrushhollow_core.domain._announcements import WorkerNews
 from bulrushhollow_core.domain._commands import (
@@ -69,6 +70,7 @@
         self.advice = AdviceCache()
         self.rate_meter = RateMeter()
         self.shares = ShareLedger(self.rate_meter)
+        self.admission = AdmissionController(state, settings, self.fleet, self.rate_meter)
         self.proposals: list[Command] = []
         self.pending_ends: list[RunEnd] = []
         self.outbox: list[msgspec.Struct] = []
--- a/packages/core/src/bulrushhollow_core/domain/_settings.py
+++ b/packages/core/src/bulrushhollow_core/domain/_settings.py
@@ -9,6 +9,9 @@
 
 from bulrushhollow_core.ids import Seconds
 
+MAX_CHEAP_RECLAIM = Seconds(0.5)
+"""Seconds to stop a run and resume another one below which reclaiming capacity counts as cheap."""
+
 
 class DomainSettings(msgspec.Struct, frozen=True):
     """
@@ -28,3 +31,8 @@
     restore_time: Seconds = Seconds(0.6)
     remote_factor: float = 3.0
     voter_count: int = 3
+
+    @property
+    def is_reclaim_cheap(self) -> bool:
+        """Return whether capacity can be reclaimed quickly enough to delay work to its limit."""
+        return self.stop_timeout + self.restore_time < MAX_CHEAP_RECLAIM
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_metrics.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_metrics.py
@@ -9,7 +9,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
-from bulrushhollow_core.domain import DomainNode, Event, LogEvent
+from bulrushhollow_core.domain import DomainNode, Event, LogEvent, RefusalReason
 from bulrushhollow_daemon import clock
 from bulrushhollow_daemon.decision_log import StandardOutputHandler
 
@@ -32,6 +32,12 @@
 }
 """Labels of stops, by the prefix of their reason; few, so that the metric stays bounded."""
 
+REFUSAL_LABELS = frozenset({RefusalReason.OVERLOADED.value, "Refused", "NoSuchQueue", "NotAllowed"})
+"""Labels of refused submissions that are written as they are."""
+
+MALFORMED_LABEL = "malformed"
+"""Label of all other refused submissions; their reasons are texts without bound."""
+
 QUEUE_WAIT_BUCKETS = (0.05, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0)
 """Seconds; from the length of one commit to the lateness at which a result is worthless."""
 
@@ -96,6 +102,13 @@
             PREFIX + "stops", "Runs told to stop, by reason.", ["reason"], registry=registry
         )
 
+        self._refused_submissions = Counter(
+            PREFIX + "refused_submissions",
+            "Submissions refused, by reason.",
+            ["reason"],
+            registry=registry,
+        )
+
     def add_node_gauges(self, node: DomainNode) -> None:
         """Add gauges that are read from a node when the metrics are scraped."""
         gauges = {
@@ -138,6 +151,8 @@
             self._starts.labels(str(log_event.fields["result"])).inc()
         elif log_event.event is Event.STEP_PLACED:
             self._queue_wait_seconds.observe(float(log_event.fields["waited"]))
+        elif log_event.event is Event.SUBMISSION_REFUSED:
+            self._refused_submissions.labels(_refusal_label(str(log_event.fields["reason"]))).inc()
         elif log_event.event is Event.RUN_STOPPED:
             self._stops.labels(_stop_label(str(log_event.fields["reason"]))).inc()
 
@@ -178,6 +193,10 @@
         self._dropped_lines.inc(dropped)
 
 
+def _refusal_label(reason: str) -> str:
+    return reason if reason in REFUSAL_LABELS else MALFORMED_LABEL
+
+
 def _stop_label(reason: str) -> str:
     labels = (
         label for prefix, label in STOP_LABELS_BY_REASON_PREFIX.items() if reason.startswith(prefix)
--- a/tests/test_domain_metrics.py
+++ b/tests/test_domain_metrics.py
@@ -67,6 +67,7 @@
         self.core_metrics.count_decision(log_event(Event.RUN_ENDED, outcome="done"))
         self.core_metrics.count_decision(log_event(Event.START_ANSWERED, result="accepted"))
         self.core_metrics.count_decision(log_event(Event.RUN_STOPPED, reason="preempted for j"))
+        self.core_metrics.count_decision(log_event(Event.SUBMISSION_REFUSED, reason="overloaded"))
         self.process_metrics.count_unwritten_lines({"run_ended": 1}, 0)
         return render_metrics(self.registry).decode()
 
@@ -84,6 +85,12 @@
         self.assertEqual(2, self.sample_value("stops_total", reason="preempted"))
         self.assertEqual(1, self.sample_value("stops_total", reason="other"))
 
+    def test_reasons_of_refused_submissions_map_to_a_bounded_set_of_labels(self) -> None:
+        for reason in ("overloaded", "step 3 has no tasks", "step 4 has no tasks"):
+            self.core_metrics.count_decision(log_event(Event.SUBMISSION_REFUSED, reason=reason))
+        self.assertEqual(1, self.sample_value("refused_submissions_total", reason="overloaded"))
+        self.assertEqual(2, self.sample_value("refused_submissions_total", reason="malformed"))
+
     def test_readiness_is_read_when_the_metric_is_collected(self) -> None:
         self.assertEqual(0, self.sample_value("ready"))
         self.is_ready = True
