Merge fair shares by weight and admission control

Cause: a burst of one workspace went before all that others sent later, and work that could only end without value was accepted like any other.

--- a/packages/core/src/bulrushhollow_core/domain/_calls.py
+++ b/packages/core/src/bulrushhollow_core/domain/_calls.py
@@ -99,6 +99,8 @@
     """Too few voters have joined the new log so far."""
     EXCEEDS_CAP = "exceeds_cap"
     """A gang or a single task of the job needs more than its workspace's cap."""
+    OVERLOADED = "overloaded"
+    """The job could not end before its result loses its value."""
 
 
 class Done(msgspec.Struct, frozen=True, array_like=True, tag="done"):
--- a/packages/core/src/bulrushhollow_core/domain/_events.py
+++ b/packages/core/src/bulrushhollow_core/domain/_events.py
@@ -41,6 +41,8 @@
     MEMBERS_CHANGED = "members_changed"
     CAP_REACHED = "cap_reached"
     """Tasks of a workspace wait because of its cap; written at most each second for each one."""
+    SHARE_EXCEEDED = "share_exceeded"
+    """A workspace has begun or ceased to wait for more than its share."""
     CAPACITY = "capacity"
     """Written each second by the leader: the free capacity and the work that waits for it."""
 
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -80,16 +80,17 @@
         self._shared.plan_due = Seconds(now + MAX_PLAN_INTERVAL)
         guaranteed = guaranteed_jobs(self._shared.state)
         expired_claims = self._claims.expire(now)
-        waiting = self._order_by_claims(
-            waiting_steps(self._shared.state, self._busy_tasks(now), guaranteed, wall)
-        )
+        waiting = waiting_steps(self._shared.state, self._busy_tasks(now), guaranteed, wall)
         self._forget_waiting_times({waiting_step.ref for waiting_step in waiting})
         if not waiting:
+            self._shared.admission.clear_plan()
             return False
         hosts = self._usable_hosts(now)
         self._log_capacity(hosts, waiting, now)
         if not hosts:
+            self._shared.admission.clear_plan()
             return True
+        waiting = self._order_by_claims(self._order_by_shares(waiting, hosts, now))
         for waiting_step in waiting:
             if waiting_step.job.queue.urgency == 0:
                 self._shared.headroom.record_arrival(
@@ -113,11 +114,22 @@
         self._prefetch_advice(waiting, hosts, now)
         self._execute_plan(plan, now)
         self._shared.outbox.extend(self._cap_reporter.report(plan.held_back, caps, now))
+        placed_by_step = {demand.ref: len(placed) for demand, placed in plan.placements}
+        self._shared.admission.record_plan(hosts, waiting, placed_by_step, now, wall)
         for demand in plan.blocked:
             if demand.ref in expired_claims:
                 self._log_expired_claim(demand, planner, now)
         return bool(plan.blocked or plan.held_back)
 
+    def _order_by_shares(
+        self, waiting: list[WaitingStep], hosts: list[Host], now: Seconds
+    ) -> list[WaitingStep]:
+        """Return the steps with those beyond their workspaces' shares after the others."""
+        shares = self._shared.shares
+        ordered = shares.apply(waiting, self._shared.state, self._shared.fleet, hosts)
+        self._shared.outbox.extend(shares.log_changes(now))
+        return ordered
+
     def _order_by_claims(self, waiting: list[WaitingStep]) -> list[WaitingStep]:
         """Return the steps with those that have a claim at the position that they had for it."""
         return sorted(
@@ -317,6 +329,10 @@
         return Victim(
             runs, job.queue.urgency, priority, is_guaranteed, lost_work, workspace=job.workspace
         )
+        priority = self._shared.shares.adjust(
+            job.id, priority_of(job, runs[0].task.occurrence, is_guaranteed, wall)
+        )
+        return Victim(runs, job.queue.urgency, priority, is_guaranteed, lost_work)
 
     def _expected_ends(self, now: Seconds) -> list[ExpectedEnd]:
         expected_ends = []
@@ -331,6 +347,7 @@
     def _execute_plan(self, plan: Plan, now: Seconds) -> None:
         for demand, _ in plan.placements:
             self._claims.end(demand.ref)
+            self._shared.shares.record_start(demand.ref.job)
         for demand, victim in plan.evictions:
             self._claims.record(demand.ref, demand.priority, now)
             for run in victim.runs:
