--- a/packages/core/src/bulrushhollow_core/domain/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/_answers.py
@@ -239,6 +239,7 @@
         if self._shared.is_long_running(run):
             return
         self._shared.straggler_detector.observe(run)
+        self._shared.observe_speed(run)
         if run.phase is RunPhase.RUNNING and self._shared.straggler_detector.is_straggler(run, now):
             self._loss_handler.stop_and_quarantine(worker, run, "a run is slow", now)
 
--- a/packages/core/src/bulrushhollow_core/domain/_demands.py
+++ b/packages/core/src/bulrushhollow_core/domain/_demands.py
@@ -5,7 +5,9 @@
 Tasks that wait to be placed, and running work that may be evicted to free resources for them.
 """
 
+import math
 from collections.abc import Sequence
+from typing import NamedTuple
 
 from bulrushhollow_core.domain._configuration import ServiceName
 from bulrushhollow_core.domain._fleet import Run
@@ -15,6 +17,22 @@
 from bulrushhollow_core.ids import Seconds
 
 
+class TimeBudget(NamedTuple):
+    """
+    The time that a demand has.
+
+    :param left: seconds until the deadline of its job.
+    :param following: seconds that the later steps of its job take.
+    """
+
+    left: Seconds
+    following: Seconds
+
+
+UNLIMITED_TIME = TimeBudget(Seconds(math.inf), Seconds(0.0))
+"""Budget of a demand without a deadline."""
+
+
 class Demand:
     """
     Tasks of one step that wait to be placed.
@@ -34,6 +52,7 @@
         its victims.
     :param is_reclaiming: whether its guarantee is due, so that any victim may be evicted.
     :param allowed_workers: the only workers that may run the tasks; None for no such limit.
+    :param time_budget: time until the deadline; only used on uneven fleets.
     """
 
     def __init__(
@@ -52,6 +71,7 @@
         may_evict: bool = True,
         is_reclaiming: bool = False,
         allowed_workers: frozenset[WorkerLife] | None = None,
+        time_budget: TimeBudget = UNLIMITED_TIME,
     ) -> None:
         """Create a demand for the given tasks of a step."""
         self.ref = ref
@@ -68,6 +88,7 @@
         self.may_evict = may_evict
         self.is_reclaiming = is_reclaiming
         self.allowed_workers = allowed_workers
+        self.time_budget = time_budget
 
     @property
     def core_seconds(self) -> float:
@@ -100,6 +121,7 @@
             self.may_evict,
             self.is_reclaiming,
             self.allowed_workers,
+            self.time_budget,
         )
 
     def max_tasks_on(self, host: Host) -> int:
--- a/packages/core/src/bulrushhollow_core/domain/_events.py
+++ b/packages/core/src/bulrushhollow_core/domain/_events.py
@@ -31,6 +31,8 @@
     WORKER_QUARANTINED = "worker_quarantined"
     REACHABILITY_CHANGED = "reachability_changed"
     """Other data centres than before are silent and get no new work."""
+    SPEEDS_CHANGED = "speeds_changed"
+    """The fleet has become even or uneven."""
     CONFIGURATION_ACCEPTED = "configuration_accepted"
     CONFIGURATION_REFUSED = "configuration_refused"
     EVACUATION_CHANGED = "evacuation_changed"
--- a/packages/core/src/bulrushhollow_core/domain/_hosts.py
+++ b/packages/core/src/bulrushhollow_core/domain/_hosts.py
@@ -21,6 +21,8 @@
     :param is_suspect: whether work failed on it and none has succeeded since; such workers are used
         last.
     :param is_slow: whether tasks take longer on it than on other workers.
+    :param slowness: seconds that it takes for a second of work on a worker of median speed; 1 on an
+        even fleet.
     """
 
     def __init__(
@@ -34,6 +36,7 @@
         free: Resources,
         is_suspect: bool,
         is_slow: bool = False,
+        slowness: float = 1.0,
     ) -> None:
         """Create a host with its current free resources."""
         self.life = life
@@ -47,6 +50,7 @@
         """Free resources once every run that is being stopped has ended."""
         self.is_suspect = is_suspect
         self.is_slow = is_slow
+        self.slowness = slowness
 
     def can_run(self, service: ServiceName, label: str) -> bool:
         """Return whether it runs tasks of a service that require a label; empty for any."""
--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -31,6 +31,12 @@
     slots_in,
 )
 from bulrushhollow_core.domain._jobs import Resources, TaskRef, WorkerLife
+from bulrushhollow_core.domain._speed_classes import (
+    SpeedClass,
+    SpeedProfile,
+    groups_of_class,
+    startable_accelerators,
+)
 from bulrushhollow_core.ids import RackId, Seconds
 
 MAX_GANG_RESERVATIONS = 2
@@ -57,6 +63,15 @@
 for the next plan, which bounds the time of a plan."""
 
 
+MIN_MIX_SLACK = Seconds(0.5)
+"""Seconds of slack on slow workers above which a gang waits for fast ones without an estimate: it can
+still start on a mix later and be on time. Two intervals between plans."""
+
+MAX_WAIT_ESTIMATES = 6
+"""Gangs for which one plan estimates when fast workers are free for them; each estimate goes through
+the expected ends of all runs."""
+
+
 class Placement:
     """A task and the worker that it is assigned to."""
 
@@ -94,6 +109,7 @@
     is_gang: bool
     same_rack: bool
     only_rack: str
+    speed_class: SpeedClass
 
 
 class Planner:
@@ -108,6 +124,7 @@
     :param victims: returns the runs that may be evicted; called only if a demand does not fit.
     :param expected_ends: returns when runs are expected to end; called only for reservations.
     :param headroom: accelerators that background work leaves free for later urgent jobs.
+    :param now: time of the plan, on the clock of the expected ends.
     """
 
     def __init__(
@@ -116,9 +133,11 @@
         victims: Callable[[], Sequence[Victim]],
         expected_ends: Callable[[], Sequence[ExpectedEnd]],
         headroom: int = 0,
+        now: Seconds = Seconds(0.0),
     ) -> None:
         """Start from the current free resources of the hosts."""
         self._hosts = hosts
+        self._now = now
         self._hosts_by_life = {host.life: host for host in hosts}
         self._find_victims = victims
         self._victims: Sequence[Victim] | None = None
@@ -128,6 +147,8 @@
         self._expected_ends_by_racks: dict[frozenset[RackId], list[ExpectedEnd]] = {}
         self._eligible_by_kind: dict[tuple[ServiceName, str], list[Host]] = {}
         self._groups_by_shape: dict[tuple[DemandShape, int], list[HostGroup]] = {}
+        self._speeds = SpeedProfile.of_hosts(hosts)
+        self._wait_estimates = 0
         self._smallest_rejected_by_shape: dict[tuple[DemandShape, bool], int] = {}
         """The smallest number of tasks of each shape that did not fit. The flag is true if the
         resources of runs that are being stopped counted as free."""
@@ -174,19 +195,28 @@
     # Demands that did not fit before.
 
     def _is_known_not_to_fit(
-        self, demand: Demand, include_stopping: bool, only_rack: str = ""
+        self,
+        demand: Demand,
+        include_stopping: bool,
+        only_rack: str = "",
+        speed_class: SpeedClass = SpeedClass.ANY,
     ) -> bool:
         """Return whether an equal or smaller demand of this shape did not fit before."""
         smallest = self._smallest_rejected_by_shape.get(
-            (_shape_of(demand, only_rack), include_stopping), math.inf
+            (_shape_of(demand, only_rack, speed_class), include_stopping), math.inf
         )
         return len(demand.task_indexes) >= smallest
 
     def _record_rejection(
-        self, demand: Demand, include_stopping: bool, count: int, only_rack: str = ""
+        self,
+        demand: Demand,
+        include_stopping: bool,
+        count: int,
+        only_rack: str = "",
+        speed_class: SpeedClass = SpeedClass.ANY,
     ) -> None:
         if not demand.has_worker_constraints:
-            key = (_shape_of(demand, only_rack), include_stopping)
+            key = (_shape_of(demand, only_rack, speed_class), include_stopping)
             self._smallest_rejected_by_shape[key] = min(
                 count, self._smallest_rejected_by_shape.get(key, count)
             )
@@ -195,10 +225,9 @@
 
     def _place_gang(self, demand: Demand, hosts: list[Host]) -> None:
         groups = self._groups_for(demand, hosts)
-        group = self._best_group(demand, groups, include_stopping=False)
-        if group is not None:
-            placements = self._place_in_group(demand, group, include_stopping=False)
-            self.plan.placements.append((demand, placements))
+        if self._speeds.is_uneven and self._place_by_speed(demand, hosts, groups):
+            return
+        if self._start_gang(demand, groups):
             return
         self.plan.blocked.append(demand)
         group = self._best_group(demand, groups, include_stopping=True)
@@ -209,22 +238,100 @@
             return
         self._reserve_for_gang(demand, groups)
 
-    def _groups_for(self, demand: Demand, hosts: list[Host]) -> list[HostGroup]:
+    def _start_gang(
+        self,
+        demand: Demand,
+        groups: Sequence[HostGroup],
+        speed_class: SpeedClass = SpeedClass.ANY,
+    ) -> bool:
+        """Place a gang on free resources; return whether it fits."""
+        group = self._best_group(demand, groups, False, speed_class)
+        if group is None:
+            return False
+        placements = self._place_in_group(demand, group, include_stopping=False)
+        self.plan.placements.append((demand, placements))
+        return True
+
+    def _await_stops(
+        self, demand: Demand, groups: Sequence[HostGroup], speed_class: SpeedClass
+    ) -> bool:
+        """Hold resources that current stops free for a gang; return whether it fits."""
+        group = self._best_group(demand, groups, True, speed_class)
+        if group is None:
+            return False
+        self.plan.blocked.append(demand)
+        self._place_in_group(demand, group, include_stopping=True)
+        return True
+
+    def _place_by_speed(
+        self, demand: Demand, hosts: list[Host], groups: Sequence[HostGroup]
+    ) -> bool:
+        """
+        Serve a gang on workers of one speed; return False if it may use any mix of them.
+
+        Fast workers are preferred, then only slow ones if the gang is not urgent and on time there.
+        A mix occupies fast workers for as long as the slowest member runs, so a gang waits for fast
+        workers as long as its deadline allows.
+        """
+        fast = self._groups_for(demand, hosts, SpeedClass.FAST)
+        if self._start_gang(demand, fast, SpeedClass.FAST):
+            return True
+        is_urgent = demand.urgency == 0
+        is_on_time_on_slow = self._speeds.is_on_time_on_slow(demand)
+        if not is_urgent and is_on_time_on_slow:
+            slow = self._groups_for(demand, hosts, SpeedClass.SLOW)
+            if self._start_gang(demand, slow, SpeedClass.SLOW):
+                return True
+        if demand.is_reclaiming or not fast:
+            return False
+        if self._await_stops(demand, fast, SpeedClass.FAST):
+            return True
+        if is_urgent and is_on_time_on_slow:
+            return False
+        if self._evict_for(demand, fast) and self._await_stops(demand, fast, SpeedClass.FAST):
+            return True
+        return self._wait_for_fast(demand, fast)
+
+    def _wait_for_fast(self, demand: Demand, fast: Sequence[HostGroup]) -> bool:
+        """Let a gang wait for fast workers, and reserve them, if that is better than a mix."""
+        if self._speeds.slack_on_slow(demand) <= MIN_MIX_SLACK:
+            if self._wait_estimates >= MAX_WAIT_ESTIMATES:
+                return False
+            self._wait_estimates += 1
+            starts = [self._earliest_start(demand, group) for group in fast]
+            at = min((start for start in starts if start is not None), default=None)
+            if at is None or not self._speeds.is_worth_waiting(demand, Seconds(at - self._now)):
+                return False
+        self.plan.blocked.append(demand)
+        self._reserve_for_gang(demand, fast)
+        return True
+
+    def _groups_for(
+        self, demand: Demand, hosts: list[Host], speed_class: SpeedClass = SpeedClass.ANY
+    ) -> list[HostGroup]:
         if demand.has_worker_constraints:
-            return candidate_groups(demand, hosts)
-        key = (_shape_of(demand, ""), len(demand.task_indexes))
+            return groups_of_class(demand, candidate_groups(demand, hosts), speed_class)
+        key = (_shape_of(demand, "", speed_class), len(demand.task_indexes))
         if key not in self._groups_by_shape:
-            self._groups_by_shape[key] = candidate_groups(demand, hosts)
+            self._groups_by_shape[key] = groups_of_class(
+                demand, candidate_groups(demand, hosts), speed_class
+            )
         return self._groups_by_shape[key]
 
     def _best_group(
-        self, demand: Demand, groups: Sequence[HostGroup], include_stopping: bool
+        self,
+        demand: Demand,
+        groups: Sequence[HostGroup],
+        include_stopping: bool,
+        speed_class: SpeedClass = SpeedClass.ANY,
     ) -> HostGroup | None:
-        if self._is_known_not_to_fit(demand, include_stopping):
+        if self._is_known_not_to_fit(demand, include_stopping, speed_class=speed_class):
             return None
         group = best_group(demand, groups, include_stopping)
         if group is None:
-            self._record_rejection(demand, include_stopping, len(demand.task_indexes))
+            self._record_rejection(
+                demand, include_stopping, len(demand.task_indexes), speed_class=speed_class
+            )
         return group
 
     def _place_in_group(
@@ -352,6 +459,12 @@
         ):
             self._place_in_group(remaining, hosts, include_stopping=True)
 
+    def _prefers_fast(self, demand: Demand) -> bool:
+        """Return whether independent tasks fill fast workers first: urgent and nearly late ones."""
+        return demand.urgency == 0 or (
+            self._speeds.is_uneven and not self._speeds.is_on_time_on_slow(demand)
+        )
+
     def _fits_after_stops(self, demand: Demand, hosts: HostGroup, only_rack: str) -> bool:
         """Return whether a demand fits once the runs that are being stopped have ended."""
         if self._is_known_not_to_fit(demand, True, only_rack):
@@ -367,8 +480,9 @@
         if demand.urgency < BACKGROUND_URGENCY or step.needs.accelerators == 0:
             return len(demand.task_indexes)
         minimum = 0.0 if step.is_checkpointable else HEADROOM_SHARE * self._total_accelerators
-        free = sum(max(0, host.free.accelerators) for host in self._hosts)
-        usable = free - max(minimum, self._headroom)
+        usable = startable_accelerators(
+            self._hosts, max(minimum, self._headroom), self._speeds.is_uneven
+        )
         return max(0, min(len(demand.task_indexes), int(usable // step.needs.accelerators)))
 
     def _place_tasks(self, demand: Demand, hosts: HostGroup, max_count: int) -> list[Placement]:
@@ -390,7 +504,7 @@
             key=lambda host: (
                 host.is_suspect,
                 bool(data_rack) and host.rack != data_rack,
-                host.is_slow is (demand.urgency == 0),
+                host.is_slow is self._prefers_fast(demand),
                 free_by_rack[host.rack],
                 host.rack,
                 host.free.accelerators,
@@ -473,8 +587,14 @@
     return demand.is_reclaiming and is_surplus
 
 
-def _shape_of(demand: Demand, only_rack: str) -> DemandShape:
+def _shape_of(demand: Demand, only_rack: str, speed_class: SpeedClass) -> DemandShape:
     step = demand.step
     return DemandShape(
-        demand.service, step.required_label, step.needs, step.is_gang, step.same_rack, only_rack
+        demand.service,
+        step.required_label,
+        step.needs,
+        step.is_gang,
+        step.same_rack,
+        only_rack,
+        speed_class,
     )
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -17,7 +17,7 @@
     StartRuns,
 )
 from bulrushhollow_core.domain._configuration import Queue
-from bulrushhollow_core.domain._demands import Demand, Victim
+from bulrushhollow_core.domain._demands import UNLIMITED_TIME, Demand, TimeBudget, Victim
 from bulrushhollow_core.domain._dispatch import OrderDispatcher
 from bulrushhollow_core.domain._events import Event, log_event
 from bulrushhollow_core.domain._fleet import Run, RunPhase, Worker
@@ -37,6 +37,8 @@
     LOCALITY_WAIT_FACTOR,
     Timeliness,
     WaitingStep,
+    deadline_of,
+    duration_after,
     guaranteed_jobs,
     peak_accelerators,
     priority_of,
@@ -44,6 +46,7 @@
 )
 from bulrushhollow_core.domain._reachability import Reachability
 from bulrushhollow_core.domain._scheduler_state import SchedulerState
+from bulrushhollow_core.domain._speeds import NORMAL_SLOWNESS
 from bulrushhollow_core.ids import DataCentreId, JobId, RackId, Seconds
 
 MAX_PLAN_INTERVAL = Seconds(0.25)
@@ -84,6 +87,7 @@
         self._forget_waiting_times({waiting_step.ref for waiting_step in waiting})
         if not waiting:
             return False
+        self._update_speeds(now)
         hosts = self._usable_hosts(now)
         self._log_capacity(hosts, waiting, now)
         if not hosts:
@@ -99,11 +103,12 @@
             lambda: self._find_victims(guaranteed, now, wall),
             lambda: self._expected_ends(now),
             self._shared.headroom.required_accelerators(now),
+            now,
         )
         racks = {host.rack for host in hosts}
         suspects = {host.life for host in hosts if host.is_suspect}
         plan = planner.make_plan(
-            self._build_demand(waiting_step, hosts, racks, suspects, guaranteed, now)
+            self._build_demand(waiting_step, hosts, racks, suspects, guaranteed, now, wall)
             for waiting_step in waiting
         )
         self._prefetch_advice(waiting, hosts, now)
@@ -143,6 +148,7 @@
         suspects: set[WorkerLife],
         guaranteed: set[JobId],
         now: Seconds,
+        wall: WallTime,
     ) -> Demand:
         ref = waiting_step.ref
         step = waiting_step.job.work.steps[ref.step]
@@ -167,8 +173,31 @@
             is_reclaiming=waiting_step.job.id in guaranteed
             and now - waiting_since >= RECLAIM_DELAY,
             allowed_workers=self._allowed_workers(waiting_step, hosts, now),
+            time_budget=self._time_budget(waiting_step, wall),
         )
 
+    def _time_budget(self, waiting_step: WaitingStep, wall: WallTime) -> TimeBudget:
+        """Return the time until a step's job is late; it decides only on an uneven fleet."""
+        job, ref = waiting_step.job, waiting_step.ref
+        if not self._shared.speeds.is_uneven or job.work.steps[ref.step].is_long_running:
+            return UNLIMITED_TIME
+        left = Seconds(deadline_of(job, ref.occurrence) - wall)
+        return TimeBudget(left, duration_after(job, ref.step))
+
+    def _update_speeds(self, now: Seconds) -> None:
+        """Update the speeds of the workers, and log when the fleet becomes even or uneven."""
+        speeds = self._shared.speeds
+        if speeds.update(now):
+            self._shared.outbox.append(
+                log_event(
+                    Event.SPEEDS_CHANGED,
+                    uneven=speeds.is_uneven,
+                    measured_workers=speeds.measured_count,
+                    slow_workers=speeds.slow_count,
+                    factor=round(speeds.slow_factor, 2),
+                )
+            )
+
     def _may_evict(self, waiting_step: WaitingStep) -> bool:
         """Return whether runs may be evicted for a step: it is guaranteed or can be on time."""
         priority = waiting_step.priority
@@ -259,6 +288,8 @@
         ]
 
     def _build_host(self, worker: Worker, announcement: WorkerNews, now: Seconds) -> Host:
+        speeds = self._shared.speeds
+        slowness = speeds.slowness_of(worker.life)
         host = Host(
             life=worker.life,
             service=announcement.service,
@@ -268,7 +299,12 @@
             capacity=announcement.capacity,
             free=worker.free,
             is_suspect=worker.is_suspect,
-            is_slow=self._shared.straggler_detector.is_slow(worker.life),
+            is_slow=(
+                slowness > NORMAL_SLOWNESS
+                if speeds.is_uneven
+                else self._shared.straggler_detector.is_slow(worker.life)
+            ),
+            slowness=slowness,
         )
         for run in worker.runs_by_task.values():
             is_ending = not run.is_gang and self._ends_soon(run, now)
@@ -372,7 +408,12 @@
         is_spread = demand.step.same_rack and len(racks) > 1
         is_remote = bool(demand.step.data_rack) and rack != demand.step.data_rack
         factor = self._shared.settings.remote_factor if is_spread or is_remote else 1.0
-        return Seconds(demand.step.estimate * factor)
+        # A gang ends with its slowest member.
+        lives = (
+            {placement.life for placement in placements} if demand.step.is_gang else {worker.life}
+        )
+        slowness = max(self._shared.speeds.slowness_of(life) for life in lives)
+        return Seconds(demand.step.estimate * factor * slowness)
 
     def _rack_of(self, life: WorkerLife) -> RackId | None:
         announcement = self._shared.fleet.workers_by_life[life].announcement
--- a/packages/core/src/bulrushhollow_core/domain/_queueing.py
+++ b/packages/core/src/bulrushhollow_core/domain/_queueing.py
@@ -80,6 +80,22 @@
     return Seconds(max(ends, default=0.0))
 
 
+def duration_after(job: Job, number: int) -> Seconds:
+    """Return the estimated duration of the longest path through the steps after a step of a job."""
+    ends = {number: 0.0}
+    for later, step in enumerate(job.work.steps):
+        starts = [ends[earlier] for earlier in step.depends_on if earlier in ends]
+        if starts:
+            ends[later] = max(starts) + step.estimate
+    return Seconds(max(ends.values()))
+
+
+def deadline_of(job: Job, occurrence: Occurrence) -> float:
+    """Return the wall time after which an occurrence of a job is late."""
+    objective = job.queue.slack_factor * critical_path_duration(job) + job.queue.slo
+    return job.due_at(occurrence) + objective
+
+
 def peak_accelerators(job: Job) -> int:
     """Return the largest number of accelerators that one step of a job takes."""
     return max((step.count * step.needs.accelerators for step in job.work.steps), default=0)
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
@@ -34,6 +34,7 @@
 )
 from bulrushhollow_core.domain._paces import StragglerDetector
 from bulrushhollow_core.domain._settings import DomainSettings
+from bulrushhollow_core.domain._speeds import SpeedEstimator
 from bulrushhollow_core.domain._state import DomainState
 from bulrushhollow_core.ids import JobId, Seconds, Term
 
@@ -64,6 +65,7 @@
         self.departed_lives: set[WorkerLife] = set(state.departed_workers)
         """Lives that have left or are known to be over."""
         self.straggler_detector = StragglerDetector()
+        self.speeds = SpeedEstimator()
         self.headroom = Headroom(settings.stop_timeout)
         self.advice = AdviceCache()
         self.proposals: list[Command] = []
@@ -129,6 +131,7 @@
     def forget_job(self, job: JobId) -> None:
         """Drop all data about a job that has ended."""
         self.straggler_detector.forget_job(job)
+        self.speeds.forget_job(job)
         self.headroom.forget_job(job)
         self.advice.forget_job(job)
         for step in [step for step in self.excluded_workers_by_step if step.job == job]:
@@ -147,6 +150,7 @@
         """Remove a worker, and propose to remove it from the replicated state."""
         self.fleet.remove(life)
         self.straggler_detector.forget_worker(life)
+        self.speeds.forget_worker(life)
         if life in self.state.announcements_by_life or life in self.state.draining_workers:
             self.proposals.append(ForgetWorker(life))
 
@@ -159,6 +163,12 @@
         is_gang = job.work.steps[ref.step].is_gang
         return record.checkpoint if is_gang else record.tasks[ref.member].checkpoint
 
+    def observe_speed(self, run: Run) -> None:
+        """Sample the pace of a run, unless that depends on the distance to its data."""
+        job = self.state.jobs_by_id.get(run.task.job)
+        if job is not None and job.work.steps and not job.work.steps[run.task.step].data_rack:
+            self.speeds.observe(run)
+
     def is_long_running(self, run: Run) -> bool:
         """Return whether a run lasts until its job is cancelled."""
         job = self.state.jobs_by_id.get(run.task.job)
