--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/domain/_speed_classes.py
@@ -0,0 +1,90 @@
+"""
+bulrushhollow_core.domain._speed_classes
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Which workers of an uneven fleet suit a demand. A gang ends with its slowest member, so it is placed
+on workers of one speed class if possible.
+"""
+
+from collections.abc import Sequence
+from enum import Enum
+from statistics import median
+from typing import NamedTuple
+
+from bulrushhollow_core.domain._demands import Demand
+from bulrushhollow_core.domain._groups import HostGroup
+from bulrushhollow_core.domain._hosts import Host, slots_in
+from bulrushhollow_core.ids import Seconds
+
+
+class SpeedClass(Enum):
+    """Workers that a gang may use, by their speed."""
+
+    ANY = "any"
+    FAST = "fast"
+    SLOW = "slow"
+
+
+class SpeedProfile(NamedTuple):
+    """
+    The speeds of the hosts of one plan.
+
+    :param is_uneven: whether some hosts are slow.
+    :param slow_factor: median slowness of the slow hosts.
+    """
+
+    is_uneven: bool
+    slow_factor: float
+
+    @classmethod
+    def of_hosts(cls, hosts: Sequence[Host]) -> "SpeedProfile":
+        """Return the profile of hosts."""
+        slow = [host.slowness for host in hosts if host.slowness > 1.0]
+        return cls(bool(slow), median(slow) if slow else 1.0)
+
+    def is_on_time_on_slow(self, demand: Demand) -> bool:
+        """Return whether a demand that starts now on slow hosts is expected to be on time."""
+        return self.slack_on_slow(demand) >= 0.0
+
+    def slack_on_slow(self, demand: Demand) -> Seconds:
+        """Return for how many seconds a demand can wait and be on time with a slow member."""
+        budget = demand.time_budget
+        return Seconds(budget.left - demand.duration * self.slow_factor - budget.following)
+
+    def is_worth_waiting(self, demand: Demand, wait: Seconds) -> bool:
+        """
+        Return whether a start on fast hosts after a wait is better than one on slow hosts now: it
+        is on time, or at least it ends earlier.
+        """
+        budget = demand.time_budget
+        is_on_time = wait + demand.duration + budget.following <= budget.left
+        return is_on_time or wait + demand.duration < demand.duration * self.slow_factor
+
+
+def groups_of_class(
+    demand: Demand, groups: Sequence[HostGroup], speed_class: SpeedClass
+) -> list[HostGroup]:
+    """Return the hosts of a class in each group; only groups whose capacity suffices for a gang."""
+    if speed_class is SpeedClass.ANY:
+        return list(groups)
+    is_slow = speed_class is SpeedClass.SLOW
+    matching = ([host for host in group if host.is_slow is is_slow] for group in groups)
+    return [group for group in matching if _has_capacity(demand, group)]
+
+
+def _has_capacity(demand: Demand, group: HostGroup) -> bool:
+    needs = demand.step.needs
+    capacity = sum(slots_in(host.capacity, needs, demand.max_tasks_on(host)) for host in group)
+    return capacity >= len(demand.task_indexes)
+
+
+def startable_accelerators(hosts: Sequence[Host], headroom: float, is_uneven: bool) -> float:
+    """
+    Return the accelerators that background work may use. The headroom is for urgent work, so on an
+    uneven fleet it is left free on fast hosts, and slow ones may be filled.
+    """
+    if not is_uneven:
+        return sum(max(0, host.free.accelerators) for host in hosts) - headroom
+    free_on_slow = sum(max(0, host.free.accelerators) for host in hosts if host.is_slow)
+    free_on_fast = sum(max(0, host.free.accelerators) for host in hosts if not host.is_slow)
+    return free_on_slow + max(0.0, free_on_fast - headroom)
