--- a/packages/core/src/bulrushhollow_core/domain/_hosts.py
+++ b/packages/core/src/bulrushhollow_core/domain/_hosts.py
@@ -23,6 +23,7 @@
     :param is_slow: whether tasks take longer on it than on other workers.
     :param slowness: seconds that it takes for a second of work on a worker of median speed; 1 on an
         even fleet.
+    :param is_measured: whether its speed has been measured.
     """
 
     def __init__(
@@ -37,6 +38,7 @@
         is_suspect: bool,
         is_slow: bool = False,
         slowness: float = 1.0,
+        is_measured: bool = True,
     ) -> None:
         """Create a host with its current free resources."""
         self.life = life
@@ -51,6 +53,7 @@
         self.is_suspect = is_suspect
         self.is_slow = is_slow
         self.slowness = slowness
+        self.is_measured = is_measured
 
     def can_run(self, service: ServiceName, label: str) -> bool:
         """Return whether it runs tasks of a service that require a label; empty for any."""
--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -273,10 +273,14 @@
         A mix occupies fast workers for as long as the slowest member runs, so a gang waits for fast
         workers as long as its deadline allows.
         """
+        is_urgent = demand.urgency == 0
+        if is_urgent and self._speeds.has_unmeasured:
+            measured = self._groups_for(demand, hosts, SpeedClass.MEASURED_FAST)
+            if self._start_gang(demand, measured, SpeedClass.MEASURED_FAST):
+                return True
         fast = self._groups_for(demand, hosts, SpeedClass.FAST)
         if self._start_gang(demand, fast, SpeedClass.FAST):
             return True
-        is_urgent = demand.urgency == 0
         is_on_time_on_slow = self._speeds.is_on_time_on_slow(demand)
         if not is_urgent and is_on_time_on_slow:
             slow = self._groups_for(demand, hosts, SpeedClass.SLOW)
@@ -294,14 +298,14 @@
 
     def _wait_for_fast(self, demand: Demand, fast: Sequence[HostGroup]) -> bool:
         """Let a gang wait for fast workers, and reserve them, if that is better than a mix."""
-        if self._speeds.slack_on_slow(demand) <= MIN_MIX_SLACK:
-            if self._wait_estimates >= MAX_WAIT_ESTIMATES:
-                return False
+        if self._wait_estimates < MAX_WAIT_ESTIMATES:
             self._wait_estimates += 1
             starts = [self._earliest_start(demand, group) for group in fast]
             at = min((start for start in starts if start is not None), default=None)
             if at is None or not self._speeds.is_worth_waiting(demand, Seconds(at - self._now)):
                 return False
+        elif self._speeds.slack_on_slow(demand) <= MIN_MIX_SLACK:
+            return False
         self.plan.blocked.append(demand)
         self._reserve_for_gang(demand, fast)
         return True
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -305,6 +305,7 @@
                 else self._shared.straggler_detector.is_slow(worker.life)
             ),
             slowness=slowness,
+            is_measured=speeds.is_measured(worker.life),
         )
         for run in worker.runs_by_task.values():
             is_ending = not run.is_gang and self._ends_soon(run, now)
--- a/packages/core/src/bulrushhollow_core/domain/_speed_classes.py
+++ b/packages/core/src/bulrushhollow_core/domain/_speed_classes.py
@@ -22,6 +22,8 @@
 
     ANY = "any"
     FAST = "fast"
+    """All that are not known to be slow."""
+    MEASURED_FAST = "measured fast"
     SLOW = "slow"
 
 
@@ -31,16 +33,19 @@
 
     :param is_uneven: whether some hosts are slow.
     :param slow_factor: median slowness of the slow hosts.
+    :param has_unmeasured: whether the speeds of some hosts are unknown.
     """
 
     is_uneven: bool
     slow_factor: float
+    has_unmeasured: bool
 
     @classmethod
     def of_hosts(cls, hosts: Sequence[Host]) -> "SpeedProfile":
         """Return the profile of hosts."""
         slow = [host.slowness for host in hosts if host.slowness > 1.0]
-        return cls(bool(slow), median(slow) if slow else 1.0)
+        has_unmeasured = not all(host.is_measured for host in hosts)
+        return cls(bool(slow), median(slow) if slow else 1.0, has_unmeasured)
 
     def is_on_time_on_slow(self, demand: Demand) -> bool:
         """Return whether a demand that starts now on slow hosts is expected to be on time."""
@@ -58,7 +63,9 @@
         """
         budget = demand.time_budget
         is_on_time = wait + demand.duration + budget.following <= budget.left
-        return is_on_time or wait + demand.duration < demand.duration * self.slow_factor
+        if demand.urgency == 0 and is_on_time:
+            return True
+        return wait + demand.duration < demand.duration * self.slow_factor
 
 
 def groups_of_class(
@@ -68,7 +75,15 @@
     if speed_class is SpeedClass.ANY:
         return list(groups)
     is_slow = speed_class is SpeedClass.SLOW
-    matching = ([host for host in group if host.is_slow is is_slow] for group in groups)
+    is_measured = speed_class is SpeedClass.MEASURED_FAST
+    matching = (
+        [
+            host
+            for host in group
+            if host.is_slow is is_slow and (host.is_measured or not is_measured)
+        ]
+        for group in groups
+    )
     return [group for group in matching if _has_capacity(demand, group)]
 
 
--- a/packages/core/src/bulrushhollow_core/domain/_speeds.py
+++ b/packages/core/src/bulrushhollow_core/domain/_speeds.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from statistics import median
 from typing import NamedTuple
 
@@ -39,7 +39,7 @@
 """Slowness, relative to the median, from which a worker is slow. Healthy workers differ by up to 1.3,
 and tasks of a step by up to 1.3 in work."""
 
-MIN_WORKER_SAMPLES = 2
+MIN_WORKER_SAMPLES = 1
 """Samples from which on a worker counts as measured."""
 
 MIN_MEASURED_WORKERS = 20
@@ -145,7 +145,12 @@
             self.measured_count >= MIN_MEASURED_WORKERS
             and self.slow_count >= limit * self.measured_count
         )
-        return self.is_uneven is not was_uneven
+        if self.is_uneven is was_uneven:
+            return False
+        for life in self._slowness_by_life:
+            self._estimate(life)
+        self._changed_steps.update(dict.fromkeys(self._samples_by_step))
+        return True
 
     def slowness_of(self, life: WorkerLife) -> float:
         """
@@ -170,6 +175,19 @@
         self._ratios_by_life.pop(life, None)
         self._slowness_by_life.pop(life, None)
 
+    def is_measured(self, life: WorkerLife) -> bool:
+        """Return whether a worker has samples."""
+        return life in self._slowness_by_life
+
+    def _estimate(self, life: WorkerLife) -> None:
+        """
+        Estimate a worker's slowness as the median of its ratios. A prior sample keeps single long
+        tasks from making a fleet uneven. Once it is uneven, each sample separates the two kinds.
+        """
+        ratios = self._ratios_by_life[life].values()
+        prior = () if self.is_uneven else (NORMAL_SLOWNESS,)
+        self._slowness_by_life[life] = median([*prior, *ratios])
+
     def _is_slow(self, slowness: float) -> bool:
         return slowness >= SLOW_FACTOR * self._median_slowness
 
@@ -194,7 +212,7 @@
             if len(ratios) > MAX_SAMPLES:
                 del ratios[next(iter(ratios))]
         for life in seconds_by_life:
-            self._slowness_by_life[life] = _robust_mean(self._ratios_by_life[life].values())
+            self._estimate(life)
 
 
 def _medians_of_others(value_by_life: Mapping[WorkerLife, float]) -> dict[WorkerLife, float]:
@@ -205,8 +223,3 @@
         life: value_by_life[ordered[middle + 1 if rank <= middle else middle]]
         for rank, life in enumerate(ordered)
     }
-
-
-def _robust_mean(ratios: Iterable[float]) -> float:
-    """Return the median of the ratios and of one prior sample of normal slowness."""
-    return median([NORMAL_SLOWNESS, *ratios])
