--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -63,13 +63,16 @@
 for the next plan, which bounds the time of a plan."""
 
 
+MAX_WAIT_ESTIMATES = 6
+"""Gangs for which one plan estimates when fast workers are free for them; each estimate goes
+through the expected ends of all runs."""
+
 MIN_MIX_SLACK = Seconds(0.5)
-"""Seconds of slack on slow workers above which a gang waits for fast ones without an estimate: it can
-still start on a mix later and be on time. Two intervals between plans."""
+"""Seconds of slack on slow workers above which a gang waits for fast ones without an estimate: it
+can still start on a mix later and be on time. Two intervals between plans."""
 
-MAX_WAIT_ESTIMATES = 6
-"""Gangs for which one plan estimates when fast workers are free for them; each estimate goes through
-the expected ends of all runs."""
+START_OF_CLOCK = Seconds(0.0)
+"""Time of a plan that needs no estimates of waits."""
 
 
 class Placement:
@@ -133,7 +136,7 @@
         victims: Callable[[], Sequence[Victim]],
         expected_ends: Callable[[], Sequence[ExpectedEnd]],
         headroom: int = 0,
-        now: Seconds = Seconds(0.0),
+        now: Seconds = START_OF_CLOCK,
     ) -> None:
         """Start from the current free resources of the hosts."""
         self._hosts = hosts
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -355,14 +355,26 @@
 
     def _expected_ends(self, now: Seconds) -> list[ExpectedEnd]:
         expected_ends = []
+        gang_ends_by_run = self._gang_ends(now) if self._shared.speeds.is_uneven else {}
         for run in self._shared.runs():
             job = self._shared.state.jobs_by_id.get(run.task.job)
             if job is None or not job.work.steps:
                 continue
             at = Seconds(now + max(0.0, run.remaining(now)))
+            at = gang_ends_by_run.get((run.task.step_ref, run.number), at)
             expected_ends.append(ExpectedEnd(run.life, run.needs, at))
         return expected_ends
 
+    def _gang_ends(self, now: Seconds) -> dict[tuple[StepRef, RunNumber], Seconds]:
+        """Return when the slowest member of each running gang is expected to end."""
+        ends_by_run: dict[tuple[StepRef, RunNumber], Seconds] = {}
+        for run in self._shared.runs():
+            if run.is_gang:
+                key = (run.task.step_ref, run.number)
+                at = Seconds(now + max(0.0, run.remaining(now)))
+                ends_by_run[key] = max(at, ends_by_run.get(key, at))
+        return ends_by_run
+
     def _execute_plan(self, plan: Plan, now: Seconds) -> None:
         for demand, _ in plan.placements:
             self._claims.end(demand.ref)
--- a/packages/core/src/bulrushhollow_core/domain/_speed_classes.py
+++ b/packages/core/src/bulrushhollow_core/domain/_speed_classes.py
@@ -59,7 +59,8 @@
     def is_worth_waiting(self, demand: Demand, wait: Seconds) -> bool:
         """
         Return whether a start on fast hosts after a wait is better than one on slow hosts now: it
-        is on time, or at least it ends earlier.
+        ends earlier, or the demand is urgent and on time only there. Other work does not wait
+        longer, since expected ends are uncertain and its deadline is usually far.
         """
         budget = demand.time_budget
         is_on_time = wait + demand.duration + budget.following <= budget.left
--- a/packages/core/src/bulrushhollow_core/domain/_speeds.py
+++ b/packages/core/src/bulrushhollow_core/domain/_speeds.py
@@ -20,8 +20,8 @@
 """Seconds between two updates of the estimates; plans are made up to 50 times a second."""
 
 SAMPLE_PERCENT = 20
-"""Progress, in percent, after which a task is sampled, and again after each further such part. Tasks
-of a few seconds have shown this within the first second; rounding adds at most a twentieth."""
+"""Progress, in percent, after which a task is sampled, and again after each further such part.
+Tasks of a few seconds show this within the first second; rounding adds at most a twentieth."""
 
 MIN_SAMPLE_TIME = Seconds(0.3)
 """Seconds of progress that a sample needs at least, since progress is listed with some delay."""
@@ -30,17 +30,18 @@
 """Other workers with tasks of a step that a comparison needs at least."""
 
 MAX_SAMPLES = 12
-"""Latest tasks that count for a worker's speed; a worker that changes is remeasured within seven."""
+"""Latest tasks that count for a worker's speed; a change shows within seven tasks."""
 
 NORMAL_SLOWNESS = 1.0
 """Slowness of a worker of median speed, of a worker without samples, and of the prior sample."""
 
 SLOW_FACTOR = 1.5
-"""Slowness, relative to the median, from which a worker is slow. Healthy workers differ by up to 1.3,
-and tasks of a step by up to 1.3 in work."""
+"""Slowness, relative to the median, from which a worker is slow. Healthy workers differ by up to
+1.3, and tasks of a step by up to 1.3 in work."""
 
 MIN_WORKER_SAMPLES = 1
-"""Samples from which on a worker counts as measured."""
+"""Samples from which on a worker counts as measured. With two, an uneven fleet was found two
+seconds later; the prior sample keeps single samples from making a fleet uneven."""
 
 MIN_MEASURED_WORKERS = 20
 """Measured workers that are needed to call a fleet uneven."""
--- /dev/null
+++ b/tests/test_domain_speeds.py
@@ -0,0 +1,280 @@
+"""Speeds of workers: estimates under real spreads, and gangs on an uneven fleet."""
+
+import math
+import random
+import unittest
+
+from bulrushhollow_core.domain._demands import Demand, TimeBudget
+from bulrushhollow_core.domain._fleet import Run
+from bulrushhollow_core.domain._hosts import ExpectedEnd, Host
+from bulrushhollow_core.domain._jobs import (
+    NO_RESOURCES,
+    Occurrence,
+    RunNumber,
+    TaskRef,
+    WorkerLife,
+)
+from bulrushhollow_core.domain._planner import Plan, Planner
+from bulrushhollow_core.domain._speeds import SpeedEstimator
+from bulrushhollow_core.ids import JobId, Seconds, WorkerId
+from tests.test_domain_planner import (
+    NOW,
+    WORKER_CAPACITY,
+    make_demand,
+    make_host,
+    make_run,
+    make_victim,
+)
+
+FACTOR = 1.2 / 0.55
+"""Factor between the slow and the fast workers of the customer."""
+
+
+class Fleet:
+    """Workers of known slowness that run steps of tasks, whose work differs by up to 30 %."""
+
+    def __init__(self, slowness: list[float], seed: int = 1) -> None:
+        self.rng = random.Random(seed)
+        self.lives = [WorkerLife(WorkerId(f"w{number}"), 1) for number in range(len(slowness))]
+        self.slowness_by_life = dict(zip(self.lives, slowness, strict=True))
+        self.estimator = SpeedEstimator()
+        self.now = 0.0
+
+    def run_steps(self, count: int, members: int) -> None:
+        for _ in range(count):
+            self.now += 1.0
+            job = JobId(f"j{self.now}")
+            work = self.rng.uniform(2.0, 6.0)
+            for member, life in enumerate(self.rng.sample(self.lives, members)):
+                task = TaskRef(job, Occurrence(0), 0, member)
+                run = Run(task, RunNumber(1), life, NO_RESOURCES, Seconds(self.now))
+                run.mark_running(Seconds(self.now), is_fresh=True)
+                duration = work * self.slowness_by_life[life] * self.rng.uniform(0.85, 1.15)
+                run.record_progress(50, "", Seconds(self.now + duration / 2))
+                self.estimator.observe(run)
+            self.estimator.update(Seconds(self.now + 1.0))
+            self.estimator.forget_job(job)
+
+    def wrong(self) -> int:
+        """Return how many workers are taken for slow or not slow although they are the other."""
+        return sum(
+            (self.estimator.slowness_of(life) > 1.0) is not (slowness > 1.5)
+            for life, slowness in self.slowness_by_life.items()
+        )
+
+
+class SpeedEstimatorTest(unittest.TestCase):
+    def test_a_quarter_of_slow_workers_is_found_within_a_few_tasks_each(self) -> None:
+        for seed in range(5):
+            fleet = Fleet([FACTOR, 1.0, 1.0, 1.0] * 10, seed)
+            fleet.run_steps(40, 5)
+            self.assertTrue(fleet.estimator.is_uneven)
+            self.assertLessEqual(fleet.wrong(), 2)
+            self.assertAlmostEqual(FACTOR, fleet.estimator.slow_factor, delta=0.3)
+
+    def test_a_fleet_that_differs_by_1_3_stays_even(self) -> None:
+        # The deployments that exist already differ by this factor and must be scheduled as before.
+        for seed in range(20):
+            for slowness in ([1.3, 1.0, 1.0], [1.3, 1.3, 1.0]):
+                fleet = Fleet(slowness * 14, seed)
+                for _ in range(20):
+                    fleet.run_steps(4, 5)
+                    self.assertFalse(fleet.estimator.is_uneven, (seed, fleet.now))
+                self.assertEqual(42, fleet.estimator.measured_count)
+                self.assertEqual({1.0}, set(map(fleet.estimator.slowness_of, fleet.lives)))
+
+    def test_a_worker_that_recovers_is_remeasured(self) -> None:
+        fleet = Fleet([FACTOR, 1.0, 1.0, 1.0] * 10)
+        fleet.run_steps(60, 5)
+        recovered = fleet.lives[0]
+        self.assertGreater(fleet.estimator.slowness_of(recovered), 1.5)
+        fleet.slowness_by_life[recovered] = 1.0
+        fleet.run_steps(120, 5)
+        self.assertEqual(1.0, fleet.estimator.slowness_of(recovered))
+
+    def test_gangs_of_slow_workers_only_do_not_hide_that_these_are_slow(self) -> None:
+        fleet = Fleet([FACTOR, 1.0, 1.0, 1.0] * 10)
+        fleet.run_steps(60, 5)
+        everyone, fleet.lives = fleet.lives, fleet.lives[::4]
+        fleet.run_steps(60, 5)
+        self.assertLessEqual(fleet.wrong(), 2)
+        fleet.lives = everyone
+
+    def test_the_next_life_of_a_worker_starts_without_an_estimate(self) -> None:
+        fleet = Fleet([FACTOR, 1.0, 1.0, 1.0] * 10)
+        fleet.run_steps(60, 5)
+        fleet.estimator.forget_worker(fleet.lives[0])
+        self.assertFalse(fleet.estimator.is_measured(fleet.lives[0]))
+        self.assertEqual(1.0, fleet.estimator.slowness_of(fleet.lives[0]))
+
+    def test_a_fleet_whose_slow_workers_leave_becomes_even(self) -> None:
+        fleet = Fleet([FACTOR, 1.0, 1.0, 1.0] * 10)
+        fleet.run_steps(60, 5)
+        for life in fleet.lives[::4]:
+            fleet.estimator.forget_worker(life)
+        self.assertTrue(fleet.estimator.update(Seconds(fleet.now + 2.0)))
+        self.assertFalse(fleet.estimator.is_uneven)
+
+
+def make_worker(name: str, rack: str, free: int = 8, is_slow: bool = False) -> Host:
+    host = make_host(name, rack, free, is_slow=is_slow)
+    host.slowness = FACTOR if is_slow else 1.0
+    return host
+
+
+def with_deadline(demand: Demand, seconds: float) -> Demand:
+    demand.time_budget = TimeBudget(Seconds(seconds), Seconds(0.0))
+    return demand
+
+
+def make_plan(
+    demand: Demand, hosts: list[Host], ends: dict[str, float] | None = None, busy: str = ""
+) -> Plan:
+    """Plan one demand; `ends` tells when each busy worker is free, `busy` which may be evicted."""
+    lives = {host.life.id: host for host in hosts}
+    expected_ends = [
+        ExpectedEnd(lives[WorkerId(name)].life, WORKER_CAPACITY, Seconds(NOW + after))
+        for name, after in (ends or {}).items()
+    ]
+    victims = [make_victim([make_run(name, lives[WorkerId(name)])], 2, 10.0) for name in busy]
+    return Planner(hosts, lambda: victims, lambda: expected_ends, now=NOW).make_plan([demand])
+
+
+def used(plan: Plan) -> set[str]:
+    return {placement.life.id for _, placements in plan.placements for placement in placements}
+
+
+class UnevenFleetTest(unittest.TestCase):
+    def test_an_urgent_gang_evicts_on_fast_workers_if_it_would_be_late_on_slow_ones(self) -> None:
+        # Urgent gangs on a slow worker were late by construction: 70 % of them were on time.
+        for deadline, evicted, placed in ((3.4, {"b"}, set()), (9.0, set(), {"a", "c"})):
+            hosts = [
+                make_worker("a", "r1"),
+                make_worker("b", "r1", 0),
+                make_worker("c", "r1", is_slow=True),
+            ]
+            demand = with_deadline(make_demand("j", 2, 8, urgency=0), deadline)
+            plan = make_plan(demand, hosts, busy="b")
+            self.assertEqual(
+                evicted, {run.life.id for _, each in plan.evictions for run in each.runs}
+            )
+            self.assertEqual(placed, used(plan))
+
+    def test_an_urgent_gang_that_cannot_be_on_time_on_fast_workers_takes_a_mix(self) -> None:
+        for free_after, expected in ((0.5, set()), (30.0, {"a", "c"})):
+            hosts = [
+                make_worker("a", "r1"),
+                make_worker("b", "r1", 0),
+                make_worker("c", "r1", is_slow=True),
+            ]
+            demand = with_deadline(make_demand("j", 2, 8, urgency=0), 3.4)
+            self.assertEqual(expected, used(make_plan(demand, hosts, {"b": free_after})))
+
+    def test_a_guarantee_that_is_due_does_not_wait_for_fast_workers(self) -> None:
+        hosts = [
+            make_worker("a", "r1"),
+            make_worker("b", "r1", 0),
+            make_worker("c", "r1", is_slow=True),
+        ]
+        demand = make_demand("j", 2, 8, urgency=0, is_guaranteed=True, is_reclaiming=True)
+        plan = make_plan(with_deadline(demand, 3.4), hosts, {"b": 0.5}, busy="b")
+        self.assertEqual({"a", "c"}, used(plan))
+
+    def test_a_large_gang_uses_slow_workers_alone_only_if_it_is_on_time_there(self) -> None:
+        for deadline, expected in ((9.0, {"c", "d"}), (4.0, set())):
+            hosts = [
+                make_worker("a", "r1"),
+                make_worker("b", "r1", 0),
+                make_worker("c", "r1", is_slow=True),
+                make_worker("d", "r1", is_slow=True),
+            ]
+            plan = make_plan(with_deadline(make_demand("j", 2, 8), deadline), hosts, {"b": 1.0})
+            self.assertEqual(expected, used(plan))
+
+    def test_a_large_gang_waits_for_fast_workers_while_it_ends_earlier_there(self) -> None:
+        # A mix occupied its fast members 2.2 times as long; 58 % of the large gangs were on time.
+        for free_after, expected in ((1.0, set()), (30.0, {"a", "c"})):
+            hosts = [
+                make_worker("a", "r1"),
+                make_worker("b", "r1", 0),
+                make_worker("c", "r1", is_slow=True),
+            ]
+            demand = with_deadline(make_demand("j", 2, 8), 20.0)
+            self.assertEqual(expected, used(make_plan(demand, hosts, {"b": free_after})))
+
+    def test_a_gang_in_one_rack_goes_to_the_rack_with_enough_fast_workers(self) -> None:
+        hosts = [
+            make_worker("a", "r1", 4),
+            make_worker("b", "r1", 4, is_slow=True),
+            make_worker("c", "r2"),
+            make_worker("d", "r2"),
+            make_worker("e", "r2", is_slow=True),
+        ]
+        demand = with_deadline(make_demand("j", 2, 4), 20.0)
+        self.assertEqual({"c"}, used(make_plan(demand, hosts)))
+
+    def test_a_gang_that_fits_no_rack_without_slow_workers_is_not_spread(self) -> None:
+        # Spread over racks it would take three times as long, more than with slow members.
+        hosts = [make_worker(f"{rack}{n}", rack, is_slow=n == 0) for rack in "rs" for n in range(3)]
+        plan = make_plan(with_deadline(make_demand("j", 3, 8), 20.0), hosts)
+        self.assertEqual(1, len({name[0] for name in used(plan)}))
+        self.assertEqual(3, len(used(plan)))
+
+    def test_background_tasks_keep_off_fast_workers_unless_they_would_be_late(self) -> None:
+        for deadline, expected in ((20.0, {"b"}), (3.0, {"a"})):
+            hosts = [make_worker("a", "r1"), make_worker("b", "r1", is_slow=True)]
+            tasks = make_demand("j", 4, 1, urgency=2, is_gang=False, same_rack=False)
+            self.assertEqual(expected, used(make_plan(with_deadline(tasks, deadline), hosts)))
+
+    def test_background_tasks_leave_the_headroom_on_fast_workers(self) -> None:
+        hosts = [make_worker(name, "r1", is_slow=name in "ab") for name in "abcdefgh"]
+        tasks = make_demand("j", 64, 1, urgency=2, is_gang=False, same_rack=False)
+        [(_, placements)] = make_plan(with_deadline(tasks, 20.0), hosts).placements
+        on_slow = sum(placement.life.id in "ab" for placement in placements)
+        self.assertEqual((16, 41), (on_slow, len(placements) - on_slow))
+
+    def test_urgent_gangs_prefer_workers_whose_speed_is_measured(self) -> None:
+        hosts = [
+            make_worker("a", "r1", 4),
+            make_worker("b", "r2"),
+            make_worker("c", "r2", is_slow=True),
+        ]
+        hosts[0].is_measured = False
+        plan = make_plan(with_deadline(make_demand("j", 1, 4, urgency=0), 3.4), hosts)
+        self.assertEqual({"b"}, used(plan))
+
+    def test_plans_for_an_even_fleet_depend_on_no_speeds_and_deadlines(self) -> None:
+        # Deployments whose workers differ by 1.3 must be scheduled as before.
+        def plan_randomly(seed: int, is_measured: bool, deadline: float) -> list[object]:
+            rng = random.Random(seed)
+            hosts = [
+                make_host(f"w{n}", f"r{n % 4}", rng.randrange(9), is_slow=rng.random() < 0.3)
+                for n in range(24)
+            ]
+            for host in hosts:
+                host.is_measured = is_measured
+            demands = [
+                make_demand(
+                    f"j{n}",
+                    rng.randint(1, 6),
+                    rng.randint(1, 8),
+                    rng.randrange(3),
+                    is_gang=n % 3 > 0,
+                )
+                for n in range(30)
+            ]
+            ends = [ExpectedEnd(each.life, WORKER_CAPACITY, Seconds(NOW + 1)) for each in hosts[:9]]
+            victims = [make_victim([make_run(f"v{n}", hosts[n], 2)], 2, 1.0) for n in range(9)]
+            planner = Planner(hosts, lambda: victims, lambda: ends, 8, NOW)
+            plan = planner.make_plan(with_deadline(demand, deadline) for demand in demands)
+            placed = [(each.task, each.life) for _, group in plan.placements for each in group]
+            evicted = [(each.ref, victim.runs[0].task) for each, victim in plan.evictions]
+            return [placed, evicted, [demand.ref for demand in plan.blocked]]
+
+        for seed in range(20):
+            plan = plan_randomly(seed, True, math.inf)
+            self.assertEqual(plan, plan_randomly(seed, False, 1.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
