--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -316,14 +316,17 @@
     def _groups_for(
         self, demand: Demand, hosts: list[Host], speed_class: SpeedClass = SpeedClass.ANY
     ) -> list[HostGroup]:
-        if demand.has_worker_constraints:
-            return groups_of_class(demand, candidate_groups(demand, hosts), speed_class)
         key = (_shape_of(demand, "", speed_class), len(demand.task_indexes))
-        if key not in self._groups_by_shape:
-            self._groups_by_shape[key] = groups_of_class(
-                demand, candidate_groups(demand, hosts), speed_class
-            )
-        return self._groups_by_shape[key]
+        if not demand.has_worker_constraints and key in self._groups_by_shape:
+            return self._groups_by_shape[key]
+        groups = (
+            candidate_groups(demand, hosts)
+            if speed_class is SpeedClass.ANY
+            else groups_of_class(demand, self._groups_for(demand, hosts), speed_class)
+        )
+        if not demand.has_worker_constraints:
+            self._groups_by_shape[key] = groups
+        return groups
 
     def _best_group(
         self,
--- a/packages/core/src/bulrushhollow_core/domain/_speed_classes.py
+++ b/packages/core/src/bulrushhollow_core/domain/_speed_classes.py
@@ -73,8 +73,6 @@
     demand: Demand, groups: Sequence[HostGroup], speed_class: SpeedClass
 ) -> list[HostGroup]:
     """Return the hosts of a class in each group; only groups whose capacity suffices for a gang."""
-    if speed_class is SpeedClass.ANY:
-        return list(groups)
     is_slow = speed_class is SpeedClass.SLOW
     is_measured = speed_class is SpeedClass.MEASURED_FAST
     matching = (
