--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -18,7 +18,7 @@
     StartRuns,
 )
 from bulrushhollow_core.domain._configuration import Queue
-from bulrushhollow_core.domain._demands import Demand, Victim
+from bulrushhollow_core.domain._demands import UNLIMITED_TIME, Demand, TimeBudget, Victim
 from bulrushhollow_core.domain._dispatch import OrderDispatcher
 from bulrushhollow_core.domain._events import Event, log_event
 from bulrushhollow_core.domain._fleet import Run, RunPhase, Worker
@@ -38,6 +38,8 @@
     LOCALITY_WAIT_FACTOR,
     Timeliness,
     WaitingStep,
+    deadline_of,
+    duration_after,
     guaranteed_jobs,
     peak_accelerators,
     priority_of,
@@ -45,6 +47,7 @@
 )
 from bulrushhollow_core.domain._reachability import Reachability
 from bulrushhollow_core.domain._scheduler_state import SchedulerState
+from bulrushhollow_core.domain._speeds import NORMAL_SLOWNESS
 from bulrushhollow_core.ids import DataCentreId, JobId, RackId, Seconds
 
 MAX_PLAN_INTERVAL = Seconds(0.25)
@@ -85,6 +88,7 @@
         if not waiting:
             self._shared.admission.clear_plan()
             return False
+        self._update_speeds(now)
         hosts = self._usable_hosts(now)
         self._log_capacity(hosts, waiting, now)
         if not hosts:
@@ -104,11 +108,12 @@
             lambda: self._expected_ends(now),
             self._shared.headroom.required_accelerators(now),
             caps,
+            now,
         )
         racks = {host.rack for host in hosts}
         suspects = {host.life for host in hosts if host.is_suspect}
         plan = planner.make_plan(
-            self._build_demand(waiting_step, hosts, racks, suspects, guaranteed, now)
+            self._build_demand(waiting_step, hosts, racks, suspects, guaranteed, now, wall)
             for waiting_step in waiting
         )
         self._prefetch_advice(waiting, hosts, now)
@@ -160,6 +165,7 @@
         suspects: set[WorkerLife],
         guaranteed: set[JobId],
         now: Seconds,
+        wall: WallTime,
     ) -> Demand:
         ref = waiting_step.ref
         step = waiting_step.job.work.steps[ref.step]
@@ -185,8 +191,31 @@
             and now - waiting_since >= RECLAIM_DELAY,
             allowed_workers=self._allowed_workers(waiting_step, hosts, now),
             workspace=waiting_step.job.workspace,
+            time_budget=self._time_budget(waiting_step, wall),
         )
 
+    def _time_budget(self, waiting_step: WaitingStep, wall: WallTime) -> TimeBudget:
+        """Return the time until a step's job is late; it decides only on an uneven fleet."""
+        job, ref = waiting_step.job, waiting_step.ref
+        if not self._shared.speeds.is_uneven or job.work.steps[ref.step].is_long_running:
+            return UNLIMITED_TIME
+        left = Seconds(deadline_of(job, ref.occurrence) - wall)
+        return TimeBudget(left, duration_after(job, ref.step))
+
+    def _update_speeds(self, now: Seconds) -> None:
+        """Update the speeds of the workers, and log when the fleet becomes even or uneven."""
+        speeds = self._shared.speeds
+        if speeds.update(now):
+            self._shared.outbox.append(
+                log_event(
+                    Event.SPEEDS_CHANGED,
+                    uneven=speeds.is_uneven,
+                    measured_workers=speeds.measured_count,
+                    slow_workers=speeds.slow_count,
+                    factor=round(speeds.slow_factor, 2),
+                )
+            )
+
     def _may_evict(self, waiting_step: WaitingStep) -> bool:
         """Return whether runs may be evicted for a step: it is guaranteed or can be on time."""
         priority = waiting_step.priority
@@ -277,6 +306,8 @@
         ]
 
     def _build_host(self, worker: Worker, announcement: WorkerNews, now: Seconds) -> Host:
+        speeds = self._shared.speeds
+        slowness = speeds.slowness_of(worker.life) if speeds.is_uneven else NORMAL_SLOWNESS
         host = Host(
             life=worker.life,
             service=announcement.service,
@@ -286,7 +317,13 @@
             capacity=announcement.capacity,
             free=worker.free,
             is_suspect=worker.is_suspect,
-            is_slow=self._shared.straggler_detector.is_slow(worker.life),
+            is_slow=(
+                slowness > NORMAL_SLOWNESS
+                if speeds.is_uneven
+                else self._shared.straggler_detector.is_slow(worker.life)
+            ),
+            slowness=slowness,
+            is_measured=speeds.is_uneven and speeds.is_measured(worker.life),
         )
         for run in worker.runs_by_task.values():
             if self._shared.is_freeing_resources(run, now):
@@ -336,14 +373,26 @@
 
     def _expected_ends(self, now: Seconds) -> list[ExpectedEnd]:
         expected_ends = []
+        gang_ends_by_run = self._gang_ends(now) if self._shared.speeds.is_uneven else {}
         for run in self._shared.runs():
             job = self._shared.state.jobs_by_id.get(run.task.job)
             if job is None or not job.work.steps:
                 continue
             at = Seconds(now + max(0.0, run.remaining(now)))
+            at = gang_ends_by_run.get((run.task.step_ref, run.number), at)
             expected_ends.append(ExpectedEnd(run.life, run.needs, at))
         return expected_ends
 
+    def _gang_ends(self, now: Seconds) -> dict[tuple[StepRef, RunNumber], Seconds]:
+        """Return when the slowest member of each running gang is expected to end."""
+        ends_by_run: dict[tuple[StepRef, RunNumber], Seconds] = {}
+        for run in self._shared.runs():
+            if run.is_gang:
+                key = (run.task.step_ref, run.number)
+                at = Seconds(now + max(0.0, run.remaining(now)))
+                ends_by_run[key] = max(at, ends_by_run.get(key, at))
+        return ends_by_run
+
     def _execute_plan(self, plan: Plan, now: Seconds) -> None:
         for demand, _ in plan.placements:
             self._claims.end(demand.ref)
@@ -391,7 +440,12 @@
         is_spread = demand.step.same_rack and len(racks) > 1
         is_remote = bool(demand.step.data_rack) and rack != demand.step.data_rack
         factor = self._shared.settings.remote_factor if is_spread or is_remote else 1.0
-        return Seconds(demand.step.estimate * factor)
+        # A gang ends with its slowest member.
+        lives = (
+            {placement.life for placement in placements} if demand.step.is_gang else {worker.life}
+        )
+        slowness = max(self._shared.speeds.slowness_of(life) for life in lives)
+        return Seconds(demand.step.estimate * factor * slowness)
 
     def _rack_of(self, life: WorkerLife) -> RackId | None:
         announcement = self._shared.fleet.workers_by_life[life].announcement
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
@@ -36,6 +36,7 @@
 from bulrushhollow_core.domain._paces import StragglerDetector
 from bulrushhollow_core.domain._settings import DomainSettings
 from bulrushhollow_core.domain._shares import RateMeter, ShareLedger
+from bulrushhollow_core.domain._speeds import SpeedEstimator
 from bulrushhollow_core.domain._state import DomainState
 from bulrushhollow_core.ids import JobId, Seconds, Term, WorkspaceId
 
@@ -68,6 +69,7 @@
         self.departed_lives: set[WorkerLife] = set(state.departed_workers)
         """Lives that have left or are known to be over."""
         self.straggler_detector = StragglerDetector()
+        self.speeds = SpeedEstimator()
         self.headroom = Headroom(settings.stop_timeout)
         self.advice = AdviceCache()
         self.rate_meter = RateMeter()
@@ -144,6 +146,7 @@
     def forget_job(self, job: JobId) -> None:
         """Drop all data about a job that has ended."""
         self.straggler_detector.forget_job(job)
+        self.speeds.forget_job(job)
         self.headroom.forget_job(job)
         self.advice.forget_job(job)
         self.rate_meter.forget_job(job)
@@ -163,6 +166,7 @@
         """Remove a worker, and propose to remove it from the replicated state."""
         self.fleet.remove(life)
         self.straggler_detector.forget_worker(life)
+        self.speeds.forget_worker(life)
         if life in self.state.announcements_by_life or life in self.state.draining_workers:
             self.proposals.append(ForgetWorker(life))
 
@@ -189,6 +193,12 @@
         """Return whether a run frees its resources soon: it is being stopped or ends by itself."""
         return run.phase is RunPhase.STOPPING or (not run.is_gang and self.ends_soon(run, now))
 
+    def observe_speed(self, run: Run) -> None:
+        """Sample the pace of a run, unless that depends on the distance to its data."""
+        job = self.state.jobs_by_id.get(run.task.job)
+        if job is not None and job.work.steps and not job.work.steps[run.task.step].data_rack:
+            self.speeds.observe(run)
+
     def is_long_running(self, run: Run) -> bool:
         """Return whether a run lasts until its job is cancelled."""
         job = self.state.jobs_by_id.get(run.task.job)
