Price evictions by the value that the callers of the victims lose

Evictions were chosen by the work that they discard, one slot at a time. Where a run can be stopped and resumed within half a second, the search now compares whole sets of victims by the value that their callers lose, and refuses a set that costs more than the demand gains. Elsewhere the plans are unchanged.

--- a/packages/core/src/bulrushhollow_core/domain/_demands.py
+++ b/packages/core/src/bulrushhollow_core/domain/_demands.py
@@ -8,11 +8,15 @@
 from collections.abc import Sequence
 
 from bulrushhollow_core.domain._configuration import ServiceName
+from bulrushhollow_core.domain._delay_cost import DelayCost, EvictionLoss
 from bulrushhollow_core.domain._fleet import Run
 from bulrushhollow_core.domain._hosts import Host
 from bulrushhollow_core.domain._jobs import Resources, Step, StepRef, WorkerLife, core_equivalents
 from bulrushhollow_core.domain._queueing import Priority
-from bulrushhollow_core.ids import Seconds
+from bulrushhollow_core.ids import JobId, Seconds
+
+NO_LOSS = EvictionLoss(0.0, 0.0)
+"""Loss of a victim while delays have no price."""
 
 
 class Demand:
@@ -34,6 +38,7 @@
         its victims.
     :param is_reclaiming: whether its guarantee is due, so that any victim may be evicted.
     :param allowed_workers: the only workers that may run the tasks; None for no such limit.
+    :param delay_cost: what its job loses by waiting; None while delays have no price.
     """
 
     def __init__(
@@ -52,6 +57,7 @@
         may_evict: bool = True,
         is_reclaiming: bool = False,
         allowed_workers: frozenset[WorkerLife] | None = None,
+        delay_cost: DelayCost | None = None,
     ) -> None:
         """Create a demand for the given tasks of a step."""
         self.ref = ref
@@ -68,6 +74,7 @@
         self.may_evict = may_evict
         self.is_reclaiming = is_reclaiming
         self.allowed_workers = allowed_workers
+        self.delay_cost = delay_cost
 
     @property
     def core_seconds(self) -> float:
@@ -100,6 +107,7 @@
             self.may_evict,
             self.is_reclaiming,
             self.allowed_workers,
+            self.delay_cost,
         )
 
     def max_tasks_on(self, host: Host) -> int:
@@ -116,6 +124,7 @@
     :param priority: position in the queue that their job would have; lower is served first.
     :param lost_work: core-seconds that the eviction wastes: all work of a run without checkpoints,
         or the time to restore one that has them.
+    :param loss: what the eviction costs the job's caller.
     """
 
     def __init__(
@@ -125,6 +134,7 @@
         priority: Priority,
         is_guaranteed: bool,
         lost_work: float,
+        loss: EvictionLoss = NO_LOSS,
     ) -> None:
         """Create a victim and sum up what its eviction frees on each worker."""
         self.runs = runs
@@ -139,3 +149,9 @@
         self.priority = priority
         self.is_guaranteed = is_guaranteed
         self.lost_work = lost_work
+        self.loss = loss
+
+    @property
+    def job(self) -> JobId:
+        """Return the job of its runs."""
+        return self.runs[0].task.job
--- a/packages/core/src/bulrushhollow_core/domain/_evictions.py
+++ b/packages/core/src/bulrushhollow_core/domain/_evictions.py
@@ -21,10 +21,12 @@
     What an eviction costs; compared in the order of the fields.
 
     :param stops_urgent: whether it stops urgent work, which will probably be late then.
+    :param lost_value: value that callers lose; 0 while delays have no price.
     :param lost_work: core-seconds of work that it discards.
     """
 
     stops_urgent: bool
+    lost_value: float
     lost_work: float
 
 
@@ -32,6 +34,7 @@
     """Return what the eviction of some victims costs."""
     return EvictionCost(
         any(victim.urgency == 0 for victim in victims),
+        sum(victim.loss.job_value + victim.loss.wasted_value for victim in victims),
         sum(victim.lost_work for victim in victims),
     )
 
--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -14,7 +14,9 @@
 from typing import NamedTuple
 
 from bulrushhollow_core.domain._configuration import ServiceName
+from bulrushhollow_core.domain._delay_cost import DelayCost
 from bulrushhollow_core.domain._demands import Demand, Victim
+from bulrushhollow_core.domain._eviction_sets import EvictionSetSearch, set_cost
 from bulrushhollow_core.domain._evictions import EvictionSearch, VictimIndex
 from bulrushhollow_core.domain._groups import (
     HostGroup,
@@ -419,14 +421,11 @@
             if self.victim_searches >= MAX_VICTIM_SEARCHES:
                 return False
             self.victim_searches += 1
-        max_lost_work = _max_lost_work(demand)
-        index = self._victim_index_for(demand)
-        best: list[Victim] | None = None
-        for group in groups:
-            chosen = EvictionSearch(demand, group, index, max_lost_work).find()
-            if chosen is not None:
-                best = chosen
-                max_lost_work = sum(victim.lost_work for victim in chosen)
+        best = (
+            self._least_lost_work(demand, groups)
+            if demand.delay_cost is None
+            else self._least_lost_value(demand, groups, demand.delay_cost)
+        )
         if best is None:
             return False
         self._smallest_rejected_by_shape.clear()
@@ -439,6 +438,33 @@
                     host.add_stopping(freed)
         return True
 
+    def _least_lost_work(self, demand: Demand, groups: Sequence[HostGroup]) -> list[Victim] | None:
+        """Return the victims that lose the least work, or None if none are permitted."""
+        max_lost_work = _max_lost_work(demand)
+        index = self._victim_index_for(demand)
+        best: list[Victim] | None = None
+        for group in groups:
+            chosen = EvictionSearch(demand, group, index, max_lost_work).find()
+            if chosen is not None:
+                best = chosen
+                max_lost_work = sum(victim.lost_work for victim in chosen)
+        return best
+
+    def _least_lost_value(
+        self, demand: Demand, groups: Sequence[HostGroup], delay_cost: DelayCost
+    ) -> list[Victim] | None:
+        """Return the victims whose callers lose least, or None if they lose more than it gains."""
+        max_cost = math.inf if demand.is_reclaiming else delay_cost.gain
+        index = self._victim_index_for(demand)
+        best: list[Victim] | None = None
+        for group in groups:
+            search = EvictionSetSearch(demand, group, index, max_cost, _max_lost_work(demand))
+            chosen = search.find()
+            if chosen is not None:
+                best = chosen
+                max_cost = set_cost(chosen)
+        return best
+
     def _victim_index_for(self, demand: Demand) -> VictimIndex:
         """Return the victims for demands that may evict the same runs as this one."""
         rank = (demand.urgency, demand.is_reclaiming)
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -17,7 +17,8 @@
     StartRuns,
 )
 from bulrushhollow_core.domain._configuration import Queue
-from bulrushhollow_core.domain._demands import Demand, Victim
+from bulrushhollow_core.domain._delay_cost import DelayPricer
+from bulrushhollow_core.domain._demands import NO_LOSS, Demand, Victim
 from bulrushhollow_core.domain._dispatch import OrderDispatcher
 from bulrushhollow_core.domain._events import Event, log_event
 from bulrushhollow_core.domain._fleet import Run, RunPhase, Worker
@@ -43,6 +44,7 @@
     waiting_steps,
 )
 from bulrushhollow_core.domain._reachability import Reachability
+from bulrushhollow_core.domain._recent_work import RecentWorkCache
 from bulrushhollow_core.domain._scheduler_state import SchedulerState
 from bulrushhollow_core.ids import DataCentreId, JobId, RackId, Seconds
 
@@ -66,6 +68,9 @@
         self._dispatcher = dispatcher
         self._waiting_since_by_step: dict[StepRef, Seconds] = {}
         self._claims = ClaimRegister(shared.settings.stop_timeout)
+        self._recent_work = RecentWorkCache()
+        self._pricer: DelayPricer | None = None
+        """Prices of delays in the current plan; None while delays have no price."""
         self._capacity_log_due = Seconds(-math.inf)
         self._silent_data_centres: frozenset[DataCentreId] = frozenset()
 
@@ -94,6 +99,7 @@
                     waiting_step.job.id, peak_accelerators(waiting_step.job), now
                 )
         self._shared.advice.clear_requests()
+        self._pricer = self._create_pricer(now, wall)
         planner = Planner(
             hosts,
             lambda: self._find_victims(guaranteed, now, wall),
@@ -113,6 +119,12 @@
                 self._log_expired_claim(demand, planner, now)
         return bool(plan.blocked)
 
+    def _create_pricer(self, now: Seconds, wall: WallTime) -> DelayPricer | None:
+        if not self._shared.settings.is_reclaim_cheap:
+            return None
+        recent = self._recent_work.get(self._shared.state)
+        return DelayPricer(self._shared.settings, recent, now, wall)
+
     def _order_by_claims(self, waiting: list[WaitingStep]) -> list[WaitingStep]:
         """Return the steps with those that have a claim at the position that they had for it."""
         return sorted(
@@ -167,6 +179,11 @@
             is_reclaiming=waiting_step.job.id in guaranteed
             and now - waiting_since >= RECLAIM_DELAY,
             allowed_workers=self._allowed_workers(waiting_step, hosts, now),
+            delay_cost=(
+                self._pricer.cost_of_waiting(waiting_step.job, ref.occurrence)
+                if self._pricer is not None and waiting_step.job.queue.urgency == 0
+                else None
+            ),
         )
 
     def _may_evict(self, waiting_step: WaitingStep) -> bool:
@@ -314,7 +331,18 @@
         )
         is_guaranteed = job.id in guaranteed
         priority = priority_of(job, runs[0].task.occurrence, is_guaranteed, wall)
-        return Victim(runs, job.queue.urgency, priority, is_guaranteed, lost_work)
+        loss = NO_LOSS
+        if self._pricer is not None:
+            loss = self._pricer.loss_of_eviction(job, runs, self._count_preemptions(runs[0]))
+        return Victim(runs, job.queue.urgency, priority, is_guaranteed, lost_work, loss)
+
+    def _count_preemptions(self, run: Run) -> int:
+        """Return how many earlier runs of a task or a gang ended other than by a failure."""
+        record = self._shared.state.find_step(run.task)
+        if record is None:
+            return 0
+        failures = record.failures if run.is_gang else record.tasks[run.task.member].failures
+        return max(0, run.number - 1 - failures)
 
     def _expected_ends(self, now: Seconds) -> list[ExpectedEnd]:
         expected_ends = []
--- a/packages/core/src/bulrushhollow_core/domain/_settings.py
+++ b/packages/core/src/bulrushhollow_core/domain/_settings.py
@@ -9,6 +9,10 @@
 
 from bulrushhollow_core.ids import Seconds
 
+CHEAP_RECLAIM_TIME = Seconds(0.5)
+"""Seconds for a stop and a restore below which capacity can be reclaimed cheaply. Work may then be
+delayed until its latest start, since an eviction is still in time."""
+
 
 class DomainSettings(msgspec.Struct, frozen=True):
     """
@@ -28,3 +32,8 @@
     restore_time: Seconds = Seconds(0.6)
     remote_factor: float = 3.0
     voter_count: int = 3
+
+    @property
+    def is_reclaim_cheap(self) -> bool:
+        """Return whether a run can be stopped and resumed quickly, so that delays can be priced."""
+        return self.stop_timeout + self.restore_time < CHEAP_RECLAIM_TIME
