--- a/tests/test_domain_delay_cost.py
+++ b/tests/test_domain_delay_cost.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections.abc import Sequence
+from unittest.mock import patch
 
 from bulrushhollow_core.domain._delay_cost import DelayCost, DelayPricer, EvictionLoss
 from bulrushhollow_core.domain._demands import Demand, Victim
@@ -21,8 +22,9 @@
 )
 from bulrushhollow_core.domain._planner import Plan
 from bulrushhollow_core.domain._recent_work import summarize
+from bulrushhollow_core.domain._scheduler import Scheduler
 from bulrushhollow_core.domain._settings import DomainSettings
-from bulrushhollow_core.ids import JobId, Seconds, WorkerId
+from bulrushhollow_core.ids import JobId, Seconds, Term, WorkerId
 from standins.domain_site import queue
 from tests.test_domain_planner import (
     NOW,
@@ -33,6 +35,8 @@
     make_priority,
     make_run,
 )
+from tests.test_domain_preemption import LoadedWorker, tasks
+from tests.test_domain_scheduler import announcement
 
 WALL = WallTime(1_000_000.0)
 CHEAP = DomainSettings(stop_timeout=Seconds(0.2), restore_time=Seconds(0.1))
@@ -153,12 +157,45 @@
             self.assertEqual(stopped, stopped_jobs(plan))
 
 
+class PricedWorker(LoadedWorker):
+    """A loaded worker on a platform with the given settings."""
+
+    def __init__(self, settings: DomainSettings) -> None:
+        super().__init__()
+        self.scheduler = Scheduler(self.state, Term(3), settings, self.now)
+        self.scheduler.worker_announced(announcement(1), self.now)
+
+    def jobs_stopped_for_a_gang(self) -> list[str]:
+        """Start work that leaves no room, then an urgent gang, and return what is stopped."""
+        self.submit_to("later", tasks(4, 1, 4.0), "background")
+        self.submit_to("usual", tasks(2, 2, 60.0, is_gang=True), "gang")
+        self.advance()
+        self.submit_to("urgent", tasks(1, 4, 1.0, is_gang=True), "urgent")
+        self.advance()
+        return sorted(task.job for task, _ in self.stopped_runs)
+
+
 class ActivationTest(unittest.TestCase):
     def test_delays_have_a_price_only_where_capacity_is_reclaimed_quickly(self) -> None:
         for stop, restore, is_cheap in ((0.2, 0.1, True), (0.2, 0.25, True), (0.4, 0.6, False)):
             settings = DomainSettings(stop_timeout=Seconds(stop), restore_time=Seconds(restore))
             self.assertEqual(is_cheap, settings.is_reclaim_cheap)
-        self.assertFalse(DomainSettings().is_reclaim_cheap)
+
+    def test_plans_are_as_before_where_a_stop_takes_long(self) -> None:
+        # The earlier deployments must be scheduled exactly as before.
+        unused = AssertionError("delays have no price")
+        with (
+            patch("bulrushhollow_core.domain._planning.DelayPricer", side_effect=unused),
+            patch("bulrushhollow_core.domain._planner.EvictionSetSearch", side_effect=unused),
+        ):
+            stopped = PricedWorker(DomainSettings()).jobs_stopped_for_a_gang()
+            self.assertEqual(["gang"] * 2, stopped, "two runs that have just started are cheapest")
+            with self.assertRaises(AssertionError):
+                PricedWorker(CHEAP).jobs_stopped_for_a_gang()
+
+    def test_a_leader_stops_the_runs_whose_callers_lose_least(self) -> None:
+        stopped = PricedWorker(CHEAP).jobs_stopped_for_a_gang()
+        self.assertEqual(["background"] * 4, stopped)
 
 
 if __name__ == "__main__":
