--- a/packages/core/src/bulrushhollow_core/domain/_delay_cost.py
+++ b/packages/core/src/bulrushhollow_core/domain/_delay_cost.py
@@ -15,7 +15,7 @@
 from bulrushhollow_core.domain._queueing import WORTHLESS_FACTOR
 from bulrushhollow_core.domain._recent_work import RecentWork, base_value, work_of
 from bulrushhollow_core.domain._settings import DomainSettings
-from bulrushhollow_core.ids import Seconds
+from bulrushhollow_core.ids import JobId, Seconds
 
 LATE_SHARE = 0.2
 """Part of its value that a late job still has; the users state 0.1 to 0.9 for their kinds."""
@@ -135,10 +135,11 @@
         self._recent = recent
         self._now = now
         self._wall = wall
+        self._values_by_occurrence: dict[tuple[JobId, Occurrence], JobValue] = {}
 
     def cost_of_waiting(self, job: Job, occurrence: Occurrence) -> DelayCost:
         """Return what a waiting job loses by being late, and until when it may wait."""
-        value = value_of(job, occurrence, self._recent)
+        value = self._value_of(job, occurrence)
         slack = value.deadline - self._wall - path_from(job, occurrence, done=True)
         eviction_time = self._settings.stop_timeout + 2 * REUSE_DELAY
         return DelayCost(value.on_time - value.late, Seconds(self._now + slack - eviction_time))
@@ -155,7 +156,7 @@
         stop_seconds = self._settings.stop_timeout + REUSE_DELAY
         remaining = max(0.0, *(run.remaining(self._now) for run in runs))
         end = self._wall + remaining + path_after(job, runs[0].task.step)
-        value = value_of(job, runs[0].task.occurrence, self._recent)
+        value = self._value_of(job, runs[0].task.occurrence)
         wait = REQUEUE_WAIT * (1 + preemptions)
         wasted_work = sum(
             core_equivalents(run.needs)
@@ -167,6 +168,13 @@
             self._recent.value_per_core_second * wasted_work * (1 + preemptions),
         )
 
+    def _value_of(self, job: Job, occurrence: Occurrence) -> JobValue:
+        """Return the value of an occurrence; many victims belong to the same job."""
+        key = (job.id, occurrence)
+        if key not in self._values_by_occurrence:
+            self._values_by_occurrence[key] = value_of(job, occurrence, self._recent)
+        return self._values_by_occurrence[key]
+
     def lost_seconds(self, run: Run, has_checkpoints: bool) -> Seconds:
         """Return the seconds of work that a run loses if it is stopped now."""
         if not has_checkpoints:
--- a/packages/core/src/bulrushhollow_core/domain/_recent_work.py
+++ b/packages/core/src/bulrushhollow_core/domain/_recent_work.py
@@ -2,8 +2,8 @@
 bulrushhollow_core.domain._recent_work
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-What recent jobs ask for: the mean work of each queue, and the largest tasks of gangs. Both are
-computed from the replicated jobs, so every leader gets the same result.
+The mean work of the recent jobs of each queue. It is computed from the replicated jobs, so every
+leader gets the same result.
 """
 
 from collections.abc import Iterable
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from bulrushhollow_core.domain._configuration import QueueName
-from bulrushhollow_core.domain._jobs import Job, Resources, core_equivalents
+from bulrushhollow_core.domain._jobs import Job, core_equivalents
 from bulrushhollow_core.domain._state import DomainState
 
 MAX_RECENT_JOBS = 256
@@ -20,20 +20,18 @@
 
 class RecentWork(NamedTuple):
     """
-    What the latest jobs ask for.
+    The work of the latest jobs.
 
     :param mean_work_by_queue: mean core-seconds of a queue's jobs.
     :param value_per_core_second: lowest mean value of a core-second among the queues; what wasted
         work costs, since the least valuable work is the one that does not run instead.
-    :param gang_shapes: distinct needs of the tasks of gangs.
     """
 
     mean_work_by_queue: dict[QueueName, float]
     value_per_core_second: float
-    gang_shapes: frozenset[Resources]
 
 
-NO_RECENT_WORK = RecentWork({}, 0.0, frozenset())
+NO_RECENT_WORK = RecentWork({}, 0.0)
 """Recent work before any job was submitted."""
 
 
@@ -51,16 +49,14 @@
     """Return a summary of jobs; the work of jobs that have ended is no longer known."""
     works_by_queue: dict[QueueName, list[float]] = {}
     urgency_by_queue: dict[QueueName, int] = {}
-    gang_shapes: set[Resources] = set()
     for job in jobs:
         if not job.work.steps:
             continue
         works_by_queue.setdefault(job.queue.name, []).append(work_of(job))
         urgency_by_queue[job.queue.name] = job.queue.urgency
-        gang_shapes.update(step.needs for step in job.work.steps if step.is_gang)
     means = {name: sum(works) / len(works) for name, works in works_by_queue.items()}
     prices = [base_value(urgency_by_queue[name]) / mean for name, mean in means.items() if mean]
-    return RecentWork(means, min(prices, default=0.0), frozenset(gang_shapes))
+    return RecentWork(means, min(prices, default=0.0))
 
 
 class RecentWorkCache:
--- a/tests/test_domain_delay_cost.py
+++ b/tests/test_domain_delay_cost.py
@@ -20,7 +20,6 @@
     Work,
     WorkerLife,
 )
-from bulrushhollow_core.domain._planner import Plan
 from bulrushhollow_core.domain._recent_work import summarize
 from bulrushhollow_core.domain._scheduler import Scheduler
 from bulrushhollow_core.domain._settings import DomainSettings
@@ -72,12 +71,10 @@
     victims: list[Victim],
     evict_by: float = 0.0,
     ends: Sequence[ExpectedEnd] = (),
-) -> Plan:
+) -> list[str]:
+    """Plan for a demand that gains 3.2 by being on time, and return the jobs that are stopped."""
     demand.delay_cost = DelayCost(3.2, Seconds(NOW + evict_by))
-    return make_planner(hosts, victims, list(ends)).make_plan([demand])
-
-
-def stopped_jobs(plan: Plan) -> list[str]:
+    plan = make_planner(hosts, victims, list(ends)).make_plan([demand])
     return sorted(victim.job for _, victim in plan.evictions)
 
 
@@ -117,44 +114,44 @@
         hosts = [make_host(name, "r1", 0) for name in "abcd"]
         gang = make_victim([make_run("gang", each) for each in hosts[:2]], 0.0, 0.5)
         single = [make_victim([make_run(each.life.id, each)], 0.0, 0.4) for each in hosts[2:]]
-        plan = plan_for(make_demand("j", 2, 8, urgency=0), hosts, [gang, *single])
-        self.assertEqual(["gang"], stopped_jobs(plan))
+        stopped = plan_for(make_demand("j", 2, 8, urgency=0), hosts, [gang, *single])
+        self.assertEqual(["gang"], stopped)
 
     def test_a_large_gang_is_spared_if_other_runs_free_enough(self) -> None:
         # kgfs: 338 members of large gangs were stopped for urgent jobs.
         hosts = [make_host(name, "r1", 0) for name in "abcd"]
         gang = make_victim([make_run("gang", each) for each in hosts[:3]], 1.0, 0.5)
         single = make_victim([make_run("single", hosts[3])], 0.0, 0.4)
-        plan = plan_for(make_demand("j", 1, 8, urgency=0), hosts, [gang, single])
-        self.assertEqual(["single"], stopped_jobs(plan))
+        stopped = plan_for(make_demand("j", 1, 8, urgency=0), hosts, [gang, single])
+        self.assertEqual(["single"], stopped)
 
     def test_victims_that_a_later_choice_makes_unnecessary_are_spared(self) -> None:
         hosts = [make_host(name, "r1", 0) for name in "ab"]
         small = make_victim([make_run("small", hosts[0], 4)], 0.0, 0.1)
         gang = make_victim([make_run("gang", each) for each in hosts], 0.0, 0.9)
-        plan = plan_for(make_demand("j", 4, 4, urgency=0), hosts, [small, gang])
-        self.assertEqual(["gang"], stopped_jobs(plan))
+        stopped = plan_for(make_demand("j", 4, 4, urgency=0), hosts, [small, gang])
+        self.assertEqual(["gang"], stopped)
 
     def test_nothing_is_evicted_that_costs_more_than_the_demand_gains(self) -> None:
         for loss, stopped in ((3.0, ["other"]), (4.0, [])):
             host = make_host("a", "r1", 0)
             victim = make_victim([make_run("other", host)], loss)
-            plan = plan_for(make_demand("j", 1, 8, urgency=0), [host], [victim])
-            self.assertEqual(stopped, stopped_jobs(plan))
+            self.assertEqual(stopped, plan_for(make_demand("j", 1, 8, urgency=0), [host], [victim]))
 
     def test_a_guarantee_that_is_due_has_no_limit(self) -> None:
         host = make_host("a", "r1", 0)
         victim = make_victim([make_run("other", host)], 40.0)
         demand = make_demand("j", 1, 8, urgency=0, is_guaranteed=True, is_reclaiming=True)
-        self.assertEqual(["other"], stopped_jobs(plan_for(demand, [host], [victim], 9.0)))
+        self.assertEqual(["other"], plan_for(demand, [host], [victim], 9.0))
 
     def test_nothing_is_evicted_while_room_is_expected_in_time(self) -> None:
         for end, stopped in ((1.0, []), (2.0, ["other"])):
             host = make_host("a", "r1", 0)
             victim = make_victim([make_run("other", host)], 0.0)
             ends = [ExpectedEnd(host.life, WORKER_CAPACITY, Seconds(NOW + end))]
-            plan = plan_for(make_demand("j", 1, 8, urgency=0), [host], [victim], 1.5, ends)
-            self.assertEqual(stopped, stopped_jobs(plan))
+            self.assertEqual(
+                stopped, plan_for(make_demand("j", 1, 8, urgency=0), [host], [victim], 1.5, ends)
+            )
 
 
 class PricedWorker(LoadedWorker):
