--- a/tests/test_domain_delay_cost.py
+++ b/tests/test_domain_delay_cost.py
@@ -9,21 +9,11 @@
 from bulrushhollow_core.domain._eviction_sets import set_cost
 from bulrushhollow_core.domain._fleet import Run
 from bulrushhollow_core.domain._hosts import ExpectedEnd, Host
-from bulrushhollow_core.domain._jobs import (
-    Job,
-    Occurrence,
-    Resources,
-    RunNumber,
-    Step,
-    TaskRef,
-    WallTime,
-    Work,
-    WorkerLife,
-)
+from bulrushhollow_core.domain._jobs import Job, Resources, Step, WallTime, Work
 from bulrushhollow_core.domain._recent_work import summarize
 from bulrushhollow_core.domain._scheduler import Scheduler
 from bulrushhollow_core.domain._settings import DomainSettings
-from bulrushhollow_core.ids import JobId, Seconds, Term, WorkerId
+from bulrushhollow_core.ids import JobId, Seconds, Term
 from standins.domain_site import queue
 from tests.test_domain_planner import (
     NOW,
@@ -41,20 +31,17 @@
 CHEAP = DomainSettings(stop_timeout=Seconds(0.2), restore_time=Seconds(0.1))
 
 
-def make_job(width: int = 1, estimate: float = 6.0, has_checkpoints: bool = False) -> Job:
-    step = Step(
-        width, Resources(1_000, 100, 1), Seconds(estimate), is_checkpointable=has_checkpoints
-    )
+def make_job(has_checkpoints: bool = False) -> Job:
+    needs = Resources(1_000, 100, 1)
+    step = Step(1, needs, Seconds(6.0), is_checkpointable=has_checkpoints)
     return Job(JobId("job"), queue("usual", 1), None, Work("spec", (step,)), WALL, 0)
 
 
 def price(job: Job, elapsed: float, checkpoint_age: float, preemptions: int = 0) -> EvictionLoss:
     """Return the loss of a run that was submitted and started some seconds ago."""
     now = Seconds(NOW + elapsed)
-    task = TaskRef(job.id, Occurrence(0), 0, 0)
-    life = WorkerLife(WorkerId("w"), 1)
-    step = job.work.steps[0]
-    run = Run(task, RunNumber(1), life, step.needs, NOW, step.estimate)
+    run = make_run(job.id, make_host("a", "r1"), 1)
+    run.duration = job.work.steps[0].estimate
     run.checkpoint_at = Seconds(now - checkpoint_age)
     pricer = DelayPricer(CHEAP, summarize([job]), now, WallTime(WALL + elapsed))
     return pricer.loss_of_eviction(job, [run], preemptions)
@@ -84,8 +71,7 @@
 
     def test_a_job_that_a_restart_makes_late_or_worthless_loses_value(self) -> None:
         # The objective of this job is 19 s, so its result is worthless 57 s after submission.
-        slow = make_job(estimate=6.0)
-        punctual, late = price(slow, 12.5, 12.5), price(slow, 45.0, 45.0)
+        punctual, late = price(make_job(), 12.5, 12.5), price(make_job(), 45.0, 45.0)
         self.assertGreater(punctual.job_value, late.job_value)
         self.assertGreater(late.job_value, 0.0)
 
@@ -154,22 +140,17 @@
             )
 
 
-class PricedWorker(LoadedWorker):
-    """A loaded worker on a platform with the given settings."""
-
-    def __init__(self, settings: DomainSettings) -> None:
-        super().__init__()
-        self.scheduler = Scheduler(self.state, Term(3), settings, self.now)
-        self.scheduler.worker_announced(announcement(1), self.now)
-
-    def jobs_stopped_for_a_gang(self) -> list[str]:
-        """Start work that leaves no room, then an urgent gang, and return what is stopped."""
-        self.submit_to("later", tasks(4, 1, 4.0), "background")
-        self.submit_to("usual", tasks(2, 2, 60.0, is_gang=True), "gang")
-        self.advance()
-        self.submit_to("urgent", tasks(1, 4, 1.0, is_gang=True), "urgent")
-        self.advance()
-        return sorted(task.job for task, _ in self.stopped_runs)
+def jobs_stopped_for_a_gang(settings: DomainSettings) -> list[str]:
+    """Start work that leaves no room, then an urgent gang, and return what is stopped."""
+    worker = LoadedWorker()
+    worker.scheduler = Scheduler(worker.state, Term(3), settings, worker.now)
+    worker.scheduler.worker_announced(announcement(1), worker.now)
+    worker.submit_to("later", tasks(4, 1, 4.0), "background")
+    worker.submit_to("usual", tasks(2, 2, 60.0, is_gang=True), "gang")
+    worker.advance()
+    worker.submit_to("urgent", tasks(1, 4, 1.0, is_gang=True), "urgent")
+    worker.advance()
+    return sorted(task.job for task, _ in worker.stopped_runs)
 
 
 class ActivationTest(unittest.TestCase):
@@ -185,13 +166,13 @@
             patch("bulrushhollow_core.domain._planning.DelayPricer", side_effect=unused),
             patch("bulrushhollow_core.domain._planner.EvictionSetSearch", side_effect=unused),
         ):
-            stopped = PricedWorker(DomainSettings()).jobs_stopped_for_a_gang()
+            stopped = jobs_stopped_for_a_gang(DomainSettings())
             self.assertEqual(["gang"] * 2, stopped, "two runs that have just started are cheapest")
             with self.assertRaises(AssertionError):
-                PricedWorker(CHEAP).jobs_stopped_for_a_gang()
+                jobs_stopped_for_a_gang(CHEAP)
 
     def test_a_leader_stops_the_runs_whose_callers_lose_least(self) -> None:
-        stopped = PricedWorker(CHEAP).jobs_stopped_for_a_gang()
+        stopped = jobs_stopped_for_a_gang(CHEAP)
         self.assertEqual(["background"] * 4, stopped)
 
 
