Let an urgent gang wait for room no longer than an eviction takes

Waiting up to the latest start made urgent jobs late when runs ended later than estimated, and its reservations left other gangs without one.

--- a/packages/core/src/bulrushhollow_core/domain/_delay_cost.py
+++ b/packages/core/src/bulrushhollow_core/domain/_delay_cost.py
@@ -56,7 +56,7 @@
     What a waiting demand loses if it starts too late.
 
     :param gain: value that it loses by being late.
-    :param evict_by: latest time, by the leader's clock, at which an eviction lets it be on time.
+    :param evict_by: time, by the leader's clock, until which it waits for room instead of evicting.
     """
 
     gain: float
@@ -141,8 +141,11 @@
         """Return what a waiting job loses by being late, and until when it may wait."""
         value = self._value_of(job, occurrence)
         slack = value.deadline - self._wall - path_from(job, occurrence, done=True)
+        # Waiting longer than an eviction takes made urgent jobs late when runs ended later than
+        # estimated.
         eviction_time = self._settings.stop_timeout + 2 * REUSE_DELAY
-        return DelayCost(value.on_time - value.late, Seconds(self._now + slack - eviction_time))
+        wait = min(slack - eviction_time, eviction_time)
+        return DelayCost(value.on_time - value.late, Seconds(self._now + wait))
 
     def loss_of_eviction(self, job: Job, runs: Sequence[Run], preemptions: int) -> EvictionLoss:
         """
--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -136,6 +136,9 @@
         self._total_accelerators = sum(host.capacity.accelerators for host in hosts)
         self._headroom = min(headroom, int(HEADROOM_SHARE * self._total_accelerators))
         self._reservation_count = 0
+        self._urgent_reservation_count = 0
+        """Reservations of urgent gangs that may wait. Counting them with those of other gangs left
+        these without one."""
         self.victim_searches = 0
         """Demands outside any guarantee for which victims were searched."""
         self.plan = Plan()
@@ -260,7 +263,9 @@
 
     def _reserve_for_gang(self, demand: Demand, groups: Sequence[HostGroup]) -> None:
         """Reserve resources for a gang on the group where it is expected to fit first."""
-        if self._reservation_count >= MAX_GANG_RESERVATIONS:
+        is_priced = demand.delay_cost is not None
+        count = self._urgent_reservation_count if is_priced else self._reservation_count
+        if count >= MAX_GANG_RESERVATIONS:
             return
         best: tuple[Seconds, HostGroup] | None = None
         for group in groups:
@@ -269,7 +274,10 @@
                 best = (at, group)
         if best is None:
             return
-        self._reservation_count += 1
+        if is_priced:
+            self._urgent_reservation_count += 1
+        else:
+            self._reservation_count += 1
         free_by_life = self._free_at_time(best[1], best[0])
         waiting = len(demand.task_indexes)
         for host in sorted(
@@ -452,7 +460,7 @@
         """Return whether a gang is expected to fit without an eviction while it can be on time."""
         if demand.delay_cost is None or demand.is_reclaiming or not demand.step.is_gang:
             return False
-        if self._reservation_count >= MAX_GANG_RESERVATIONS:
+        if self._urgent_reservation_count >= MAX_GANG_RESERVATIONS:
             # Other demands would take the room that it waits for.
             return False
         evict_by = demand.delay_cost.evict_by
