--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -15,7 +15,9 @@
 
 from bulrushhollow_core.domain._caps import CapLedger
 from bulrushhollow_core.domain._configuration import ServiceName
+from bulrushhollow_core.domain._delay_cost import DelayCost
 from bulrushhollow_core.domain._demands import Demand, Victim
+from bulrushhollow_core.domain._eviction_sets import EvictionSetSearch, set_cost
 from bulrushhollow_core.domain._evictions import EvictionSearch, VictimIndex
 from bulrushhollow_core.domain._groups import (
     HostGroup,
@@ -175,6 +177,9 @@
         self._total_accelerators = sum(host.capacity.accelerators for host in hosts)
         self._headroom = min(headroom, int(HEADROOM_SHARE * self._total_accelerators))
         self._reservation_count = 0
+        self._urgent_reservation_count = 0
+        """Reservations of urgent gangs that may wait. Counting them with those of other gangs left
+        these without one."""
         self.victim_searches = 0
         """Demands outside any guarantee for which victims were searched."""
         self.plan = Plan()
@@ -405,7 +410,9 @@
 
     def _reserve_for_gang(self, demand: Demand, groups: Sequence[HostGroup]) -> None:
         """Reserve resources for a gang on the group where it is expected to fit first."""
-        if self._reservation_count >= MAX_GANG_RESERVATIONS:
+        is_priced = demand.delay_cost is not None
+        count = self._urgent_reservation_count if is_priced else self._reservation_count
+        if count >= MAX_GANG_RESERVATIONS:
             return
         best: tuple[Seconds, HostGroup] | None = None
         for group in groups:
@@ -414,8 +421,11 @@
                 best = (at, group)
         if best is None:
             return
-        self._reservation_count += 1
         self._caps.reserve(demand)
+        if is_priced:
+            self._urgent_reservation_count += 1
+        else:
+            self._reservation_count += 1
         free_by_life = self._free_at_time(best[1], best[0])
         waiting = len(demand.task_indexes)
         for host in sorted(
@@ -444,8 +454,14 @@
             )
         return self._expected_ends_by_racks[racks]
 
-    def _earliest_start(self, demand: Demand, group: HostGroup) -> Seconds | None:
-        """Return when a demand is expected to fit on a group, or None if that is unknown."""
+    def _earliest_start(
+        self, demand: Demand, group: HostGroup, until: float = math.inf
+    ) -> Seconds | None:
+        """
+        Return when a demand is expected to fit on a group.
+
+        :return: None if that is unknown or later than `until`.
+        """
         free_by_life = {host.life: host.free_after_stops for host in group}
         limits = {host.life: demand.max_tasks_on(host) for host in group}
         needs = demand.step.needs
@@ -454,6 +470,8 @@
         }
         total = sum(slots_by_life.values())
         for expected_end in self._expected_ends_in(group):
+            if expected_end.at > until:
+                return None
             life = expected_end.life
             if life not in free_by_life:
                 continue
@@ -575,15 +593,13 @@
 
     def _evict_for(self, demand: Demand, groups: Sequence[HostGroup], max_lost_work: float) -> bool:
         """Evict the cheapest victims for an urgent demand; return whether enough may be evicted."""
-        if not self._may_search_victims(demand):
+        if self._can_wait(demand, groups) or not self._may_search_victims(demand):
             return False
-        index = self._victim_index_for(demand)
-        best: list[Victim] | None = None
-        for group in groups:
-            chosen = EvictionSearch(demand, group, index, max_lost_work).find()
-            if chosen is not None:
-                best = chosen
-                max_lost_work = sum(victim.lost_work for victim in chosen)
+        best = (
+            self._least_lost_work(demand, groups, max_lost_work)
+            if demand.delay_cost is None
+            else self._least_lost_value(demand, groups, demand.delay_cost, max_lost_work)
+        )
         if best is None:
             return False
         self._count_as_stopping(best)
@@ -601,6 +617,49 @@
                 if host is not None:
                     host.add_stopping(freed)
 
+    def _can_wait(self, demand: Demand, groups: Sequence[HostGroup]) -> bool:
+        """Return whether a gang is expected to fit without an eviction while it can be on time."""
+        if demand.delay_cost is None or demand.is_reclaiming or not demand.step.is_gang:
+            return False
+        if self._urgent_reservation_count >= MAX_GANG_RESERVATIONS:
+            # Other demands would take the room that it waits for.
+            return False
+        evict_by = demand.delay_cost.evict_by
+        starts = (self._earliest_start(demand, group, evict_by) for group in groups)
+        return any(start is not None for start in starts)
+
+    def _least_lost_work(
+        self, demand: Demand, groups: Sequence[HostGroup], max_lost_work: float
+    ) -> list[Victim] | None:
+        """Return the victims that lose the least work, or None if none are permitted."""
+        index = self._victim_index_for(demand)
+        best: list[Victim] | None = None
+        for group in groups:
+            chosen = EvictionSearch(demand, group, index, max_lost_work).find()
+            if chosen is not None:
+                best = chosen
+                max_lost_work = sum(victim.lost_work for victim in chosen)
+        return best
+
+    def _least_lost_value(
+        self,
+        demand: Demand,
+        groups: Sequence[HostGroup],
+        delay_cost: DelayCost,
+        max_lost_work: float,
+    ) -> list[Victim] | None:
+        """Return the victims whose callers lose least, or None if they lose more than it gains."""
+        max_cost = math.inf if demand.is_reclaiming else delay_cost.gain
+        index = self._victim_index_for(demand)
+        best: list[Victim] | None = None
+        for group in groups:
+            search = EvictionSetSearch(demand, group, index, max_cost, max_lost_work)
+            chosen = search.find()
+            if chosen is not None:
+                best = chosen
+                max_cost = set_cost(chosen)
+        return best
+
     def _victim_index_for(self, demand: Demand) -> VictimIndex:
         """Return the victims for demands that may evict the same runs as this one."""
         rank = (demand.urgency, demand.is_reclaiming)
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -18,7 +18,14 @@
     StartRuns,
 )
 from bulrushhollow_core.domain._configuration import Queue
-from bulrushhollow_core.domain._demands import UNLIMITED_TIME, Demand, TimeBudget, Victim
+from bulrushhollow_core.domain._delay_cost import DelayPricer
+from bulrushhollow_core.domain._demands import (
+    NO_LOSS,
+    UNLIMITED_TIME,
+    Demand,
+    TimeBudget,
+    Victim,
+)
 from bulrushhollow_core.domain._dispatch import OrderDispatcher
 from bulrushhollow_core.domain._events import Event, log_event
 from bulrushhollow_core.domain._fleet import Run, RunPhase, Worker
@@ -46,6 +53,7 @@
     waiting_steps,
 )
 from bulrushhollow_core.domain._reachability import Reachability
+from bulrushhollow_core.domain._recent_work import RecentWorkCache
 from bulrushhollow_core.domain._scheduler_state import SchedulerState
 from bulrushhollow_core.domain._speeds import NORMAL_SLOWNESS
 from bulrushhollow_core.ids import DataCentreId, JobId, RackId, Seconds
@@ -71,6 +79,9 @@
         self._waiting_since_by_step: dict[StepRef, Seconds] = {}
         self._claims = ClaimRegister(shared.settings.stop_timeout)
         self._cap_reporter = CapReporter()
+        self._recent_work = RecentWorkCache()
+        self._pricer: DelayPricer | None = None
+        """Prices of delays in the current plan; None while delays have no price."""
         self._capacity_log_due = Seconds(-math.inf)
         self._silent_data_centres: frozenset[DataCentreId] = frozenset()
 
@@ -102,6 +113,7 @@
                 )
         self._shared.advice.clear_requests()
         caps = build_cap_ledger(self._shared, hosts, now)
+        self._pricer = self._create_pricer(now, wall)
         planner = Planner(
             hosts,
             lambda: self._find_victims(guaranteed, now, wall),
@@ -135,6 +147,12 @@
         self._shared.outbox.extend(shares.log_changes(now))
         return ordered
 
+    def _create_pricer(self, now: Seconds, wall: WallTime) -> DelayPricer | None:
+        if not self._shared.settings.is_reclaim_cheap:
+            return None
+        recent = self._recent_work.get(self._shared.state)
+        return DelayPricer(self._shared.settings, recent, now, wall)
+
     def _order_by_claims(self, waiting: list[WaitingStep]) -> list[WaitingStep]:
         """Return the steps with those that have a claim at the position that they had for it."""
         return sorted(
@@ -192,6 +210,11 @@
             allowed_workers=self._allowed_workers(waiting_step, hosts, now),
             workspace=waiting_step.job.workspace,
             time_budget=self._time_budget(waiting_step, wall),
+            delay_cost=(
+                self._pricer.cost_of_waiting(waiting_step.job, ref.occurrence)
+                if self._pricer is not None and waiting_step.job.queue.urgency == 0
+                else None
+            ),
         )
 
     def _time_budget(self, waiting_step: WaitingStep, wall: WallTime) -> TimeBudget:
@@ -362,14 +385,29 @@
             for run in runs
         )
         is_guaranteed = job.id in guaranteed
-        priority = priority_of(job, runs[0].task.occurrence, is_guaranteed, wall)
-        return Victim(
-            runs, job.queue.urgency, priority, is_guaranteed, lost_work, workspace=job.workspace
-        )
         priority = self._shared.shares.adjust(
             job.id, priority_of(job, runs[0].task.occurrence, is_guaranteed, wall)
         )
-        return Victim(runs, job.queue.urgency, priority, is_guaranteed, lost_work)
+        loss = NO_LOSS
+        if self._pricer is not None:
+            loss = self._pricer.loss_of_eviction(job, runs, self._count_preemptions(runs[0]))
+        return Victim(
+            runs,
+            job.queue.urgency,
+            priority,
+            is_guaranteed,
+            lost_work,
+            workspace=job.workspace,
+            loss=loss,
+        )
+
+    def _count_preemptions(self, run: Run) -> int:
+        """Return how many earlier runs of a task or a gang ended other than by a failure."""
+        record = self._shared.state.find_step(run.task)
+        if record is None:
+            return 0
+        failures = record.failures if run.is_gang else record.tasks[run.task.member].failures
+        return max(0, run.number - 1 - failures)
 
     def _expected_ends(self, now: Seconds) -> list[ExpectedEnd]:
         expected_ends = []
