Judge running work by its workspace's share again

Cause: the merge of caps and shares kept the earlier return of _build_victim before the one with the share, so that victims lost their share's part of the priority. No test covered the two together. Change: one return with the share and the workspace.

--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -362,14 +362,12 @@
             for run in runs
         )
         is_guaranteed = job.id in guaranteed
-        priority = priority_of(job, runs[0].task.occurrence, is_guaranteed, wall)
-        return Victim(
-            runs, job.queue.urgency, priority, is_guaranteed, lost_work, workspace=job.workspace
-        )
         priority = self._shared.shares.adjust(
             job.id, priority_of(job, runs[0].task.occurrence, is_guaranteed, wall)
         )
-        return Victim(runs, job.queue.urgency, priority, is_guaranteed, lost_work)
+        return Victim(
+            runs, job.queue.urgency, priority, is_guaranteed, lost_work, workspace=job.workspace
+        )
 
     def _expected_ends(self, now: Seconds) -> list[ExpectedEnd]:
         expected_ends = []
