Count the runs of ended jobs in the backlog without their steps

Cause: an ended job drops its steps once none of its tasks is active, while its last runs still take resources; the estimate of the backlog read the dropped step and raised an index error, which ends the leader's process. Change: such runs count by what they need; a test that failed before.

--- a/packages/core/src/bulrushhollow_core/domain/_admission.py
+++ b/packages/core/src/bulrushhollow_core/domain/_admission.py
@@ -350,7 +350,9 @@
     def _running_on(self, worker: Worker, now: Seconds) -> Iterator[RunningWork]:
         for run in worker.runs_by_task.values():
             job = self._state.jobs_by_id.get(run.task.job)
-            if job is not None and not job.work.steps[run.task.step].is_long_running:
+            # An ended job has no steps any more, while its last runs still take resources.
+            steps = job.work.steps if job is not None else ()
+            if job is not None and not (steps and steps[run.task.step].is_long_running):
                 remaining = Seconds(max(0.0, run.remaining(now)))
                 yield RunningWork(job.workspace, run.needs, remaining)
 
--- a/tests/test_domain_admission.py
+++ b/tests/test_domain_admission.py
@@ -7,8 +7,16 @@
 from bulrushhollow_core.domain import DomainSettings, Refused, Resources, Step, Submit, Work
 from bulrushhollow_core.domain._call_handler import CallHandler, DeferredAnswer, ImmediateAnswer
 from bulrushhollow_core.domain._calls import RefusalReason
-from bulrushhollow_core.domain._commands import DrainWorker, PutConfiguration, StartRuns, SubmitJob
-from bulrushhollow_core.domain._jobs import WallTime
+from bulrushhollow_core.domain._commands import (
+    DrainWorker,
+    EndRuns,
+    Outcome,
+    PutConfiguration,
+    RunEnd,
+    StartRuns,
+    SubmitJob,
+)
+from bulrushhollow_core.domain._jobs import RunNumber, WallTime
 from bulrushhollow_core.domain._scheduler import Scheduler
 from bulrushhollow_core.ids import JobId, Seconds, Term, Version, WorkspaceId
 from standins.domain_site import HOST, KEY, queue
@@ -136,6 +144,22 @@
         harness.commit([first.command])
         self.assertIsNone(harness.refusal("a", work(1.0)))
 
+    def test_runs_of_an_ended_job_count_until_they_end(self) -> None:
+        # One end completes a gang, and the job drops its steps while the other member still runs;
+        # estimating the backlog then failed with an index error.
+        harness = AdmissionHarness()
+        gang = Step(2, Resources(32_000, 100, 4), Seconds(9.0), is_gang=True)
+        team = WorkspaceId("team")
+        harness.commit(
+            [SubmitJob(JobId("gang"), queue("usual", 1), team, Work("spec", (gang,)), harness.wall)]
+        )
+        harness.plan()
+        [first, _] = [task for task, _ in harness.state.active_tasks()]
+        harness.commit([EndRuns((RunEnd(first, RunNumber(1), Outcome.DONE),), harness.wall)])
+        for _ in range(2):
+            harness.enqueue("urgent", 0, 1.0, 20)
+        self.assertIsNotNone(harness.refusal("short", work(1.0)))
+
     def test_refusing_ends_well_below_the_limit_at_which_it_begins(self) -> None:
         # The expected ends of the three jobs are 1.03, 0.92 and 0.73 of their limits.
         harness = self.overloaded()
