Explain where a job would be placed, in the core

Operators ask where a job would go before they submit it. ExplainPlacement runs the checks of a submission and a plan on a copy of the leader's state, in which the job has been accepted; the plan is never carried out. PlanningCycle separates preparing a planner from executing its plan, so that both use the same code.

--- a/packages/core/src/bulrushhollow_core/domain/_call_handler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_call_handler.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from bulrushhollow_core.domain._admission import Refusal
+from bulrushhollow_core.domain._admission import AdmissionController, Refusal
 from bulrushhollow_core.domain._announcements import Availability
 from bulrushhollow_core.domain._calls import (
     Announce,
@@ -20,11 +20,13 @@
     Deregister,
     Done,
     Evacuate,
+    ExplainPlacement,
     JobShown,
     Malformed,
     NoSuchJob,
     NoSuchQueue,
     NotAllowed,
+    PlacementExplained,
     Probe,
     PutConfig,
     QueueShown,
@@ -45,13 +47,16 @@
     SubmitJob,
 )
 from bulrushhollow_core.domain._configuration import Queue, find_invalidity
+from bulrushhollow_core.domain._copies import detached_copy
 from bulrushhollow_core.domain._events import Event, LogEvent, log_event
+from bulrushhollow_core.domain._explanation import MIN_EXPLANATION_INTERVAL, UNSUBMITTED_JOB
 from bulrushhollow_core.domain._jobs import JobState, WallTime, WorkerLife
 from bulrushhollow_core.domain._queueing import count_pending_jobs
 from bulrushhollow_core.domain._scheduler import Scheduler
 from bulrushhollow_core.domain._settings import DomainSettings
 from bulrushhollow_core.domain._state import DomainState
 from bulrushhollow_core.ids import JobId, Seconds, WorkspaceId
+from bulrushhollow_core.placements import PlacementOutlook, Verdict
 
 CONFIGURATION_RETRY_AFTER = Seconds(1.0)
 """Seconds after which to retry a call that arrived before the first configuration, which operators
@@ -143,13 +148,15 @@
                 configuration = state.configuration
                 limits = configuration.limits if configuration else None
                 return ImmediateAnswer(Serving(self._address, limits, self.instances))
+            case ExplainPlacement():
+                return self._explain_placement(call, state, scheduler, now, wall)
             case _ as never:
                 assert_never(never)
 
     # Jobs.
 
     def _authorize(
-        self, call: Submit | Cancel | Read, state: DomainState
+        self, call: Submit | Cancel | Read | ExplainPlacement, state: DomainState
     ) -> _AuthorizedCall | Refused | NoSuchQueue | NotAllowed:
         configuration_index = state.configuration_index
         if configuration_index is None:
@@ -186,20 +193,10 @@
         if existing is not None:
             repeated = log_event(Event.SUBMISSION_REPEATED, job=job_id, state=existing.state.value)
             return ImmediateAnswer(self._done, (repeated,))
-        configuration_index = state.configuration_index
-        cap = configuration_index.cap_of(authorization.workspace) if configuration_index else None
-        if cap is not None and exceeds_cap(call.work, cap):
-            refused = log_event(
-                Event.SUBMISSION_REFUSED,
-                job=job_id,
-                workspace=authorization.workspace or "",
-                reason=RefusalReason.EXCEEDS_CAP.value,
-            )
-            return ImmediateAnswer(Refused(RefusalReason.EXCEEDS_CAP, CAP_RETRY_AFTER), (refused,))
         command = SubmitJob(job_id, authorization.queue, authorization.workspace, call.work, wall)
-        refusal = scheduler.admission.find_refusal(command, now)
-        if refusal is not None:
-            return _refuse_overloaded(command, refusal)
+        rejection = _find_rejection(command, state, scheduler.admission, now)
+        if rejection is not None:
+            return rejection
         scheduler.admission.record_proposal(job_id)
         configuration = state.configuration
         accepted = log_event(
@@ -214,6 +211,41 @@
         )
         return DeferredAnswer(command, self._done, (accepted,))
 
+    def _explain_placement(
+        self,
+        call: ExplainPlacement,
+        state: DomainState,
+        scheduler: Scheduler,
+        now: Seconds,
+        wall: WallTime,
+    ) -> ImmediateAnswer:
+        """Explain a placement by the checks of a submission and by a plan; nothing is changed."""
+        authorization = self._authorize(call, state)
+        if not isinstance(authorization, _AuthorizedCall):
+            return _show_outlook(_verdict_on(authorization))
+        queue, workspace = authorization.queue, authorization.workspace
+        command = SubmitJob(UNSUBMITTED_JOB, queue, workspace, call.work, wall)
+        reason = _find_work_error(call)
+        rejection = None
+        if not reason:
+            admission = detached_copy(scheduler.admission)
+            rejection = _find_rejection(command, state, admission, now)
+        if reason:
+            outlook = PlacementOutlook(Verdict.MALFORMED, reason)
+        elif rejection is not None and isinstance(rejection.answer, Refused):
+            outlook = _verdict_on(rejection.answer)
+        else:
+            forecast = scheduler.explainer.explain(command, now, wall)
+            if forecast is None:
+                refusal = Refused(RefusalReason.EXPLAINING, MIN_EXPLANATION_INTERVAL)
+                return ImmediateAnswer(refusal)
+            outlook = PlacementOutlook(
+                Verdict.ACCEPTED, position=forecast.position, steps=forecast.steps
+            )
+        return _show_outlook(
+            msgspec.structs.replace(outlook, queue=queue.name, workspace=workspace or "")
+        )
+
     def _cancel_job(
         self, call: Cancel, state: DomainState, wall: WallTime
     ) -> ImmediateAnswer | DeferredAnswer:
@@ -288,6 +320,50 @@
         return ImmediateAnswer(self._done)
 
 
+def _show_outlook(outlook: PlacementOutlook) -> ImmediateAnswer:
+    explained = log_event(
+        Event.PLACEMENT_EXPLAINED,
+        verdict=outlook.verdict.value,
+        queue=outlook.queue,
+        workspace=outlook.workspace,
+        rank=outlook.position.rank if outlook.position else 0,
+        tasks=sum(step.tasks for step in outlook.steps),
+        starting=sum(step.starting for step in outlook.steps),
+    )
+    return ImmediateAnswer(PlacementExplained(outlook), (explained,))
+
+
+def _find_rejection(
+    command: SubmitJob, state: DomainState, admission: AdmissionController, now: Seconds
+) -> ImmediateAnswer | None:
+    """Return the refusal of valid work because of a cap or of overload; None if it is accepted."""
+    configuration_index = state.configuration_index
+    cap = configuration_index.cap_of(command.workspace) if configuration_index else None
+    if cap is not None and exceeds_cap(command.work, cap):
+        refused = log_event(
+            Event.SUBMISSION_REFUSED,
+            job=command.id,
+            workspace=command.workspace or "",
+            reason=RefusalReason.EXCEEDS_CAP.value,
+        )
+        return ImmediateAnswer(Refused(RefusalReason.EXCEEDS_CAP, CAP_RETRY_AFTER), (refused,))
+    refusal = admission.find_refusal(command, now)
+    return None if refusal is None else _refuse_overloaded(command, refusal)
+
+
+def _verdict_on(
+    refusal: Refused | NoSuchQueue | NotAllowed,
+) -> PlacementOutlook:
+    """Return the explanation of a job whose submission would be refused."""
+    match refusal:
+        case NoSuchQueue():
+            return PlacementOutlook(Verdict.NO_SUCH_QUEUE)
+        case NotAllowed():
+            return PlacementOutlook(Verdict.NOT_ALLOWED)
+        case Refused(reason=reason, retry_after=retry_after):
+            return PlacementOutlook(Verdict(reason.value), retry_after=round(retry_after, 3))
+
+
 def _refuse_overloaded(command: SubmitJob, refusal: Refusal) -> ImmediateAnswer:
     refused = log_event(
         Event.SUBMISSION_REFUSED,
@@ -302,7 +378,7 @@
     return ImmediateAnswer(Refused(RefusalReason.OVERLOADED, refusal.retry_after), (refused,))
 
 
-def _find_work_error(call: Submit) -> str:
+def _find_work_error(call: Submit | ExplainPlacement) -> str:
     """Return why the work of a job is invalid, or an empty text if it is valid."""
     steps = call.work.steps
     if not steps:
--- a/packages/core/src/bulrushhollow_core/domain/_calls.py
+++ b/packages/core/src/bulrushhollow_core/domain/_calls.py
@@ -15,6 +15,7 @@
 from bulrushhollow_core.domain._configuration import CallLimits, Configuration
 from bulrushhollow_core.domain._jobs import JobState, Work
 from bulrushhollow_core.ids import DataCentreId, Seconds, WorkerId
+from bulrushhollow_core.placements import PlacementOutlook
 
 CallId = NewType("CallId", int)
 """Number that a process assigns to a call while it waits for the answer."""
@@ -87,7 +88,32 @@
     """Check that a leader serves; also returns the call limits and the instances."""
 
 
-Call = Submit | Cancel | Read | PutConfig | ReadConfig | Evacuate | Announce | Deregister | Probe
+class ExplainPlacement(msgspec.Struct, frozen=True, array_like=True, tag="explain_placement"):
+    """
+    Explain where a job would be placed now, without submitting it.
+
+    :param path: the queue's prefix; what follows the prefix is ignored.
+    :param key: credential of the caller; empty for none.
+    """
+
+    host: str
+    path: str
+    key: str
+    work: Work
+
+
+Call = (
+    Submit
+    | Cancel
+    | Read
+    | PutConfig
+    | ReadConfig
+    | Evacuate
+    | Announce
+    | Deregister
+    | Probe
+    | ExplainPlacement
+)
 
 
 class RefusalReason(Enum):
@@ -101,6 +127,8 @@
     """A gang or a single task of the job needs more than its workspace's cap."""
     OVERLOADED = "overloaded"
     """The job could not end before its result loses its value."""
+    EXPLAINING = "explaining"
+    """The leader has explained another placement just before."""
 
 
 class Done(msgspec.Struct, frozen=True, array_like=True, tag="done"):
@@ -193,6 +221,12 @@
     instances: tuple[str, ...] = ()
 
 
+class PlacementExplained(msgspec.Struct, frozen=True, array_like=True, tag="placement"):
+    """Where a job would be placed now, and why."""
+
+    outlook: PlacementOutlook
+
+
 Answer = (
     Done
     | Refused
@@ -206,4 +240,5 @@
     | QueueShown
     | ConfigShown
     | Serving
+    | PlacementExplained
 )
--- a/packages/core/src/bulrushhollow_core/domain/_events.py
+++ b/packages/core/src/bulrushhollow_core/domain/_events.py
@@ -43,6 +43,8 @@
     """Tasks of a workspace wait because of its cap; written at most each second for each one."""
     SHARE_EXCEEDED = "share_exceeded"
     """A workspace has begun or ceased to wait for more than its share."""
+    PLACEMENT_EXPLAINED = "placement_explained"
+    """An operator asked where a job would be placed."""
     CAPACITY = "capacity"
     """Written each second by the leader: the free capacity and the work that waits for it."""
 
--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -180,6 +180,12 @@
             ),
         }
 
+    def expected_start(self, demand: Demand) -> Seconds | None:
+        """Return when a gang is expected to fit, or None if that is unknown."""
+        groups = self._groups_for(demand, self._eligible_hosts(demand))
+        starts = (self._earliest_start(demand, group) for group in groups)
+        return min((at for at in starts if at is not None), default=None)
+
     def _eligible_hosts(self, demand: Demand) -> list[Host]:
         kind = (demand.service, demand.step.required_label)
         if kind not in self._eligible_by_kind:
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -8,16 +8,18 @@
 
 import math
 from collections import Counter
-from collections.abc import Set
+from collections.abc import Iterator, Set
+from typing import NamedTuple, Self
 
 from bulrushhollow_core.domain._announcements import Availability, WorkerNews
-from bulrushhollow_core.domain._caps import CapReporter, build_cap_ledger
+from bulrushhollow_core.domain._caps import CapLedger, CapReporter, build_cap_ledger
 from bulrushhollow_core.domain._claims import ClaimRegister
 from bulrushhollow_core.domain._commands import (
     Start,
     StartRuns,
 )
 from bulrushhollow_core.domain._configuration import Queue
+from bulrushhollow_core.domain._copies import detached_copy
 from bulrushhollow_core.domain._demands import Demand, Victim
 from bulrushhollow_core.domain._dispatch import OrderDispatcher
 from bulrushhollow_core.domain._events import Event, log_event
@@ -58,6 +60,34 @@
 """Seconds between two log lines about the free capacity while any step waits."""
 
 
+class QueueView(NamedTuple):
+    """
+    What a plan starts from.
+
+    :param guaranteed: jobs that fit into their workspaces' guarantees.
+    :param waiting: steps with tasks that may start now, without regard to shares and claims.
+    :param hosts: workers that may get new work; not collected if nothing waits.
+    """
+
+    guaranteed: set[JobId]
+    waiting: list[WaitingStep]
+    hosts: list[Host]
+
+
+class PreparedPlan(NamedTuple):
+    """
+    A planner and the demands that it is to serve.
+
+    :param waiting: waiting steps in the order in which they are served.
+    :param demands: their demands; each is built once those before it are served.
+    """
+
+    waiting: list[WaitingStep]
+    demands: Iterator[Demand]
+    planner: Planner
+    caps: CapLedger
+
+
 class PlanningCycle:
     """Makes plans for the leader and carries them out."""
 
@@ -78,18 +108,46 @@
         :return: whether any task still waits for resources.
         """
         self._shared.plan_due = Seconds(now + MAX_PLAN_INTERVAL)
-        guaranteed = guaranteed_jobs(self._shared.state)
         expired_claims = self._claims.expire(now)
-        waiting = waiting_steps(self._shared.state, self._busy_tasks(now), guaranteed, wall)
-        self._forget_waiting_times({waiting_step.ref for waiting_step in waiting})
-        if not waiting:
+        queue = self.view_queue(now, wall)
+        self._forget_waiting_times({waiting_step.ref for waiting_step in queue.waiting})
+        if queue.waiting:
+            self._log_capacity(queue.hosts, queue.waiting, now)
+        if not queue.hosts:
             self._shared.admission.clear_plan()
-            return False
-        hosts = self._usable_hosts(now)
-        self._log_capacity(hosts, waiting, now)
-        if not hosts:
-            self._shared.admission.clear_plan()
-            return True
+            return bool(queue.waiting)
+        prepared = self.prepare(queue, now, wall)
+        plan = prepared.planner.make_plan(prepared.demands)
+        self._prefetch_advice(prepared.waiting, queue.hosts, now)
+        self._execute_plan(plan, now)
+        self._shared.outbox.extend(self._cap_reporter.report(plan.held_back, prepared.caps, now))
+        placed_by_step = {demand.ref: len(placed) for demand, placed in plan.placements}
+        self._shared.admission.record_plan(queue.hosts, prepared.waiting, placed_by_step, now, wall)
+        for demand in plan.blocked:
+            if demand.ref in expired_claims:
+                self._log_expired_claim(demand, prepared.planner, now)
+        return bool(plan.blocked or plan.held_back)
+
+    def detached(self, shared: SchedulerState) -> Self:
+        """
+        Return a copy that prepares plans on another state and leaves this cycle as it is.
+
+        :param shared: a copy of this cycle's state, whose outbox the copy writes to.
+        """
+        clone = detached_copy(self)
+        clone._shared = shared
+        clone._claims = detached_copy(self._claims)
+        return clone
+
+    def view_queue(self, now: Seconds, wall: WallTime) -> QueueView:
+        """Return what waits and the workers that it may use."""
+        guaranteed = guaranteed_jobs(self._shared.state)
+        waiting = waiting_steps(self._shared.state, self._busy_tasks(now), guaranteed, wall)
+        return QueueView(guaranteed, waiting, self._usable_hosts(now) if waiting else [])
+
+    def prepare(self, queue: QueueView, now: Seconds, wall: WallTime) -> PreparedPlan:
+        """Return a planner for the queue; the caller has it make the plan."""
+        guaranteed, waiting, hosts = queue
         waiting = self._order_by_claims(self._order_by_shares(waiting, hosts, now))
         for waiting_step in waiting:
             if waiting_step.job.queue.urgency == 0:
@@ -107,19 +165,11 @@
         )
         racks = {host.rack for host in hosts}
         suspects = {host.life for host in hosts if host.is_suspect}
-        plan = planner.make_plan(
+        demands = (
             self._build_demand(waiting_step, hosts, racks, suspects, guaranteed, now)
             for waiting_step in waiting
         )
-        self._prefetch_advice(waiting, hosts, now)
-        self._execute_plan(plan, now)
-        self._shared.outbox.extend(self._cap_reporter.report(plan.held_back, caps, now))
-        placed_by_step = {demand.ref: len(placed) for demand, placed in plan.placements}
-        self._shared.admission.record_plan(hosts, waiting, placed_by_step, now, wall)
-        for demand in plan.blocked:
-            if demand.ref in expired_claims:
-                self._log_expired_claim(demand, planner, now)
-        return bool(plan.blocked or plan.held_back)
+        return PreparedPlan(waiting, demands, planner, caps)
 
     def _order_by_shares(
         self, waiting: list[WaitingStep], hosts: list[Host], now: Seconds
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler.py
@@ -26,6 +26,7 @@
 )
 from bulrushhollow_core.domain._dispatch import OrderDispatcher
 from bulrushhollow_core.domain._events import Event, log_event
+from bulrushhollow_core.domain._explanation import PlacementExplainer
 from bulrushhollow_core.domain._fleet import Worker
 from bulrushhollow_core.domain._jobs import (
     WallTime,
@@ -81,6 +82,7 @@
         )
         self._worker_monitor = WorkerMonitor(self._shared, self._dispatcher, self._loss_handler)
         self._planning_cycle = PlanningCycle(self._shared, self._dispatcher)
+        self.explainer = PlacementExplainer(self._shared, self._planning_cycle)
         self._planned_at = Seconds(-math.inf)
         self._min_plan_interval = MIN_PLAN_INTERVAL
         self._check_due = now
--- a/packages/core/src/bulrushhollow_core/domain/_shares.py
+++ b/packages/core/src/bulrushhollow_core/domain/_shares.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from bulrushhollow_core.domain._configuration import ConfigurationIndex
+from bulrushhollow_core.domain._copies import detached_copy
 from bulrushhollow_core.domain._events import Event, LogEvent, log_event
 from bulrushhollow_core.domain._fleet import Fleet, Run
 from bulrushhollow_core.domain._hosts import Host
@@ -171,6 +172,12 @@
         """Workspaces that were last logged as beyond their share."""
         self._log_due_by_workspace: dict[WorkspaceId, Seconds] = {}
 
+    def detached(self, rate_meter: RateMeter) -> "ShareLedger":
+        """Return a copy that judges a plan with another meter and leaves this ledger as it is."""
+        clone = detached_copy(self)
+        clone._rate_meter = rate_meter
+        return clone
+
     def adjust(self, job: JobId, priority: Priority) -> Priority:
         """Return the priority of a waiting or running job with regard to its workspace's share."""
         if not self._is_active or not priority.is_surplus:
