Serve explanations of placements to operators

The operators' page of every process of a domain takes POST /v1/placement and asks the leader; `bulrushhollow domain explain-placement` sends a job file to it and prints a table or JSON.

--- a/packages/client/src/bulrushhollow/_cli/_domain.py
+++ b/packages/client/src/bulrushhollow/_cli/_domain.py
@@ -2,7 +2,8 @@
 bulrushhollow._cli._domain
 ~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-``bulrushhollow domain``: shows the state of the processes of a scheduling domain.
+``bulrushhollow domain``: shows the state of the processes of a scheduling domain, and explains
+where it would place a job.
 """
 
 import json
@@ -12,6 +13,7 @@
 
 from bulrushhollow._cli._common import print_note
 from bulrushhollow._cli._exits import ExitCode
+from bulrushhollow._cli._placement import explain_placement
 
 STATUS_PATH = "/v1/status"
 
@@ -19,6 +21,7 @@
 """Seconds for each phase (connect, write, read) of a call to a process."""
 
 app = App(name="domain", help="Look at the processes of a scheduling domain.")
+app.command(explain_placement)
 
 
 @app.command
--- a/packages/core/src/bulrushhollow_core/placements.py
+++ b/packages/core/src/bulrushhollow_core/placements.py
@@ -6,11 +6,20 @@
 """
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
 PLACEMENT_PATH = "/v1/placement"
 
+MAX_TASKS = 20_000
+"""Largest number of tasks of a job that is explained. The leader holds a record for each of them
+meanwhile, which takes some milliseconds at this number."""
+
+Amount = Annotated[int, msgspec.Meta(ge=0, le=2**40)]
+Duration = Annotated[float, msgspec.Meta(ge=0.0)]
+"""Seconds."""
+
 
 class StepBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
     """
@@ -24,21 +33,21 @@
     :param depends_on: indexes of earlier steps that must be done before this one starts.
     """
 
-    count: int
-    cpu: int
-    memory: int
-    estimate: float
-    accelerators: int = 0
+    count: Amount
+    cpu: Amount
+    memory: Amount
+    estimate: Duration
+    accelerators: Amount = 0
     depends_on: tuple[int, ...] = ()
     is_gang: bool = False
     same_rack: bool = False
     required_label: str = ""
     data_rack: str = ""
-    max_per_worker: int = 0
+    max_per_worker: Amount = 0
     is_speculative: bool = False
     is_checkpointable: bool = False
     is_long_running: bool = False
-    max_unavailable: int = 0
+    max_unavailable: Amount = 0
 
 
 class JobBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
@@ -53,9 +62,14 @@
 
     steps: tuple[StepBody, ...]
     spec: str = ""
-    occurrences: int = 0
-    first_due_at: float = 0.0
-    interval: float = 0.0
+    occurrences: Amount = 0
+    first_due_at: Duration = 0.0
+    interval: Duration = 0.0
+
+    def __post_init__(self) -> None:
+        """Raise :exc:`ValueError` if the job has too many tasks."""
+        if sum(step.count for step in self.steps) > MAX_TASKS:
+            raise ValueError(f"the job has more than {MAX_TASKS} tasks")
 
 
 class PlacementQuestion(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_core.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_core.py
@@ -175,7 +175,7 @@
             )
         ]
         if settings.metrics_address is not None:
-            application = make_operator_application(self._registry, self._status)
+            application = make_operator_application(self._registry, self._status, self._leader.ask)
             servers.append(
                 (make_caller_server(application, limits), open_listener(settings.metrics_address))
             )
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_entry.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_entry.py
@@ -136,7 +136,7 @@
             ),
         ]
         if settings.metrics_address is not None:
-            application = make_operator_application(self._registry, self._status)
+            application = make_operator_application(self._registry, self._status, self._leader.ask)
             servers.append(
                 (
                     make_caller_server(application, internal_limits),
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_leader.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_leader.py
@@ -16,6 +16,7 @@
 from bulrushhollow_core.domain import (
     Answer,
     Call,
+    ExplainPlacement,
     NoSuchQueue,
     NotAllowed,
     NotLeader,
@@ -88,7 +89,7 @@
 """Answers with which a leader refuses a call without executing it, because of its state and
 configuration at that moment."""
 
-READ_ONLY_CALLS = (Read, ReadConfig, Probe)
+READ_ONLY_CALLS = (Read, ReadConfig, Probe, ExplainPlacement)
 """Calls that change nothing; one without an answer counts as not executed."""
 
 
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_process.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_process.py
@@ -15,10 +15,19 @@
 import msgspec
 from prometheus_client import CollectorRegistry
 
+from bulrushhollow_core.placements import PLACEMENT_PATH
 from bulrushhollow_daemon.decision_log import StandardOutputHandler
 from bulrushhollow_daemon.domain._metrics import render_metrics
+from bulrushhollow_daemon.domain._placement import LeaderAsker, PlacementPage
 from bulrushhollow_daemon.domain._settings import HOUSEKEEPING_INTERVAL, InstanceSettings
-from bulrushhollow_daemon.http_messages import Receive, Request, Response, Scope, Send
+from bulrushhollow_daemon.http_messages import (
+    CallerDisconnectedError,
+    Receive,
+    Request,
+    Response,
+    Scope,
+    Send,
+)
 
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
@@ -51,36 +60,58 @@
 
 class PathRouter:
     """
-    An ASGI application that answers GET by path.
+    An ASGI application that answers GET and POST by path.
 
-    :param responders_by_path: functions that return the response of a path.
+    :param responders_by_path: functions that return the response to GET of a path.
+    :param post_responders_by_path: functions that return the response to POST of a path.
     """
 
-    def __init__(self, responders_by_path: dict[str, Callable[[], Response]]) -> None:
+    def __init__(
+        self,
+        responders_by_path: dict[str, Callable[[], Response]],
+        post_responders_by_path: dict[str, Callable[[Request], Awaitable[Response]]],
+    ) -> None:
         """Create the application."""
         self._responders_by_path = responders_by_path
+        self._post_responders_by_path = post_responders_by_path
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one call."""
         request = Request(scope, receive)
-        respond = self._responders_by_path.get(request.path)
-        response = respond() if respond and request.method == "GET" else Response(404, b"{}")
+        try:
+            response = await self._respond(request)
+        except CallerDisconnectedError:
+            return
         await response.send(send)
 
+    async def _respond(self, request: Request) -> Response:
+        respond = self._responders_by_path.get(request.path)
+        if respond is not None and request.method == "GET":
+            return respond()
+        respond_to_post = self._post_responders_by_path.get(request.path)
+        if respond_to_post is not None and request.method == "POST":
+            return await respond_to_post(request)
+        return Response(404, b"{}")
+
 
 def make_operator_application(
-    registry: CollectorRegistry, read_status: Callable[[], msgspec.Struct]
+    registry: CollectorRegistry,
+    read_status: Callable[[], msgspec.Struct],
+    ask_leader: LeaderAsker,
 ) -> PathRouter:
     """
-    Return the application for operators, which serves the metrics and the status of the process.
+    Return the application for operators, which serves the metrics and the status of the process,
+    and explains placements.
 
     :param read_status: returns the present status.
+    :param ask_leader: sends a call to the leader.
     """
     return PathRouter(
         {
             "/metrics": lambda: Response(200, render_metrics(registry), METRICS_TYPE),
             "/v1/status": lambda: Response(200, msgspec.json.encode(read_status())),
-        }
+        },
+        {PLACEMENT_PATH: PlacementPage(ask_leader).respond},
     )
 
 
