--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -102,6 +102,8 @@
             ("job", "list", "--state", "odd"),
             ("job", "submit", "p", "--payload", "a", "--payload-file", "b"),
             ("status", "--entry", "nowhere"),
+            ("domain", "explain-placement", "--file", "-", "--host", "h", "--prefix", "/p"),
+            ("domain", "explain-placement", "127.0.0.1:1", "--host", "h", "--prefix", "/p"),
         )
         for arguments in invalid_command_lines:
             with self.subTest(arguments):
@@ -126,6 +128,7 @@
             "job",
             "request",
             "status",
+            "domain",
         ):
             self.assertEqual(0, self.run_command(subcommand, "--help"))
             self.assertIn("Usage: bulrushhollow", self.out)
--- a/tests/test_domain_explanation.py
+++ b/tests/test_domain_explanation.py
@@ -303,6 +303,20 @@
         self.assertEqual(["background"], [work.job for work in step.displaced])
         self.assertEqual(CHEAP.stop_timeout, step.room_expected_in)
 
+    def test_a_queue_with_advice_asks_for_none_before_the_submission(self) -> None:
+        # A question about a job that does not exist would delay the advice on real ones.
+        harness = ExplanationHarness()
+        current = harness.state.configuration
+        assert current is not None
+        queues = tuple(msgspec.structs.replace(each, needs_advice=True) for each in current.queues)
+        advised = msgspec.structs.replace(current, version=Version(2), queues=queues)
+        harness.commit([PutConfiguration(advised)])
+        harness.run_job("waiting", job(tasks(1)))
+        advice = harness.scheduler._shared.advice
+        before = contents_of(advice)
+        self.assertIs(HoldReason.ADVICE, harness.explain_step(tasks(1)).held_by)
+        self.assertEqual(before, contents_of(advice))
+
 
 class BoundsTest(unittest.TestCase):
     def test_at_most_a_hundred_workers_are_listed(self) -> None:
