Document explanations of placements, and bound the rate of all of them

Questions about jobs that would be refused computed the backlog each time without a limit. The interval now covers every question.

--- a/packages/core/src/bulrushhollow_core/domain/_call_handler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_call_handler.py
@@ -220,28 +220,19 @@
         wall: WallTime,
     ) -> ImmediateAnswer:
         """Explain a placement by the checks of a submission and by a plan; nothing is changed."""
+        if not scheduler.explainer.try_begin(now):
+            return ImmediateAnswer(Refused(RefusalReason.EXPLAINING, MIN_EXPLANATION_INTERVAL))
         authorization = self._authorize(call, state)
         if not isinstance(authorization, _AuthorizedCall):
             return _show_outlook(_verdict_on(authorization))
         queue, workspace = authorization.queue, authorization.workspace
         command = SubmitJob(UNSUBMITTED_JOB, queue, workspace, call.work, wall)
         reason = _find_work_error(call)
-        rejection = None
-        if not reason:
-            admission = detached_copy(scheduler.admission)
-            rejection = _find_rejection(command, state, admission, now)
-        if reason:
-            outlook = PlacementOutlook(Verdict.MALFORMED, reason)
-        elif rejection is not None and isinstance(rejection.answer, Refused):
-            outlook = _verdict_on(rejection.answer)
-        else:
-            forecast = scheduler.explainer.explain(command, now, wall)
-            if forecast is None:
-                refusal = Refused(RefusalReason.EXPLAINING, MIN_EXPLANATION_INTERVAL)
-                return ImmediateAnswer(refusal)
-            outlook = PlacementOutlook(
-                Verdict.ACCEPTED, position=forecast.position, steps=forecast.steps
-            )
+        outlook = (
+            PlacementOutlook(Verdict.MALFORMED, reason)
+            if reason
+            else _forecast(command, state, scheduler, now, wall)
+        )
         return _show_outlook(
             msgspec.structs.replace(outlook, queue=queue.name, workspace=workspace or "")
         )
@@ -320,6 +311,17 @@
         return ImmediateAnswer(self._done)
 
 
+def _forecast(
+    command: SubmitJob, state: DomainState, scheduler: Scheduler, now: Seconds, wall: WallTime
+) -> PlacementOutlook:
+    """Return what would happen to a submission of valid work."""
+    rejection = _find_rejection(command, state, detached_copy(scheduler.admission), now)
+    if rejection is not None and isinstance(rejection.answer, Refused):
+        return _verdict_on(rejection.answer)
+    forecast = scheduler.explainer.explain(command, now, wall)
+    return PlacementOutlook(Verdict.ACCEPTED, position=forecast.position, steps=forecast.steps)
+
+
 def _show_outlook(outlook: PlacementOutlook) -> ImmediateAnswer:
     explained = log_event(
         Event.PLACEMENT_EXPLAINED,
@@ -351,9 +353,7 @@
     return None if refusal is None else _refuse_overloaded(command, refusal)
 
 
-def _verdict_on(
-    refusal: Refused | NoSuchQueue | NotAllowed,
-) -> PlacementOutlook:
+def _verdict_on(refusal: Refused | NoSuchQueue | NotAllowed) -> PlacementOutlook:
     """Return the explanation of a job whose submission would be refused."""
     match refusal:
         case NoSuchQueue():
--- a/packages/core/src/bulrushhollow_core/domain/_explanation.py
+++ b/packages/core/src/bulrushhollow_core/domain/_explanation.py
@@ -91,15 +91,15 @@
         self._cycle = cycle
         self._explained_at = Seconds(-math.inf)
 
-    def explain(self, command: SubmitJob, now: Seconds, wall: WallTime) -> Forecast | None:
-        """
-        Return what a plan would do now if a job were accepted.
-
-        :return: None if another placement was explained just before.
-        """
+    def try_begin(self, now: Seconds) -> bool:
+        """Return whether an explanation may be made now, and count it if so."""
         if now - self._explained_at < MIN_EXPLANATION_INTERVAL:
-            return None
+            return False
         self._explained_at = now
+        return True
+
+    def explain(self, command: SubmitJob, now: Seconds, wall: WallTime) -> Forecast:
+        """Return what a plan would do now if a job were accepted."""
         shared = _detached_state(self._shared)
         shared.state.apply(command)
         shared.record_submission(command.id, now)
