--- a/tests/test_domain_shares.py
+++ b/tests/test_domain_shares.py
@@ -166,6 +166,22 @@
 
 
 class VictimTest(unittest.TestCase):
+    def test_running_work_over_its_rate_is_a_victim_beyond_its_share(self) -> None:
+        # A merge once dropped the share from the priorities of victims, and no test noticed.
+        harness, scheduler = ShareHarness((0.1, 0.1, 0.0)), SchedulerHarness()
+        assert harness.state.configuration is not None
+        limited = msgspec.structs.replace(harness.state.configuration, version=Version(2))
+        submissions = [
+            SubmitJob(JobId(n), queue("usual", 1), WorkspaceId("burst"), SINGLE_TASK, WALL)
+            for n in ("a", "b")
+        ]
+        scheduler.commit([PutConfiguration(limited), *submissions])
+        scheduler.commit(scheduler.plan())
+        cycle = scheduler.scheduler._planning_cycle
+        victims = cycle._find_victims(set(), scheduler.now, WALL)
+        over_share = {each.runs[0].task.job: each.priority.is_over_share for each in victims}
+        self.assertEqual({"a": False, "b": True}, over_share)
+
     def test_of_equal_victims_the_one_beyond_its_share_is_evicted(self) -> None:
         hosts = [make_host("a", "r", free=0), make_host("b", "r", free=0)]
         victims = [make_victim([make_run(host.life.id, host)], 1, 5.0) for host in hosts]
