--- a/packages/core/src/bulrushhollow_core/domain/_delay_cost.py
+++ b/packages/core/src/bulrushhollow_core/domain/_delay_cost.py
@@ -31,6 +31,10 @@
 is short, so it will rarely start again at once."""
 
 
+RECLAIM_WINDOW = Seconds(3.0)
+"""Seconds from its submission in which a guaranteed job may take its room back at any cost."""
+
+
 class JobValue(NamedTuple):
     """
     The value of one occurrence of a job to its caller.
@@ -147,6 +151,19 @@
         wait = min(slack - eviction_time, eviction_time)
         return DelayCost(value.on_time - value.late, Seconds(self._now + wait))
 
+    def may_defer(self, job: Job, occurrence: Occurrence) -> bool:
+        """
+        Return whether a job that lost its runs waits for free room: it is late already, and loses
+        nothing more until it would be worthless. The guarantee covers its first start.
+        """
+        if not job.has_started or self._wall - job.due_at(occurrence) < RECLAIM_WINDOW:
+            return False
+        value = self._value_of(job, occurrence)
+        path = path_from(job, occurrence, done=True)
+        eviction_time = self._settings.stop_timeout + 2 * REUSE_DELAY
+        is_late = self._wall + path > value.deadline
+        return is_late and self._wall + path + eviction_time < value.worthless_at
+
     def loss_of_eviction(self, job: Job, runs: Sequence[Run], preemptions: int) -> EvictionLoss:
         """
         Return what the eviction of runs of one step costs their job's caller.
--- a/tests/test_domain_delay_cost.py
+++ b/tests/test_domain_delay_cost.py
@@ -4,12 +4,14 @@
 from collections.abc import Sequence
 from unittest.mock import patch
 
+import msgspec
+
 from bulrushhollow_core.domain._delay_cost import DelayCost, DelayPricer, EvictionLoss
 from bulrushhollow_core.domain._demands import Demand, Victim
 from bulrushhollow_core.domain._eviction_sets import set_cost
 from bulrushhollow_core.domain._fleet import Run
 from bulrushhollow_core.domain._hosts import ExpectedEnd, Host
-from bulrushhollow_core.domain._jobs import Job, Resources, Step, WallTime, Work
+from bulrushhollow_core.domain._jobs import Job, Occurrence, Resources, Step, WallTime, Work
 from bulrushhollow_core.domain._recent_work import summarize
 from bulrushhollow_core.domain._scheduler import Scheduler
 from bulrushhollow_core.domain._settings import DomainSettings
@@ -92,6 +94,28 @@
         self.assertAlmostEqual(1.04, set_cost(victims))
 
 
+class DeferralTest(unittest.TestCase):
+    def may_defer(self, elapsed: float, has_started: bool = True) -> bool:
+        """Return whether an urgent job may wait; it is late after 4 s and worthless after 12 s."""
+        step = Step(1, Resources(1_000, 100, 1), Seconds(2.0))
+        urgent = msgspec.structs.replace(queue("urgent", 0), slack_factor=1.5)
+        job = Job(JobId("job"), urgent, None, Work("spec", (step,)), WALL, 0)
+        job.has_started = has_started
+        now = Seconds(NOW + elapsed)
+        pricer = DelayPricer(CHEAP, summarize([job]), now, WallTime(WALL + elapsed))
+        return pricer.may_defer(job, Occurrence(0))
+
+    def test_a_late_job_that_lost_its_runs_evicts_nothing_until_its_last_moment(self) -> None:
+        # Restarts of jobs that were late already displaced a quarter of all preempted runs.
+        self.assertFalse(self.may_defer(1.0), "it can still be on time")
+        self.assertTrue(self.may_defer(4.0))
+        self.assertTrue(self.may_defer(9.0))
+        self.assertFalse(self.may_defer(9.5), "its result would lose its value")
+
+    def test_the_first_start_of_a_guaranteed_job_is_never_deferred(self) -> None:
+        self.assertFalse(self.may_defer(4.0, has_started=False))
+
+
 class EvictionSetTest(unittest.TestCase):
     """An urgent gang needs room on workers that are full of less urgent work."""
 
