--- a/tests/test_domain_delay_cost.py
+++ b/tests/test_domain_delay_cost.py
@@ -51,7 +51,7 @@
 
 def make_victim(runs: list[Run], job_value: float, wasted_value: float = 0.01) -> Victim:
     priority = make_priority(2, deadline=1000.0)
-    return Victim(runs, 2, priority, False, 1.0, EvictionLoss(job_value, wasted_value))
+    return Victim(runs, 2, priority, False, 1.0, loss=EvictionLoss(job_value, wasted_value))
 
 
 def plan_for(
