Survive cancelled work in the backlog, and refuse no job that is proposed already

Change: ended jobs do not count in the backlog; a proposed job passes both checks. Each has a test that failed before. Conclusion: mended.

--- a/packages/core/src/bulrushhollow_core/domain/_admission.py
+++ b/packages/core/src/bulrushhollow_core/domain/_admission.py
@@ -268,6 +268,10 @@
         """Record that a job is accepted as soon as the log commits it."""
         self._proposed_jobs.add(job)
 
+    def is_proposed(self, job: JobId) -> bool:
+        """Return whether a job is accepted as soon as the log commits it."""
+        return job in self._proposed_jobs
+
     def record_commit(self, job: JobId) -> None:
         """Record that the log has committed a job."""
         self._proposed_jobs.discard(job)
@@ -304,16 +308,11 @@
         return Refusal(expected_end, limit, retry_after)
 
     def _is_exempt(self, command: SubmitJob) -> bool:
-        """
-        Return whether a submission is accepted under any load. All guaranteed jobs are urgent.
-
-        Refusing a job whose earlier submission is not committed yet would be wrong: it will run.
-        """
+        """Return whether a submission is accepted under any load. All guaranteed jobs are urgent."""
         return (
             command.queue.urgency == 0
             or command.work.occurrences > 0
             or any(step.is_long_running for step in command.work.steps)
-            or command.id in self._proposed_jobs
         )
 
     def _earliest_start(self, job: Job, planned: _PlannedQueue, now: Seconds) -> Seconds:
@@ -341,7 +340,12 @@
                 total_of((worker.capacity, 1) for worker in workers),
                 total_of((worker.capacity.minus(worker.free), 1) for worker in workers),
                 (run for worker in workers for run in self._running_on(worker, now)),
-                [step for step in planned.waiting if service_of(step.job, index) == service],
+                # A job that was cancelled or has failed since the plan has dropped its steps.
+                [
+                    step
+                    for step in planned.waiting
+                    if not step.job.has_ended and service_of(step.job, index) == service
+                ],
                 index,
                 planned.wall,
             )
--- a/packages/core/src/bulrushhollow_core/domain/_call_handler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_call_handler.py
@@ -339,6 +339,9 @@
     command: SubmitJob, state: DomainState, admission: AdmissionController, now: Seconds
 ) -> ImmediateAnswer | None:
     """Return the refusal of valid work because of a cap or of overload; None if it is accepted."""
+    if admission.is_proposed(command.id):
+        # An earlier submission of the job may still commit, and then it runs.
+        return None
     configuration_index = state.configuration_index
     cap = configuration_index.cap_of(command.workspace) if configuration_index else None
     if cap is not None and exceeds_cap(command.work, cap):
--- a/tests/test_domain_admission.py
+++ b/tests/test_domain_admission.py
@@ -8,6 +8,7 @@
 from bulrushhollow_core.domain._call_handler import CallHandler, DeferredAnswer, ImmediateAnswer
 from bulrushhollow_core.domain._calls import RefusalReason
 from bulrushhollow_core.domain._commands import (
+    CancelJob,
     DrainWorker,
     EndRuns,
     Outcome,
@@ -144,6 +145,29 @@
         harness.commit([first.command])
         self.assertIsNone(harness.refusal("a", work(1.0)))
 
+    def test_work_that_is_cancelled_after_the_plan_delays_nobody(self) -> None:
+        # A cancelled job drops its steps, while the plan still listed it as waiting; estimating the
+        # backlog then failed with an index error.
+        harness = self.overloaded()
+        harness.enqueue("usual", 1, 1.0, 5)
+        harness.commit([CancelJob(JobId("load3"), harness.wall)])
+        self.assertIsNotNone(harness.refusal("short", work(1.0)))
+
+    def test_a_proposed_job_is_not_refused_by_a_cap_that_was_lowered_since(self) -> None:
+        # The repeated call would be told that the job never runs, and the log would then accept it.
+        harness = AdmissionHarness()
+        first = harness.submit_call("a", work(1.0))
+        assert isinstance(first, DeferredAnswer)
+        assert harness.state.configuration is not None
+        [team] = harness.state.configuration.workspaces
+        capped = msgspec.structs.replace(team, cap=Resources(640, 0, 0))
+        limited = msgspec.structs.replace(
+            harness.state.configuration, version=Version(2), workspaces=(capped,)
+        )
+        harness.commit([PutConfiguration(limited)])
+        self.assertIsNone(harness.refusal("a", work(1.0)))
+        self.assertIsNotNone(harness.refusal("b", work(1.0)))
+
     def test_runs_of_an_ended_job_count_until_they_end(self) -> None:
         # One end completes a gang, and the job drops its steps while the other member still runs;
         # estimating the backlog then failed with an index error.
