--- a/packages/core/src/bulrushhollow_core/domain/_admission.py
+++ b/packages/core/src/bulrushhollow_core/domain/_admission.py
@@ -308,7 +308,7 @@
         return Refusal(expected_end, limit, retry_after)
 
     def _is_exempt(self, command: SubmitJob) -> bool:
-        """Return whether a submission is accepted under any load. All guaranteed jobs are urgent."""
+        """Return whether a job is accepted under any load. All guaranteed jobs are urgent."""
         return (
             command.queue.urgency == 0
             or command.work.occurrences > 0
