Keep the later life's own late starts when runs are transferred to it

Cause: transferring the runs of an earlier life replaced the unanswered starts and the pending stops of the later life, but kept its accepted stops. The next count of usage failed with a KeyError, and starts that may still be carried out were missing from the usage of their workspace.

Change: both records are merged. Counting possible starts skips an accepted stop without a recorded start.

--- a/packages/core/src/bulrushhollow_core/domain/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/_fleet.py
@@ -269,7 +269,9 @@
             return {}
         placed = {RunRef(run.task, run.number) for run in self.runs_by_task.values()}
         return {
-            ref: self.unanswered_starts[ref] for ref in self._possibly_started_runs(now) - placed
+            ref: self.unanswered_starts[ref]
+            for ref in self._possibly_started_runs(now) - placed
+            if ref in self.unanswered_starts
         }
 
     def _possibly_started_runs(self, now: Seconds) -> set[RunRef]:
--- a/packages/core/src/bulrushhollow_core/domain/_losses.py
+++ b/packages/core/src/bulrushhollow_core/domain/_losses.py
@@ -62,12 +62,13 @@
         Orders name only the id, so a late or repeated start may have reached the later life.
         """
         later.assume_lease(self._shared.settings.longest_lease, now)
-        later.unanswered_starts = {
+        late_starts = {
             ref: start
             for ref, start in earlier.unanswered_starts.items()
             if now - start.timed_out_at < LATE_ORDER_WINDOW
         }
-        later.pending_stops = dict.fromkeys(later.unanswered_starts, now)
+        later.unanswered_starts.update(late_starts)
+        later.pending_stops.update(dict.fromkeys(late_starts, now))
         self._dispatcher.resend_stops(later, now)
         for ref, run in list(earlier.runs_by_task.items()):
             if run.phase is RunPhase.PROPOSED:
--- a/tests/test_domain_cap_changes.py
+++ b/tests/test_domain_cap_changes.py
@@ -14,7 +14,16 @@
     SubmitJob,
 )
 from bulrushhollow_core.domain._events import Event
-from bulrushhollow_core.domain._jobs import Resources, Step, Work, WorkerLife
+from bulrushhollow_core.domain._fleet import RunRef, UnansweredStart, Worker
+from bulrushhollow_core.domain._jobs import (
+    Occurrence,
+    Resources,
+    RunNumber,
+    Step,
+    TaskRef,
+    Work,
+    WorkerLife,
+)
 from bulrushhollow_core.domain._orders import (
     ListedRun,
     OrderResult,
@@ -101,6 +110,30 @@
         self.assertEqual(1, len(worker.advance()))
 
 
+    def test_runs_of_an_earlier_life_do_not_displace_late_starts_of_the_later_one(self) -> None:
+        # A lost record would leave an accepted stop without its start: the plan failed on it, and
+        # the run was missing from the usage of its workspace.
+        worker = CappedWorker(1)
+        worker.plan()
+        scheduler = worker.scheduler
+        earlier, later = (
+            Worker(WorkerLife(WorkerId("w"), born), "w:1", worker.now) for born in (1, 2)
+        )
+        refs = [
+            RunRef(TaskRef(JobId(name), Occurrence(0), 0, 0), RunNumber(1))
+            for name in ("stopped", "pending", "earlier")
+        ]
+        starts = [UnansweredStart(worker.now, Resources(0, 0, n)) for n in (1, 2, 3)]
+        later.unanswered_starts = dict(zip(refs[:2], starts[:2], strict=True))
+        later.accepted_stops = {refs[0]: Seconds(worker.now + 1.0)}
+        later.pending_stops = {refs[1]: worker.now}
+        earlier.unanswered_starts = {refs[2]: starts[2]}
+        scheduler._loss_handler.transfer_runs(earlier, later, worker.now)
+        expected = dict(zip(refs, starts, strict=True))
+        self.assertEqual(expected, later.possible_starts(worker.now))
+        self.assertEqual(set(refs[1:]), set(later.pending_stops))
+
+
 class NewConfigurationTest(unittest.TestCase):
     def test_starts_that_were_planned_under_a_higher_cap_are_withdrawn(self) -> None:
         # A configuration that is committed just before the starts is acknowledged before they are
