Reserve no cap for gangs that no group of workers can ever hold

Cause: a gang held back by its workspace's cap reserved that cap even if it requires an unknown label, is larger than the workers or has no allowed workers. It never starts, so it drained its workspace for good.

Change: the gang reserves only if the capacity of one of its candidate groups suffices for it.

Conclusion: the new test placed nothing of the workspace before and fills the cap now.

--- a/packages/core/src/bulrushhollow_core/domain/_groups.py
+++ b/packages/core/src/bulrushhollow_core/domain/_groups.py
@@ -31,18 +31,20 @@
     )
 
 
+def can_ever_hold(demand: Demand, hosts: Iterable[Host]) -> bool:
+    """Return whether all tasks of a demand fit on the given hosts when nothing else runs there."""
+    slots = (
+        slots_in(host.capacity, demand.step.needs, demand.max_tasks_on(host)) for host in hosts
+    )
+    return sum(slots) >= len(demand.task_indexes)
+
+
 def candidate_groups(demand: Demand, hosts: HostGroup) -> list[HostGroup]:
     """Return groups of hosts; a gang is placed within one of them."""
     if not demand.step.same_rack:
         return [hosts]
-    wanted = len(demand.task_indexes)
     large_enough: list[HostGroup] = [
-        group
-        for group in group_by_rack(hosts).values()
-        if sum(
-            slots_in(host.capacity, demand.step.needs, demand.max_tasks_on(host)) for host in group
-        )
-        >= wanted
+        group for group in group_by_rack(hosts).values() if can_ever_hold(demand, group)
     ]
     return large_enough or [hosts]
 
--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -21,6 +21,7 @@
     HostGroup,
     available_on,
     best_group,
+    can_ever_hold,
     candidate_groups,
     slots_for,
 )
@@ -635,7 +636,9 @@
             self._place_independent(admitted, hosts)
             held_back = admitted.for_tasks(demand.task_indexes[startable_count:])
         self.plan.held_back.append(held_back)
-        if not self._free_cap_for(held_back, hosts) and demand.step.is_gang:
+        if self._free_cap_for(held_back, hosts) or not demand.step.is_gang:
+            return
+        if any(can_ever_hold(demand, group) for group in self._groups_for(demand, hosts)):
             self._caps.reserve(demand)
 
     def _free_cap_for(self, demand: Demand, hosts: list[Host]) -> bool:
--- a/tests/test_domain_cap_changes.py
+++ b/tests/test_domain_cap_changes.py
@@ -109,7 +109,6 @@
         worker.now = Seconds(worker.now + 1.0)
         self.assertEqual(1, len(worker.advance()))
 
-
     def test_runs_of_an_earlier_life_do_not_displace_late_starts_of_the_later_one(self) -> None:
         # A lost record would leave an accepted stop without its start: the plan failed on it, and
         # the run was missing from the usage of its workspace.
--- a/tests/test_domain_caps.py
+++ b/tests/test_domain_caps.py
@@ -4,6 +4,8 @@
 import random
 import unittest
 
+import msgspec
+
 from bulrushhollow_core.domain._caps import CapAccount, CapLedger
 from bulrushhollow_core.domain._demands import Demand, Victim
 from bulrushhollow_core.domain._hosts import ExpectedEnd, Host
@@ -122,6 +124,19 @@
         result = plan(ledger(4, used=1), waiting, [make_host("a", "r")])
         self.assertEqual({"small": 2}, placed(result))
 
+    def test_a_gang_that_no_workers_can_ever_hold_does_not_hold_up_its_workspace(self) -> None:
+        # Its reservation would drain the workspace for as long as the gang waits.
+        unknown_label = demand_of(TEAM, "label", 6)
+        unknown_label.step = msgspec.structs.replace(unknown_label.step, required_label="none")
+        too_large = make_demand("large", 2, 9, same_rack=False)
+        too_large.workspace = TEAM
+        without_workers = demand_of(TEAM, "nowhere", 6)
+        without_workers.allowed_workers = frozenset()
+        for gang in (unknown_label, too_large, without_workers):
+            waiting = [gang, tasks_of(TEAM, "small", 8, urgency=1)]
+            result = plan(ledger(18, used=14), waiting, [make_host("a", "r"), make_host("b", "r")])
+            self.assertEqual({"small": 4}, placed(result), gang.ref.job)
+
 
 class EvictionTest(unittest.TestCase):
     def test_urgent_work_evicts_the_cheapest_work_of_its_own_workspace(self) -> None:
