Hold reservations of a cap for two seconds before they yield

Cause: a gang's reservation yielded at once while its workspace used under half of its cap on a service that is not busy. A gang wider than half of the cap never started behind a stream of single tasks.

Change: a reservation holds back such work for 2 s before it yields, and again after each time that it yielded. The start of the hold is in the leader's memory.

A gang still waits if too few tasks end within one hold.

--- a/packages/core/src/bulrushhollow_core/domain/_caps.py
+++ b/packages/core/src/bulrushhollow_core/domain/_caps.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Callable, Iterable, Sequence, Set
+from collections.abc import Callable, Iterable, Mapping, Sequence, Set
 from typing import NamedTuple
 
 from bulrushhollow_core.domain._configuration import ConfigurationIndex
@@ -27,6 +27,10 @@
 CAP_LOG_INTERVAL = Seconds(1.0)
 """Seconds between two log lines about the cap of one workspace."""
 
+RESERVATION_HOLD = Seconds(2.0)
+"""Seconds for which a reservation holds back work that it must yield to. That work must start
+within 3 s; the rest is for the interval between plans, the commit and the start."""
+
 
 class CapAccount:
     """The cap of one workspace, and what its tasks take."""
@@ -40,17 +44,29 @@
         self.reserved = NO_RESOURCES
         """Part of the cap that waiting gangs of the workspace reserve against later demands."""
 
+        self.is_hold_over = False
+        """Whether the reservation has held back work for so long that it yields in this plan."""
+        self.is_holding = False
+        """Whether the reservation holds back work of this plan that it must yield to soon."""
+
     def startable_count(self, needs: Resources, wanted: int, is_service_busy: bool) -> int:
         """
         Return how many tasks may start now, at most the wanted number.
 
         A reservation yields while the workspace uses under half of its cap on a service that is not
-        busy: no job may wait for long then.
+        busy: no job may wait for long then. It holds for a while first, so that enough of the
+        running tasks can end for the gang.
         """
         count = _count_within(self.cap, self.used.plus(self.reserved), needs, wanted)
-        if count < wanted and not is_service_busy and self.reserved != NO_RESOURCES:
-            doubled_usage, doubled_needs = self.used.plus(self.used), needs.plus(needs)
-            count = max(count, _count_within(self.cap, doubled_usage, doubled_needs, wanted))
+        if count == wanted or is_service_busy or self.reserved == NO_RESOURCES:
+            return count
+        doubled_usage, doubled_needs = self.used.plus(self.used), needs.plus(needs)
+        yielded = _count_within(self.cap, doubled_usage, doubled_needs, wanted)
+        if yielded <= count:
+            return count
+        if self.is_hold_over:
+            return yielded
+        self.is_holding = True
         return count
 
     @property
@@ -136,6 +152,22 @@
         if is_within(total, account.cap):
             account.reserved = total
 
+    def apply_holds(self, held_since: Mapping[WorkspaceId, Seconds], now: Seconds) -> None:
+        """Let the reservations yield that have held back work for long enough."""
+        for workspace, account in self._accounts_by_workspace.items():
+            account.is_hold_over = now - held_since.get(workspace, math.inf) >= RESERVATION_HOLD
+
+    def record_holds(self, held_since: dict[WorkspaceId, Seconds], now: Seconds) -> None:
+        """
+        Record since when reservations hold back work that they must yield to. A hold ends when they
+        yield, or when a plan has no such work.
+        """
+        for workspace, account in self._accounts_by_workspace.items():
+            if account.is_holding:
+                held_since.setdefault(workspace, now)
+            else:
+                held_since.pop(workspace, None)
+
     def count_stop(self, victim: Victim) -> None:
         """Count the runs of a victim as being stopped."""
         account = self.account_of(victim.workspace)
@@ -278,9 +310,11 @@
     workspaces = accounts_by_workspace.keys()
     for workspace, parts in _usage_by_workspace(shared, workspaces, now).items():
         accounts_by_workspace[workspace].used = _total_of(parts)
-    return CapLedger(
+    ledger = CapLedger(
         accounts_by_workspace, _is_busy(hosts), lambda: _find_ending(shared, workspaces, now)
     )
+    ledger.apply_holds(shared.cap_holds_since, now)
+    return ledger
 
 
 def _usage_by_workspace(
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -122,6 +122,7 @@
             return bool(queue.waiting)
         prepared = self.prepare(queue, now, wall)
         plan = prepared.planner.make_plan(prepared.demands)
+        prepared.caps.record_holds(self._shared.cap_holds_since, now)
         self._prefetch_advice(prepared.waiting, queue.hosts, now)
         self._execute_plan(plan, now)
         self._shared.outbox.extend(self._cap_reporter.report(plan.held_back, prepared.caps, now))
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
@@ -64,6 +64,8 @@
         """Runs whose start is proposed to the log and not yet committed."""
         self.withdrawn_starts: set[TaskRef] = set()
         """Proposed starts that must not be ordered: a new configuration lowered a cap."""
+        self.cap_holds_since: dict[WorkspaceId, Seconds] = {}
+        """Since when a gang's reservation of a cap holds back work that it must yield to."""
         self.excluded_workers_by_step: dict[StepRef, set[WorkerLife]] = {}
         """Workers on which a task of the step failed, stalled or was too slow."""
         self.departed_lives: set[WorkerLife] = set(state.departed_workers)
