Judge busy services by their own workers, and count one victim search a demand

Cause: workers without accelerators counted as busy when idle, and the load was summed over the workers of all services although the limit on waiting is per service. An urgent demand held back by its cap counted twice against the searches of a plan, so the last one found its relief and undid it.

Change: the ledger knows the busy services, by the resources that their workers have. The search for room after a relief of the cap belongs to the search that is counted already.

Conclusion: the test of the last search evicted nothing before; the test of busy services fails with either earlier rule. Both pass now.

--- a/packages/core/src/bulrushhollow_core/domain/_caps.py
+++ b/packages/core/src/bulrushhollow_core/domain/_caps.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence, Set
 from typing import NamedTuple
 
-from bulrushhollow_core.domain._configuration import ConfigurationIndex
+from bulrushhollow_core.domain._configuration import ConfigurationIndex, ServiceName
 from bulrushhollow_core.domain._demands import Demand, Victim
 from bulrushhollow_core.domain._events import Event, LogEvent, log_event
 from bulrushhollow_core.domain._evictions import cost_of
@@ -106,7 +106,7 @@
     The usage of all workspaces with a cap, while a plan is made. Other workspaces have no limit.
 
     :param accounts_by_workspace: accounts of the workspaces with a cap.
-    :param is_service_busy: whether half of the service's capacity or more is in use.
+    :param busy_services: services of whose capacity half or more is in use.
     :param find_ending: returns the part of each workspace's usage that ends soon; called only if
         urgent work is held back.
     """
@@ -114,12 +114,12 @@
     def __init__(
         self,
         accounts_by_workspace: dict[WorkspaceId, CapAccount] | None = None,
-        is_service_busy: bool = False,
+        busy_services: Set[ServiceName] = frozenset(),
         find_ending: Callable[[], dict[WorkspaceId, Resources]] = dict,
     ) -> None:
         """Create a ledger; without accounts it limits nothing."""
         self._accounts_by_workspace = accounts_by_workspace or {}
-        self._is_service_busy = is_service_busy
+        self._busy_services = busy_services
         self._find_ending: Callable[[], dict[WorkspaceId, Resources]] | None = find_ending
 
     def account_of(self, workspace: WorkspaceId | None) -> CapAccount | None:
@@ -132,7 +132,8 @@
         account = self.account_of(demand.workspace)
         if account is None:
             return wanted
-        return account.startable_count(demand.step.needs, wanted, self._is_service_busy)
+        is_service_busy = demand.service in self._busy_services
+        return account.startable_count(demand.step.needs, wanted, is_service_busy)
 
     def charge(self, demand: Demand, task_count: int) -> None:
         """Count tasks of a demand that the plan has placed or reserves room for."""
@@ -311,7 +312,7 @@
     for workspace, parts in _usage_by_workspace(shared, workspaces, now).items():
         accounts_by_workspace[workspace].used = _total_of(parts)
     ledger = CapLedger(
-        accounts_by_workspace, _is_busy(hosts), lambda: _find_ending(shared, workspaces, now)
+        accounts_by_workspace, busy_services(hosts), lambda: _find_ending(shared, workspaces, now)
     )
     ledger.apply_holds(shared.cap_holds_since, now)
     return ledger
@@ -359,16 +360,22 @@
     }
 
 
-def _is_busy(hosts: Sequence[Host]) -> bool:
-    """Return whether at least half of any resource of the workers is in use."""
-    capacity = free = NO_RESOURCES
+def busy_services(hosts: Sequence[Host]) -> frozenset[ServiceName]:
+    """Return the services of whose workers at least half of any resource is in use."""
+    hosts_by_service: dict[ServiceName, list[Host]] = {}
     for host in hosts:
-        capacity = capacity.plus(host.capacity)
-        free = free.plus(host.free)
+        hosts_by_service.setdefault(host.service, []).append(host)
+    return frozenset(service for service, group in hosts_by_service.items() if _is_busy(group))
+
+
+def _is_busy(hosts: Sequence[Host]) -> bool:
+    """Return whether at least half of any resource that the workers have is in use."""
+    capacity = _total_of([host.capacity for host in hosts])
+    free = _total_of([host.free for host in hosts])
     return (
-        2 * free.cpu <= capacity.cpu
-        or 2 * free.memory <= capacity.memory
-        or 2 * free.accelerators <= capacity.accelerators
+        0 < capacity.cpu >= 2 * free.cpu
+        or 0 < capacity.memory >= 2 * free.memory
+        or 0 < capacity.accelerators >= 2 * free.accelerators
     )
 
 
--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -584,6 +584,12 @@
         """Evict the cheapest victims for an urgent demand; return whether enough may be evicted."""
         if not self._may_search_victims(demand):
             return False
+        return self._search_and_evict(demand, groups, max_lost_work)
+
+    def _search_and_evict(
+        self, demand: Demand, groups: Sequence[HostGroup], max_lost_work: float
+    ) -> bool:
+        """Evict the cheapest victims for a demand whose search of victims is counted already."""
         index = self._victim_index_for(demand)
         best: list[Victim] | None = None
         for group in groups:
@@ -670,13 +676,19 @@
     def _find_room_after_stops(
         self, demand: Demand, hosts: list[Host], max_lost_work: float
     ) -> HostGroup | None:
-        """Return where a demand fits once current stops have ended; evict for it if necessary."""
+        """
+        Return where a demand fits once current stops have ended; evict for it if necessary. Its
+        search of victims is counted already.
+        """
         if demand.step.is_gang:
             groups = self._groups_for(demand, hosts)
-            return self._find_group_after_stops(demand, groups, max_lost_work)
+            group = self._best_group(demand, groups, include_stopping=True)
+            if group is None and self._search_and_evict(demand, groups, max_lost_work):
+                group = self._best_group(demand, groups, include_stopping=True)
+            return group
         only_rack, hosts = _local_hosts(demand, hosts)
         fits = self._fits_after_stops(demand, hosts, only_rack)
-        return hosts if fits or self._evict_for(demand, [hosts], max_lost_work) else None
+        return hosts if fits or self._search_and_evict(demand, [hosts], max_lost_work) else None
 
     def _drop_unneeded(
         self, victims: Sequence[Victim], demand: Demand, group: HostGroup
--- a/tests/test_domain_caps.py
+++ b/tests/test_domain_caps.py
@@ -7,15 +7,17 @@
 
 import msgspec
 
-from bulrushhollow_core.domain._caps import CapAccount, CapLedger
+from bulrushhollow_core.domain._caps import CapAccount, CapLedger, busy_services
+from bulrushhollow_core.domain._configuration import ServiceName
 from bulrushhollow_core.domain._demands import Demand, Victim
 from bulrushhollow_core.domain._hosts import ExpectedEnd, Host
 from bulrushhollow_core.domain._jobs import Resources
-from bulrushhollow_core.domain._planner import Plan, Planner
+from bulrushhollow_core.domain._planner import MAX_VICTIM_SEARCHES, Plan, Planner
 from bulrushhollow_core.ids import Seconds, WorkspaceId
 from tests.test_domain_planner import NOW, make_demand, make_host, make_run, make_victim
 
 TEAM = WorkspaceId("team")
+SERVICE = ServiceName("svc")
 OTHER = WorkspaceId("other")
 
 
@@ -42,7 +44,7 @@
     """Return a ledger in which a workspace may use some accelerators and uses some."""
     account = CapAccount(Resources(0, 0, cap))
     account.used = Resources(0, 0, used)
-    return CapLedger({TEAM: account}, is_service_busy)
+    return CapLedger({TEAM: account}, frozenset([SERVICE] if is_service_busy else []))
 
 
 def plan(
@@ -174,6 +176,18 @@
             self.assertEqual({"small": 4}, placed(result), gang.ref.job)
 
 
+class BusyServiceTest(unittest.TestCase):
+    def test_a_service_is_busy_by_the_resources_that_its_own_workers_have(self) -> None:
+        # Idle workers without accelerators counted as busy, and those of one service hid the load
+        # of another.
+        without_accelerators = make_host("a", "r")
+        without_accelerators.capacity = without_accelerators.free = Resources(64_000, 256_000, 0)
+        self.assertEqual(frozenset(), busy_services([without_accelerators]))
+        other = [make_host(name, "r", service="other") for name in "bc"]
+        hosts = [make_host("a", "r", 4), *other]
+        self.assertEqual({SERVICE}, busy_services(hosts))
+
+
 class EvictionTest(unittest.TestCase):
     def test_urgent_work_evicts_the_cheapest_work_of_its_own_workspace(self) -> None:
         host = make_host("a", "r", 4)
@@ -256,6 +270,19 @@
         result = plan(ledger(6, 4), [urgent], [host], victims)
         self.assertEqual(({"urgent": 2}, 3), (placed(result), len(result.evictions)))
 
+    def test_the_last_search_of_a_plan_finds_victims_for_the_cap_and_for_room(self) -> None:
+        # One demand counted as two searches, so the relief of the cap was found and then undone.
+        host = make_host("a", "r", 0)
+        victims = [
+            victim_of(TEAM, "own", host, 2, lost_work=1.0),
+            victim_of(OTHER, "foreign", host, 2, lost_work=1.0),
+        ]
+        urgent = demand_of(TEAM, "urgent", 4, urgency=0)
+        planner = Planner([host], lambda: victims, list, caps=ledger(4, 2))
+        planner.victim_searches = MAX_VICTIM_SEARCHES - 1
+        urgent.step = msgspec.structs.replace(urgent.step, needs=Resources(4_000, 4_000, 1))
+        self.assertEqual({"own", "foreign"}, evicted(planner.make_plan([urgent])))
+
 
 DIGEST_BEFORE_CAPS = "50091dbb6c72b2bacfc182c3899b7004dc7cbdfc8d5e855c1f34a2329ca4e575"
 """Digest of the plans of :class:`PlansWithoutCapsTest` by the planner before caps were added."""
