Sort the expected ends of several racks instead of merging them

Cause: a profile of a leader in virtual time spent a ninth of its time in the merge of expected ends. Conclusion: plans are unchanged and cheaper.

--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -7,7 +7,7 @@
 are served later do not starve it.
 """
 
-import heapq
+import itertools
 import math
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
@@ -447,7 +447,8 @@
             self._expected_ends_by_racks[racks] = (
                 ends_by_rack[0]
                 if len(ends_by_rack) == 1
-                else list(heapq.merge(*ends_by_rack, key=_end_time))
+                # Faster than a merge: the sort finds the ordered parts, and keeps their order.
+                else sorted(itertools.chain.from_iterable(ends_by_rack), key=_end_time)
             )
         return self._expected_ends_by_racks[racks]
 
