--- a/packages/core/src/bulrushhollow_core/domain/_delay_cost.py
+++ b/packages/core/src/bulrushhollow_core/domain/_delay_cost.py
@@ -55,18 +55,6 @@
         return self.late if end <= self.worthless_at else 0.0
 
 
-class DelayCost(NamedTuple):
-    """
-    What a waiting demand loses if it starts too late.
-
-    :param gain: value that it loses by being late.
-    :param evict_by: time, by the leader's clock, until which it waits for room instead of evicting.
-    """
-
-    gain: float
-    evict_by: Seconds
-
-
 class EvictionLoss(NamedTuple):
     """
     What an eviction costs the caller of the evicted job.
@@ -141,15 +129,10 @@
         self._wall = wall
         self._values_by_occurrence: dict[tuple[JobId, Occurrence], JobValue] = {}
 
-    def cost_of_waiting(self, job: Job, occurrence: Occurrence) -> DelayCost:
-        """Return what a waiting job loses by being late, and until when it may wait."""
+    def cost_of_being_late(self, job: Job, occurrence: Occurrence) -> float:
+        """Return the value that a waiting job loses by being late."""
         value = self._value_of(job, occurrence)
-        slack = value.deadline - self._wall - path_from(job, occurrence, done=True)
-        # Waiting longer than an eviction takes made urgent jobs late when runs ended later than
-        # estimated.
-        eviction_time = self._settings.stop_timeout + 2 * REUSE_DELAY
-        wait = min(slack - eviction_time, eviction_time)
-        return DelayCost(value.on_time - value.late, Seconds(self._now + wait))
+        return value.on_time - value.late
 
     def may_defer(self, job: Job, occurrence: Occurrence) -> bool:
         """
@@ -199,4 +182,5 @@
         """Return the seconds of work that a run loses if it is stopped now."""
         if not has_checkpoints:
             return Seconds(self._now - run.started_at)
-        return Seconds(self._settings.restore_time + self._now - run.checkpoint_at)
+        # A run writes a checkpoint when it is stopped.
+        return self._settings.restore_time
--- a/packages/core/src/bulrushhollow_core/domain/_demands.py
+++ b/packages/core/src/bulrushhollow_core/domain/_demands.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from bulrushhollow_core.domain._configuration import ServiceName
-from bulrushhollow_core.domain._delay_cost import DelayCost, EvictionLoss
+from bulrushhollow_core.domain._delay_cost import EvictionLoss
 from bulrushhollow_core.domain._fleet import Run
 from bulrushhollow_core.domain._hosts import Host
 from bulrushhollow_core.domain._jobs import (
@@ -65,7 +65,7 @@
     :param allowed_workers: the only workers that may run the tasks; None for no such limit.
     :param workspace: workspace whose cap limits the tasks; None for no cap.
     :param time_budget: time until the deadline; only used on uneven fleets.
-    :param delay_cost: what its job loses by waiting; None while delays have no price.
+    :param delay_cost: value that its job loses by being late; None while delays have no price.
     """
 
     def __init__(
@@ -86,7 +86,7 @@
         allowed_workers: frozenset[WorkerLife] | None = None,
         workspace: WorkspaceId | None = None,
         time_budget: TimeBudget = UNLIMITED_TIME,
-        delay_cost: DelayCost | None = None,
+        delay_cost: float | None = None,
     ) -> None:
         """Create a demand for the given tasks of a step."""
         self.ref = ref
--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -7,7 +7,7 @@
 are served later do not starve it.
 """
 
-import heapq
+import itertools
 import math
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
@@ -15,7 +15,6 @@
 
 from bulrushhollow_core.domain._caps import CapLedger
 from bulrushhollow_core.domain._configuration import ServiceName
-from bulrushhollow_core.domain._delay_cost import DelayCost
 from bulrushhollow_core.domain._demands import Demand, Victim
 from bulrushhollow_core.domain._eviction_sets import EvictionSetSearch, set_cost
 from bulrushhollow_core.domain._evictions import EvictionSearch, VictimIndex
@@ -23,6 +22,7 @@
     HostGroup,
     available_on,
     best_group,
+    can_ever_hold,
     candidate_groups,
     slots_for,
 )
@@ -177,9 +177,6 @@
         self._total_accelerators = sum(host.capacity.accelerators for host in hosts)
         self._headroom = min(headroom, int(HEADROOM_SHARE * self._total_accelerators))
         self._reservation_count = 0
-        self._urgent_reservation_count = 0
-        """Reservations of urgent gangs that may wait. Counting them with those of other gangs left
-        these without one."""
         self.victim_searches = 0
         """Demands outside any guarantee for which victims were searched."""
         self.plan = Plan()
@@ -416,9 +413,7 @@
 
     def _reserve_for_gang(self, demand: Demand, groups: Sequence[HostGroup]) -> None:
         """Reserve resources for a gang on the group where it is expected to fit first."""
-        is_priced = demand.delay_cost is not None
-        count = self._urgent_reservation_count if is_priced else self._reservation_count
-        if count >= MAX_GANG_RESERVATIONS:
+        if self._reservation_count >= MAX_GANG_RESERVATIONS:
             return
         best: tuple[Seconds, HostGroup] | None = None
         for group in groups:
@@ -428,10 +423,7 @@
         if best is None:
             return
         self._caps.reserve(demand)
-        if is_priced:
-            self._urgent_reservation_count += 1
-        else:
-            self._reservation_count += 1
+        self._reservation_count += 1
         free_by_life = self._free_at_time(best[1], best[0])
         waiting = len(demand.task_indexes)
         for host in sorted(
@@ -456,18 +448,13 @@
             self._expected_ends_by_racks[racks] = (
                 ends_by_rack[0]
                 if len(ends_by_rack) == 1
-                else list(heapq.merge(*ends_by_rack, key=_end_time))
+                # Faster than a merge: the sort finds the ordered parts, and keeps their order.
+                else sorted(itertools.chain.from_iterable(ends_by_rack), key=_end_time)
             )
         return self._expected_ends_by_racks[racks]
 
-    def _earliest_start(
-        self, demand: Demand, group: HostGroup, until: float = math.inf
-    ) -> Seconds | None:
-        """
-        Return when a demand is expected to fit on a group.
-
-        :return: None if that is unknown or later than `until`.
-        """
+    def _earliest_start(self, demand: Demand, group: HostGroup) -> Seconds | None:
+        """Return when a demand is expected to fit on a group, or None if that is unknown."""
         free_by_life = {host.life: host.free_after_stops for host in group}
         limits = {host.life: demand.max_tasks_on(host) for host in group}
         needs = demand.step.needs
@@ -476,8 +463,6 @@
         }
         total = sum(slots_by_life.values())
         for expected_end in self._expected_ends_in(group):
-            if expected_end.at > until:
-                return None
             life = expected_end.life
             if life not in free_by_life:
                 continue
@@ -599,8 +584,14 @@
 
     def _evict_for(self, demand: Demand, groups: Sequence[HostGroup], max_lost_work: float) -> bool:
         """Evict the cheapest victims for an urgent demand; return whether enough may be evicted."""
-        if self._can_wait(demand, groups) or not self._may_search_victims(demand):
+        if not self._may_search_victims(demand):
             return False
+        return self._search_and_evict(demand, groups, max_lost_work)
+
+    def _search_and_evict(
+        self, demand: Demand, groups: Sequence[HostGroup], max_lost_work: float
+    ) -> bool:
+        """Evict the cheapest victims for a demand whose search of victims is counted already."""
         best = (
             self._least_lost_work(demand, groups, max_lost_work)
             if demand.delay_cost is None
@@ -623,17 +614,6 @@
                 if host is not None:
                     host.add_stopping(freed)
 
-    def _can_wait(self, demand: Demand, groups: Sequence[HostGroup]) -> bool:
-        """Return whether a gang is expected to fit without an eviction while it can be on time."""
-        if demand.delay_cost is None or demand.is_reclaiming or not demand.step.is_gang:
-            return False
-        if self._urgent_reservation_count >= MAX_GANG_RESERVATIONS:
-            # Other demands would take the room that it waits for.
-            return False
-        evict_by = demand.delay_cost.evict_by
-        starts = (self._earliest_start(demand, group, evict_by) for group in groups)
-        return any(start is not None for start in starts)
-
     def _least_lost_work(
         self, demand: Demand, groups: Sequence[HostGroup], max_lost_work: float
     ) -> list[Victim] | None:
@@ -651,11 +631,11 @@
         self,
         demand: Demand,
         groups: Sequence[HostGroup],
-        delay_cost: DelayCost,
+        delay_cost: float,
         max_lost_work: float,
     ) -> list[Victim] | None:
         """Return the victims whose callers lose least, or None if they lose more than it gains."""
-        max_cost = math.inf if demand.is_reclaiming else delay_cost.gain
+        max_cost = math.inf if demand.is_reclaiming else delay_cost
         index = self._victim_index_for(demand)
         best: list[Victim] | None = None
         for group in groups:
@@ -694,7 +674,9 @@
             self._place_independent(admitted, hosts)
             held_back = admitted.for_tasks(demand.task_indexes[startable_count:])
         self.plan.held_back.append(held_back)
-        if not self._free_cap_for(held_back, hosts) and demand.step.is_gang:
+        if self._free_cap_for(held_back, hosts) or not demand.step.is_gang:
+            return
+        if any(can_ever_hold(demand, group) for group in self._groups_for(demand, hosts)):
             self._caps.reserve(demand)
 
     def _free_cap_for(self, demand: Demand, hosts: list[Host]) -> bool:
@@ -726,13 +708,19 @@
     def _find_room_after_stops(
         self, demand: Demand, hosts: list[Host], max_lost_work: float
     ) -> HostGroup | None:
-        """Return where a demand fits once current stops have ended; evict for it if necessary."""
+        """
+        Return where a demand fits once current stops have ended; evict for it if necessary. Its
+        search of victims is counted already.
+        """
         if demand.step.is_gang:
             groups = self._groups_for(demand, hosts)
-            return self._find_group_after_stops(demand, groups, max_lost_work)
+            group = self._best_group(demand, groups, include_stopping=True)
+            if group is None and self._search_and_evict(demand, groups, max_lost_work):
+                group = self._best_group(demand, groups, include_stopping=True)
+            return group
         only_rack, hosts = _local_hosts(demand, hosts)
         fits = self._fits_after_stops(demand, hosts, only_rack)
-        return hosts if fits or self._evict_for(demand, [hosts], max_lost_work) else None
+        return hosts if fits or self._search_and_evict(demand, [hosts], max_lost_work) else None
 
     def _drop_unneeded(
         self, victims: Sequence[Victim], demand: Demand, group: HostGroup
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -133,6 +133,7 @@
             return bool(queue.waiting)
         prepared = self.prepare(queue, now, wall)
         plan = prepared.planner.make_plan(prepared.demands)
+        prepared.caps.record_holds(self._shared.cap_holds_since, now)
         self._prefetch_advice(prepared.waiting, queue.hosts, now)
         self._execute_plan(plan, now)
         self._shared.outbox.extend(self._cap_reporter.report(plan.held_back, prepared.caps, now))
@@ -266,7 +267,7 @@
             workspace=waiting_step.job.workspace,
             time_budget=self._time_budget(waiting_step, wall),
             delay_cost=(
-                self._pricer.cost_of_waiting(waiting_step.job, ref.occurrence)
+                self._pricer.cost_of_being_late(waiting_step.job, ref.occurrence)
                 if self._pricer is not None and waiting_step.job.queue.urgency == 0
                 else None
             ),
