--- a/tests/test_domain_delay_cost.py
+++ b/tests/test_domain_delay_cost.py
@@ -99,7 +99,7 @@
         return pricer.may_defer(job, Occurrence(0))
 
     def test_a_late_job_that_lost_its_runs_evicts_nothing_until_its_last_moment(self) -> None:
-        # Restarts of jobs that were late already displaced a quarter of all preempted runs.
+        # Jobs that were restarted and ended late had displaced a quarter of all preempted runs.
         self.assertFalse(self.may_defer(1.0), "it can still be on time")
         self.assertTrue(self.may_defer(4.0))
         self.assertTrue(self.may_defer(9.0))
