--- a/packages/core/src/bulrushhollow_core/domain/_demands.py
+++ b/packages/core/src/bulrushhollow_core/domain/_demands.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from bulrushhollow_core.domain._configuration import ServiceName
+from bulrushhollow_core.domain._delay_cost import EvictionLoss
 from bulrushhollow_core.domain._fleet import Run
 from bulrushhollow_core.domain._hosts import Host
 from bulrushhollow_core.domain._jobs import (
@@ -21,7 +22,7 @@
     core_equivalents,
 )
 from bulrushhollow_core.domain._queueing import Priority
-from bulrushhollow_core.ids import Seconds, WorkspaceId
+from bulrushhollow_core.ids import JobId, Seconds, WorkspaceId
 
 
 class TimeBudget(NamedTuple):
@@ -39,6 +40,9 @@
 UNLIMITED_TIME = TimeBudget(Seconds(math.inf), Seconds(0.0))
 """Budget of a demand without a deadline."""
 
+NO_LOSS = EvictionLoss(0.0, 0.0)
+"""Loss of a victim while delays have no price."""
+
 
 class Demand:
     """
@@ -61,6 +65,7 @@
     :param allowed_workers: the only workers that may run the tasks; None for no such limit.
     :param workspace: workspace whose cap limits the tasks; None for no cap.
     :param time_budget: time until the deadline; only used on uneven fleets.
+    :param delay_cost: value that its job loses by being late; None while delays have no price.
     """
 
     def __init__(
@@ -81,6 +86,7 @@
         allowed_workers: frozenset[WorkerLife] | None = None,
         workspace: WorkspaceId | None = None,
         time_budget: TimeBudget = UNLIMITED_TIME,
+        delay_cost: float | None = None,
     ) -> None:
         """Create a demand for the given tasks of a step."""
         self.ref = ref
@@ -99,6 +105,7 @@
         self.allowed_workers = allowed_workers
         self.workspace = workspace
         self.time_budget = time_budget
+        self.delay_cost = delay_cost
 
     @property
     def core_seconds(self) -> float:
@@ -133,6 +140,7 @@
             self.allowed_workers,
             self.workspace,
             self.time_budget,
+            self.delay_cost,
         )
 
     def max_tasks_on(self, host: Host) -> int:
@@ -150,6 +158,7 @@
     :param lost_work: core-seconds that the eviction wastes: all work of a run without checkpoints,
         or the time to restore one that has them.
     :param workspace: workspace whose cap counts the runs; None for no cap.
+    :param loss: what the eviction costs the job's caller.
     """
 
     def __init__(
@@ -160,6 +169,7 @@
         is_guaranteed: bool,
         lost_work: float,
         workspace: WorkspaceId | None = None,
+        loss: EvictionLoss = NO_LOSS,
     ) -> None:
         """Create a victim and sum up what its eviction frees on each worker."""
         self.runs = runs
@@ -175,6 +185,7 @@
         self.is_guaranteed = is_guaranteed
         self.lost_work = lost_work
         self.workspace = workspace
+        self.loss = loss
 
     @property
     def freed(self) -> Resources:
@@ -183,3 +194,8 @@
         for freed in self.freed_by_life.values():
             total = total.plus(freed)
         return total
+
+    @property
+    def job(self) -> JobId:
+        """Return the job of its runs."""
+        return self.runs[0].task.job
--- a/packages/core/src/bulrushhollow_core/domain/_evictions.py
+++ b/packages/core/src/bulrushhollow_core/domain/_evictions.py
@@ -21,11 +21,13 @@
     What an eviction costs; compared in the order of the fields.
 
     :param stops_urgent: whether it stops urgent work, which will probably be late then.
+    :param lost_value: value that callers lose; 0 while delays have no price.
     :param lost_work: core-seconds of work that it discards.
     :param stops_entitled: whether it stops work within its workspace's share.
     """
 
     stops_urgent: bool
+    lost_value: float
     lost_work: float
     stops_entitled: bool
 
@@ -34,6 +36,7 @@
     """Return what the eviction of some victims costs."""
     return EvictionCost(
         any(victim.urgency == 0 for victim in victims),
+        sum(victim.loss.job_value + victim.loss.wasted_value for victim in victims),
         sum(victim.lost_work for victim in victims),
         any(not victim.priority.is_over_share for victim in victims),
     )
--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -16,6 +16,7 @@
 from bulrushhollow_core.domain._caps import CapLedger
 from bulrushhollow_core.domain._configuration import ServiceName
 from bulrushhollow_core.domain._demands import Demand, Victim
+from bulrushhollow_core.domain._eviction_sets import EvictionSetSearch, set_cost
 from bulrushhollow_core.domain._evictions import EvictionSearch, VictimIndex
 from bulrushhollow_core.domain._groups import (
     HostGroup,
@@ -421,8 +422,8 @@
                 best = (at, group)
         if best is None:
             return
-        self._reservation_count += 1
         self._caps.reserve(demand)
+        self._reservation_count += 1
         free_by_life = self._free_at_time(best[1], best[0])
         waiting = len(demand.task_indexes)
         for host in sorted(
@@ -591,13 +592,11 @@
         self, demand: Demand, groups: Sequence[HostGroup], max_lost_work: float
     ) -> bool:
         """Evict the cheapest victims for a demand whose search of victims is counted already."""
-        index = self._victim_index_for(demand)
-        best: list[Victim] | None = None
-        for group in groups:
-            chosen = EvictionSearch(demand, group, index, max_lost_work).find()
-            if chosen is not None:
-                best = chosen
-                max_lost_work = sum(victim.lost_work for victim in chosen)
+        best = (
+            self._least_lost_work(demand, groups, max_lost_work)
+            if demand.delay_cost is None
+            else self._least_lost_value(demand, groups, demand.delay_cost, max_lost_work)
+        )
         if best is None:
             return False
         self._count_as_stopping(best)
@@ -615,6 +614,38 @@
                 if host is not None:
                     host.add_stopping(freed)
 
+    def _least_lost_work(
+        self, demand: Demand, groups: Sequence[HostGroup], max_lost_work: float
+    ) -> list[Victim] | None:
+        """Return the victims that lose the least work, or None if none are permitted."""
+        index = self._victim_index_for(demand)
+        best: list[Victim] | None = None
+        for group in groups:
+            chosen = EvictionSearch(demand, group, index, max_lost_work).find()
+            if chosen is not None:
+                best = chosen
+                max_lost_work = sum(victim.lost_work for victim in chosen)
+        return best
+
+    def _least_lost_value(
+        self,
+        demand: Demand,
+        groups: Sequence[HostGroup],
+        delay_cost: float,
+        max_lost_work: float,
+    ) -> list[Victim] | None:
+        """Return the victims whose callers lose least, or None if they lose more than it gains."""
+        max_cost = math.inf if demand.is_reclaiming else delay_cost
+        index = self._victim_index_for(demand)
+        best: list[Victim] | None = None
+        for group in groups:
+            search = EvictionSetSearch(demand, group, index, max_cost, max_lost_work)
+            chosen = search.find()
+            if chosen is not None:
+                best = chosen
+                max_cost = set_cost(chosen)
+        return best
+
     def _victim_index_for(self, demand: Demand) -> VictimIndex:
         """Return the victims for demands that may evict the same runs as this one."""
         rank = (demand.urgency, demand.is_reclaiming)
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -20,7 +20,14 @@
 )
 from bulrushhollow_core.domain._configuration import Queue
 from bulrushhollow_core.domain._copies import detached_copy
-from bulrushhollow_core.domain._demands import UNLIMITED_TIME, Demand, TimeBudget, Victim
+from bulrushhollow_core.domain._delay_cost import DelayPricer
+from bulrushhollow_core.domain._demands import (
+    NO_LOSS,
+    UNLIMITED_TIME,
+    Demand,
+    TimeBudget,
+    Victim,
+)
 from bulrushhollow_core.domain._dispatch import OrderDispatcher
 from bulrushhollow_core.domain._events import Event, log_event
 from bulrushhollow_core.domain._fleet import Run, RunPhase, Worker
@@ -48,6 +55,7 @@
     waiting_steps,
 )
 from bulrushhollow_core.domain._reachability import Reachability
+from bulrushhollow_core.domain._recent_work import RecentWorkCache
 from bulrushhollow_core.domain._scheduler_state import SchedulerState
 from bulrushhollow_core.domain._speeds import NORMAL_SLOWNESS
 from bulrushhollow_core.ids import DataCentreId, JobId, RackId, Seconds
@@ -101,6 +109,9 @@
         self._waiting_since_by_step: dict[StepRef, Seconds] = {}
         self._claims = ClaimRegister(shared.settings.stop_timeout)
         self._cap_reporter = CapReporter()
+        self._recent_work = RecentWorkCache()
+        self._pricer: DelayPricer | None = None
+        """Prices of delays in the current plan; None while delays have no price."""
         self._capacity_log_due = Seconds(-math.inf)
         self._silent_data_centres: frozenset[DataCentreId] = frozenset()
 
@@ -142,6 +153,7 @@
         clone = detached_copy(self)
         clone._shared = shared
         clone._claims = detached_copy(self._claims)
+        clone._recent_work = detached_copy(self._recent_work)
         return clone
 
     def view_queue(self, now: Seconds, wall: WallTime) -> QueueView:
@@ -161,6 +173,7 @@
                 )
         self._shared.advice.clear_requests()
         caps = build_cap_ledger(self._shared, hosts, now)
+        self._pricer = self._create_pricer(now, wall)
         planner = Planner(
             hosts,
             lambda: self._find_victims(guaranteed, now, wall),
@@ -186,6 +199,12 @@
         self._shared.outbox.extend(shares.log_changes(now))
         return ordered
 
+    def _create_pricer(self, now: Seconds, wall: WallTime) -> DelayPricer | None:
+        if not self._shared.settings.is_reclaim_cheap:
+            return None
+        recent = self._recent_work.get(self._shared.state)
+        return DelayPricer(self._shared.settings, recent, now, wall)
+
     def _order_by_claims(self, waiting: list[WaitingStep]) -> list[WaitingStep]:
         """Return the steps with those that have a claim at the position that they had for it."""
         return sorted(
@@ -224,6 +243,9 @@
         excluded_workers = set(self._shared.excluded_workers_by_step.get(ref, ()))
         if self._is_last_attempt(waiting_step):
             excluded_workers |= suspects
+        is_deferred = self._pricer is not None and self._pricer.may_defer(
+            waiting_step.job, ref.occurrence
+        )
         return Demand(
             ref=ref,
             service=self._current_queue(waiting_step.job.queue).service,
@@ -237,12 +259,18 @@
             or now - waiting_since > LOCALITY_WAIT_FACTOR * step.estimate,
             duration=step.estimate,
             placed_by_worker=self._count_placed_by_worker(ref) if step.max_per_worker else {},
-            may_evict=self._may_evict(waiting_step),
+            may_evict=self._may_evict(waiting_step) and not is_deferred,
             is_reclaiming=waiting_step.job.id in guaranteed
-            and now - waiting_since >= RECLAIM_DELAY,
+            and now - waiting_since >= RECLAIM_DELAY
+            and not is_deferred,
             allowed_workers=self._allowed_workers(waiting_step, hosts, now),
             workspace=waiting_step.job.workspace,
             time_budget=self._time_budget(waiting_step, wall),
+            delay_cost=(
+                self._pricer.cost_of_being_late(waiting_step.job, ref.occurrence)
+                if self._pricer is not None and waiting_step.job.queue.urgency == 0
+                else None
+            ),
         )
 
     def _time_budget(self, waiting_step: WaitingStep, wall: WallTime) -> TimeBudget:
@@ -416,10 +444,27 @@
         priority = self._shared.shares.adjust(
             job.id, priority_of(job, runs[0].task.occurrence, is_guaranteed, wall)
         )
+        loss = NO_LOSS
+        if self._pricer is not None:
+            loss = self._pricer.loss_of_eviction(job, runs, self._count_preemptions(runs[0]))
         return Victim(
-            runs, job.queue.urgency, priority, is_guaranteed, lost_work, workspace=job.workspace
+            runs,
+            job.queue.urgency,
+            priority,
+            is_guaranteed,
+            lost_work,
+            workspace=job.workspace,
+            loss=loss,
         )
 
+    def _count_preemptions(self, run: Run) -> int:
+        """Return how many earlier runs of a task or a gang ended other than by a failure."""
+        record = self._shared.state.find_step(run.task)
+        if record is None:
+            return 0
+        failures = record.failures if run.is_gang else record.tasks[run.task.member].failures
+        return max(0, run.number - 1 - failures)
+
     def _expected_ends(self, now: Seconds) -> list[ExpectedEnd]:
         expected_ends = []
         gang_ends_by_run = self._gang_ends(now) if self._shared.speeds.is_uneven else {}
