Drop the speed samples of workers that are gone

Forgetting a worker kept its samples, so the next evaluation of their steps estimated it anew, for good: memory grew, and slow workers that had left kept a fleet uneven.

The samples are dropped with the estimate, and the leader does not sample runs of workers that it no longer knows. An estimate now lasts no longer than its worker is known.

--- a/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
@@ -194,7 +194,12 @@
         return run.phase is RunPhase.STOPPING or (not run.is_gang and self.ends_soon(run, now))
 
     def observe_speed(self, run: Run) -> None:
-        """Sample the pace of a run, unless that depends on the distance to its data."""
+        """
+        Sample the pace of a run, unless that depends on the distance to its data. A worker that is
+        no longer known is left out, since its estimate would never be dropped.
+        """
+        if self.fleet.get(run.life) is None:
+            return
         job = self.state.jobs_by_id.get(run.task.job)
         if job is not None and job.work.steps and not job.work.steps[run.task.step].data_rack:
             self.speeds.observe(run)
--- a/packages/core/src/bulrushhollow_core/domain/_speeds.py
+++ b/packages/core/src/bulrushhollow_core/domain/_speeds.py
@@ -172,9 +172,16 @@
             del self._samples_by_step[step]
 
     def forget_worker(self, life: WorkerLife) -> None:
-        """Drop the estimate for a worker that is gone."""
+        """
+        Drop the estimate for a worker that is gone, and its samples, which would bring it back.
+
+        The caller must not observe the worker's runs afterwards.
+        """
         self._ratios_by_life.pop(life, None)
         self._slowness_by_life.pop(life, None)
+        for samples in self._samples_by_step.values():
+            for task in [task for task, sample in samples.items() if sample.life == life]:
+                del samples[task]
 
     def is_measured(self, life: WorkerLife) -> bool:
         """Return whether a worker has samples."""
--- a/tests/test_domain_speeds.py
+++ b/tests/test_domain_speeds.py
@@ -12,6 +12,7 @@
 from bulrushhollow_core.domain._jobs import (
     NO_RESOURCES,
     Occurrence,
+    Resources,
     RunNumber,
     Step,
     TaskRef,
@@ -34,6 +35,8 @@
 FACTOR = 1.2 / 0.55
 """Factor between the slow and the fast workers of the customer."""
 
+FOUR_TASKS = Work("spec", (Step(4, Resources(1000, 100, 1), Seconds(1.0)),))
+
 
 class Fleet:
     """Workers of known slowness that run steps of tasks, whose work differs by up to 30 %."""
@@ -68,6 +71,16 @@
         )
 
 
+def half_done_run(worker: str, member: int, occurrence: int = 0, seconds: float = 2.0) -> Run:
+    """Return a run of job `j` that took some seconds for half of its work."""
+    task = TaskRef(JobId("j"), Occurrence(occurrence), 0, member)
+    life = WorkerLife(WorkerId(worker), 1)
+    run = Run(task, RunNumber(1), life, NO_RESOURCES, Seconds(1.0))
+    run.mark_running(Seconds(1.0), is_fresh=True)
+    run.record_progress(50, "", Seconds(1.0 + seconds))
+    return run
+
+
 class SpeedEstimatorTest(unittest.TestCase):
     def test_a_quarter_of_slow_workers_is_found_within_a_few_tasks_each(self) -> None:
         for seed in range(5):
@@ -115,6 +128,34 @@
         self.assertTrue(fleet.estimator.update(Seconds(fleet.now + 2.0)))
         self.assertFalse(fleet.estimator.is_uneven)
 
+    def test_samples_of_a_forgotten_worker_do_not_bring_its_estimate_back(self) -> None:
+        # The next evaluation of a step estimated it anew, and no later call removed that.
+        estimator = SpeedEstimator()
+        for member in range(4):
+            estimator.observe(half_done_run(f"w{member}", member))
+        gone = WorkerLife(WorkerId("w0"), 1)
+        estimator.forget_worker(gone)
+        estimator.update(Seconds(10.0))
+        self.assertFalse(estimator.is_measured(gone))
+        estimator.observe(half_done_run("w4", 4))
+        estimator.forget_job(JobId("j"))
+        self.assertFalse(estimator.is_measured(gone))
+        self.assertTrue(estimator.is_measured(WorkerLife(WorkerId("w4"), 1)))
+
+
+class ObservationTest(unittest.TestCase):
+    """Which reports of runs the leader samples, and for how long."""
+
+    def test_a_late_report_of_a_forgotten_worker_is_not_sampled(self) -> None:
+        # Nothing forgets a life that is no longer in the fleet a second time.
+        harness = SchedulerHarness()
+        harness.submit(FOUR_TASKS)
+        shared = harness.scheduler._shared
+        shared.observe_speed(half_done_run("gone", 0))
+        self.assertEqual({}, shared.speeds._samples_by_step)
+        shared.observe_speed(half_done_run("w", 0))
+        self.assertEqual(1, len(shared.speeds._samples_by_step))
+
 
 def make_worker(name: str, rack: str, free: int = 8, is_slow: bool = False) -> Host:
     host = make_host(name, rack, free, is_slow=is_slow)
