Drop the data about cancelled jobs and the samples of done steps

Only jobs that ended by recorded ends were forgotten. A cancelled job kept its entries in the speeds, the straggler detector, the headroom and the advice; its runs report until they have stopped, and an open question is answered later. A timed job kept the samples of all occurrences.

A cancel now forgets the job. Reports and advice that come after the end of a job are ignored, and samples of a step are dropped when it is done. The samples are indexed by job, so forgetting one does not go through the steps of all others.

--- a/packages/core/src/bulrushhollow_core/domain/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/_answers.py
@@ -238,7 +238,7 @@
             if job is None or job.has_ended:
                 self._dispatcher.stop(worker, run, now)
         run.record_progress(listed_run.percent, listed_run.checkpoint, now)
-        if self._shared.is_long_running(run):
+        if self._shared.is_long_running(run) or self._shared.has_ended(run.task.job):
             return
         self._shared.straggler_detector.observe(run)
         self._shared.observe_speed(run)
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler.py
@@ -177,10 +177,11 @@
             case EndRuns(ends=ends, ended_at=at):
                 for end in ends:
                     self._dispatcher.handle_recorded_end(end, now)
+                self._shared.forget_done_steps(dict.fromkeys(end.task.step_ref for end in ends))
                 self._log_ended_jobs({end.task.job for end in ends}, at)
                 self._dispatcher.acknowledge_ends(now)
             case CancelJob(id=job_id):
-                self._shared.rate_meter.forget_job(job_id)
+                self._shared.forget_job(job_id)
                 self._dispatcher.stop_all(self._shared.fleet.runs_of(job_id), now)
             case SubmitJob(id=job_id):
                 self._shared.admission.record_commit(job_id)
@@ -209,6 +210,8 @@
     def advice_answered(self, answer: AdviceAnswered, now: Seconds) -> None:
         """Handle an answer of the advice service: which workers may run a step."""
         self._shared.advice.handle_answer(answer, now)
+        if self._shared.has_ended(answer.step.job):
+            self._shared.advice.forget_job(answer.step.job)
         self._shared.outbox.append(
             log_event(
                 Event.ADVICE_ANSWERED,
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
@@ -6,7 +6,7 @@
 the workers, and its decisions that have not been handed over yet.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import msgspec
 
@@ -195,15 +195,28 @@
 
     def observe_speed(self, run: Run) -> None:
         """
-        Sample the pace of a run, unless that depends on the distance to its data. A worker that is
-        no longer known is left out, since its estimate would never be dropped.
+        Sample the pace of a run, unless that depends on the distance to its data. Workers that are
+        no longer known and steps that are over are left out, since nothing drops their samples.
         """
-        if self.fleet.get(run.life) is None:
+        record = self.state.find_step(run.task)
+        is_over = record is None or record.is_done or self.has_ended(run.task.job)
+        if is_over or self.fleet.get(run.life) is None:
             return
-        job = self.state.jobs_by_id.get(run.task.job)
-        if job is not None and job.work.steps and not job.work.steps[run.task.step].data_rack:
+        if not self.state.jobs_by_id[run.task.job].work.steps[run.task.step].data_rack:
             self.speeds.observe(run)
 
+    def forget_done_steps(self, steps: Iterable[StepRef]) -> None:
+        """Drop the samples of those steps that are done; a timed job has many occurrences."""
+        for step in steps:
+            record = self.state.find_step(step)
+            if record is None or record.is_done:
+                self.speeds.forget_step(step)
+
+    def has_ended(self, job_id: JobId) -> bool:
+        """Return whether a job has ended, or is no longer kept."""
+        job = self.state.jobs_by_id.get(job_id)
+        return job is None or job.has_ended
+
     def is_long_running(self, run: Run) -> bool:
         """Return whether a run lasts until its job is cancelled."""
         job = self.state.jobs_by_id.get(run.task.job)
--- a/packages/core/src/bulrushhollow_core/domain/_speeds.py
+++ b/packages/core/src/bulrushhollow_core/domain/_speeds.py
@@ -91,6 +91,8 @@
         self.slow_factor = NORMAL_SLOWNESS
         self._update_due = Seconds(-math.inf)
         self._samples_by_step: dict[StepRef, dict[TaskRef, PaceSample]] = {}
+        self._steps_by_job: dict[JobId, dict[StepRef, None]] = {}
+        """Steps of each job with samples, in the order of their first samples."""
         self._changed_steps: dict[StepRef, None] = {}
         """Steps with samples that are not evaluated yet, in the order of their samples."""
         self._ratios_by_life: dict[WorkerLife, dict[TaskRef, float]] = {}
@@ -115,6 +117,7 @@
         self._samples_by_step.setdefault(step, {})[run.task] = PaceSample(
             run.life, progress, seconds
         )
+        self._steps_by_job.setdefault(step.job, {})[step] = None
         self._changed_steps[step] = None
 
     def update(self, now: Seconds) -> bool:
@@ -166,10 +169,20 @@
 
     def forget_job(self, job: JobId) -> None:
         """Drop the samples of a job that has ended; the estimates from them stay."""
-        for step in [step for step in self._samples_by_step if step.job == job]:
-            if step in self._changed_steps:
-                self._evaluate(step)
-            del self._samples_by_step[step]
+        for step in list(self._steps_by_job.get(job, ())):
+            self.forget_step(step)
+
+    def forget_step(self, step: StepRef) -> None:
+        """Drop the samples of a step that is done; the estimates from them stay."""
+        if step not in self._samples_by_step:
+            return
+        if step in self._changed_steps:
+            self._evaluate(step)
+        del self._samples_by_step[step]
+        steps = self._steps_by_job[step.job]
+        del steps[step]
+        if not steps:
+            del self._steps_by_job[step.job]
 
     def forget_worker(self, life: WorkerLife) -> None:
         """
--- a/tests/test_domain_speeds.py
+++ b/tests/test_domain_speeds.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from bulrushhollow_core.domain._commands import CancelJob, EndRuns, Outcome, RunEnd
 from bulrushhollow_core.domain._demands import Demand, TimeBudget
 from bulrushhollow_core.domain._fleet import Run
 from bulrushhollow_core.domain._hosts import ExpectedEnd, Host
@@ -15,10 +16,17 @@
     Resources,
     RunNumber,
     Step,
+    StepRef,
     TaskRef,
     Work,
     WorkerLife,
 )
+from bulrushhollow_core.domain._orders import (
+    AdviceAnswered,
+    ListedRun,
+    OrderResult,
+    PollAnswered,
+)
 from bulrushhollow_core.domain._planner import Plan, Planner
 from bulrushhollow_core.domain._speeds import SpeedEstimator
 from bulrushhollow_core.ids import JobId, Seconds, WorkerId
@@ -30,7 +38,7 @@
     make_run,
     make_victim,
 )
-from tests.test_domain_scheduler import SchedulerHarness, announcement
+from tests.test_domain_scheduler import WALL, SchedulerHarness, announcement
 
 FACTOR = 1.2 / 0.55
 """Factor between the slow and the fast workers of the customer."""
@@ -156,6 +164,62 @@
         shared.observe_speed(half_done_run("w", 0))
         self.assertEqual(1, len(shared.speeds._samples_by_step))
 
+    def test_a_cancelled_job_leaves_no_samples(self) -> None:
+        # Only jobs that ended by recorded ends were forgotten, and runs report after a cancel.
+        harness = SchedulerHarness()
+        harness.submit(FOUR_TASKS)
+        shared = harness.scheduler._shared
+        shared.observe_speed(half_done_run("w", 0))
+        shared.straggler_detector.observe(half_done_run("w", 0))
+        shared.headroom.record_arrival(JobId("j"), 1, harness.now)
+        start = harness.launch()
+        harness.accept(start)
+        harness.commit([CancelJob(JobId("j"), WALL)])
+        shared.observe_speed(half_done_run("w", 0))
+        listed = (ListedRun(start.task, start.run, "", 50),)
+        answer = PollAnswered(start.life, OrderResult.ACCEPTED, Seconds(51.0), running=listed)
+        harness.scheduler.poll_answered(answer, Seconds(harness.now + 1.0))
+        self.assertEqual({}, shared.speeds._samples_by_step)
+        self.assertEqual({}, shared.speeds._steps_by_job)
+        self.assertEqual({}, shared.straggler_detector._durations_by_step)
+        self.assertEqual(set(), shared.headroom._seen_jobs)
+
+    def test_advice_for_a_cancelled_job_is_not_kept(self) -> None:
+        # The answer to a question that was open at the cancel was never dropped.
+        harness = SchedulerHarness()
+        harness.submit(FOUR_TASKS)
+        harness.commit([CancelJob(JobId("j"), WALL)])
+        life = WorkerLife(WorkerId("w"), 1)
+        step = StepRef(JobId("j"), Occurrence(0), 0)
+        harness.scheduler.advice_answered(
+            AdviceAnswered(step, (life,), (), Seconds(1.0)), harness.now
+        )
+        self.assertEqual({}, harness.scheduler._shared.advice._denied_workers_by_step)
+
+    def test_the_samples_of_a_step_are_dropped_when_it_is_done(self) -> None:
+        # A job with many due times kept the samples of all its occurrences until it ended.
+        harness = SchedulerHarness()
+        shared = harness.scheduler._shared
+        harness.submit(
+            msgspec.structs.replace(
+                FOUR_TASKS, occurrences=2, first_due_at=WALL, interval=Seconds(1000.0)
+            )
+        )
+        harness.launch()
+        for member in range(4):
+            shared.observe_speed(half_done_run("w", member))
+        self.assertEqual(1, len(shared.speeds._samples_by_step))
+        ends = tuple(
+            RunEnd(TaskRef(JobId("j"), Occurrence(0), 0, n), RunNumber(1), Outcome.DONE)
+            for n in range(4)
+        )
+        harness.commit([EndRuns(ends[:3], WALL)])
+        self.assertEqual(1, len(shared.speeds._samples_by_step))
+        harness.commit([EndRuns(ends[3:], WALL)])
+        shared.observe_speed(half_done_run("w", 0))
+        self.assertEqual({}, shared.speeds._samples_by_step)
+        self.assertEqual({}, shared.speeds._steps_by_job)
+
 
 def make_worker(name: str, rack: str, free: int = 8, is_slow: bool = False) -> Host:
     host = make_host(name, rack, free, is_slow=is_slow)
