Bound the wait of a gang for fast workers

Runs past their estimate are expected to end within 0.1 s in every plan, and long-running runs never end, so waiting always looked better than a mix and a gang could wait without end beside free slow workers. A late gang that is not urgent could use neither a mix nor slow workers alone.

A step now waits for at most the time that it gains on fast workers, since it first waited for them; the planning cycle remembers that until the step is placed or no longer waits. Long-running runs give no expected end on an uneven fleet. A gang that is late anyway may use slow workers alone. Plans on an even fleet use none of this.

--- a/packages/core/src/bulrushhollow_core/domain/_demands.py
+++ b/packages/core/src/bulrushhollow_core/domain/_demands.py
@@ -39,6 +39,9 @@
 UNLIMITED_TIME = TimeBudget(Seconds(math.inf), Seconds(0.0))
 """Budget of a demand without a deadline."""
 
+NO_WAIT = Seconds(0.0)
+"""Wait of a demand that has not waited for fast workers."""
+
 
 class Demand:
     """
@@ -61,6 +64,7 @@
     :param allowed_workers: the only workers that may run the tasks; None for no such limit.
     :param workspace: workspace whose cap limits the tasks; None for no cap.
     :param time_budget: time until the deadline; only used on uneven fleets.
+    :param waited_for_fast: seconds since it first waited for fast workers of an uneven fleet.
     """
 
     def __init__(
@@ -81,6 +85,7 @@
         allowed_workers: frozenset[WorkerLife] | None = None,
         workspace: WorkspaceId | None = None,
         time_budget: TimeBudget = UNLIMITED_TIME,
+        waited_for_fast: Seconds = NO_WAIT,
     ) -> None:
         """Create a demand for the given tasks of a step."""
         self.ref = ref
@@ -99,6 +104,7 @@
         self.allowed_workers = allowed_workers
         self.workspace = workspace
         self.time_budget = time_budget
+        self.waited_for_fast = waited_for_fast
 
     @property
     def core_seconds(self) -> float:
@@ -133,6 +139,7 @@
             self.allowed_workers,
             self.workspace,
             self.time_budget,
+            self.waited_for_fast,
         )
 
     def max_tasks_on(self, host: Host) -> int:
--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -92,6 +92,7 @@
     :ivar placements: tasks to start for each demand, in the order of the demands.
     :ivar evictions: victims to stop for each demand.
     :ivar blocked: demands of which some tasks could not be placed.
+    :ivar waiting_for_fast: blocked demands that wait for fast workers and use no slow ones.
     :ivar held_back: demands whose tasks may not start now because of their workspace's cap.
     """
 
@@ -100,6 +101,7 @@
         self.placements: list[tuple[Demand, list[Placement]]] = []
         self.evictions: list[tuple[Demand, Victim]] = []
         self.blocked: list[Demand] = []
+        self.waiting_for_fast: list[Demand] = []
         self.held_back: list[Demand] = []
 
 
@@ -305,9 +307,9 @@
         """
         Serve a gang on workers of one speed; return False if it may use any mix of them.
 
-        Fast workers are preferred, then only slow ones if the gang is not urgent and on time there.
-        A mix occupies fast workers for as long as the slowest member runs, so a gang waits for fast
-        workers as long as its deadline allows.
+        Fast workers are preferred, then only slow ones if the gang is not urgent, and on time there
+        or late anyway. A mix occupies fast workers for as long as the slowest member runs, so a
+        gang waits for fast workers for a limited time.
         """
         is_urgent = demand.urgency == 0
         if is_urgent and self._speeds.has_unmeasured:
@@ -318,7 +320,7 @@
         if self._start_gang(demand, fast, SpeedClass.FAST):
             return True
         is_on_time_on_slow = self._speeds.is_on_time_on_slow(demand)
-        if not is_urgent and is_on_time_on_slow:
+        if not is_urgent and (is_on_time_on_slow or self._speeds.is_late_anyway(demand)):
             slow = self._groups_for(demand, hosts, SpeedClass.SLOW)
             if self._start_gang(demand, slow, SpeedClass.SLOW):
                 return True
@@ -336,6 +338,8 @@
 
     def _wait_for_fast(self, demand: Demand, fast: Sequence[HostGroup]) -> bool:
         """Let a gang wait for fast workers, and reserve them, if that is better than a mix."""
+        if self._speeds.has_waited_enough(demand):
+            return False
         if self._wait_estimates < MAX_WAIT_ESTIMATES:
             self._wait_estimates += 1
             starts = [self._earliest_start(demand, group) for group in fast]
@@ -345,6 +349,7 @@
         elif self._speeds.slack_on_slow(demand) <= MIN_MIX_SLACK:
             return False
         self.plan.blocked.append(demand)
+        self.plan.waiting_for_fast.append(demand)
         self._reserve_for_gang(demand, fast)
         return True
 
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -99,6 +99,8 @@
         self._shared = shared
         self._dispatcher = dispatcher
         self._waiting_since_by_step: dict[StepRef, Seconds] = {}
+        self._waits_for_fast_since_by_step: dict[StepRef, Seconds] = {}
+        """When each waiting step first waited for fast workers; a new leader starts anew."""
         self._claims = ClaimRegister(shared.settings.stop_timeout)
         self._cap_reporter = CapReporter()
         self._capacity_log_due = Seconds(-math.inf)
@@ -204,8 +206,9 @@
         return self._shared.proposed_runs_by_task.keys() | set().union(*possibly_started)
 
     def _forget_waiting_times(self, still_waiting: set[StepRef]) -> None:
-        for ref in [ref for ref in self._waiting_since_by_step if ref not in still_waiting]:
-            del self._waiting_since_by_step[ref]
+        for since_by_step in (self._waiting_since_by_step, self._waits_for_fast_since_by_step):
+            for ref in [ref for ref in since_by_step if ref not in still_waiting]:
+                del since_by_step[ref]
 
     def _build_demand(
         self,
@@ -242,6 +245,7 @@
             allowed_workers=self._allowed_workers(waiting_step, hosts, now),
             workspace=waiting_step.job.workspace,
             time_budget=self._time_budget(waiting_step, wall),
+            waited_for_fast=Seconds(now - self._waits_for_fast_since_by_step.get(ref, now)),
         )
 
     def _time_budget(self, waiting_step: WaitingStep, wall: WallTime) -> TimeBudget:
@@ -421,11 +425,18 @@
 
     def _expected_ends(self, now: Seconds) -> list[ExpectedEnd]:
         expected_ends = []
-        gang_ends_by_run = self._gang_ends(now) if self._shared.speeds.is_uneven else {}
+        """
+        Return when runs are expected to end. On an uneven fleet, where gangs wait for such ends,
+        long-running ones have none. On an even one they only delay reservations.
+        """
+        is_uneven = self._shared.speeds.is_uneven
+        gang_ends_by_run = self._gang_ends(now) if is_uneven else {}
         for run in self._shared.runs():
             job = self._shared.state.jobs_by_id.get(run.task.job)
             if job is None or not job.work.steps:
                 continue
+            if is_uneven and job.work.steps[run.task.step].is_long_running:
+                continue
             at = Seconds(now + max(0.0, run.remaining(now)))
             at = gang_ends_by_run.get((run.task.step_ref, run.number), at)
             expected_ends.append(ExpectedEnd(run.life, run.needs, at))
@@ -442,7 +453,10 @@
         return ends_by_run
 
     def _execute_plan(self, plan: Plan, now: Seconds) -> None:
+        for demand in plan.waiting_for_fast:
+            self._waits_for_fast_since_by_step.setdefault(demand.ref, now)
         for demand, _ in plan.placements:
+            self._waits_for_fast_since_by_step.pop(demand.ref, None)
             self._claims.end(demand.ref)
             self._shared.shares.record_start(demand.ref.job)
         for demand, victim in plan.evictions:
--- a/packages/core/src/bulrushhollow_core/domain/_speed_classes.py
+++ b/packages/core/src/bulrushhollow_core/domain/_speed_classes.py
@@ -57,6 +57,18 @@
         budget = demand.time_budget
         return Seconds(budget.left - demand.duration * self.slow_factor - budget.following)
 
+    def is_late_anyway(self, demand: Demand) -> bool:
+        """Return whether a demand is expected to be late even if it starts now on fast hosts."""
+        budget = demand.time_budget
+        return demand.duration + budget.following > budget.left
+
+    def has_waited_enough(self, demand: Demand) -> bool:
+        """
+        Return whether a demand has waited for fast hosts for as long as it would gain there. Runs
+        that are overdue are expected to end at once in every plan, so each wait looks short.
+        """
+        return demand.waited_for_fast >= demand.duration * (self.slow_factor - 1.0)
+
     def is_worth_waiting(self, demand: Demand, wait: Seconds) -> bool:
         """
         Return whether a start on fast hosts after a wait is better than one on slow hosts now: it
--- a/tests/test_domain_speeds.py
+++ b/tests/test_domain_speeds.py
@@ -6,7 +6,15 @@
 
 import msgspec
 
-from bulrushhollow_core.domain._commands import CancelJob, EndRuns, Outcome, RunEnd
+from bulrushhollow_core.domain._commands import (
+    CancelJob,
+    EndRuns,
+    Outcome,
+    RunEnd,
+    Start,
+    StartRuns,
+    SubmitJob,
+)
 from bulrushhollow_core.domain._demands import Demand, TimeBudget
 from bulrushhollow_core.domain._fleet import Run
 from bulrushhollow_core.domain._hosts import ExpectedEnd, Host
@@ -28,8 +36,10 @@
     PollAnswered,
 )
 from bulrushhollow_core.domain._planner import Plan, Planner
+from bulrushhollow_core.domain._planning import MAX_PLAN_INTERVAL
 from bulrushhollow_core.domain._speeds import SpeedEstimator
-from bulrushhollow_core.ids import JobId, Seconds, WorkerId
+from bulrushhollow_core.ids import JobId, Seconds, WorkerId, WorkspaceId
+from standins.domain_site import queue
 from tests.test_domain_planner import (
     NOW,
     WORKER_CAPACITY,
@@ -43,7 +53,9 @@
 FACTOR = 1.2 / 0.55
 """Factor between the slow and the fast workers of the customer."""
 
-FOUR_TASKS = Work("spec", (Step(4, Resources(1000, 100, 1), Seconds(1.0)),))
+CORE = Resources(1000, 100, 1)
+
+FOUR_TASKS = Work("spec", (Step(4, CORE, Seconds(1.0)),))
 
 
 class Fleet:
@@ -256,6 +268,32 @@
     return {placement.life.id for _, placements in plan.placements for placement in placements}
 
 
+def make_uneven_harness() -> SchedulerHarness:
+    """
+    Return a scheduler with a free fast worker, a busy one whose overdue run is expected to end at
+    once, a free slow one, and a gang of two that each take a whole worker.
+    """
+    harness = SchedulerHarness()
+    capacity = announcement(1).capacity
+    for name in ("busy", "slow"):
+        news = msgspec.structs.replace(
+            announcement(1), life=WorkerLife(WorkerId(name), 1), address=f"{name}:80"
+        )
+        harness.scheduler.worker_announced(news, harness.now)
+    shared = harness.scheduler._shared
+    shared.speeds.is_uneven = True
+    shared.speeds.update = lambda now: False  # type: ignore[method-assign]
+    shared.speeds.slowness_of = lambda life: FACTOR if life.id == "slow" else 1.0  # type: ignore[method-assign]
+    blocker = Work("spec", (Step(1, capacity, Seconds(0.1)),))
+    harness.commit([SubmitJob(JobId("b"), queue("usual", 1), WorkspaceId("team"), blocker, WALL)])
+    life = WorkerLife(WorkerId("busy"), 1)
+    task = TaskRef(JobId("b"), Occurrence(0), 0, 0)
+    harness.state.apply(StartRuns((Start(task, RunNumber(1), life, "busy:80"),)))
+    shared.adopt(task, RunNumber(1), life, "busy:80", harness.now)
+    harness.submit(Work("spec", (Step(2, capacity, Seconds(0.5), is_gang=True, same_rack=True),)))
+    return harness
+
+
 class UnevenFleetTest(unittest.TestCase):
     def test_an_urgent_gang_evicts_on_fast_workers_if_it_would_be_late_on_slow_ones(self) -> None:
         # Urgent gangs on a slow worker were late by construction: 70 % of them were on time.
@@ -281,6 +319,52 @@
                 demand = with_deadline(make_demand("j", 2, 8, urgency), deadline)
                 self.assertEqual(expected, used(make_plan(demand, make_rack(), b_ends)))
 
+    def test_a_gang_waits_for_fast_workers_only_for_a_limited_time(self) -> None:
+        # Overdue runs are expected to end at once in every plan, so a gang waited without end.
+        limit = 2.5 * (FACTOR - 1.0)
+        for urgency, deadline in ((0, 3.4), (1, 20.0)):
+            for waited, expected in ((limit - 0.1, set()), (limit, {"a", "c"})):
+                demand = with_deadline(make_demand("j", 2, 8, urgency), deadline)
+                demand.waited_for_fast = Seconds(waited)
+                self.assertEqual(expected, used(make_plan(demand, make_rack(), 0.1)))
+
+    def test_a_gang_that_is_late_anyway_may_use_slow_workers_alone(self) -> None:
+        # It waited for fast workers or took a mix, which holds fast workers for a late job.
+        for urgency, expected in ((0, set()), (1, {"c", "d"})):
+            demand = with_deadline(make_demand("j", 2, 8, urgency), 1.0)
+            self.assertEqual(expected, used(make_plan(demand, make_rack(2), 0.5)))
+
+    def test_a_gang_that_waited_for_fast_workers_starts_on_a_mix(self) -> None:
+        # A step must wait for a limited time over many plans, and anew after it was placed.
+        harness = make_uneven_harness()
+        planning = harness.scheduler._planning_cycle
+        started_at = harness.now
+        while not any(isinstance(each, StartRuns) for each in harness.plan()):
+            self.assertLess(harness.now - started_at, 1.5, "it waits without end")
+        self.assertGreater(harness.now - started_at, 0.5 * (FACTOR - 1.0))
+        self.assertEqual({}, planning._waits_for_fast_since_by_step)
+
+    def test_a_job_that_no_longer_waits_for_fast_workers_is_forgotten(self) -> None:
+        # Otherwise the record of each job cancelled while it waited would be kept.
+        harness = make_uneven_harness()
+        harness.plan()
+        planning = harness.scheduler._planning_cycle
+        self.assertEqual(1, len(planning._waits_for_fast_since_by_step))
+        harness.commit([CancelJob(JobId("j"), WALL)])
+        harness.now = Seconds(harness.now + MAX_PLAN_INTERVAL)
+        harness.plan()
+        self.assertEqual({}, planning._waits_for_fast_since_by_step)
+
+    def test_long_running_tasks_have_no_expected_end_on_an_uneven_fleet(self) -> None:
+        # They run until a cancel, and gangs waited for the fast workers that they use.
+        for is_uneven, expected in ((True, 0), (False, 1)):
+            harness = SchedulerHarness()
+            harness.submit(Work("spec", (Step(1, CORE, Seconds(1.0), is_long_running=True),)))
+            harness.launch()
+            harness.scheduler._shared.speeds.is_uneven = is_uneven
+            ends = harness.scheduler._planning_cycle._expected_ends(harness.now)
+            self.assertEqual(expected, len(ends))
+
     def test_a_gang_that_fits_no_rack_without_slow_workers_is_not_spread(self) -> None:
         # Spread over racks it would take three times as long, more than with slow members.
         hosts = [make_worker(f"{rack}{n}", rack, is_slow=n == 0) for rack in "rs" for n in range(3)]
