Let a gang wait for fast workers only with a reservation

A gang waited without a reservation if the plan had made its two, or if no start on fast workers was known. Later smaller demands then took the fast workers in each plan.

A gang that gets no reservation does not wait and may use any mix. Fewer gangs wait in one plan than before; the effect on their punctuality is not measured.

--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -337,8 +337,12 @@
         return self._wait_for_fast(demand, fast)
 
     def _wait_for_fast(self, demand: Demand, fast: Sequence[HostGroup]) -> bool:
-        """Let a gang wait for fast workers, and reserve them, if that is better than a mix."""
-        if self._speeds.has_waited_enough(demand):
+        """
+        Reserve fast workers for a gang if waiting for them is better than a mix; return whether it
+        waits. A gang without a reservation does not wait: later demands would take the workers.
+        """
+        has_reservations_left = self._reservation_count < MAX_GANG_RESERVATIONS
+        if not has_reservations_left or self._speeds.has_waited_enough(demand):
             return False
         if self._wait_estimates < MAX_WAIT_ESTIMATES:
             self._wait_estimates += 1
@@ -348,9 +352,10 @@
                 return False
         elif self._speeds.slack_on_slow(demand) <= MIN_MIX_SLACK:
             return False
+        if not self._reserve_for_gang(demand, fast):
+            return False
         self.plan.blocked.append(demand)
         self.plan.waiting_for_fast.append(demand)
-        self._reserve_for_gang(demand, fast)
         return True
 
     def _groups_for(
@@ -414,17 +419,21 @@
         self._caps.charge(demand, len(placements))
         return placements
 
-    def _reserve_for_gang(self, demand: Demand, groups: Sequence[HostGroup]) -> None:
-        """Reserve resources for a gang on the group where it is expected to fit first."""
+    def _reserve_for_gang(self, demand: Demand, groups: Sequence[HostGroup]) -> bool:
+        """
+        Reserve resources for a gang on the group where it is expected to fit first.
+
+        :return: whether they are reserved: not without a known start or beyond the limit.
+        """
         if self._reservation_count >= MAX_GANG_RESERVATIONS:
-            return
+            return False
         best: tuple[Seconds, HostGroup] | None = None
         for group in groups:
             at = self._earliest_start(demand, group)
             if at is not None and (best is None or at < best[0]):
                 best = (at, group)
         if best is None:
-            return
+            return False
         self._reservation_count += 1
         self._caps.reserve(demand)
         free_by_life = self._free_at_time(best[1], best[0])
@@ -436,6 +445,7 @@
             waiting -= slots
             for _ in range(slots):
                 host.allocate(demand.step.needs)
+        return True
 
     def _expected_ends_in(self, group: HostGroup) -> Sequence[ExpectedEnd]:
         """Return the expected ends of runs on the racks of a group, the earliest first."""
--- a/tests/test_domain_speeds.py
+++ b/tests/test_domain_speeds.py
@@ -35,7 +35,12 @@
     OrderResult,
     PollAnswered,
 )
-from bulrushhollow_core.domain._planner import Plan, Planner
+from bulrushhollow_core.domain._planner import (
+    MAX_GANG_RESERVATIONS,
+    MAX_WAIT_ESTIMATES,
+    Plan,
+    Planner,
+)
 from bulrushhollow_core.domain._planning import MAX_PLAN_INTERVAL
 from bulrushhollow_core.domain._speeds import SpeedEstimator
 from bulrushhollow_core.ids import JobId, Seconds, WorkerId, WorkspaceId
@@ -328,6 +333,30 @@
                 demand.waited_for_fast = Seconds(waited)
                 self.assertEqual(expected, used(make_plan(demand, make_rack(), 0.1)))
 
+    def test_a_gang_waits_for_fast_workers_only_with_a_reservation(self) -> None:
+        # Without one, smaller demands took the fast workers in each plan and the gang waited on.
+        hosts = [
+            make_worker(f"{rack}{name}", rack, 0 if name == "b" else 8, is_slow=name == "c")
+            for rack in "rst"
+            for name in "abc"
+        ]
+        ends = [
+            ExpectedEnd(host.life, WORKER_CAPACITY, Seconds(NOW + 0.5))
+            for host in hosts
+            if host.life.id.endswith("b")
+        ]
+        demands = [with_deadline(make_demand(f"j{n}", 2, 8), 20.0) for n in range(3)]
+        plan = Planner(hosts, list, lambda: ends, now=NOW).make_plan(demands)
+        self.assertEqual(MAX_GANG_RESERVATIONS, len(plan.waiting_for_fast))
+        self.assertEqual([demands[2].ref], [demand.ref for demand, _ in plan.placements])
+
+    def test_a_gang_whose_start_on_fast_workers_is_unknown_does_not_wait(self) -> None:
+        # Beyond the estimates of a plan, a gang waited by its slack, also without a known start.
+        planner = Planner(make_rack(), list, list, now=NOW)
+        planner._wait_estimates = MAX_WAIT_ESTIMATES
+        demand = with_deadline(make_demand("j", 2, 8, urgency=1), 20.0)
+        self.assertEqual({"a", "c"}, used(planner.make_plan([demand])))
+
     def test_a_gang_that_is_late_anyway_may_use_slow_workers_alone(self) -> None:
         # It waited for fast workers or took a mix, which holds fast workers for a late job.
         for urgency, expected in ((0, set()), (1, {"c", "d"})):
