--- a/packages/core/src/bulrushhollow_core/domain/_demands.py
+++ b/packages/core/src/bulrushhollow_core/domain/_demands.py
@@ -42,6 +42,8 @@
 
 NO_LOSS = EvictionLoss(0.0, 0.0)
 """Loss of a victim while delays have no price."""
+NO_WAIT = Seconds(0.0)
+"""Wait of a demand that has not waited for fast workers."""
 
 
 class Demand:
@@ -66,6 +68,7 @@
     :param workspace: workspace whose cap limits the tasks; None for no cap.
     :param time_budget: time until the deadline; only used on uneven fleets.
     :param delay_cost: value that its job loses by being late; None while delays have no price.
+    :param waited_for_fast: seconds since it first waited for fast workers of an uneven fleet.
     """
 
     def __init__(
@@ -87,6 +90,7 @@
         workspace: WorkspaceId | None = None,
         time_budget: TimeBudget = UNLIMITED_TIME,
         delay_cost: float | None = None,
+        waited_for_fast: Seconds = NO_WAIT,
     ) -> None:
         """Create a demand for the given tasks of a step."""
         self.ref = ref
@@ -106,6 +110,7 @@
         self.workspace = workspace
         self.time_budget = time_budget
         self.delay_cost = delay_cost
+        self.waited_for_fast = waited_for_fast
 
     @property
     def core_seconds(self) -> float:
@@ -141,6 +146,7 @@
             self.workspace,
             self.time_budget,
             self.delay_cost,
+            self.waited_for_fast,
         )
 
     def max_tasks_on(self, host: Host) -> int:
--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -94,6 +94,7 @@
     :ivar placements: tasks to start for each demand, in the order of the demands.
     :ivar evictions: victims to stop for each demand.
     :ivar blocked: demands of which some tasks could not be placed.
+    :ivar waiting_for_fast: blocked demands that wait for fast workers and use no slow ones.
     :ivar held_back: demands whose tasks may not start now because of their workspace's cap.
     """
 
@@ -102,6 +103,7 @@
         self.placements: list[tuple[Demand, list[Placement]]] = []
         self.evictions: list[tuple[Demand, Victim]] = []
         self.blocked: list[Demand] = []
+        self.waiting_for_fast: list[Demand] = []
         self.held_back: list[Demand] = []
 
 
@@ -307,9 +309,9 @@
         """
         Serve a gang on workers of one speed; return False if it may use any mix of them.
 
-        Fast workers are preferred, then only slow ones if the gang is not urgent and on time there.
-        A mix occupies fast workers for as long as the slowest member runs, so a gang waits for fast
-        workers as long as its deadline allows.
+        Fast workers are preferred, then only slow ones if the gang is not urgent, and on time there
+        or late anyway. A mix occupies fast workers for as long as the slowest member runs, so a
+        gang waits for fast workers for a limited time.
         """
         is_urgent = demand.urgency == 0
         if is_urgent and self._speeds.has_unmeasured:
@@ -320,7 +322,7 @@
         if self._start_gang(demand, fast, SpeedClass.FAST):
             return True
         is_on_time_on_slow = self._speeds.is_on_time_on_slow(demand)
-        if not is_urgent and is_on_time_on_slow:
+        if not is_urgent and (is_on_time_on_slow or self._speeds.is_late_anyway(demand)):
             slow = self._groups_for(demand, hosts, SpeedClass.SLOW)
             if self._start_gang(demand, slow, SpeedClass.SLOW):
                 return True
@@ -337,7 +339,13 @@
         return self._wait_for_fast(demand, fast)
 
     def _wait_for_fast(self, demand: Demand, fast: Sequence[HostGroup]) -> bool:
-        """Let a gang wait for fast workers, and reserve them, if that is better than a mix."""
+        """
+        Reserve fast workers for a gang if waiting for them is better than a mix; return whether it
+        waits. A gang without a reservation does not wait: later demands would take the workers.
+        """
+        has_reservations_left = self._reservation_count < MAX_GANG_RESERVATIONS
+        if not has_reservations_left or self._speeds.has_waited_enough(demand):
+            return False
         if self._wait_estimates < MAX_WAIT_ESTIMATES:
             self._wait_estimates += 1
             starts = [self._earliest_start(demand, group) for group in fast]
@@ -346,8 +354,10 @@
                 return False
         elif self._speeds.slack_on_slow(demand) <= MIN_MIX_SLACK:
             return False
+        if not self._reserve_for_gang(demand, fast):
+            return False
         self.plan.blocked.append(demand)
-        self._reserve_for_gang(demand, fast)
+        self.plan.waiting_for_fast.append(demand)
         return True
 
     def _groups_for(
@@ -411,17 +421,21 @@
         self._caps.charge(demand, len(placements))
         return placements
 
-    def _reserve_for_gang(self, demand: Demand, groups: Sequence[HostGroup]) -> None:
-        """Reserve resources for a gang on the group where it is expected to fit first."""
+    def _reserve_for_gang(self, demand: Demand, groups: Sequence[HostGroup]) -> bool:
+        """
+        Reserve resources for a gang on the group where it is expected to fit first.
+
+        :return: whether they are reserved: not without a known start or beyond the limit.
+        """
         if self._reservation_count >= MAX_GANG_RESERVATIONS:
-            return
+            return False
         best: tuple[Seconds, HostGroup] | None = None
         for group in groups:
             at = self._earliest_start(demand, group)
             if at is not None and (best is None or at < best[0]):
                 best = (at, group)
         if best is None:
-            return
+            return False
         self._caps.reserve(demand)
         self._reservation_count += 1
         free_by_life = self._free_at_time(best[1], best[0])
@@ -433,6 +447,7 @@
             waiting -= slots
             for _ in range(slots):
                 host.allocate(demand.step.needs)
+        return True
 
     def _expected_ends_in(self, group: HostGroup) -> Sequence[ExpectedEnd]:
         """Return the expected ends of runs on the racks of a group, the earliest first."""
--- a/tests/test_domain_speeds.py
+++ b/tests/test_domain_speeds.py
@@ -6,21 +6,45 @@
 
 import msgspec
 
+from bulrushhollow_core.domain._commands import (
+    CancelJob,
+    EndRuns,
+    Outcome,
+    RunEnd,
+    Start,
+    StartRuns,
+    SubmitJob,
+)
 from bulrushhollow_core.domain._demands import Demand, TimeBudget
 from bulrushhollow_core.domain._fleet import Run
 from bulrushhollow_core.domain._hosts import ExpectedEnd, Host
 from bulrushhollow_core.domain._jobs import (
     NO_RESOURCES,
     Occurrence,
+    Resources,
     RunNumber,
     Step,
+    StepRef,
     TaskRef,
     Work,
     WorkerLife,
 )
-from bulrushhollow_core.domain._planner import Plan, Planner
+from bulrushhollow_core.domain._orders import (
+    AdviceAnswered,
+    ListedRun,
+    OrderResult,
+    PollAnswered,
+)
+from bulrushhollow_core.domain._planner import (
+    MAX_GANG_RESERVATIONS,
+    MAX_WAIT_ESTIMATES,
+    Plan,
+    Planner,
+)
+from bulrushhollow_core.domain._planning import MAX_PLAN_INTERVAL
 from bulrushhollow_core.domain._speeds import SpeedEstimator
-from bulrushhollow_core.ids import JobId, Seconds, WorkerId
+from bulrushhollow_core.ids import JobId, Seconds, WorkerId, WorkspaceId
+from standins.domain_site import queue
 from tests.test_domain_planner import (
     NOW,
     WORKER_CAPACITY,
@@ -29,11 +53,15 @@
     make_run,
     make_victim,
 )
-from tests.test_domain_scheduler import SchedulerHarness, announcement
+from tests.test_domain_scheduler import WALL, SchedulerHarness, announcement
 
 FACTOR = 1.2 / 0.55
 """Factor between the slow and the fast workers of the customer."""
 
+CORE = Resources(1000, 100, 1)
+
+FOUR_TASKS = Work("spec", (Step(4, CORE, Seconds(1.0)),))
+
 
 class Fleet:
     """Workers of known slowness that run steps of tasks, whose work differs by up to 30 %."""
@@ -68,6 +96,16 @@
         )
 
 
+def half_done_run(worker: str, member: int, occurrence: int = 0, seconds: float = 2.0) -> Run:
+    """Return a run of job `j` that took some seconds for half of its work."""
+    task = TaskRef(JobId("j"), Occurrence(occurrence), 0, member)
+    life = WorkerLife(WorkerId(worker), 1)
+    run = Run(task, RunNumber(1), life, NO_RESOURCES, Seconds(1.0))
+    run.mark_running(Seconds(1.0), is_fresh=True)
+    run.record_progress(50, "", Seconds(1.0 + seconds))
+    return run
+
+
 class SpeedEstimatorTest(unittest.TestCase):
     def test_a_quarter_of_slow_workers_is_found_within_a_few_tasks_each(self) -> None:
         for seed in range(5):
@@ -115,6 +153,90 @@
         self.assertTrue(fleet.estimator.update(Seconds(fleet.now + 2.0)))
         self.assertFalse(fleet.estimator.is_uneven)
 
+    def test_samples_of_a_forgotten_worker_do_not_bring_its_estimate_back(self) -> None:
+        # The next evaluation of a step estimated it anew, and no later call removed that.
+        estimator = SpeedEstimator()
+        for member in range(4):
+            estimator.observe(half_done_run(f"w{member}", member))
+        gone = WorkerLife(WorkerId("w0"), 1)
+        estimator.forget_worker(gone)
+        estimator.update(Seconds(10.0))
+        self.assertFalse(estimator.is_measured(gone))
+        estimator.observe(half_done_run("w4", 4))
+        estimator.forget_job(JobId("j"))
+        self.assertFalse(estimator.is_measured(gone))
+        self.assertTrue(estimator.is_measured(WorkerLife(WorkerId("w4"), 1)))
+
+
+class ObservationTest(unittest.TestCase):
+    """Which reports of runs the leader samples, and for how long."""
+
+    def test_a_late_report_of_a_forgotten_worker_is_not_sampled(self) -> None:
+        # Nothing forgets a life that is no longer in the fleet a second time.
+        harness = SchedulerHarness()
+        harness.submit(FOUR_TASKS)
+        shared = harness.scheduler._shared
+        shared.observe_speed(half_done_run("gone", 0))
+        self.assertEqual({}, shared.speeds._samples_by_step)
+        shared.observe_speed(half_done_run("w", 0))
+        self.assertEqual(1, len(shared.speeds._samples_by_step))
+
+    def test_a_cancelled_job_leaves_no_samples(self) -> None:
+        # Only jobs that ended by recorded ends were forgotten, and runs report after a cancel.
+        harness = SchedulerHarness()
+        harness.submit(FOUR_TASKS)
+        shared = harness.scheduler._shared
+        shared.observe_speed(half_done_run("w", 0))
+        shared.straggler_detector.observe(half_done_run("w", 0))
+        shared.headroom.record_arrival(JobId("j"), 1, harness.now)
+        start = harness.launch()
+        harness.accept(start)
+        harness.commit([CancelJob(JobId("j"), WALL)])
+        shared.observe_speed(half_done_run("w", 0))
+        listed = (ListedRun(start.task, start.run, "", 50),)
+        answer = PollAnswered(start.life, OrderResult.ACCEPTED, Seconds(51.0), running=listed)
+        harness.scheduler.poll_answered(answer, Seconds(harness.now + 1.0))
+        self.assertEqual({}, shared.speeds._samples_by_step)
+        self.assertEqual({}, shared.speeds._steps_by_job)
+        self.assertEqual({}, shared.straggler_detector._durations_by_step)
+        self.assertEqual(set(), shared.headroom._seen_jobs)
+
+    def test_advice_for_a_cancelled_job_is_not_kept(self) -> None:
+        # The answer to a question that was open at the cancel was never dropped.
+        harness = SchedulerHarness()
+        harness.submit(FOUR_TASKS)
+        harness.commit([CancelJob(JobId("j"), WALL)])
+        life = WorkerLife(WorkerId("w"), 1)
+        step = StepRef(JobId("j"), Occurrence(0), 0)
+        harness.scheduler.advice_answered(
+            AdviceAnswered(step, (life,), (), Seconds(1.0)), harness.now
+        )
+        self.assertEqual({}, harness.scheduler._shared.advice._denied_workers_by_step)
+
+    def test_the_samples_of_a_step_are_dropped_when_it_is_done(self) -> None:
+        # A job with many due times kept the samples of all its occurrences until it ended.
+        harness = SchedulerHarness()
+        shared = harness.scheduler._shared
+        harness.submit(
+            msgspec.structs.replace(
+                FOUR_TASKS, occurrences=2, first_due_at=WALL, interval=Seconds(1000.0)
+            )
+        )
+        harness.launch()
+        for member in range(4):
+            shared.observe_speed(half_done_run("w", member))
+        self.assertEqual(1, len(shared.speeds._samples_by_step))
+        ends = tuple(
+            RunEnd(TaskRef(JobId("j"), Occurrence(0), 0, n), RunNumber(1), Outcome.DONE)
+            for n in range(4)
+        )
+        harness.commit([EndRuns(ends[:3], WALL)])
+        self.assertEqual(1, len(shared.speeds._samples_by_step))
+        harness.commit([EndRuns(ends[3:], WALL)])
+        shared.observe_speed(half_done_run("w", 0))
+        self.assertEqual({}, shared.speeds._samples_by_step)
+        self.assertEqual({}, shared.speeds._steps_by_job)
+
 
 def make_worker(name: str, rack: str, free: int = 8, is_slow: bool = False) -> Host:
     host = make_host(name, rack, free, is_slow=is_slow)
@@ -151,6 +273,32 @@
     return {placement.life.id for _, placements in plan.placements for placement in placements}
 
 
+def make_uneven_harness() -> SchedulerHarness:
+    """
+    Return a scheduler with a free fast worker, a busy one whose overdue run is expected to end at
+    once, a free slow one, and a gang of two that each take a whole worker.
+    """
+    harness = SchedulerHarness()
+    capacity = announcement(1).capacity
+    for name in ("busy", "slow"):
+        news = msgspec.structs.replace(
+            announcement(1), life=WorkerLife(WorkerId(name), 1), address=f"{name}:80"
+        )
+        harness.scheduler.worker_announced(news, harness.now)
+    shared = harness.scheduler._shared
+    shared.speeds.is_uneven = True
+    shared.speeds.update = lambda now: False  # type: ignore[method-assign]
+    shared.speeds.slowness_of = lambda life: FACTOR if life.id == "slow" else 1.0  # type: ignore[method-assign]
+    blocker = Work("spec", (Step(1, capacity, Seconds(0.1)),))
+    harness.commit([SubmitJob(JobId("b"), queue("usual", 1), WorkspaceId("team"), blocker, WALL)])
+    life = WorkerLife(WorkerId("busy"), 1)
+    task = TaskRef(JobId("b"), Occurrence(0), 0, 0)
+    harness.state.apply(StartRuns((Start(task, RunNumber(1), life, "busy:80"),)))
+    shared.adopt(task, RunNumber(1), life, "busy:80", harness.now)
+    harness.submit(Work("spec", (Step(2, capacity, Seconds(0.5), is_gang=True, same_rack=True),)))
+    return harness
+
+
 class UnevenFleetTest(unittest.TestCase):
     def test_an_urgent_gang_evicts_on_fast_workers_if_it_would_be_late_on_slow_ones(self) -> None:
         # Urgent gangs on a slow worker were late by construction: 70 % of them were on time.
@@ -176,6 +324,76 @@
                 demand = with_deadline(make_demand("j", 2, 8, urgency), deadline)
                 self.assertEqual(expected, used(make_plan(demand, make_rack(), b_ends)))
 
+    def test_a_gang_waits_for_fast_workers_only_for_a_limited_time(self) -> None:
+        # Overdue runs are expected to end at once in every plan, so a gang waited without end.
+        limit = 2.5 * (FACTOR - 1.0)
+        for urgency, deadline in ((0, 3.4), (1, 20.0)):
+            for waited, expected in ((limit - 0.1, set()), (limit, {"a", "c"})):
+                demand = with_deadline(make_demand("j", 2, 8, urgency), deadline)
+                demand.waited_for_fast = Seconds(waited)
+                self.assertEqual(expected, used(make_plan(demand, make_rack(), 0.1)))
+
+    def test_a_gang_waits_for_fast_workers_only_with_a_reservation(self) -> None:
+        # Without one, smaller demands took the fast workers in each plan and the gang waited on.
+        hosts = [
+            make_worker(f"{rack}{name}", rack, 0 if name == "b" else 8, is_slow=name == "c")
+            for rack in "rst"
+            for name in "abc"
+        ]
+        ends = [
+            ExpectedEnd(host.life, WORKER_CAPACITY, Seconds(NOW + 0.5))
+            for host in hosts
+            if host.life.id.endswith("b")
+        ]
+        demands = [with_deadline(make_demand(f"j{n}", 2, 8), 20.0) for n in range(3)]
+        plan = Planner(hosts, list, lambda: ends, now=NOW).make_plan(demands)
+        self.assertEqual(MAX_GANG_RESERVATIONS, len(plan.waiting_for_fast))
+        self.assertEqual([demands[2].ref], [demand.ref for demand, _ in plan.placements])
+
+    def test_a_gang_whose_start_on_fast_workers_is_unknown_does_not_wait(self) -> None:
+        # Beyond the estimates of a plan, a gang waited by its slack, also without a known start.
+        planner = Planner(make_rack(), list, list, now=NOW)
+        planner._wait_estimates = MAX_WAIT_ESTIMATES
+        demand = with_deadline(make_demand("j", 2, 8, urgency=1), 20.0)
+        self.assertEqual({"a", "c"}, used(planner.make_plan([demand])))
+
+    def test_a_gang_that_is_late_anyway_may_use_slow_workers_alone(self) -> None:
+        # It waited for fast workers or took a mix, which holds fast workers for a late job.
+        for urgency, expected in ((0, set()), (1, {"c", "d"})):
+            demand = with_deadline(make_demand("j", 2, 8, urgency), 1.0)
+            self.assertEqual(expected, used(make_plan(demand, make_rack(2), 0.5)))
+
+    def test_a_gang_that_waited_for_fast_workers_starts_on_a_mix(self) -> None:
+        # A step must wait for a limited time over many plans, and anew after it was placed.
+        harness = make_uneven_harness()
+        planning = harness.scheduler._planning_cycle
+        started_at = harness.now
+        while not any(isinstance(each, StartRuns) for each in harness.plan()):
+            self.assertLess(harness.now - started_at, 1.5, "it waits without end")
+        self.assertGreater(harness.now - started_at, 0.5 * (FACTOR - 1.0))
+        self.assertEqual({}, planning._waits_for_fast_since_by_step)
+
+    def test_a_job_that_no_longer_waits_for_fast_workers_is_forgotten(self) -> None:
+        # Otherwise the record of each job cancelled while it waited would be kept.
+        harness = make_uneven_harness()
+        harness.plan()
+        planning = harness.scheduler._planning_cycle
+        self.assertEqual(1, len(planning._waits_for_fast_since_by_step))
+        harness.commit([CancelJob(JobId("j"), WALL)])
+        harness.now = Seconds(harness.now + MAX_PLAN_INTERVAL)
+        harness.plan()
+        self.assertEqual({}, planning._waits_for_fast_since_by_step)
+
+    def test_long_running_tasks_have_no_expected_end_on_an_uneven_fleet(self) -> None:
+        # They run until a cancel, and gangs waited for the fast workers that they use.
+        for is_uneven, expected in ((True, 0), (False, 1)):
+            harness = SchedulerHarness()
+            harness.submit(Work("spec", (Step(1, CORE, Seconds(1.0), is_long_running=True),)))
+            harness.launch()
+            harness.scheduler._shared.speeds.is_uneven = is_uneven
+            ends = harness.scheduler._planning_cycle._expected_ends(harness.now)
+            self.assertEqual(expected, len(ends))
+
     def test_a_gang_that_fits_no_rack_without_slow_workers_is_not_spread(self) -> None:
         # Spread over racks it would take three times as long, more than with slow members.
         hosts = [make_worker(f"{rack}{n}", rack, is_slow=n == 0) for rack in "rs" for n in range(3)]
