Split the search for victims, expected room and the plan off the planner

Change: _victim_search (which runs may be evicted), _expected_room (when a demand fits) and _plan (the decisions). Code is moved, not changed; tests follow the new places of names.

--- a/packages/core/src/bulrushhollow_core/domain/_explanation.py
+++ b/packages/core/src/bulrushhollow_core/domain/_explanation.py
@@ -17,11 +17,10 @@
 from bulrushhollow_core.domain._demands import Demand, Victim
 from bulrushhollow_core.domain._hosts import Host
 from bulrushhollow_core.domain._jobs import Job, StepRef, WallTime, WorkerLife
+from bulrushhollow_core.domain._plan import Placement, Plan
 from bulrushhollow_core.domain._planner import (
     BACKGROUND_URGENCY,
     MAX_GANG_RESERVATIONS,
-    Placement,
-    Plan,
     Planner,
 )
 from bulrushhollow_core.domain._planning import PlanningCycle
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/domain/_plan.py
@@ -0,0 +1,38 @@
+"""
+bulrushhollow_core.domain._plan
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The decisions of one planning round: which tasks start where, and which runs are stopped for them.
+"""
+
+from bulrushhollow_core.domain._demands import Demand, Victim
+from bulrushhollow_core.domain._jobs import TaskRef, WorkerLife
+
+
+class Placement:
+    """A task and the worker that it is assigned to."""
+
+    def __init__(self, task: TaskRef, life: WorkerLife) -> None:
+        """Create a placement of a task on a worker."""
+        self.task = task
+        self.life = life
+
+
+class Plan:
+    """
+    The decisions of one planning round.
+
+    :ivar placements: tasks to start for each demand, in the order of the demands.
+    :ivar evictions: victims to stop for each demand.
+    :ivar blocked: demands of which some tasks could not be placed.
+    :ivar waiting_for_fast: blocked demands that wait for fast workers and use no slow ones.
+    :ivar held_back: demands whose tasks may not start now because of their workspace's cap.
+    """
+
+    def __init__(self) -> None:
+        """Create an empty plan."""
+        self.placements: list[tuple[Demand, list[Placement]]] = []
+        self.evictions: list[tuple[Demand, Victim]] = []
+        self.blocked: list[Demand] = []
+        self.waiting_for_fast: list[Demand] = []
+        self.held_back: list[Demand] = []
--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -7,7 +7,6 @@
 are served later do not starve it.
 """
 
-import itertools
 import math
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
@@ -16,8 +15,7 @@
 from bulrushhollow_core.domain._caps import CapLedger
 from bulrushhollow_core.domain._configuration import ServiceName
 from bulrushhollow_core.domain._demands import Demand, Victim
-from bulrushhollow_core.domain._eviction_sets import EvictionSetSearch, set_cost
-from bulrushhollow_core.domain._evictions import EvictionSearch, VictimIndex
+from bulrushhollow_core.domain._expected_room import ExpectedRoom
 from bulrushhollow_core.domain._groups import (
     HostGroup,
     available_on,
@@ -33,14 +31,16 @@
     group_by_rack,
     slots_in,
 )
-from bulrushhollow_core.domain._jobs import Resources, TaskRef, WorkerLife
+from bulrushhollow_core.domain._jobs import Resources
+from bulrushhollow_core.domain._plan import Placement, Plan
 from bulrushhollow_core.domain._speed_classes import (
     SpeedClass,
     SpeedProfile,
     groups_of_class,
     startable_accelerators,
 )
-from bulrushhollow_core.ids import RackId, Seconds
+from bulrushhollow_core.domain._victim_search import VictimSearch, max_lost_work_for
+from bulrushhollow_core.ids import Seconds
 
 MAX_GANG_RESERVATIONS = 2
 """Waiting gangs that reserve resources in one plan; more reservations would leave workers idle."""
@@ -53,19 +53,6 @@
 leaves this share, since evicting it would discard its work; for other work it is the upper limit.
 Bursts of urgent work take about this much; a larger share starves background work."""
 
-URGENT_LOSS_FACTOR = 4.0
-"""Unsaved work that may be discarded for an urgent job, as a multiple of the job's own work. Urgent
-jobs are small, and a late one is worth only a fifth. A guarantee being reclaimed has no limit."""
-
-URGENT_LOSS_ALLOWANCE = 1000.0
-"""Core-seconds that may be discarded for an urgent job in addition, since even the smallest job is
-worth a third of a usual one to its caller."""
-
-MAX_VICTIM_SEARCHES = 8
-"""Demands outside any guarantee for which one plan searches victims. The rest of a long queue waits
-for the next plan, which bounds the time of a plan."""
-
-
 MAX_WAIT_ESTIMATES = 6
 """Gangs for which one plan estimates when fast workers are free for them; each estimate goes
 through the expected ends of all runs."""
@@ -78,35 +65,6 @@
 """Time of a plan that needs no estimates of waits."""
 
 
-class Placement:
-    """A task and the worker that it is assigned to."""
-
-    def __init__(self, task: TaskRef, life: WorkerLife) -> None:
-        """Create a placement of a task on a worker."""
-        self.task = task
-        self.life = life
-
-
-class Plan:
-    """
-    The decisions of one planning round.
-
-    :ivar placements: tasks to start for each demand, in the order of the demands.
-    :ivar evictions: victims to stop for each demand.
-    :ivar blocked: demands of which some tasks could not be placed.
-    :ivar waiting_for_fast: blocked demands that wait for fast workers and use no slow ones.
-    :ivar held_back: demands whose tasks may not start now because of their workspace's cap.
-    """
-
-    def __init__(self) -> None:
-        """Create an empty plan."""
-        self.placements: list[tuple[Demand, list[Placement]]] = []
-        self.evictions: list[tuple[Demand, Victim]] = []
-        self.blocked: list[Demand] = []
-        self.waiting_for_fast: list[Demand] = []
-        self.held_back: list[Demand] = []
-
-
 class DemandShape(NamedTuple):
     """
     The properties that decide which resources a demand can use. If a demand does not fit, neither
@@ -163,12 +121,8 @@
         self._now = now
         self._hosts_by_life = {host.life: host for host in hosts}
         self._caps = caps or CapLedger()
-        self._find_victims = victims
-        self._victims: Sequence[Victim] | None = None
-        self._victim_indexes_by_rank: dict[tuple[int, bool], VictimIndex] = {}
-        self._find_expected_ends = expected_ends
-        self._expected_ends_by_rack: dict[RackId, list[ExpectedEnd]] | None = None
-        self._expected_ends_by_racks: dict[frozenset[RackId], list[ExpectedEnd]] = {}
+        self._victim_search = VictimSearch(victims)
+        self._expected_room = ExpectedRoom(hosts, expected_ends)
         self._eligible_by_kind: dict[tuple[ServiceName, str], list[Host]] = {}
         self._groups_by_shape: dict[tuple[DemandShape, int], list[HostGroup]] = {}
         self._speeds = SpeedProfile.of_hosts(hosts)
@@ -179,8 +133,6 @@
         self._total_accelerators = sum(host.capacity.accelerators for host in hosts)
         self._headroom = min(headroom, int(HEADROOM_SHARE * self._total_accelerators))
         self._reservation_count = 0
-        self.victim_searches = 0
-        """Demands outside any guarantee for which victims were searched."""
         self.plan = Plan()
 
     def make_plan(self, demands: Iterable[Demand]) -> Plan:
@@ -196,6 +148,11 @@
                 self._place_independent(demand, hosts)
         return self.plan
 
+    @property
+    def victim_searches(self) -> int:
+        """Return the number of demands outside any guarantee for which victims were searched."""
+        return self._victim_search.count
+
     def room_for(self, demand: Demand) -> dict[str, int]:
         """Return how many workers a demand may use and how many of its tasks have room there."""
         hosts = self._eligible_hosts(demand)
@@ -211,7 +168,7 @@
     def expected_start(self, demand: Demand) -> Seconds | None:
         """Return when a gang is expected to fit, or None if that is unknown."""
         groups = self._groups_for(demand, self._eligible_hosts(demand))
-        starts = (self._earliest_start(demand, group) for group in groups)
+        starts = (self._expected_room.earliest_start(demand, group) for group in groups)
         return min((at for at in starts if at is not None), default=None)
 
     def _eligible_hosts(self, demand: Demand) -> list[Host]:
@@ -263,7 +220,7 @@
         if self._start_gang(demand, groups):
             return
         self.plan.blocked.append(demand)
-        group = self._find_group_after_stops(demand, groups, _max_lost_work(demand))
+        group = self._find_group_after_stops(demand, groups, max_lost_work_for(demand))
         if group is not None:
             self._place_in_group(demand, group, include_stopping=True)
             return
@@ -332,7 +289,7 @@
             return True
         if is_urgent and is_on_time_on_slow:
             return False
-        if self._evict_for(demand, fast, _max_lost_work(demand)) and self._await_stops(
+        if self._evict_for(demand, fast, max_lost_work_for(demand)) and self._await_stops(
             demand, fast, SpeedClass.FAST
         ):
             return True
@@ -348,7 +305,7 @@
             return False
         if self._wait_estimates < MAX_WAIT_ESTIMATES:
             self._wait_estimates += 1
-            starts = [self._earliest_start(demand, group) for group in fast]
+            starts = [self._expected_room.earliest_start(demand, group) for group in fast]
             at = min((start for start in starts if start is not None), default=None)
             if at is None or not self._speeds.is_worth_waiting(demand, Seconds(at - self._now)):
                 return False
@@ -431,14 +388,14 @@
             return False
         best: tuple[Seconds, HostGroup] | None = None
         for group in groups:
-            at = self._earliest_start(demand, group)
+            at = self._expected_room.earliest_start(demand, group)
             if at is not None and (best is None or at < best[0]):
                 best = (at, group)
         if best is None:
             return False
         self._caps.reserve(demand)
         self._reservation_count += 1
-        free_by_life = self._free_at_time(best[1], best[0])
+        free_by_life = self._expected_room.free_at(best[1], best[0])
         waiting = len(demand.task_indexes)
         for host in sorted(
             best[1], key=lambda candidate: -free_by_life[candidate.life].accelerators
@@ -449,56 +406,6 @@
                 host.allocate(demand.step.needs)
         return True
 
-    def _expected_ends_in(self, group: HostGroup) -> Sequence[ExpectedEnd]:
-        """Return the expected ends of runs on the racks of a group, the earliest first."""
-        if self._expected_ends_by_rack is None:
-            self._expected_ends_by_rack = {}
-            for expected_end in sorted(self._find_expected_ends(), key=lambda end: end.at):
-                host = self._hosts_by_life.get(expected_end.life)
-                if host is not None:
-                    self._expected_ends_by_rack.setdefault(host.rack, []).append(expected_end)
-        racks = frozenset(host.rack for host in group)
-        if racks not in self._expected_ends_by_racks:
-            ends_by_rack = [self._expected_ends_by_rack.get(rack, []) for rack in sorted(racks)]
-            self._expected_ends_by_racks[racks] = (
-                ends_by_rack[0]
-                if len(ends_by_rack) == 1
-                # Faster than a merge: the sort finds the ordered parts, and keeps their order.
-                else sorted(itertools.chain.from_iterable(ends_by_rack), key=_end_time)
-            )
-        return self._expected_ends_by_racks[racks]
-
-    def _earliest_start(self, demand: Demand, group: HostGroup) -> Seconds | None:
-        """Return when a demand is expected to fit on a group, or None if that is unknown."""
-        free_by_life = {host.life: host.free_after_stops for host in group}
-        limits = {host.life: demand.max_tasks_on(host) for host in group}
-        needs = demand.step.needs
-        slots_by_life = {
-            life: slots_in(free, needs, limits[life]) for life, free in free_by_life.items()
-        }
-        total = sum(slots_by_life.values())
-        for expected_end in self._expected_ends_in(group):
-            life = expected_end.life
-            if life not in free_by_life:
-                continue
-            free_by_life[life] = free_by_life[life].plus(expected_end.needs)
-            slots = slots_in(free_by_life[life], needs, limits[life])
-            total += slots - slots_by_life[life]
-            slots_by_life[life] = slots
-            if total >= len(demand.task_indexes):
-                return expected_end.at
-        return None
-
-    def _free_at_time(self, group: HostGroup, at: Seconds) -> dict[WorkerLife, Resources]:
-        """Return the resources that are expected to be free on each host at a time."""
-        free_by_life = {host.life: host.free_after_stops for host in group}
-        for expected_end in self._expected_ends_in(group):
-            if expected_end.at <= at and expected_end.life in free_by_life:
-                free_by_life[expected_end.life] = free_by_life[expected_end.life].plus(
-                    expected_end.needs
-                )
-        return free_by_life
-
     # Independent tasks.
 
     def _place_independent(self, demand: Demand, hosts: list[Host]) -> None:
@@ -516,7 +423,7 @@
         self.plan.blocked.append(demand)
         remaining = demand.for_tasks(unplaced)
         if self._fits_after_stops(remaining, hosts, only_rack) or self._evict_for(
-            remaining, [hosts], _max_lost_work(remaining)
+            remaining, [hosts], max_lost_work_for(remaining)
         ):
             self._place_in_group(remaining, hosts, include_stopping=True)
 
@@ -583,23 +490,9 @@
 
     # Eviction.
 
-    def _may_search_victims(self, demand: Demand) -> bool:
-        """
-        Return whether victims may be searched for a demand, and count the search.
-
-        Work that is not urgent waits: evicting for it costs its victims as much as it gains.
-        """
-        if demand.urgency > 0 or not demand.may_evict:
-            return False
-        if not demand.is_guaranteed:
-            if self.victim_searches >= MAX_VICTIM_SEARCHES:
-                return False
-            self.victim_searches += 1
-        return True
-
     def _evict_for(self, demand: Demand, groups: Sequence[HostGroup], max_lost_work: float) -> bool:
         """Evict the cheapest victims for an urgent demand; return whether enough may be evicted."""
-        if not self._may_search_victims(demand):
+        if not self._victim_search.try_begin(demand):
             return False
         return self._search_and_evict(demand, groups, max_lost_work)
 
@@ -607,11 +500,7 @@
         self, demand: Demand, groups: Sequence[HostGroup], max_lost_work: float
     ) -> bool:
         """Evict the cheapest victims for a demand whose search of victims is counted already."""
-        best = (
-            self._least_lost_work(demand, groups, max_lost_work)
-            if demand.delay_cost is None
-            else self._least_lost_value(demand, groups, demand.delay_cost, max_lost_work)
-        )
+        best = self._victim_search.find(demand, groups, max_lost_work)
         if best is None:
             return False
         self._count_as_stopping(best)
@@ -629,50 +518,6 @@
                 if host is not None:
                     host.add_stopping(freed)
 
-    def _least_lost_work(
-        self, demand: Demand, groups: Sequence[HostGroup], max_lost_work: float
-    ) -> list[Victim] | None:
-        """Return the victims that lose the least work, or None if none are permitted."""
-        index = self._victim_index_for(demand)
-        best: list[Victim] | None = None
-        for group in groups:
-            chosen = EvictionSearch(demand, group, index, max_lost_work).find()
-            if chosen is not None:
-                best = chosen
-                max_lost_work = sum(victim.lost_work for victim in chosen)
-        return best
-
-    def _least_lost_value(
-        self,
-        demand: Demand,
-        groups: Sequence[HostGroup],
-        delay_cost: float,
-        max_lost_work: float,
-    ) -> list[Victim] | None:
-        """Return the victims whose callers lose least, or None if they lose more than it gains."""
-        max_cost = math.inf if demand.is_reclaiming else delay_cost
-        index = self._victim_index_for(demand)
-        best: list[Victim] | None = None
-        for group in groups:
-            search = EvictionSetSearch(demand, group, index, max_cost, max_lost_work)
-            chosen = search.find()
-            if chosen is not None:
-                best = chosen
-                max_cost = set_cost(chosen)
-        return best
-
-    def _victim_index_for(self, demand: Demand) -> VictimIndex:
-        """Return the victims for demands that may evict the same runs as this one."""
-        rank = (demand.urgency, demand.is_reclaiming)
-        if rank not in self._victim_indexes_by_rank:
-            self._victim_indexes_by_rank[rank] = VictimIndex(self._permitted_victims(demand))
-        return self._victim_indexes_by_rank[rank]
-
-    def _permitted_victims(self, demand: Demand) -> list[Victim]:
-        if self._victims is None:
-            self._victims = self._find_victims()
-        return [victim for victim in self._victims if _may_evict(demand, victim)]
-
     # Caps of workspaces.
 
     def _place_under_cap(self, demand: Demand, hosts: list[Host], startable_count: int) -> None:
@@ -700,11 +545,13 @@
 
         What the evictions for the cap free on workers counts before further runs are evicted.
         """
-        if not self._may_search_victims(demand):
+        if not self._victim_search.try_begin(demand):
             return False
         evictions_before = len(self.plan.evictions)
-        max_lost_work = _max_lost_work(demand)
-        relief = self._caps.find_relief(demand, self._permitted_victims(demand), max_lost_work)
+        max_lost_work = max_lost_work_for(demand)
+        relief = self._caps.find_relief(
+            demand, self._victim_search.permitted(demand), max_lost_work
+        )
         if relief is None:
             return False
         relieved = demand.for_tasks(demand.task_indexes[: relief.task_count])
@@ -775,29 +622,6 @@
     return LocalHosts("", hosts)
 
 
-def _end_time(expected_end: ExpectedEnd) -> Seconds:
-    return expected_end.at
-
-
-def _max_lost_work(demand: Demand) -> float:
-    """Return the core-seconds of unsaved work that may be discarded for a demand."""
-    if demand.is_reclaiming:
-        return math.inf
-    return URGENT_LOSS_FACTOR * demand.core_seconds + URGENT_LOSS_ALLOWANCE
-
-
-def _may_evict(demand: Demand, victim: Victim) -> bool:
-    """
-    Return whether a victim is less urgent than a demand, or urgent work beyond its workspace's
-    guarantee while the guarantee of the demand is due. Before that, one urgent job would only be
-    late in place of another.
-    """
-    if victim.urgency > demand.urgency:
-        return True
-    is_surplus = victim.urgency == demand.urgency == 0 and not victim.is_guaranteed
-    return demand.is_reclaiming and is_surplus
-
-
 def _shape_of(demand: Demand, only_rack: str, speed_class: SpeedClass) -> DemandShape:
     step = demand.step
     return DemandShape(
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -42,7 +42,8 @@
     core_equivalents,
 )
 from bulrushhollow_core.domain._lasting import DisruptionBudget
-from bulrushhollow_core.domain._planner import Placement, Plan, Planner
+from bulrushhollow_core.domain._plan import Placement, Plan
+from bulrushhollow_core.domain._planner import Planner
 from bulrushhollow_core.domain._queueing import (
     LOCALITY_WAIT_FACTOR,
     Timeliness,
--- a/tests/test_domain_caps.py
+++ b/tests/test_domain_caps.py
@@ -12,7 +12,9 @@
 from bulrushhollow_core.domain._demands import Demand, Victim
 from bulrushhollow_core.domain._hosts import ExpectedEnd, Host
 from bulrushhollow_core.domain._jobs import Resources
-from bulrushhollow_core.domain._planner import MAX_VICTIM_SEARCHES, Plan, Planner
+from bulrushhollow_core.domain._plan import Plan
+from bulrushhollow_core.domain._planner import Planner
+from bulrushhollow_core.domain._victim_search import MAX_VICTIM_SEARCHES
 from bulrushhollow_core.ids import Seconds, WorkspaceId
 from tests.test_domain_planner import NOW, make_demand, make_host, make_run, make_victim
 
@@ -279,7 +281,7 @@
         ]
         urgent = demand_of(TEAM, "urgent", 4, urgency=0)
         planner = Planner([host], lambda: victims, list, caps=ledger(4, 2))
-        planner.victim_searches = MAX_VICTIM_SEARCHES - 1
+        planner._victim_search.count = MAX_VICTIM_SEARCHES - 1
         urgent.step = msgspec.structs.replace(urgent.step, needs=Resources(4_000, 4_000, 1))
         self.assertEqual({"own", "foreign"}, evicted(planner.make_plan([urgent])))
 
--- a/tests/test_domain_delay_cost.py
+++ b/tests/test_domain_delay_cost.py
@@ -172,7 +172,7 @@
         unused = AssertionError("delays have no price")
         with (
             patch("bulrushhollow_core.domain._planning.DelayPricer", side_effect=unused),
-            patch("bulrushhollow_core.domain._planner.EvictionSetSearch", side_effect=unused),
+            patch("bulrushhollow_core.domain._victim_search.EvictionSetSearch", side_effect=unused),
         ):
             stopped = jobs_stopped_for_a_gang(DomainSettings())
             self.assertEqual(["gang"] * 2, stopped, "two runs that have just started are cheapest")
--- a/tests/test_domain_speeds.py
+++ b/tests/test_domain_speeds.py
@@ -35,10 +35,10 @@
     OrderResult,
     PollAnswered,
 )
+from bulrushhollow_core.domain._plan import Plan
 from bulrushhollow_core.domain._planner import (
     MAX_GANG_RESERVATIONS,
     MAX_WAIT_ESTIMATES,
-    Plan,
     Planner,
 )
 from bulrushhollow_core.domain._planning import MAX_PLAN_INTERVAL
