--- a/packages/core/src/bulrushhollow_core/domain/_admission.py
+++ b/packages/core/src/bulrushhollow_core/domain/_admission.py
@@ -102,7 +102,7 @@
     retry_after: Seconds
 
 
-class RunningWork(NamedTuple):
+class RemainingRun(NamedTuple):
     """
     A run that takes resources of a service.
 
@@ -134,7 +134,7 @@
         self,
         capacity: Resources,
         used: Resources,
-        running: Iterable[RunningWork],
+        running: Iterable[RemainingRun],
         waiting: Iterable[WaitingStep],
         index: ConfigurationIndex,
         wall: WallTime,
@@ -351,14 +351,14 @@
             )
         return self._backlogs_by_service[service]
 
-    def _running_on(self, worker: Worker, now: Seconds) -> Iterator[RunningWork]:
+    def _running_on(self, worker: Worker, now: Seconds) -> Iterator[RemainingRun]:
         for run in worker.runs_by_task.values():
             job = self._state.jobs_by_id.get(run.task.job)
             # An ended job has no steps any more, while its last runs still take resources.
             steps = job.work.steps if job is not None else ()
             if job is not None and not (steps and steps[run.task.step].is_long_running):
                 remaining = Seconds(max(0.0, run.remaining(now)))
-                yield RunningWork(job.workspace, run.needs, remaining)
+                yield RemainingRun(job.workspace, run.needs, remaining)
 
 
 def latest_start(job: Job, occurrence: Occurrence) -> WallTime:
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -22,16 +22,14 @@
 from bulrushhollow_core.domain._copies import detached_copy
 from bulrushhollow_core.domain._delay_cost import DelayPricer
 from bulrushhollow_core.domain._demands import (
-    NO_LOSS,
     UNLIMITED_TIME,
     Demand,
     TimeBudget,
-    Victim,
 )
 from bulrushhollow_core.domain._dispatch import OrderDispatcher
 from bulrushhollow_core.domain._events import Event, log_event
 from bulrushhollow_core.domain._fleet import Run, RunPhase, Worker
-from bulrushhollow_core.domain._hosts import ExpectedEnd, Host
+from bulrushhollow_core.domain._hosts import Host
 from bulrushhollow_core.domain._jobs import (
     Job,
     RunNumber,
@@ -39,9 +37,7 @@
     TaskRef,
     WallTime,
     WorkerLife,
-    core_equivalents,
 )
-from bulrushhollow_core.domain._lasting import DisruptionBudget
 from bulrushhollow_core.domain._plan import Placement, Plan
 from bulrushhollow_core.domain._planner import Planner
 from bulrushhollow_core.domain._queueing import (
@@ -52,11 +48,11 @@
     duration_after,
     guaranteed_jobs,
     peak_accelerators,
-    priority_of,
     waiting_steps,
 )
 from bulrushhollow_core.domain._reachability import Reachability
 from bulrushhollow_core.domain._recent_work import RecentWorkCache
+from bulrushhollow_core.domain._running_work import RunningWork
 from bulrushhollow_core.domain._scheduler_state import SchedulerState
 from bulrushhollow_core.domain._speeds import NORMAL_SLOWNESS
 from bulrushhollow_core.ids import DataCentreId, JobId, RackId, Seconds
@@ -177,10 +173,11 @@
         self._shared.advice.clear_requests()
         caps = build_cap_ledger(self._shared, hosts, now)
         self._pricer = self._create_pricer(now, wall)
+        running_work = RunningWork(self._shared, self._pricer, now, wall)
         planner = Planner(
             hosts,
-            lambda: self._find_victims(guaranteed, now, wall),
-            lambda: self._expected_ends(now),
+            lambda: running_work.find_victims(guaranteed),
+            running_work.expected_ends,
             self._shared.headroom.required_accelerators(now),
             caps,
             now,
@@ -414,91 +411,6 @@
                 host.add_stopping(run.needs)
         return host
 
-    def _find_victims(self, guaranteed: set[JobId], now: Seconds, wall: WallTime) -> list[Victim]:
-        runs_by_unit: dict[tuple[object, ...], list[Run]] = {}
-        for run in self._shared.runs():
-            job = self._shared.state.jobs_by_id.get(run.task.job)
-            if (
-                job is None
-                or job.has_ended
-                or run.phase not in (RunPhase.RUNNING, RunPhase.STARTING)
-            ):
-                continue
-            unit = (run.task.step_ref if run.is_gang else run.task, run.number)
-            runs_by_unit.setdefault(unit, []).append(run)
-        budget = DisruptionBudget(self._shared.fleet)
-        return [
-            self._build_victim(runs, guaranteed, now, wall)
-            for runs in runs_by_unit.values()
-            # Stopping a run that is about to end would not free its resources any earlier.
-            if not all(self._shared.ends_soon(run, now) for run in runs)
-            and budget.try_consume(self._shared.state.jobs_by_id[runs[0].task.job], runs[0])
-        ]
-
-    def _build_victim(
-        self, runs: list[Run], guaranteed: set[JobId], now: Seconds, wall: WallTime
-    ) -> Victim:
-        job = self._shared.state.jobs_by_id[runs[0].task.job]
-        has_checkpoints = job.work.steps[runs[0].task.step].is_checkpointable
-        lost_work = sum(
-            core_equivalents(run.needs)
-            * (self._shared.settings.restore_time if has_checkpoints else now - run.started_at)
-            for run in runs
-        )
-        is_guaranteed = job.id in guaranteed
-        priority = self._shared.shares.adjust(
-            job.id, priority_of(job, runs[0].task.occurrence, is_guaranteed, wall)
-        )
-        loss = NO_LOSS
-        if self._pricer is not None:
-            loss = self._pricer.loss_of_eviction(job, runs, self._count_preemptions(runs[0]))
-        return Victim(
-            runs,
-            job.queue.urgency,
-            priority,
-            is_guaranteed,
-            lost_work,
-            workspace=job.workspace,
-            loss=loss,
-        )
-
-    def _count_preemptions(self, run: Run) -> int:
-        """Return how many earlier runs of a task or a gang ended other than by a failure."""
-        record = self._shared.state.find_step(run.task)
-        if record is None:
-            return 0
-        failures = record.failures if run.is_gang else record.tasks[run.task.member].failures
-        return max(0, run.number - 1 - failures)
-
-    def _expected_ends(self, now: Seconds) -> list[ExpectedEnd]:
-        expected_ends = []
-        """
-        Return when runs are expected to end. On an uneven fleet, where gangs wait for such ends,
-        long-running ones have none. On an even one they only delay reservations.
-        """
-        is_uneven = self._shared.speeds.is_uneven
-        gang_ends_by_run = self._gang_ends(now) if is_uneven else {}
-        for run in self._shared.runs():
-            job = self._shared.state.jobs_by_id.get(run.task.job)
-            if job is None or not job.work.steps:
-                continue
-            if is_uneven and job.work.steps[run.task.step].is_long_running:
-                continue
-            at = Seconds(now + max(0.0, run.remaining(now)))
-            at = gang_ends_by_run.get((run.task.step_ref, run.number), at)
-            expected_ends.append(ExpectedEnd(run.life, run.needs, at))
-        return expected_ends
-
-    def _gang_ends(self, now: Seconds) -> dict[tuple[StepRef, RunNumber], Seconds]:
-        """Return when the slowest member of each running gang is expected to end."""
-        ends_by_run: dict[tuple[StepRef, RunNumber], Seconds] = {}
-        for run in self._shared.runs():
-            if run.is_gang:
-                key = (run.task.step_ref, run.number)
-                at = Seconds(now + max(0.0, run.remaining(now)))
-                ends_by_run[key] = max(at, ends_by_run.get(key, at))
-        return ends_by_run
-
     def _execute_plan(self, plan: Plan, now: Seconds) -> None:
         for demand in plan.waiting_for_fast:
             self._waits_for_fast_since_by_step.setdefault(demand.ref, now)
--- a/tests/test_domain_shares.py
+++ b/tests/test_domain_shares.py
@@ -14,6 +14,7 @@
     priority_of,
     waiting_steps,
 )
+from bulrushhollow_core.domain._running_work import RunningWork
 from bulrushhollow_core.domain._shares import RateMeter, ShareLedger
 from bulrushhollow_core.domain._state import DomainState
 from bulrushhollow_core.ids import JobId, Seconds, Version, WorkerId, WorkspaceId
@@ -177,8 +178,8 @@
         ]
         scheduler.commit([PutConfiguration(limited), *submissions])
         scheduler.commit(scheduler.plan())
-        cycle = scheduler.scheduler._planning_cycle
-        victims = cycle._find_victims(set(), scheduler.now, WALL)
+        running_work = RunningWork(scheduler.scheduler._shared, None, scheduler.now, WALL)
+        victims = running_work.find_victims(set())
         over_share = {each.runs[0].task.job: each.priority.is_over_share for each in victims}
         self.assertEqual({"a": False, "b": True}, over_share)
 
--- a/tests/test_domain_speeds.py
+++ b/tests/test_domain_speeds.py
@@ -42,6 +42,7 @@
     Planner,
 )
 from bulrushhollow_core.domain._planning import MAX_PLAN_INTERVAL
+from bulrushhollow_core.domain._running_work import RunningWork
 from bulrushhollow_core.domain._speeds import SpeedEstimator
 from bulrushhollow_core.ids import JobId, Seconds, WorkerId, WorkspaceId
 from standins.domain_site import queue
@@ -391,7 +392,7 @@
             harness.submit(Work("spec", (Step(1, CORE, Seconds(1.0), is_long_running=True),)))
             harness.launch()
             harness.scheduler._shared.speeds.is_uneven = is_uneven
-            ends = harness.scheduler._planning_cycle._expected_ends(harness.now)
+            ends = RunningWork(harness.scheduler._shared, None, harness.now, WALL).expected_ends()
             self.assertEqual(expected, len(ends))
 
     def test_a_gang_that_fits_no_rack_without_slow_workers_is_not_spread(self) -> None:
