--- a/packages/core/src/bulrushhollow_core/domain/_events.py
+++ b/packages/core/src/bulrushhollow_core/domain/_events.py
@@ -42,7 +42,8 @@
     LEADERSHIP_LOST = "leadership_lost"
     MEMBERS_CHANGED = "members_changed"
     CAP_REACHED = "cap_reached"
-    """Tasks of a workspace wait because of its cap; written at most each second for each one."""
+    """Tasks of a workspace wait because of its cap; written at most each second for each one. The
+    usage includes tasks that the plan holds room for until stops have ended."""
     SHARE_EXCEEDED = "share_exceeded"
     """A workspace has begun or ceased to wait for more than its share."""
     PLACEMENT_EXPLAINED = "placement_explained"
--- a/packages/core/src/bulrushhollow_core/domain/_explanation.py
+++ b/packages/core/src/bulrushhollow_core/domain/_explanation.py
@@ -57,9 +57,9 @@
     steps: tuple[StepOutlook, ...]
 
 
-class _Sight(NamedTuple):
+class _Observation(NamedTuple):
     """
-    What the planner saw before it served a demand.
+    The room that a demand had before the planner served it.
 
     :param is_permitted: whether the advice service has permitted any worker, if it is needed.
     :param has_usable_worker: whether a task fits on an empty worker that may run it.
@@ -105,14 +105,16 @@
         cycle = self._cycle.detached(shared)
         queue = cycle.view_queue(now, wall)
         job = shared.state.jobs_by_id[command.id]
-        waiting, plan, recorder = queue.waiting, Plan(), _SightRecorder(job.id, queue.hosts)
+        waiting, plan, recorder = queue.waiting, Plan(), _ObservationRecorder(job.id, queue.hosts)
         if queue.hosts:
             prepared = cycle.prepare(queue, now, wall)
             waiting = prepared.waiting
             own_count = sum(waiting_step.job.id == job.id for waiting_step in waiting)
             demands = recorder.record(prepared.demands, prepared.planner, own_count)
             plan = prepared.planner.make_plan(demands)
-        outlook = _PlanReader(shared, job, waiting, plan, recorder.sights_by_step, queue.hosts, now)
+        outlook = _PlanReader(
+            shared, job, waiting, plan, recorder.observations_by_step, queue.hosts, now
+        )
         return Forecast(_position_of(job.id, waiting, wall), outlook.read_steps())
 
 
@@ -145,14 +147,14 @@
     return None
 
 
-class _SightRecorder:
-    """Records what the planner sees when it serves the demands of one job."""
+class _ObservationRecorder:
+    """Records the room that each demand of one job has when the planner serves it."""
 
     def __init__(self, job: JobId, hosts: list[Host]) -> None:
         self._job = job
         self._hosts = hosts
         self._expected_starts = 0
-        self.sights_by_step: dict[int, _Sight] = {}
+        self.observations_by_step: dict[int, _Observation] = {}
 
     def record(
         self, demands: Iterator[Demand], planner: Planner, own_count: int
@@ -164,14 +166,14 @@
         """
         for demand in demands:
             if demand.ref.job == self._job:
-                self.sights_by_step[demand.ref.step] = self._look(demand, planner)
+                self.observations_by_step[demand.ref.step] = self._observe(demand, planner)
             yield demand
-            if len(self.sights_by_step) == own_count:
+            if len(self.observations_by_step) == own_count:
                 return
 
-    def _look(self, demand: Demand, planner: Planner) -> _Sight:
+    def _observe(self, demand: Demand, planner: Planner) -> _Observation:
         room = planner.room_for(demand)
-        return _Sight(
+        return _Observation(
             demand,
             is_permitted=demand.allowed_workers is None or bool(demand.allowed_workers),
             has_usable_worker=any(
@@ -202,7 +204,7 @@
         job: Job,
         waiting: Iterable[WaitingStep],
         plan: Plan,
-        sights_by_step: dict[int, _Sight],
+        observations_by_step: dict[int, _Observation],
         hosts: Iterable[Host],
         now: Seconds,
     ) -> None:
@@ -218,7 +220,7 @@
             if demand.ref.job == job.id:
                 self._victims_by_step.setdefault(demand.ref.step, []).append(victim)
         self._held_back = {demand.ref.step for demand in plan.held_back if demand.ref.job == job.id}
-        self._sights_by_step = sights_by_step
+        self._observations_by_step = observations_by_step
         self._racks_by_life = {host.life: host.rack for host in hosts}
         self._stop_timeout = shared.settings.stop_timeout
         self._now = now
@@ -257,29 +259,29 @@
 
     def _hold_reason(self, number: int) -> HoldReason:
         """Return why some tasks of a step that could start now would not."""
-        sight = self._sights_by_step.get(number)
-        if sight is None or not sight.has_usable_worker:
+        observation = self._observations_by_step.get(number)
+        if observation is None or not observation.has_usable_worker:
             return HoldReason.NO_USABLE_WORKER
-        if not sight.is_permitted:
+        if not observation.is_permitted:
             return HoldReason.ADVICE
         if number in self._held_back:
             return HoldReason.CAP
-        demand = sight.demand
-        if number in self._victims_by_step or sight.slots_after_stops >= demand.step.count:
-            has_room = sight.slots >= demand.step.count
+        demand = observation.demand
+        if number in self._victims_by_step or observation.slots_after_stops >= demand.step.count:
+            has_room = observation.slots >= demand.step.count
             return _rule_of(demand) if has_room else HoldReason.STOPS
         starting = len(self._placements_by_step.get(number, ()))
-        return _rule_of(demand) if sight.slots > starting else HoldReason.NO_ROOM
+        return _rule_of(demand) if observation.slots > starting else HoldReason.NO_ROOM
 
     def _room_expected_in(self, number: int, held_by: HoldReason | None) -> float | None:
-        sight = self._sights_by_step.get(number)
-        if sight is None or not sight.demand.step.is_gang:
+        observation = self._observations_by_step.get(number)
+        if observation is None or not observation.demand.step.is_gang:
             return None
         if held_by is HoldReason.STOPS:
             return self._stop_timeout
-        if held_by is not HoldReason.NO_ROOM or sight.fits_at is None:
+        if held_by is not HoldReason.NO_ROOM or observation.fits_at is None:
             return None
-        return round(sight.fits_at - self._now, 3)
+        return round(observation.fits_at - self._now, 3)
 
 
 def _rule_of(demand: Demand) -> HoldReason:
--- a/packages/core/src/bulrushhollow_core/domain/_shares.py
+++ b/packages/core/src/bulrushhollow_core/domain/_shares.py
@@ -44,13 +44,6 @@
         return TokenBucket(min(depth, self.tokens + weight * max(0.0, now - self.at)), now)
 
 
-class _MeteredJob(NamedTuple):
-    """A job whose submission was metered."""
-
-    workspace: WorkspaceId
-    is_over_rate: bool
-
-
 class RateMeter:
     """
     Meters the submissions of each workspace by a token bucket. It remembers the jobs that have not
@@ -60,13 +53,13 @@
     def __init__(self) -> None:
         """Start with full buckets."""
         self._buckets_by_workspace: dict[WorkspaceId, TokenBucket] = {}
-        self._jobs_by_id: dict[JobId, _MeteredJob] = {}
+        self._is_over_rate_by_job: dict[JobId, bool] = {}
 
     def record_submission(
         self, job: JobId, workspace: WorkspaceId | None, weight: float, now: Seconds
     ) -> None:
         """Record an accepted job; a repeated submission of one job counts once."""
-        if workspace is None or weight <= 0 or job in self._jobs_by_id:
+        if workspace is None or weight <= 0 or job in self._is_over_rate_by_job:
             return
         if workspace not in self._buckets_by_workspace:
             self._drop_idle_buckets(now)
@@ -75,12 +68,11 @@
         if not is_over_rate:
             bucket = bucket._replace(tokens=bucket.tokens - 1)
         self._buckets_by_workspace[workspace] = bucket
-        self._jobs_by_id[job] = _MeteredJob(workspace, is_over_rate)
+        self._is_over_rate_by_job[job] = is_over_rate
 
     def is_over_rate(self, job: JobId) -> bool:
         """Return whether a job was accepted when its workspace had used up its rate."""
-        metered = self._jobs_by_id.get(job)
-        return metered is not None and metered.is_over_rate
+        return self._is_over_rate_by_job.get(job, False)
 
     def would_exceed_rate(self, workspace: WorkspaceId | None, weight: float, now: Seconds) -> bool:
         """Return whether a job submitted now would be over its workspace's rate."""
@@ -90,7 +82,7 @@
 
     def forget_job(self, job: JobId) -> None:
         """Drop a job that has ended."""
-        self._jobs_by_id.pop(job, None)
+        self._is_over_rate_by_job.pop(job, None)
 
     def _current_bucket(self, workspace: WorkspaceId, weight: float, now: Seconds) -> TokenBucket:
         bucket = self._buckets_by_workspace.get(workspace)
