--- a/packages/core/src/bulrushhollow_core/domain/_caps.py
+++ b/packages/core/src/bulrushhollow_core/domain/_caps.py
@@ -40,8 +40,8 @@
         self.cap = cap
         self.used = NO_RESOURCES
         self.ending = NO_RESOURCES
-        """Part of the usage that ends soon, by a stop or by itself. Runs that ended soon before the
-        plan are counted once urgent work is held back; the plan's own stops when it decides them."""
+        """Part of the usage that ends soon, by a stop or by itself. What ended soon before the plan
+        is counted once urgent work is held back, and the plan's own stops when it decides them."""
         self.reserved = NO_RESOURCES
         """Part of the cap that waiting gangs of the workspace reserve against later demands."""
 
