--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -200,10 +200,11 @@
         return ordered
 
     def _create_pricer(self, now: Seconds, wall: WallTime) -> DelayPricer | None:
-        if not self._shared.settings.is_reclaim_cheap:
+        settings = self._shared.settings
+        if not (settings.prices_delays and settings.is_reclaim_cheap):
             return None
         recent = self._recent_work.get(self._shared.state)
-        return DelayPricer(self._shared.settings, recent, now, wall)
+        return DelayPricer(settings, recent, now, wall)
 
     def _order_by_claims(self, waiting: list[WaitingStep]) -> list[WaitingStep]:
         """Return the steps with those that have a claim at the position that they had for it."""
--- a/packages/core/src/bulrushhollow_core/domain/_settings.py
+++ b/packages/core/src/bulrushhollow_core/domain/_settings.py
@@ -23,6 +23,8 @@
     :param restore_time: seconds that a task takes to resume from a checkpoint.
     :param remote_factor: factor by which a task is slower away from its data or rack.
     :param voter_count: number of voting instances: twice the tolerated losses plus one.
+    :param prices_delays: whether evictions are chosen by what they cost callers, where reclaiming
+        capacity is cheap. Off by default: fewer large gangs are stopped, but plans take longer.
     """
 
     longest_lease: Seconds = Seconds(10.0)
@@ -31,6 +33,7 @@
     restore_time: Seconds = Seconds(0.6)
     remote_factor: float = 3.0
     voter_count: int = 3
+    prices_delays: bool = False
 
     @property
     def is_reclaim_cheap(self) -> bool:
--- a/tests/test_domain_delay_cost.py
+++ b/tests/test_domain_delay_cost.py
@@ -28,7 +28,7 @@
 from tests.test_domain_scheduler import announcement
 
 WALL = WallTime(1_000_000.0)
-CHEAP = DomainSettings(stop_timeout=Seconds(0.2), restore_time=Seconds(0.1))
+CHEAP = DomainSettings(stop_timeout=Seconds(0.2), restore_time=Seconds(0.1), prices_delays=True)
 
 
 def make_job(has_checkpoints: bool = False) -> Job:
@@ -167,15 +167,16 @@
             settings = DomainSettings(stop_timeout=Seconds(stop), restore_time=Seconds(restore))
             self.assertEqual(is_cheap, settings.is_reclaim_cheap)
 
-    def test_plans_are_as_before_where_a_stop_takes_long(self) -> None:
+    def test_plans_are_as_before_where_a_stop_takes_long_or_delays_have_no_price(self) -> None:
         # The earlier deployments must be scheduled exactly as before.
         unused = AssertionError("delays have no price")
         with (
             patch("bulrushhollow_core.domain._planning.DelayPricer", side_effect=unused),
             patch("bulrushhollow_core.domain._victim_search.EvictionSetSearch", side_effect=unused),
         ):
-            stopped = jobs_stopped_for_a_gang(DomainSettings())
+            stopped = jobs_stopped_for_a_gang(DomainSettings(prices_delays=True))
             self.assertEqual(["gang"] * 2, stopped, "two runs that have just started are cheapest")
+            jobs_stopped_for_a_gang(msgspec.structs.replace(CHEAP, prices_delays=False))
             with self.assertRaises(AssertionError):
                 jobs_stopped_for_a_gang(CHEAP)
 
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -75,6 +75,10 @@
         later_start = SETTINGS.replace("bootstrap=true", "bootstrap=false")
         self.assertFalse(decode_settings(later_start).is_founder)
 
+    def test_delays_have_a_price_only_if_the_environment_says_so(self) -> None:
+        self.assertFalse(decode_settings(SETTINGS).domain.prices_delays)
+        self.assertTrue(decode_settings(SETTINGS, prices_delays=True).domain.prices_delays)
+
     def test_missing_setting_is_an_error(self) -> None:
         with self.assertRaises(SettingsFileError):
             decode_settings(SETTINGS.replace("ip=10.1.0.21\n", ""))
