--- a/tests/test_domain_delay_cost.py
+++ b/tests/test_domain_delay_cost.py
@@ -77,7 +77,7 @@
         self.assertGreater(price(make_job(), 4.0).wasted_value, 5 * wasted[0])
 
     def test_each_preemption_makes_the_next_one_costlier(self) -> None:
-        # kgfs: 15 of 46 large jobs were placed two to eight times.
+        # On one logged day 15 of 46 large jobs were placed two to eight times.
         wasted = [price(make_job(), 2.0, count).wasted_value for count in (0, 1, 2)]
         self.assertAlmostEqual(3 * wasted[0], wasted[2])
 
@@ -121,7 +121,7 @@
         self.assertEqual(["gang"], stopped)
 
     def test_a_large_gang_is_spared_if_other_runs_free_enough(self) -> None:
-        # kgfs: 338 members of large gangs were stopped for urgent jobs.
+        # On one logged day 338 members of large gangs were stopped for urgent jobs.
         hosts = [make_host(name, "r1", 0) for name in "abcd"]
         gang = make_victim([make_run("gang", each) for each in hosts[:3]], 1.0, 0.5)
         single = make_victim([make_run("single", hosts[3])], 0.0, 0.4)
