Use one sum of resources and one path after a step

Cause: caps, shares and the cost of delay each had their own copy. Change: total_of and Resources.times stand with the resources; duration_after serves both users. Behaviour is unchanged.

--- a/packages/core/src/bulrushhollow_core/domain/_admission.py
+++ b/packages/core/src/bulrushhollow_core/domain/_admission.py
@@ -31,8 +31,9 @@
     critical_path_duration,
     priority_of,
 )
+from bulrushhollow_core.domain._resources import total_of
 from bulrushhollow_core.domain._settings import DomainSettings
-from bulrushhollow_core.domain._shares import RateMeter, dominant_share, total_of
+from bulrushhollow_core.domain._shares import RateMeter, dominant_share
 from bulrushhollow_core.domain._state import DomainState
 from bulrushhollow_core.ids import JobId, Seconds, WorkspaceId
 
--- a/packages/core/src/bulrushhollow_core/domain/_caps.py
+++ b/packages/core/src/bulrushhollow_core/domain/_caps.py
@@ -17,6 +17,7 @@
 from bulrushhollow_core.domain._evictions import cost_of
 from bulrushhollow_core.domain._hosts import Host
 from bulrushhollow_core.domain._jobs import NO_RESOURCES, Resources, Step, Work
+from bulrushhollow_core.domain._resources import total_of
 from bulrushhollow_core.domain._scheduler_state import SchedulerState
 from bulrushhollow_core.ids import Seconds, WorkspaceId
 
@@ -140,7 +141,7 @@
         """Count tasks of a demand that the plan has placed or reserves room for."""
         account = self.account_of(demand.workspace)
         if account is not None:
-            account.used = account.used.plus(times(demand.step.needs, task_count))
+            account.used = account.used.plus(demand.step.needs.times(task_count))
 
     def reserve(self, demand: Demand) -> None:
         """
@@ -150,7 +151,7 @@
         account = self.account_of(demand.workspace)
         if account is None or account.reserved != NO_RESOURCES:
             return
-        total = times(demand.step.needs, len(demand.task_indexes))
+        total = demand.step.needs.times(len(demand.task_indexes))
         if is_within(total, account.cap):
             account.reserved = total
 
@@ -185,7 +186,7 @@
     def fits_after_stops(self, demand: Demand) -> bool:
         """Return whether all tasks of a demand may start once current stops have ended."""
         account = self.account_of(demand.workspace)
-        total = times(demand.step.needs, len(demand.task_indexes))
+        total = demand.step.needs.times(len(demand.task_indexes))
         return account is None or account.excess_with(total) == NO_RESOURCES
 
     def find_relief(
@@ -216,13 +217,13 @@
         needs = demand.step.needs
         task_count = _count_within(
             account.cap,
-            account.used_after_stops.minus(_total_of([victim.freed for victim in candidates])),
+            account.used_after_stops.minus(total_of((victim.freed, 1) for victim in candidates)),
             needs,
             len(demand.task_indexes),
         )
         if task_count == 0 or (demand.step.is_gang and task_count < len(demand.task_indexes)):
             return None
-        chosen = _cheapest_victims(candidates, account.excess_with(times(needs, task_count)))
+        chosen = _cheapest_victims(candidates, account.excess_with(needs.times(task_count)))
         relief = CapRelief(chosen, task_count)
         return relief if relief.lost_work <= max_lost_work else None
 
@@ -236,11 +237,6 @@
         self._find_ending = None
 
 
-def times(needs: Resources, count: int) -> Resources:
-    """Return the resources of several tasks."""
-    return Resources(needs.cpu * count, needs.memory * count, needs.accelerators * count)
-
-
 def is_within(total: Resources, cap: Resources) -> bool:
     """Return whether resources stay within a cap; 0 means no limit on a resource."""
     return _count_within(cap, NO_RESOURCES, total, 1) == 1
@@ -263,14 +259,6 @@
     return count
 
 
-def _total_of(parts: Sequence[Resources]) -> Resources:
-    return Resources(
-        sum(part.cpu for part in parts),
-        sum(part.memory for part in parts),
-        sum(part.accelerators for part in parts),
-    )
-
-
 def _cheapest_victims(candidates: Sequence[Victim], excess: Resources) -> list[Victim]:
     """Return the first candidates that free an excess, without those that turn out unneeded."""
     picked: list[Victim] = []
@@ -311,7 +299,7 @@
         return CapLedger()
     workspaces = accounts_by_workspace.keys()
     for workspace, parts in _usage_by_workspace(shared, workspaces, now).items():
-        accounts_by_workspace[workspace].used = _total_of(parts)
+        accounts_by_workspace[workspace].used = total_of((part, 1) for part in parts)
     ledger = CapLedger(
         accounts_by_workspace, busy_services(hosts), lambda: _find_ending(shared, workspaces, now)
     )
@@ -345,7 +333,7 @@
         workspace = shared.workspace_of(run.task.job)
         if workspace in ending and shared.is_freeing_resources(run, now):
             ending[workspace].append(run.needs)
-    return {workspace: _total_of(parts) for workspace, parts in ending.items()}
+    return {workspace: total_of((part, 1) for part in parts) for workspace, parts in ending.items()}
 
 
 def _open_accounts(
@@ -371,8 +359,8 @@
 
 def _is_busy(hosts: Sequence[Host]) -> bool:
     """Return whether at least half of any resource that the workers have is in use."""
-    capacity = _total_of([host.capacity for host in hosts])
-    free = _total_of([host.free for host in hosts])
+    capacity = total_of((host.capacity, 1) for host in hosts)
+    free = total_of((host.free, 1) for host in hosts)
     return (
         0 < capacity.cpu >= 2 * free.cpu
         or 0 < capacity.memory >= 2 * free.memory
@@ -402,7 +390,7 @@
 
 def _smallest_start(step: Step) -> Resources:
     """Return the resources that must be free at once for a step to make progress."""
-    return times(step.needs, step.count if step.is_gang else 1)
+    return step.needs.times(step.count if step.is_gang else 1)
 
 
 class CapReporter:
--- a/packages/core/src/bulrushhollow_core/domain/_delay_cost.py
+++ b/packages/core/src/bulrushhollow_core/domain/_delay_cost.py
@@ -12,7 +12,7 @@
 from bulrushhollow_core.domain._fleet import Run
 from bulrushhollow_core.domain._headroom import REUSE_DELAY
 from bulrushhollow_core.domain._jobs import Job, Occurrence, WallTime, core_equivalents
-from bulrushhollow_core.domain._queueing import WORTHLESS_FACTOR
+from bulrushhollow_core.domain._queueing import WORTHLESS_FACTOR, duration_after
 from bulrushhollow_core.domain._recent_work import RecentWork, base_value, work_of
 from bulrushhollow_core.domain._settings import DomainSettings
 from bulrushhollow_core.ids import JobId, Seconds
@@ -102,16 +102,6 @@
     return Seconds(max(ends, default=0.0))
 
 
-def path_after(job: Job, step: int) -> Seconds:
-    """Return the estimated time from the end of a step to the end of its job."""
-    ends = {step: 0.0}
-    for number in range(step + 1, len(job.work.steps)):
-        starts = [ends[each] for each in job.work.steps[number].depends_on if each in ends]
-        if starts:
-            ends[number] = max(starts) + job.work.steps[number].estimate
-    return Seconds(max(ends.values()))
-
-
 class DelayPricer:
     """
     Computes the cost of delays for one plan.
@@ -158,7 +148,7 @@
         lost_seconds = max(self.lost_seconds(run, step.is_checkpointable) for run in runs)
         stop_seconds = self._settings.stop_timeout + REUSE_DELAY
         remaining = max(0.0, *(run.remaining(self._now) for run in runs))
-        end = self._wall + remaining + path_after(job, runs[0].task.step)
+        end = self._wall + remaining + duration_after(job, runs[0].task.step)
         value = self._value_of(job, runs[0].task.occurrence)
         wait = REQUEUE_WAIT * (1 + preemptions)
         wasted_work = sum(
--- a/packages/core/src/bulrushhollow_core/domain/_resources.py
+++ b/packages/core/src/bulrushhollow_core/domain/_resources.py
@@ -5,6 +5,8 @@
 Amounts of cores, memory and accelerators.
 """
 
+from collections.abc import Iterable
+
 import msgspec
 
 
@@ -44,6 +46,10 @@
             self.accelerators - other.accelerators,
         )
 
+    def times(self, count: int) -> "Resources":
+        """Return the resources of several tasks."""
+        return Resources(self.cpu * count, self.memory * count, self.accelerators * count)
+
 
 NO_RESOURCES = Resources(0, 0, 0)
 """The zero of :class:`Resources`."""
@@ -55,3 +61,13 @@
 def core_equivalents(needs: Resources) -> float:
     """Return the cores that a task takes, with its accelerators converted into cores."""
     return needs.cpu / 1000 + CORES_PER_ACCELERATOR * needs.accelerators
+
+
+def total_of(amounts: Iterable[tuple[Resources, int]]) -> Resources:
+    """Return the sum of resources, each multiplied by a count."""
+    cpu = memory = accelerators = 0
+    for needs, count in amounts:
+        cpu += needs.cpu * count
+        memory += needs.memory * count
+        accelerators += needs.accelerators * count
+    return Resources(cpu, memory, accelerators)
--- a/packages/core/src/bulrushhollow_core/domain/_shares.py
+++ b/packages/core/src/bulrushhollow_core/domain/_shares.py
@@ -18,6 +18,7 @@
 from bulrushhollow_core.domain._hosts import Host
 from bulrushhollow_core.domain._jobs import NO_RESOURCES, Job, Resources
 from bulrushhollow_core.domain._queueing import Priority, WaitingStep
+from bulrushhollow_core.domain._resources import total_of
 from bulrushhollow_core.domain._state import DomainState
 from bulrushhollow_core.ids import JobId, Seconds, WorkspaceId
 
@@ -345,16 +346,6 @@
     )
 
 
-def total_of(amounts: Iterable[tuple[Resources, int]]) -> Resources:
-    """Return the sum of resources, each multiplied by a count."""
-    cpu = memory = accelerators = 0
-    for needs, count in amounts:
-        cpu += needs.cpu * count
-        memory += needs.memory * count
-        accelerators += needs.accelerators * count
-    return Resources(cpu, memory, accelerators)
-
-
 def _bucket_depth(weight: float) -> float:
     # Below one token, a workspace with a small weight could never submit within its rate.
     return max(1.0, weight * RATE_WINDOW)
