Log which runs are lost with a worker, and whether it crashed or fell silent

Cause: a lost run left one line, run_ended with outcome lost, which neither shows whether its worker crashed, left or was out of reach, nor how long the run had been alive, how often its start was tried, or what ran beside it.

Change: the event run_lost and the counter lost_runs_total by cause. No decision depends on them.

--- a/packages/core/src/bulrushhollow_core/domain/_events.py
+++ b/packages/core/src/bulrushhollow_core/domain/_events.py
@@ -26,6 +26,8 @@
     CLAIM_EXPIRED = "claim_expired"
     """Runs were evicted for a step that could not be placed on their resources in time."""
     RUN_ENDED = "run_ended"
+    RUN_LOST = "run_lost"
+    """A run was lost with its worker; `run_ended` follows once the worker can no longer run it."""
     WORKER_HEARD = "worker_heard"
     WORKER_LOST = "worker_lost"
     WORKER_QUARANTINED = "worker_quarantined"
--- a/packages/core/src/bulrushhollow_core/domain/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/_fleet.py
@@ -150,6 +150,10 @@
         if is_fresh:
             self.first_percent, self.first_percent_at = 0, now
 
+    def survived_until(self, last_contact_at: Seconds) -> Seconds:
+        """Return the seconds that it is known to have survived when its worker was last heard."""
+        return Seconds(max(0.0, last_contact_at - self.accepted_at))
+
     @property
     def is_awaiting_gang(self) -> bool:
         """Return whether its own work is done and it waits for the rest of its gang."""
--- a/packages/core/src/bulrushhollow_core/domain/_losses.py
+++ b/packages/core/src/bulrushhollow_core/domain/_losses.py
@@ -5,6 +5,9 @@
 Handles workers that are lost or untrustworthy, and their runs.
 """
 
+from enum import Enum
+
+from bulrushhollow_core.domain._announcements import Availability
 from bulrushhollow_core.domain._commands import (
     Outcome,
 )
@@ -20,6 +23,17 @@
 from bulrushhollow_core.ids import Seconds
 
 
+class LossCause(Enum):
+    """Why a worker lost its runs."""
+
+    CRASHED = "crashed"
+    """A later life took its id or address, and it had not announced that it would leave."""
+    DEPARTED = "departed"
+    """It left as it had announced."""
+    SILENT = "silent"
+    """Its lease has run out; it may have crashed or only be out of reach."""
+
+
 class WorkerLossHandler:
     """Ends, transfers and stops the runs of workers that are lost or untrustworthy."""
 
@@ -46,8 +60,10 @@
                 silent=round(now - worker.last_contact_at, 3),
             )
         )
+        cause = self._cause_of_loss(worker, is_life_over)
         for run in list(worker.runs_by_task.values()):
             if run.phase is not RunPhase.PROPOSED:
+                self._log_lost_run(worker, run, cause)
                 self._shared.propose_end(run.task, run.number, Outcome.LOST, run.checkpoint)
                 self._shared.fleet.release(worker, run.task)
         if is_life_over:
@@ -61,6 +77,7 @@
 
         Orders name only the id, so a late or repeated start may have reached the later life.
         """
+        cause = self._cause_of_loss(earlier, is_life_over=True)
         later.assume_lease(self._shared.settings.longest_lease, now)
         late_starts = {
             ref: start
@@ -73,12 +90,45 @@
         for ref, run in list(earlier.runs_by_task.items()):
             if run.phase is RunPhase.PROPOSED:
                 continue
+            self._log_lost_run(earlier, run, cause)
             self._shared.fleet.release(earlier, ref)
             run.life = later.life
             run.phase = RunPhase.STOPPING
             self._shared.fleet.place(later, run)
             self._dispatcher.send_stop(later, run, now)
 
+    def _cause_of_loss(self, worker: Worker, is_life_over: bool) -> LossCause:
+        announcement = worker.announcement
+        is_leaving = (
+            worker.life in self._shared.departed_lives
+            or worker.life in self._shared.state.draining_workers
+            or (announcement is not None and announcement.availability is Availability.DRAINING)
+        )
+        if is_leaving:
+            return LossCause.DEPARTED
+        return LossCause.CRASHED if is_life_over else LossCause.SILENT
+
+    def _log_lost_run(self, worker: Worker, run: Run, cause: LossCause) -> None:
+        ordered = [
+            other
+            for other in worker.runs_by_task.values()
+            if other.phase is not RunPhase.PROPOSED and other.task.job != run.task.job
+        ]
+        self._shared.outbox.append(
+            log_event(
+                Event.RUN_LOST,
+                task=run.task,
+                run=run.number,
+                worker=worker.life.id,
+                born=worker.life.born,
+                cause=cause.value,
+                survived=round(run.survived_until(worker.last_contact_at), 3),
+                tries=run.start_attempts,
+                runs_of_other_jobs=len(ordered),
+                term=self._shared.fence,
+            )
+        )
+
     def stop_and_quarantine(self, worker: Worker, run: Run, reason: str, now: Seconds) -> None:
         """Stop a stalled or slow run and quarantine its worker."""
         self._shared.exclude_worker(run.task, worker.life)
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_metrics.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_metrics.py
@@ -85,6 +85,12 @@
         self._run_ends = Counter(
             PREFIX + "run_ends", "Runs that ended, by outcome.", ["outcome"], registry=registry
         )
+        self._lost_runs = Counter(
+            PREFIX + "lost_runs",
+            "Runs lost with their worker, by cause.",
+            ["cause"],
+            registry=registry,
+        )
         self._starts = Counter(
             PREFIX + "starts", "Orders to start, by result.", ["result"], registry=registry
         )
@@ -155,6 +161,8 @@
         self._decisions.labels(log_event.event.value).inc()
         if log_event.event is Event.RUN_ENDED:
             self._run_ends.labels(str(log_event.fields["outcome"])).inc()
+        elif log_event.event is Event.RUN_LOST:
+            self._lost_runs.labels(str(log_event.fields["cause"])).inc()
         elif log_event.event is Event.START_ANSWERED:
             self._starts.labels(str(log_event.fields["result"])).inc()
         elif log_event.event is Event.STEP_PLACED:
--- a/tests/test_domain_metrics.py
+++ b/tests/test_domain_metrics.py
@@ -65,6 +65,7 @@
     def render_all_metrics(self) -> str:
         self.call_metrics.count_call("Submit", "Done", 0.1)
         self.core_metrics.count_decision(log_event(Event.RUN_ENDED, outcome="done"))
+        self.core_metrics.count_decision(log_event(Event.RUN_LOST, cause="crashed"))
         self.core_metrics.count_decision(log_event(Event.START_ANSWERED, result="accepted"))
         self.core_metrics.count_decision(log_event(Event.RUN_STOPPED, reason="preempted for j"))
         self.core_metrics.count_decision(log_event(Event.SUBMISSION_REFUSED, reason="overloaded"))
