--- a/standins/domain_oracle.py
+++ b/standins/domain_oracle.py
@@ -36,6 +36,13 @@
 """The same for an order that is carried out up to eight seconds after it has timed out."""
 
 
+MAX_STARTS_AFTER_CRASHES = 2
+"""Starts of a task after three workers have crashed under it; the platform's rule BUDGET."""
+
+CRASHES_BEFORE_BUDGET = 3
+"""Crashes under a task from which on its starts are limited."""
+
+
 class CapRecord:
     """
     A cap on the tasks of all jobs, as one version of the configuration sets it.
@@ -79,6 +86,9 @@
         self.caps: list[CapRecord] = []
         """Caps that have been requested; without any, the usage is not checked."""
         self.refused_jobs: set[JobId] = set()
+        self.crash_count_by_task: dict[TaskRef, int] = {}
+        """Workers that each task has crashed."""
+        self.starts_after_crashes: dict[TaskRef, int] = {}
         self._unforeseeable_runs: set[tuple[TaskRef, RunNumber]] = set()
         """Runs in lives that the scheduler did not know of when it made its decisions."""
 
@@ -112,6 +122,7 @@
             self._unforeseeable_runs.add((task, order.run))
             return
         self._check_cap(worker, task)
+        self._check_crash_budget(worker, task)
         self._require(
             not other_runs, f"{task} runs twice: {other_runs} and {order.run} on {worker.name}"
         )
@@ -140,6 +151,20 @@
             )
         other_runs.append((worker, order.run))
 
+    def worker_crashed(self, worker: Worker, task: TaskRef) -> None:
+        """Record that a task crashed the worker that started it."""
+        self.crash_count_by_task[task] = self.crash_count_by_task.get(task, 0) + 1
+
+    def _check_crash_budget(self, worker: Worker, task: TaskRef) -> None:
+        crashes = self.crash_count_by_task.get(task, 0)
+        if crashes < CRASHES_BEFORE_BUDGET or worker.is_order_delayed:
+            return
+        starts = self.starts_after_crashes[task] = self.starts_after_crashes.get(task, 0) + 1
+        self._require(
+            starts <= MAX_STARTS_AFTER_CRASHES,
+            f"{task} starts {starts} times more after {crashes} workers crashed under it",
+        )
+
     # Caps.
 
     def cap_requested(self, version: Version, cap: Resources) -> None:
@@ -208,5 +233,8 @@
                 job in self.world.cancelled_jobs, f"{job} is shown as cancelled without a cancel"
             )
         if state is JobState.FAILED:
-            failed = [n for ref, n in self.failure_count_by_task.items() if ref.job == job]
-            self._require(failed, f"{job} is shown as failed without a failure")
+            failed = [ref for ref in self.failure_count_by_task if ref.job == job]
+            crashed = [ref for ref in self.crash_count_by_task if ref.job == job]
+            self._require(
+                bool(failed or crashed), f"{job} is shown as failed without a failure or a crash"
+            )
--- a/standins/domain_workers.py
+++ b/standins/domain_workers.py
@@ -9,7 +9,7 @@
 import math
 import random
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from bulrushhollow_core.domain import (
     Availability,
@@ -46,6 +46,20 @@
 """Seconds of work between two checkpoints."""
 
 
+class Crash(NamedTuple):
+    """
+    How a task crashes the workers that start it.
+
+    :param delay: seconds from the start to the crash.
+    :param downtime: seconds until the worker is back.
+    :param keeps_id: whether it comes back under its id, not under another at the same address.
+    """
+
+    delay: float = 0.01
+    downtime: float = 3.0
+    keeps_id: bool = False
+
+
 class WorkerObserver(Protocol):
     """Receives the events of workers."""
 
@@ -58,6 +72,9 @@
     def end_acknowledged(self, worker: "Worker", row: ListedEnd) -> None:
         """Handle the leader's acknowledgement of an end."""
 
+    def worker_crashed(self, worker: "Worker", task: TaskRef) -> None:
+        """Handle that a task crashed the worker that started it."""
+
 
 class Clock(Protocol):
     """A clock in virtual or in real time."""
@@ -134,6 +151,8 @@
         self.get_duration = get_duration
         self.rng = rng
         self.workers: list[Worker] = []
+        self.crashes_by_task: dict[TaskRef, Crash] = {}
+        """Tasks that crash every worker that starts them."""
 
     def gang_members(self, run: LiveRun) -> list[tuple["Worker", LiveRun]]:
         """Return the members of a run's gang that are on workers now."""
@@ -178,12 +197,12 @@
         self.availability = Availability.READY
         self.remaining = 0.0
         self.clock_rate = pool.rng.uniform(0.98, 1.02)
-        self.begin_life(born)
+        self.begin_life(born, name)
         pool.workers.append(self)
 
-    def begin_life(self, born: int) -> None:
-        """Start with empty memory, as after a restart."""
-        self.life = WorkerLife(WorkerId(self.name), born)
+    def begin_life(self, born: int, worker_id: str = "") -> None:
+        """Start with empty memory, as after a restart; under the id before unless one is given."""
+        self.life = WorkerLife(WorkerId(worker_id or self.life.id), born)
         self.is_up = True
         self.runs: dict[TaskRef, LiveRun] = {}
         self.unacknowledged_ends: list[ListedEnd] = []
@@ -213,6 +232,16 @@
         self.is_up = False
         self.open_polls = []
 
+    def crash_under(self, task: TaskRef, crash: Crash) -> None:
+        """Crash because of a task, and come back after a while."""
+        self.pool.observer.worker_crashed(self, task)
+        self.crash()
+        born = self.life.born + 1
+        worker_id = "" if crash.keeps_id else f"{self.name}-{born}"
+        self.pool.clock.call_later(
+            crash.downtime, lambda: self.is_up or self.begin_life(born, worker_id)
+        )
+
     def heartbeat(self) -> WorkerNews:
         """Return its next heartbeat."""
         self.sequence += 1
@@ -261,12 +290,19 @@
         run = LiveRun(order, step, self.pool.get_duration(order.task), now)
         self.runs[order.task] = run
         self.pool.observer.run_started(self, order)
+        crash = self.pool.crashes_by_task.get(order.task)
+        if crash is not None:
+            self.pool.clock.call_later(crash.delay, lambda: self._crash_if_running(run, crash))
         if step.is_gang:
             self._join_gang(run)
         else:
             self._begin_work([(self, run)])
         return OrderResult.ACCEPTED
 
+    def _crash_if_running(self, run: LiveRun, crash: Crash) -> None:
+        if self.is_up and self.runs.get(run.order.task) is run:
+            self.crash_under(run.order.task, crash)
+
     def _join_gang(self, run: LiveRun) -> None:
         members = self.pool.gang_members(run)
         if len(members) == run.step.count:
--- a/tests/test_domain_crashes.py
+++ b/tests/test_domain_crashes.py
@@ -2,9 +2,18 @@
 
 import unittest
 
+from bulrushhollow_core.domain import JobState, Resources, Step, TaskRef, Work
 from bulrushhollow_core.domain._events import Event, LogEvent
+from bulrushhollow_core.domain._jobs import Occurrence
+from bulrushhollow_core.ids import JobId, Seconds
+from standins.domain_site import configuration
+from standins.domain_workers import Crash
+from tests.domain_world import World
 from tests.test_domain_scheduler import SINGLE_TASK, SchedulerHarness, announcement
 
+CRASHING_JOB = JobId("c" * 16)
+QUEUE = "usual"
+
 
 class LostRunLogTest(unittest.TestCase):
     def lost_run(self, harness: SchedulerHarness) -> dict[str, object]:
@@ -42,5 +51,100 @@
         self.assertEqual("silent", self.lost_run(harness)["cause"])
 
 
+def single_step(count: int = 1, is_gang: bool = False, is_long_running: bool = False) -> Work:
+    step = Step(
+        count,
+        Resources(2000, 1000, 1),
+        Seconds(2.0),
+        is_gang=is_gang,
+        is_long_running=is_long_running,
+    )
+    return Work("spec", (step,))
+
+
+class CrashWorld(World):
+    """A domain with a job whose first task crashes every worker that starts it."""
+
+    def __init__(self, crash: Crash, work: Work, seed: int = 1, workers: int = 12) -> None:
+        super().__init__(seed, workers=workers)
+        self.run(4)
+        assert self.put_configuration(configuration(1))
+        self.run(1)
+        self.task = TaskRef(CRASHING_JOB, Occurrence(0), 0, 0)
+        self.worker_pool.crashes_by_task[self.task] = crash
+        self.submit(CRASHING_JOB, QUEUE, work, 2.0)
+
+    def run_to_crash(self, count: int) -> None:
+        self.run_until(lambda: self.oracle.crash_count_by_task.get(self.task, 0) >= count, 30)
+
+    def kill_leader(self) -> None:
+        leader = self.leader()
+        if leader is not None:
+            leader.kill()
+            self.call_later(1.0, lambda: leader.is_up or leader.start())
+
+    def kill_all(self) -> None:
+        for instance in self.instances:
+            instance.kill()
+            self.call_later(0.5, lambda each=instance: each.is_up or each.start())
+
+
+class CrashBudgetTest(unittest.TestCase):
+    """BUDGET: no task is started three times more once three workers have crashed under it."""
+
+    def assert_given_up(self, world: World, seconds: float = 60.0) -> None:
+        # The oracle raises at the third start after the third crash.
+        world.run(seconds)
+        self.assertEqual([], world.oracle.violations)
+        self.assertIs(JobState.FAILED, world.read(CRASHING_JOB, QUEUE))
+
+    # Guards against a lost run that counts for nobody, so that its task is started without end.
+    def test_a_task_that_crashes_its_workers_is_given_up(self) -> None:
+        self.assert_given_up(CrashWorld(Crash(), single_step()))
+
+    def test_a_task_whose_workers_return_under_their_ids_is_given_up(self) -> None:
+        self.assert_given_up(CrashWorld(Crash(keeps_id=True), single_step()))
+
+    def test_a_task_whose_workers_return_after_their_lease_is_given_up(self) -> None:
+        self.assert_given_up(CrashWorld(Crash(downtime=9.0), single_step()), 120)
+
+    def test_a_task_that_crashes_its_workers_after_seconds_is_given_up(self) -> None:
+        self.assert_given_up(CrashWorld(Crash(delay=1.7), single_step()))
+
+    def test_a_gang_with_a_member_that_crashes_its_workers_is_given_up(self) -> None:
+        self.assert_given_up(CrashWorld(Crash(), single_step(4, is_gang=True)))
+
+    def test_a_job_whose_first_task_of_many_crashes_its_workers_is_given_up(self) -> None:
+        self.assert_given_up(CrashWorld(Crash(), single_step(10)))
+
+    def test_a_lasting_task_that_crashes_its_workers_is_given_up(self) -> None:
+        self.assert_given_up(CrashWorld(Crash(), single_step(2, is_long_running=True)))
+
+    def test_a_speculative_task_that_crashes_its_workers_is_given_up(self) -> None:
+        step = Step(2, Resources(2000, 1000, 1), Seconds(2.0), is_speculative=True)
+        self.assert_given_up(CrashWorld(Crash(), Work("spec", (step,))))
+
+    # Guards against crashes that are counted in the leader's memory only.
+    def test_the_budget_outlasts_a_change_of_leader_after_each_crash(self) -> None:
+        for seed in range(1, 6):
+            with self.subTest(seed=seed):
+                world = CrashWorld(Crash(), single_step(), seed)
+                for crashes in range(1, 4):
+                    world.run_to_crash(crashes)
+                    world.run(0.7 * seed)
+                    world.kill_leader()
+                self.assert_given_up(world)
+
+    def test_the_budget_outlasts_a_restart_of_all_instances_after_each_crash(self) -> None:
+        for seed in range(1, 6):
+            with self.subTest(seed=seed):
+                world = CrashWorld(Crash(), single_step(), seed)
+                for crashes in range(1, 4):
+                    world.run_to_crash(crashes)
+                    world.run(0.7 * seed)
+                    world.kill_all()
+                self.assert_given_up(world)
+
+
 if __name__ == "__main__":
     unittest.main()
