Tell by the worker's own lists how long a run survived, and in which life it was lost

An order names only the id of a worker, so a later life under the same id may answer it.

Change: a run survives from its start to the last list that names it; a worker is heard by announcements and lists only; the end of a run names the life that it was lost with.

--- a/bench/domain_site.py
+++ b/bench/domain_site.py
@@ -387,5 +387,5 @@
     def end_acknowledged(self, worker: Worker, row: ListedEnd) -> None:
         """Ignore an acknowledged end."""
 
-    def worker_crashed(self, worker: Worker, task: TaskRef) -> None:
-        """Ignore a crash under a task; no task of this site causes one."""
+    def worker_crashed(self, worker: Worker, cause: TaskRef | None) -> None:
+        """Ignore a crash; its runs are counted as they end."""
--- a/packages/core/src/bulrushhollow_core/domain/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/_answers.py
@@ -75,7 +75,7 @@
             return
         if answer.clock is not None:
             worker.record_contact(answer.clock, self._shared.settings.longest_lease, now)
-            worker.record_heard(now)
+            worker.last_contact_at = now
         if run.phase is not RunPhase.STARTING:
             return
         self._shared.outbox.append(
@@ -145,7 +145,7 @@
             return
         if answer.clock is not None:
             worker.record_contact(answer.clock, self._shared.settings.longest_lease, now)
-            worker.record_heard(now)
+            worker.last_contact_at = now
         if answer.result is OrderResult.OTHER_LIFE:
             self._loss_handler.declare_lost(worker, "another life answered", now)
             return
@@ -201,9 +201,9 @@
         run = worker.runs_by_task.get(ended_run.task)
         self._record_outcome(worker, ended_run, now)
         if run is not None and run.number == ended_run.run:
-            run.mark_listed()
+            run.mark_listed(now)
             self._shared.fleet.release(worker, ended_run.task)
-            self._shared.propose_end_of(run, worker, ended_run.outcome, ended_run.checkpoint)
+            self._shared.propose_end_of(run, ended_run.outcome, ended_run.checkpoint)
         else:
             self._shared.propose_end(
                 ended_run.task, ended_run.run, ended_run.outcome, ended_run.checkpoint
@@ -234,7 +234,7 @@
                     )
                 )
             return
-        run.mark_listed()
+        run.mark_listed(now)
         if run.phase in (RunPhase.STARTING, RunPhase.ADOPTED):
             run.phase = RunPhase.RUNNING
             run.progress_at = now
@@ -266,7 +266,7 @@
             if run.phase is RunPhase.ADOPTED or has_never_started or is_lost:
                 self._shared.fleet.release(worker, run.task)
                 outcome = Outcome.LOST
-                if has_never_started and run.lost_after is None:
+                if has_never_started and run.loss is None:
                     outcome = Outcome.NEVER_STARTED
-                self._shared.propose_end_of(run, worker, outcome, run.checkpoint)
+                self._shared.propose_end_of(run, outcome, run.checkpoint)
                 self._shared.request_plan(now)
--- a/packages/core/src/bulrushhollow_core/domain/_commands.py
+++ b/packages/core/src/bulrushhollow_core/domain/_commands.py
@@ -85,7 +85,7 @@
 
     :param checkpoint: the run's last checkpoint; empty for none.
     :param survived: seconds that it is known to have survived.
-    :param is_worker_lost: whether its worker fell silent or crashed under it.
+    :param lost_worker: worker that fell silent or crashed under it; None if none did.
     """
 
     task: TaskRef
@@ -93,7 +93,7 @@
     outcome: Outcome
     checkpoint: str = ""
     survived: Seconds = Seconds(0.0)
-    is_worker_lost: bool = False
+    lost_worker: WorkerLife | None = None
 
 
 class EndRuns(msgspec.Struct, frozen=True, array_like=True, tag="end_runs"):
--- a/packages/core/src/bulrushhollow_core/domain/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/_fleet.py
@@ -81,6 +81,17 @@
     needs: Resources
 
 
+class RunLoss(NamedTuple):
+    """
+    The loss of a run with its worker.
+
+    :param survived: seconds that the run is known to have survived.
+    """
+
+    worker: WorkerLife
+    survived: Seconds
+
+
 class RunPhase(Enum):
     """State of a run as the leader knows it."""
 
@@ -142,8 +153,10 @@
         self.stop_accepted_at = Seconds(math.inf)
         self.stop_due = Seconds(-math.inf)
         self.accepted_at = Seconds(math.inf)
-        self.lost_after: Seconds | None = None
-        """Seconds that it survived before its worker crashed; None if it was not lost."""
+        self.first_listed_at = Seconds(math.inf)
+        self.listed_at = Seconds(-math.inf)
+        self.loss: RunLoss | None = None
+        """How it was lost with its worker; None if it was not."""
 
     def record_progress(self, percent: int, checkpoint: str, now: Seconds) -> None:
         """Record the progress and the checkpoint that the worker reports."""
@@ -171,21 +184,26 @@
         if is_fresh:
             self.first_percent, self.first_percent_at = 0, now
 
-    def mark_listed(self) -> None:
+    def mark_listed(self, now: Seconds) -> None:
         """Record that this life of its worker lists it, so that no earlier life has lost it."""
-        self.lost_after = None
+        self.first_listed_at = min(self.first_listed_at, now)
+        self.listed_at = now
+        self.loss = None
 
-    def survived_until(self, last_contact_at: Seconds) -> Seconds:
+    @property
+    def survived(self) -> Seconds:
         """
-        Return the seconds that it is known to have survived when its worker was last heard. A gang
-        survives nothing before its work begins. Of a run that an earlier leader started this is not
-        known; it counts as long enough to have been listed.
+        Return the seconds that it is known to have survived. Only lists show that; an order may
+        have been answered by a later life. A gang survives nothing before its work begins.
         """
+        since = min(self.accepted_at, self.first_listed_at)
+        listed_for = Seconds(max(0.0, self.listed_at - since))
         if self.is_adopted:
-            return MIN_SURVIVAL
-        if self.is_gang and self.percent == 0:
+            # It has run longer than this leader knows of.
+            return max(MIN_SURVIVAL, listed_for)
+        if self.is_gang and self.percent <= (self.first_percent or 0):
             return Seconds(0.0)
-        return Seconds(max(0.0, last_contact_at - self.accepted_at))
+        return listed_for
 
     @property
     def is_awaiting_gang(self) -> bool:
@@ -306,10 +324,7 @@
     @property
     def is_closed(self) -> bool:
         """Return whether an isolated run keeps other jobs' tasks away."""
-        return any(
-            run.survived_until(self.last_contact_at) < ISOLATION_PERIOD
-            for run in self._isolated_runs
-        )
+        return any(run.survived < ISOLATION_PERIOD for run in self._isolated_runs)
 
     def record_heard(self, now: Seconds) -> None:
         """Record that it announced itself or answered."""
--- a/packages/core/src/bulrushhollow_core/domain/_losses.py
+++ b/packages/core/src/bulrushhollow_core/domain/_losses.py
@@ -16,6 +16,7 @@
 from bulrushhollow_core.domain._fleet import (
     LATE_ORDER_WINDOW,
     Run,
+    RunLoss,
     RunPhase,
     Worker,
 )
@@ -65,9 +66,9 @@
         for run in list(worker.runs_by_task.values()):
             if run.phase is not RunPhase.PROPOSED:
                 self._log_lost_run(worker, run, cause)
-                if cause is not LossCause.DEPARTED and run.lost_after is None:
-                    run.lost_after = run.survived_until(worker.last_contact_at)
-                self._shared.propose_end_of(run, worker, Outcome.LOST, run.checkpoint)
+                if cause is not LossCause.DEPARTED:
+                    run.loss = RunLoss(worker.life, run.survived)
+                self._shared.propose_end_of(run, Outcome.LOST, run.checkpoint)
                 self._shared.fleet.release(worker, run.task)
         if is_life_over:
             self._shared.departed_lives.add(worker.life)
@@ -95,8 +96,8 @@
             if run.phase is RunPhase.PROPOSED:
                 continue
             self._log_lost_run(earlier, run, cause)
-            if cause is LossCause.CRASHED and run.lost_after is None:
-                run.lost_after = run.survived_until(earlier.last_contact_at)
+            if cause is LossCause.CRASHED:
+                run.loss = RunLoss(earlier.life, run.survived)
             self._shared.fleet.release(earlier, ref)
             run.life = later.life
             run.phase = RunPhase.STOPPING
@@ -138,7 +139,7 @@
                 worker=worker.life.id,
                 born=worker.life.born,
                 cause=cause.value,
-                survived=round(run.survived_until(worker.last_contact_at), 3),
+                survived=round(run.survived, 3),
                 tries=run.start_attempts,
                 runs_of_other_jobs=len(ordered),
                 term=self._shared.fence,
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
@@ -117,15 +117,10 @@
         """Propose the end of a run to the log, and write it to the decision log."""
         self.propose(RunEnd(task, run, outcome, checkpoint))
 
-    def propose_end_of(self, run: Run, worker: Worker, outcome: Outcome, checkpoint: str) -> None:
+    def propose_end_of(self, run: Run, outcome: Outcome, checkpoint: str) -> None:
         """Propose the end of a run that was ordered."""
-        is_lost = run.lost_after is not None
-        survived = (
-            run.lost_after
-            if run.lost_after is not None
-            else run.survived_until(worker.last_contact_at)
-        )
-        self.propose(RunEnd(run.task, run.number, outcome, checkpoint, survived, is_lost))
+        worker, survived = run.loss or (None, run.survived)
+        self.propose(RunEnd(run.task, run.number, outcome, checkpoint, survived, worker))
 
     def propose(self, end: RunEnd) -> None:
         """Propose an end to the log, and write it to the decision log."""
--- a/packages/core/src/bulrushhollow_core/domain/_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_state.py
@@ -234,7 +234,6 @@
             return
         if task.run != end.run or task.state is not TaskState.ACTIVE:
             return
-        lost_worker = task.worker if end.is_worker_lost else None
         task.state = TaskState.WAITING
         task.worker = None
         task.address = ""
@@ -248,11 +247,11 @@
             self._record_success(job, record, end, is_gang, at)
         elif end.outcome is Outcome.FAILED:
             self._record_failure(job, record, end, is_gang, at)
-        if lost_worker is None:
+        if end.lost_worker is None:
             record_survival(job, end.task, end.survived)
         else:
-            has_crashed = lost_worker in self.crashed_workers
-            record_loss(job, Loss(end.task, lost_worker, at, end.survived, has_crashed))
+            has_crashed = end.lost_worker in self.crashed_workers
+            record_loss(job, Loss(end.task, end.lost_worker, at, end.survived, has_crashed))
             self._give_up_if_crashing(job, end.task, at)
         self._release_if_inactive(job)
 
