Remember starts that may be carried out in a worker's next life, whatever became of them

Callers could see a task run twice, or again after it was done, and the leader's process end with an error.

Cause: an order names only the id of a worker, so its next life may carry out an order to the earlier one, seconds later.

Change: a start on its way counts as unanswered when the next life appears; a start that times out counts as unanswered whatever its run does; an end that a life lists ends the run that any life under its id had.

--- a/packages/core/src/bulrushhollow_core/domain/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/_answers.py
@@ -73,6 +73,10 @@
         run = worker.runs_by_task.get(answer.task) if worker else None
         if worker is None or run is None or run.number != answer.run:
             return
+        if answer.result is OrderResult.NO_ANSWER:
+            # It may still be carried out, even in a later life, also if the run was stopped since.
+            unanswered = UnansweredStart(now, run.needs)
+            worker.unanswered_starts[RunRef(run.task, run.number)] = unanswered
         if answer.clock is not None:
             worker.record_contact(answer.clock, self._shared.settings.longest_lease, now)
             worker.last_contact_at = now
@@ -99,24 +103,20 @@
             case OrderResult.NO_ANSWER | OrderResult.LATE if (
                 run.start_attempts < MAX_START_ATTEMPTS
             ):
-                self._record_unanswered_start(worker, run, answer.result, now)
+                self._record_silence(worker, answer.result, now)
                 self._dispatcher.send_start(worker, run, now)
             case OrderResult.NO_ANSWER:
-                self._record_unanswered_start(worker, run, answer.result, now)
+                self._record_silence(worker, answer.result, now)
                 self._dispatcher.stop(worker, run, now)
             case _:
                 self._handle_refused_start(worker, run, answer.result, now)
 
-    def _record_unanswered_start(
-        self, worker: Worker, run: Run, result: OrderResult, now: Seconds
-    ) -> None:
+    def _record_silence(self, worker: Worker, result: OrderResult, now: Seconds) -> None:
         """
-        Record a start without an answer; it may still be carried out, even in a later life. The
-        worker gets no more work until it answers, and is polled to see whether it does.
+        Record that a worker did not answer a start. It gets no more work until it answers, and is
+        polled to see whether it does.
         """
         if result is OrderResult.NO_ANSWER:
-            unanswered = UnansweredStart(now, run.needs)
-            worker.unanswered_starts[RunRef(run.task, run.number)] = unanswered
             worker.silent_since = worker.silent_since or now
             worker.poll_due = min(worker.poll_due, now)
             self._dispatcher.poll(worker, now)
@@ -198,11 +198,11 @@
         if ended_run.number <= worker.last_listed_end:
             return
         worker.last_listed_end = ended_run.number
-        run = worker.runs_by_task.get(ended_run.task)
         self._record_outcome(worker, ended_run, now)
-        if run is not None and run.number == ended_run.run:
+        run = self._shared.fleet.find_run(worker.life.id, ended_run.task, ended_run.run)
+        if run is not None:
             run.mark_listed(now)
-            self._shared.fleet.release(worker, ended_run.task)
+            self._shared.fleet.release(self._shared.fleet.workers_by_life[run.life], run.task)
             self._shared.propose_end_of(run, ended_run.outcome, ended_run.checkpoint)
         else:
             self._shared.propose_end(
--- a/packages/core/src/bulrushhollow_core/domain/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/_fleet.py
@@ -518,6 +518,16 @@
         """Return the runs of a job that take resources."""
         return list(self._runs_by_job.get(job, {}).values())
 
+    def find_run(self, worker_id: WorkerId, task: TaskRef, number: RunNumber) -> Run | None:
+        """
+        Return a run that takes resources of any life under an id, or None. Orders name only the id,
+        so a run may have started in a later life than the one that it was ordered for.
+        """
+        runs = (
+            self.workers_by_life[life].runs_by_task.get(task) for life in self.lives_of(worker_id)
+        )
+        return next((run for run in runs if run is not None and run.number == number), None)
+
     def remove(self, life: WorkerLife) -> None:
         """Remove a worker and its runs."""
         worker = self.workers_by_life.pop(life, None)
--- a/packages/core/src/bulrushhollow_core/domain/_losses.py
+++ b/packages/core/src/bulrushhollow_core/domain/_losses.py
@@ -18,6 +18,8 @@
     Run,
     RunLoss,
     RunPhase,
+    RunRef,
+    UnansweredStart,
     Worker,
 )
 from bulrushhollow_core.domain._scheduler_state import SchedulerState
@@ -89,6 +91,12 @@
             for ref, start in earlier.unanswered_starts.items()
             if now - start.timed_out_at < LATE_ORDER_WINDOW
         }
+        # Nobody waits any longer for the answers to orders that are on their way now.
+        late_starts |= {
+            RunRef(run.task, run.number): UnansweredStart(now, run.needs)
+            for run in earlier.runs_by_task.values()
+            if run.phase is RunPhase.STARTING
+        }
         later.unanswered_starts.update(late_starts)
         later.pending_stops.update(dict.fromkeys(late_starts, now))
         self._dispatcher.resend_stops(later, now)
