Ask for four crashes if a task is not known to have started under each of them

Cause: a start without an answer may have reached a worker that was gone already.

Change: a loss says whether the run is known to have started, by the answer to its order or by a list. Three such crashes end the job, or four of any kind; that leaves one start of the two that the platform allows after the third.

--- a/packages/core/src/bulrushhollow_core/domain/_commands.py
+++ b/packages/core/src/bulrushhollow_core/domain/_commands.py
@@ -12,7 +12,14 @@
 
 from bulrushhollow_core.domain._announcements import WorkerNews
 from bulrushhollow_core.domain._configuration import Configuration, Queue
-from bulrushhollow_core.domain._jobs import RunNumber, TaskRef, WallTime, Work, WorkerLife
+from bulrushhollow_core.domain._jobs import (
+    RunNumber,
+    TaskRef,
+    WallTime,
+    Work,
+    WorkerLife,
+    WorkerLoss,
+)
 from bulrushhollow_core.ids import DataCentreId, JobId, Seconds, WorkspaceId
 
 
@@ -84,8 +91,8 @@
     The end of one run.
 
     :param checkpoint: the run's last checkpoint; empty for none.
-    :param survived: seconds that it is known to have survived.
-    :param lost_worker: worker that fell silent or crashed under it; None if none did.
+    :param survived: seconds that it is known to have survived, if its worker has ended it.
+    :param loss: how it was lost with its worker; None if it was not.
     """
 
     task: TaskRef
@@ -93,7 +100,7 @@
     outcome: Outcome
     checkpoint: str = ""
     survived: Seconds = Seconds(0.0)
-    lost_worker: WorkerLife | None = None
+    loss: WorkerLoss | None = None
 
 
 class EndRuns(msgspec.Struct, frozen=True, array_like=True, tag="end_runs"):
--- a/packages/core/src/bulrushhollow_core/domain/_crashes.py
+++ b/packages/core/src/bulrushhollow_core/domain/_crashes.py
@@ -25,6 +25,10 @@
 MAX_CRASHES = 3
 """Workers that may crash under a task before it is given up."""
 
+MAX_UNCERTAIN_CRASHES = 4
+"""Workers that may crash under a task before it is given up if not all are known to have started
+it: an order without an answer may have reached a worker that was gone already."""
+
 MAX_CRASH_AGE = Seconds(60.0)
 """Longest time, in seconds, that a run may have survived for a crash to be blamed on it."""
 
@@ -55,7 +59,12 @@
 
 def crashes_workers(job: Job, task: TaskRef) -> bool:
     """Return whether a task has crashed so many workers that it is given up."""
-    return crash_count(job, task) >= MAX_CRASHES
+    crashes = [loss for loss in losses_of(job, task) if loss.has_crashed]
+    started_on = {each.worker for each in crashes if each.loss.has_started}
+    return (
+        len(started_on) >= MAX_CRASHES
+        or len({each.worker for each in crashes}) >= MAX_UNCERTAIN_CRASHES
+    )
 
 
 def is_suspect(job: Job, task: TaskRef) -> bool:
--- a/packages/core/src/bulrushhollow_core/domain/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/_fleet.py
@@ -18,6 +18,7 @@
     RunNumber,
     TaskRef,
     WorkerLife,
+    WorkerLoss,
 )
 from bulrushhollow_core.ids import JobId, Seconds, WorkerId
 
@@ -81,17 +82,6 @@
     needs: Resources
 
 
-class RunLoss(NamedTuple):
-    """
-    The loss of a run with its worker.
-
-    :param survived: seconds that the run is known to have survived.
-    """
-
-    worker: WorkerLife
-    survived: Seconds
-
-
 class RunPhase(Enum):
     """State of a run as the leader knows it."""
 
@@ -155,7 +145,7 @@
         self.accepted_at = Seconds(math.inf)
         self.first_listed_at = Seconds(math.inf)
         self.listed_at = Seconds(-math.inf)
-        self.loss: RunLoss | None = None
+        self.loss: WorkerLoss | None = None
         """How it was lost with its worker; None if it was not."""
 
     def record_progress(self, percent: int, checkpoint: str, now: Seconds) -> None:
@@ -190,6 +180,18 @@
         self.listed_at = now
         self.loss = None
 
+    @property
+    def has_started(self) -> bool:
+        """
+        Return whether its worker is known to have started it. What an earlier leader recorded was
+        ordered before the change of leader, as a rule.
+        """
+        return self.is_adopted or min(self.accepted_at, self.first_listed_at) < math.inf
+
+    def lose(self) -> None:
+        """Record that it is lost with its worker."""
+        self.loss = WorkerLoss(self.life, self.survived, self.has_started)
+
     @property
     def survived(self) -> Seconds:
         """
--- a/packages/core/src/bulrushhollow_core/domain/_jobs.py
+++ b/packages/core/src/bulrushhollow_core/domain/_jobs.py
@@ -202,20 +202,42 @@
 that was lost earlier is a likely cause of the crash."""
 
 
-class Loss(msgspec.Struct, array_like=True):
+class WorkerLoss(msgspec.Struct, frozen=True, array_like=True):
     """
-    A run that was lost with its worker.
+    The loss of a run with its worker.
 
+    :param worker: worker that fell silent or crashed.
     :param survived: seconds that the run is known to have survived.
+    :param has_started: whether the worker is known to have started it.
+    """
+
+    worker: WorkerLife
+    survived: Seconds
+    has_started: bool
+
+
+class Loss(msgspec.Struct, array_like=True):
+    """
+    The recorded loss of a run of a task.
+
     :param has_crashed: whether the worker is known to have crashed, and was not only out of reach.
     """
 
     task: TaskRef
-    worker: WorkerLife
+    loss: WorkerLoss
     lost_at: WallTime
-    survived: Seconds
     has_crashed: bool = False
 
+    @property
+    def worker(self) -> WorkerLife:
+        """Return the worker that the run was lost with."""
+        return self.loss.worker
+
+    @property
+    def survived(self) -> Seconds:
+        """Return the seconds that the run is known to have survived."""
+        return self.loss.survived
+
 
 class JobState(Enum):
     """State of a job as callers see it."""
--- a/packages/core/src/bulrushhollow_core/domain/_losses.py
+++ b/packages/core/src/bulrushhollow_core/domain/_losses.py
@@ -16,7 +16,6 @@
 from bulrushhollow_core.domain._fleet import (
     LATE_ORDER_WINDOW,
     Run,
-    RunLoss,
     RunPhase,
     RunRef,
     UnansweredStart,
@@ -69,7 +68,7 @@
             if run.phase is not RunPhase.PROPOSED:
                 self._log_lost_run(worker, run, cause)
                 if cause is not LossCause.DEPARTED:
-                    run.loss = RunLoss(worker.life, run.survived)
+                    run.lose()
                 self._shared.propose_end_of(run, Outcome.LOST, run.checkpoint)
                 self._shared.fleet.release(worker, run.task)
         if is_life_over:
@@ -105,7 +104,7 @@
                 continue
             self._log_lost_run(earlier, run, cause)
             if cause is LossCause.CRASHED:
-                run.loss = RunLoss(earlier.life, run.survived)
+                run.lose()
             self._shared.fleet.release(earlier, ref)
             run.life = later.life
             run.phase = RunPhase.STOPPING
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
@@ -119,8 +119,7 @@
 
     def propose_end_of(self, run: Run, outcome: Outcome, checkpoint: str) -> None:
         """Propose the end of a run that was ordered."""
-        worker, survived = run.loss or (None, run.survived)
-        self.propose(RunEnd(run.task, run.number, outcome, checkpoint, survived, worker))
+        self.propose(RunEnd(run.task, run.number, outcome, checkpoint, run.survived, run.loss))
 
     def propose(self, end: RunEnd) -> None:
         """Propose an end to the log, and write it to the decision log."""
--- a/packages/core/src/bulrushhollow_core/domain/_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_state.py
@@ -247,11 +247,11 @@
             self._record_success(job, record, end, is_gang, at)
         elif end.outcome is Outcome.FAILED:
             self._record_failure(job, record, end, is_gang, at)
-        if end.lost_worker is None:
+        if end.loss is None:
             record_survival(job, end.task, end.survived)
         else:
-            has_crashed = end.lost_worker in self.crashed_workers
-            record_loss(job, Loss(end.task, end.lost_worker, at, end.survived, has_crashed))
+            has_crashed = end.loss.worker in self.crashed_workers
+            record_loss(job, Loss(end.task, end.loss, at, has_crashed))
             self._give_up_if_crashing(job, end.task, at)
         self._release_if_inactive(job)
 
