Start nothing above a capacity that shrank while a start was on its way

LIMIT: no start brings a worker that doesn't guard its capacity over it; a shrunk capacity counts the platform's contact time and a heartbeat later.

Change: a start is withdrawn or not repeated if its worker has shrunk below what it already runs; the log keeps the sequence of an announcement; where workers don't guard their capacity, only announcements of the last 2.5 heartbeats count, and their age is taken from the worker's clock. Workers that guard it are used as before.

--- a/packages/core/src/bulrushhollow_core/domain/_announcements.py
+++ b/packages/core/src/bulrushhollow_core/domain/_announcements.py
@@ -42,6 +42,11 @@
     clock: Seconds
     remaining: Seconds
 
-    def without_volatile_fields(self) -> "WorkerNews":
-        """Return a copy without the fields that differ in every announcement."""
-        return msgspec.structs.replace(self, sequence=0, clock=Seconds(0.0), remaining=Seconds(0.0))
+    def is_equivalent(self, other: "WorkerNews") -> bool:
+        """Return whether it says the same but for the fields that differ in every announcement."""
+        renumbered = msgspec.structs.replace(other, sequence=self.sequence)
+        return self.without_times() == renumbered.without_times()
+
+    def without_times(self) -> "WorkerNews":
+        """Return a copy without the readings of the worker's clock."""
+        return msgspec.structs.replace(self, clock=Seconds(0.0), remaining=Seconds(0.0))
--- a/packages/core/src/bulrushhollow_core/domain/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/_answers.py
@@ -101,7 +101,7 @@
             case OrderResult.FENCED:
                 pass
             case OrderResult.NO_ANSWER | OrderResult.LATE if (
-                run.start_attempts < MAX_START_ATTEMPTS
+                run.start_attempts < MAX_START_ATTEMPTS and not worker.is_overcommitted
             ):
                 self._record_silence(worker, answer.result, now)
                 self._dispatcher.send_start(worker, run, now)
--- a/packages/core/src/bulrushhollow_core/domain/_dispatch.py
+++ b/packages/core/src/bulrushhollow_core/domain/_dispatch.py
@@ -66,7 +66,8 @@
             worker.announcement is not None
             and worker.announcement.data_centre in self._shared.state.evacuated_data_centres
         )
-        if not self._shared.state.can_start(start) or is_evacuated or is_withdrawn:
+        is_blocked = is_evacuated or is_withdrawn or worker.is_overcommitted
+        if is_blocked or not self._shared.state.can_start(start):
             self._shared.fleet.release(worker, start.task)
             self._shared.propose_end(start.task, start.run, Outcome.NEVER_STARTED)
             return
--- a/packages/core/src/bulrushhollow_core/domain/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/_fleet.py
@@ -254,9 +254,11 @@
         self.life = life
         self.address = address
         self.announcement: WorkerNews | None = None
+        self.announced_at = Seconds(-math.inf)
+        """When it made its announcement, or later; unknown of one that an earlier leader heard."""
         self.last_contact_at = now
         self.heard_at = Seconds(-math.inf)
-        """When this leader last heard from it; unlike the last contact not assumed at first."""
+        """When it last announced itself or listed its runs; only these tell its life."""
         self.silent_since: Seconds | None = None
         self.runs_by_task: dict[TaskRef, Run] = {}
         """Changed only by its :class:`Fleet`, which keeps an index of all runs."""
@@ -308,6 +310,11 @@
         """Return the resources that no run takes."""
         return self.capacity.minus(self._allocated)
 
+    @property
+    def is_overcommitted(self) -> bool:
+        """Return whether its runs take more than it has, since its capacity has shrunk."""
+        return not NO_RESOURCES.fits(self.free)
+
     def place(self, run: Run) -> None:
         """Allocate resources to a run."""
         self.runs_by_task[run.task] = run
@@ -329,7 +336,7 @@
         return any(run.survived < ISOLATION_PERIOD for run in self._isolated_runs)
 
     def record_heard(self, now: Seconds) -> None:
-        """Record that it announced itself or answered."""
+        """Record that it announced itself or listed its runs."""
         self.last_contact_at = self.heard_at = now
 
     def possibly_started_tasks(self, now: Seconds) -> set[TaskRef]:
@@ -370,6 +377,10 @@
             return Seconds(-math.inf)
         return Seconds(self._clock_reading + (now - self._clock_read_at) * MIN_CLOCK_RATE)
 
+    def age_of(self, clock: Seconds, now: Seconds) -> Seconds:
+        """Return the seconds that have passed at least since its clock showed a reading."""
+        return Seconds(max(0.0, self.clock_floor(now) - clock))
+
     @property
     def has_clock(self) -> bool:
         """Return whether a reading of its clock is known."""
@@ -494,11 +505,12 @@
             self._lives_by_address.setdefault(address, set()).add(life)
         return worker
 
-    def record_announcement(self, worker: Worker, announcement: WorkerNews) -> None:
+    def record_announcement(self, worker: Worker, announcement: WorkerNews, now: Seconds) -> None:
         """Record the latest announcement of a worker."""
         self._lives_by_address[worker.address].discard(worker.life)
         self._lives_by_address.setdefault(announcement.address, set()).add(worker.life)
         worker.announcement = announcement
+        worker.announced_at = Seconds(now - worker.age_of(announcement.clock, now))
         worker.address = announcement.address
 
     def place(self, worker: Worker, run: Run) -> None:
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -18,7 +18,7 @@
     Start,
     StartRuns,
 )
-from bulrushhollow_core.domain._configuration import Queue
+from bulrushhollow_core.domain._configuration import Queue, ServiceName
 from bulrushhollow_core.domain._copies import detached_copy
 from bulrushhollow_core.domain._crashes import is_suspect
 from bulrushhollow_core.domain._delay_cost import DelayPricer
@@ -389,10 +389,19 @@
             and worker.has_clock
             and not worker.is_closed
             and reachability.is_likely(worker)
+            and (
+                self._guards_capacity(worker.announcement.service)
+                or reachability.is_capacity_current(worker)
+            )
             and now >= worker.backoff_until
             and now >= worker.quarantined_until
         ]
 
+    def _guards_capacity(self, service: ServiceName) -> bool:
+        """Return whether the workers of a service refuse what exceeds their capacity."""
+        index = self._shared.state.configuration_index
+        return index is not None and index.checks_admission_by_service.get(service, False)
+
     def _build_host(self, worker: Worker, announcement: WorkerNews, now: Seconds) -> Host:
         speeds = self._shared.speeds
         slowness = speeds.slowness_of(worker.life) if speeds.is_uneven else NORMAL_SLOWNESS
--- a/packages/core/src/bulrushhollow_core/domain/_reachability.py
+++ b/packages/core/src/bulrushhollow_core/domain/_reachability.py
@@ -15,6 +15,10 @@
 MAX_HEARTBEAT_LATENESS = 1.3
 """Heartbeat intervals without contact after which a worker gets no new work."""
 
+MAX_ANNOUNCEMENT_AGE = 2.5
+"""Heartbeat intervals after which an announcement no longer tells the capacity of its worker, even
+if the worker answers polls. Changes must show within the time of contact and one heartbeat."""
+
 SILENT_HEARTBEATS = 4.0
 """Heartbeats of a data centre, at its usual rate, that must be missing until it counts as silent.
 Heartbeats of few workers are spread unevenly."""
@@ -51,6 +55,7 @@
     ) -> None:
         """Find the data centres that are silent now."""
         self._heard_since = Seconds(now - MAX_HEARTBEAT_LATENESS * heartbeat_interval)
+        self._announced_since = Seconds(now - MAX_ANNOUNCEMENT_AGE * heartbeat_interval)
         contact_times_by_data_centre: dict[DataCentreId, list[Seconds]] = {}
         for worker in workers:
             if worker.announcement is not None:
@@ -72,3 +77,7 @@
             and worker.silent_since is None
             and worker.last_contact_at > self._heard_since
         )
+
+    def is_capacity_current(self, worker: Worker) -> bool:
+        """Return whether a worker's announcement still tells its capacity."""
+        return worker.announced_at > self._announced_since
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler.py
@@ -156,10 +156,15 @@
                 self._loss_handler.transfer_runs(earlier, worker, now)
             self._loss_handler.declare_lost(earlier, "outlived", now)
         previous = worker.announcement
-        self._shared.fleet.record_announcement(worker, announcement)
+        self._shared.fleet.record_announcement(worker, announcement, now)
         self._shared.propose_registration(announcement)
         worker.record_heard(now)
-        if is_new or previous is None or previous.availability is not announcement.availability:
+        if (
+            is_new
+            or previous is None
+            or previous.availability is not announcement.availability
+            or previous.capacity != announcement.capacity
+        ):
             self._log_announcement(worker, announcement)
             self._shared.request_plan(now)
         if announcement.availability is Availability.DRAINING:
@@ -287,6 +292,9 @@
                 data_centre=announcement.data_centre,
                 rack=announcement.rack,
                 availability=announcement.availability.value,
+                cores=announcement.capacity.cpu,
+                memory=announcement.capacity.memory,
+                accelerators=announcement.capacity.accelerators,
                 sequence=announcement.sequence,
             )
         )
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
@@ -89,6 +89,8 @@
         for life, announcement in state.announcements_by_life.items():
             worker = self.fleet.get_or_create(life, announcement.address, now)
             worker.announcement = announcement
+            # A late announcement from before this one must not replace it.
+            self.fleet.sequence_by_life[life] = announcement.sequence
         for ref, task in state.active_tasks():
             if task.worker is not None:
                 self.adopt(ref, task.run, task.worker, task.address, now)
@@ -170,12 +172,11 @@
 
     def propose_registration(self, announcement: WorkerNews) -> None:
         """Propose to record an announcement, unless the state already has an equal one."""
-        registration = announcement.without_volatile_fields()
-        if self.state.announcements_by_life.get(announcement.life) != registration and (
-            announcement.life not in self.pending_registrations
-        ):
+        known = self.state.announcements_by_life.get(announcement.life)
+        is_known = known is not None and known.is_equivalent(announcement)
+        if not is_known and announcement.life not in self.pending_registrations:
             self.pending_registrations.add(announcement.life)
-            self.proposals.append(RegisterWorker(registration))
+            self.proposals.append(RegisterWorker(announcement.without_times()))
 
     def forget_worker(self, life: WorkerLife) -> None:
         """Remove a worker, and propose to remove it from the replicated state."""
--- a/standins/domain_site.py
+++ b/standins/domain_site.py
@@ -39,12 +39,17 @@
     )
 
 
-def configuration(version: int, guaranteed: int = 16, cap: Resources = NO_CAP) -> Configuration:
+def configuration(
+    version: int,
+    guaranteed: int = 16,
+    cap: Resources = NO_CAP,
+    checks_admission: bool = True,
+) -> Configuration:
     """Return a configuration with three queues and one workspace."""
     return Configuration(
         Version(version),
         (queue("urgent", 0), queue("usual", 1), queue("later", 2, attempts=2)),
-        (Service(ServiceName("svc"), True),),
+        (Service(ServiceName("svc"), checks_admission),),
         (Workspace(WorkspaceId("team"), (KEY,), guaranteed, cap),),
         CallLimits(),
         b"version %d" % version,
--- a/tests/test_domain_machine.py
+++ b/tests/test_domain_machine.py
@@ -4,10 +4,18 @@
 import random
 import unittest
 
-from bulrushhollow_core.domain import Availability, JobState, Resources, Step, Work
+from bulrushhollow_core.domain import (
+    Availability,
+    JobState,
+    Occurrence,
+    Resources,
+    Step,
+    TaskRef,
+    Work,
+)
 from bulrushhollow_core.ids import JobId, Seconds
 from standins.domain_site import QUEUES, configuration
-from standins.domain_workers import Worker
+from standins.domain_workers import Crash, Worker
 from tests.domain_world import World
 
 SEEDS = (1, 2, 3, 4, 5, 9, 27, 148)
@@ -18,14 +26,22 @@
 CAP_SEEDS = (1, 2, 3, 4)
 """Seeds of the runs in which the cap of the workspace changes."""
 
+WORKER_SEEDS = (1, 2, 3, 4)
+"""Seeds of the runs in which workers shrink and grow, and tasks crash them."""
+
 LOST_ANSWER_SEEDS = (1, 2, 3, 4)
 """Seeds of the runs in which workers carry out orders and their answers are lost."""
 
 
-def start_domain(seed: int, late_order_rate: float = 0.0, lost_answer_rate: float = 0.0) -> World:
+def start_domain(
+    seed: int,
+    late_order_rate: float = 0.0,
+    lost_answer_rate: float = 0.0,
+    checks_admission: bool = True,
+) -> World:
     world = World(seed, late_order_rate=late_order_rate, lost_answer_rate=lost_answer_rate)
     world.run(4)
-    assert world.put_configuration(configuration(1))
+    assert world.put_configuration(configuration(1, checks_admission=checks_admission))
     world.run(1)
     return world
 
@@ -73,6 +89,50 @@
         return self.world.put_configuration(configuration(self.version, cap=cap))
 
 
+class CapacityChanges:
+    """Shrinks and grows workers that don't guard their capacity, at random times."""
+
+    def __init__(self, world: World, seed: int) -> None:
+        self.world = world
+        self.rng = random.Random(seed * 15485863)
+        self.due = world.now
+        for worker in world.worker_pool.workers:
+            worker.guards_capacity = False
+
+    def make_next(self) -> None:
+        if self.world.now < self.due:
+            return
+        self.due = self.world.now + self.rng.uniform(0.2, 2)
+        worker = self.rng.choice(self.world.worker_pool.workers)
+        cores, accelerators = self.rng.choice((0, 8, 32, 64)), self.rng.choice((0, 2, 4, 8))
+        worker.change_capacity(Resources(1000 * cores, 256_000, accelerators))
+
+    def restore_all(self) -> None:
+        for worker in self.world.worker_pool.workers:
+            worker.change_capacity(Resources(64_000, 256_000, 8))
+
+
+class CrashingTasks:
+    """Makes one task of some jobs crash every worker that starts it."""
+
+    def __init__(self, world: World, seed: int) -> None:
+        self.world = world
+        self.rng = random.Random(seed * 32452843)
+
+    def choose(self, job: JobId, work: Work) -> None:
+        if self.rng.random() > 0.1:
+            return
+        step = self.rng.randrange(len(work.steps))
+        member = self.rng.randrange(work.steps[step].count)
+        crash = Crash(
+            delay=self.rng.choice((0.001, 0.01, 0.3, 1.5)),
+            downtime=self.rng.choice((0.5, 3.0, 3.0, 9.0)),
+            keeps_id=self.rng.random() < 0.5,
+        )
+        task = TaskRef(job, Occurrence(0), step, member)
+        self.world.worker_pool.crashes_by_task[task] = crash
+
+
 class Faults:
     """Injects faults one by one, and repairs each after a while."""
 
@@ -159,12 +219,16 @@
     late_order_rate: float = 0.04,
     lost_answer_rate: float = 0.0,
     changes_caps: bool = False,
+    changes_capacities: bool = False,
+    has_crashing_tasks: bool = False,
 ) -> World:
     """Submit jobs and inject faults, then repair everything and check that every job has ended."""
-    world = start_domain(seed, late_order_rate, lost_answer_rate)
+    world = start_domain(seed, late_order_rate, lost_answer_rate, not changes_capacities)
     rng = random.Random(seed * 7919)
     faults = Faults(world, rng)
     cap_changes = CapChanges(world, seed)
+    capacity_changes = CapacityChanges(world, seed) if changes_capacities else None
+    crashing_tasks = CrashingTasks(world, seed) if has_crashing_tasks else None
     queue_by_job: dict[JobId, str] = {}
     end = world.now + seconds
     next_fault = world.now + 2
@@ -172,12 +236,17 @@
         name = f"{len(queue_by_job):016x}"
         queue = rng.choice(QUEUES)
         queue_by_job[JobId(name)] = queue
-        world.submit(name, queue, random_work(rng, name), rng.uniform(0.5, 5))
+        work = random_work(rng, name)
+        if crashing_tasks is not None:
+            crashing_tasks.choose(JobId(name), work)
+        world.submit(name, queue, work, rng.uniform(0.5, 5))
         if rng.random() < 0.1:
             job = rng.choice(list(queue_by_job))
             world.cancel(job, queue_by_job[job])
         if changes_caps:
             cap_changes.put_next()
+        if capacity_changes is not None:
+            capacity_changes.make_next()
         if world.now >= next_fault:
             faults.inject()
             next_fault = world.now + rng.uniform(1, 6)
@@ -188,6 +257,8 @@
     for instance in world.instances:
         if not instance.is_up:
             instance.start()
+    if capacity_changes is not None:
+        capacity_changes.restore_all()
     if changes_caps:
         # Without a cap at the end, also jobs that were accepted under a higher cap can run.
         world.run_until(lambda: cap_changes.put(Resources(0, 0, 0)), 60)
@@ -252,6 +323,16 @@
             with self.subTest(seed=seed):
                 run_seed(seed, lost_answer_rate=0.1 * (seed % 2), changes_caps=True)
 
+    # Guards against starts above the capacity of workers that shrink, and against crashes that are
+    # not counted across faults of the instances.
+    def test_no_worker_is_overcommitted_and_crashing_tasks_are_given_up_under_faults(self) -> None:
+        first = int(os.environ.get("FUZZ_SEED", "0"))
+        count = int(os.environ.get("FUZZ_STEPS", "0")) // 1000
+        seeds = range(first, first + count) if first and count else WORKER_SEEDS
+        for seed in seeds:
+            with self.subTest(seed=seed):
+                run_seed(seed, changes_capacities=True, has_crashing_tasks=True)
+
     def test_invariants_hold_when_answers_of_workers_are_lost(self) -> None:
         first = int(os.environ.get("FUZZ_SEED", "0"))
         count = int(os.environ.get("FUZZ_STEPS", "0")) // 1000
