--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,12 +20,13 @@
 import tempfile
 import time
 
-from bulrushhollow_core.domain import JobState
+from bulrushhollow_core.domain import JobState, Occurrence, TaskRef, Work
 from bulrushhollow_core.ids import JobId
 from bulrushhollow_platform.standin import CallResult, config_body, job_body
 from soak._faults import Faults
 from soak._fleet import Testbed, random_work
 from standins.domain_site import HOST, KEY, QUEUES, configuration
+from standins.domain_workers import Crash
 
 START_TIMEOUT = 30.0
 """Seconds until the first configuration; processes start slowly on a busy machine."""
@@ -36,6 +37,9 @@
 SUBMIT_INTERVAL = 0.15
 """Seconds between two submissions, on average."""
 
+CRASHING_SHARE = 0.03
+"""Share of the jobs of which a task crashes every worker that starts it."""
+
 REGRESSIONS = (104, 141, 2043, 2004)
 """Seeds that failed once. 104: a silent voter was removed before its successor counted, and the log
 stopped for good. 141: a list of runs from before a start was taken as proof that the run was gone.
@@ -64,6 +68,7 @@
         self._seconds = seconds
         self._testbed = Testbed(seed, cores, entries, workers, base)
         self._rng = random.Random(seed * 31 + 7)
+        self._crash_rng = random.Random(seed * 37 + 11)
         self._started_at = time.monotonic()
         self._base = pathlib.Path(base)
         self._queue_by_job: dict[JobId, str] = {}
@@ -134,11 +139,26 @@
         self.count_by_answer[key] = self.count_by_answer.get(key, 0) + 1
         return outcome
 
+    def _make_crashing(self, job: str, work: Work) -> None:
+        """Make one task of a job crash every worker that starts it."""
+        rng = self._crash_rng
+        step = rng.randrange(len(work.steps))
+        member = rng.randrange(work.steps[step].count)
+        task = TaskRef(JobId(job), Occurrence(0), step, member)
+        self._testbed.worker_pool.crashes_by_task[task] = Crash(
+            delay=rng.choice((0.001, 0.01, 0.5)),
+            downtime=rng.choice((0.5, 3.0)),
+            keeps_id=rng.random() < 0.5,
+        )
+        self.log(f"task {task} crashes its workers")
+
     async def _submit(self) -> None:
         job = JobId(f"{len(self._queue_by_job):016x}")
         queue = self._rng.choice(QUEUES)
         self._queue_by_job[job] = queue
         work = random_work(self._rng, job)
+        if self._crash_rng.random() < CRASHING_SHARE:
+            self._make_crashing(job, work)
         self._testbed.work_by_job[job] = work
         self._testbed.duration_by_job[job] = self._rng.uniform(0.2, 2)
         may_have_run = False
