Blame at most three workers for one task that stands still or is slow

Callers could see all work wait: each stall quarantines its worker, for 6 s at first and twice as long each time, so one task that stands still wherever it runs takes worker after worker out of use, and excludes them all from its own step.

Change: three different workers are blamed for one task. After that a stalled run is still stopped and started again, and a slow one is left to run.

--- a/packages/core/src/bulrushhollow_core/domain/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/_answers.py
@@ -246,7 +246,12 @@
             return
         self._shared.straggler_detector.observe(run)
         self._shared.observe_speed(run)
-        if run.phase is RunPhase.RUNNING and self._shared.straggler_detector.is_straggler(run, now):
+        is_straggler = (
+            run.phase is RunPhase.RUNNING
+            and self._shared.straggler_detector.is_straggler(run, now)
+            and self._loss_handler.may_blame_worker(run.task)
+        )
+        if is_straggler:
             self._loss_handler.stop_and_quarantine(worker, run, "a run is slow", now)
 
     def _end_missing_runs(
--- a/packages/core/src/bulrushhollow_core/domain/_losses.py
+++ b/packages/core/src/bulrushhollow_core/domain/_losses.py
@@ -21,9 +21,13 @@
     UnansweredStart,
     Worker,
 )
+from bulrushhollow_core.domain._jobs import TaskRef
 from bulrushhollow_core.domain._scheduler_state import SchedulerState
 from bulrushhollow_core.ids import Seconds
 
+MAX_BLAMED_WORKERS = 3
+"""Workers that are blamed for one task that stalls or is slow; after that the task is."""
+
 
 class LossCause(Enum):
     """Why a worker lost its runs."""
@@ -153,11 +157,18 @@
             )
         )
 
+    def may_blame_worker(self, task: TaskRef) -> bool:
+        """Return whether another worker may be blamed for a task that stalls or is slow there."""
+        blamed_workers = self._shared.blamed_workers_by_task.get(task, ())
+        return len(blamed_workers) < MAX_BLAMED_WORKERS
+
     def stop_and_quarantine(self, worker: Worker, run: Run, reason: str, now: Seconds) -> None:
-        """Stop a stalled or slow run and quarantine its worker."""
-        self._shared.exclude_worker(run.task, worker.life)
-        if worker.quarantine(now):
-            self.log_quarantine(worker, reason, now)
+        """Stop a stalled or slow run; quarantine its worker unless the task itself is to blame."""
+        if self.may_blame_worker(run.task):
+            self._shared.blamed_workers_by_task.setdefault(run.task, set()).add(worker.life)
+            self._shared.exclude_worker(run.task, worker.life)
+            if worker.quarantine(now):
+                self.log_quarantine(worker, reason, now)
         self._dispatcher.log_stop(run, reason)
         self._dispatcher.stop(worker, run, now)
 
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
@@ -69,6 +69,8 @@
         """Since when a gang's reservation of a cap holds back work that it must yield to."""
         self.excluded_workers_by_step: dict[StepRef, set[WorkerLife]] = {}
         """Workers on which a task of the step failed, stalled or was too slow."""
+        self.blamed_workers_by_task: dict[TaskRef, set[WorkerLife]] = {}
+        """Workers that were quarantined because the task stalled or was too slow there."""
         self.departed_lives: set[WorkerLife] = set(state.departed_workers)
         """Lives that have left or are known to be over."""
         self.straggler_detector = StragglerDetector()
@@ -169,6 +171,8 @@
         self.rate_meter.forget_job(job)
         for step in [step for step in self.excluded_workers_by_step if step.job == job]:
             del self.excluded_workers_by_step[step]
+        for task in [task for task in self.blamed_workers_by_task if task.job == job]:
+            del self.blamed_workers_by_task[task]
 
     def propose_registration(self, announcement: WorkerNews) -> None:
         """Propose to record an announcement, unless the state already has an equal one."""
--- a/tests/test_domain_crashes.py
+++ b/tests/test_domain_crashes.py
@@ -1,5 +1,6 @@
 """Tasks that crash the workers that start them, and the runs beside them."""
 
+import json
 import unittest
 
 from bulrushhollow_core.domain import JobState, Resources, Step, TaskRef, Work
@@ -200,5 +201,21 @@
         self.assertIs(JobState.DONE, world.read(job, QUEUE))
 
 
+class StallTest(unittest.TestCase):
+    # Guards against blaming worker after worker for a task that stands still wherever it runs.
+    def test_a_task_that_stands_still_everywhere_quarantines_few_workers(self) -> None:
+        world = CrashWorld(Crash(), single_step())
+        world.worker_pool.crashes_by_task.clear()
+        world.durations[CRASHING_JOB] = 1e6
+        world.run(90)
+        lines = [json.loads(line) for line in world.log]
+        quarantined = {
+            line["worker"] for line in lines if line["event"] == Event.WORKER_QUARANTINED.value
+        }
+        self.assertLessEqual(len(quarantined), 3, quarantined)
+        starts = [line for line in lines if line["event"] == Event.STEP_PLACED.value]
+        self.assertGreater(len(starts), 10, "it is started again all the same")
+
+
 if __name__ == "__main__":
     unittest.main()
