Keep losses flat, drop those of tasks that are done, and test what the state records

Change: a loss names its worker, survival and start itself; a timed job with many occurrences no longer gathers the losses of those that are done; old crashes of machines are dropped.

--- a/packages/core/src/bulrushhollow_core/domain/_crashes.py
+++ b/packages/core/src/bulrushhollow_core/domain/_crashes.py
@@ -60,7 +60,7 @@
 def crashes_workers(job: Job, task: TaskRef) -> bool:
     """Return whether a task has crashed so many workers that it is given up."""
     crashes = [loss for loss in losses_of(job, task) if loss.has_crashed]
-    started_on = {each.worker for each in crashes if each.loss.has_started}
+    started_on = {each.worker for each in crashes if each.has_started}
     return (
         len(started_on) >= MAX_CRASHES
         or len({each.worker for each in crashes}) >= MAX_UNCERTAIN_CRASHES
@@ -92,6 +92,11 @@
         job.losses.append(loss)
 
 
+def drop_losses(job: Job, tasks: set[TaskRef]) -> None:
+    """Drop the losses of tasks that are done."""
+    job.losses = [loss for loss in job.losses if loss.task not in tasks]
+
+
 def record_survival(job: Job, task: TaskRef, survived: Seconds) -> None:
     """Drop the losses that a task cannot have caused, as one of its runs survived longer."""
     job.losses = [
--- a/packages/core/src/bulrushhollow_core/domain/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/_fleet.py
@@ -487,6 +487,10 @@
     def record_crash(self, worker: Worker, now: Seconds) -> None:
         """Record that a worker has crashed; its machine is avoided by tasks that may crash it."""
         self._crashed_at_by_address[worker.address] = now
+        for address in [
+            a for a in self._crashed_at_by_address if not self.has_crashed_recently(a, now)
+        ]:
+            del self._crashed_at_by_address[address]
 
     def has_crashed_recently(self, address: str, now: Seconds) -> bool:
         """Return whether a worker at an address has crashed within the last minute."""
--- a/packages/core/src/bulrushhollow_core/domain/_jobs.py
+++ b/packages/core/src/bulrushhollow_core/domain/_jobs.py
@@ -218,26 +218,18 @@
 
 class Loss(msgspec.Struct, array_like=True):
     """
-    The recorded loss of a run of a task.
+    The recorded loss of a run of a task; see :class:`WorkerLoss`.
 
     :param has_crashed: whether the worker is known to have crashed, and was not only out of reach.
     """
 
     task: TaskRef
-    loss: WorkerLoss
+    worker: WorkerLife
     lost_at: WallTime
+    survived: Seconds
+    has_started: bool
     has_crashed: bool = False
 
-    @property
-    def worker(self) -> WorkerLife:
-        """Return the worker that the run was lost with."""
-        return self.loss.worker
-
-    @property
-    def survived(self) -> Seconds:
-        """Return the seconds that the run is known to have survived."""
-        return self.loss.survived
-
 
 class JobState(Enum):
     """State of a job as callers see it."""
--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planner.py
@@ -352,15 +352,16 @@
     def _place_in_group(
         self, demand: Demand, hosts: HostGroup, include_stopping: bool
     ) -> list[Placement]:
-        """Place all tasks of a demand on a group of hosts, the fullest first."""
-        ordered = sorted(
-            hosts,
-            key=(
-                isolation_key
-                if demand.is_isolated
-                else lambda host: best_fit_key(host, available_on(host, include_stopping))
-            ),
-        )
+        """Place all tasks of a demand on a group of hosts: the fullest first, or if it is isolated
+        empty ones.
+        """
+
+        def packing_key(host: Host) -> tuple[bool, bool, int, int]:
+            if demand.is_isolated:
+                return isolation_key(host)
+            return best_fit_key(host, available_on(host, include_stopping))
+
+        ordered = sorted(hosts, key=packing_key)
         return self._fill_hosts(demand, ordered, demand.task_indexes, include_stopping)
 
     def _fill_hosts(
--- a/packages/core/src/bulrushhollow_core/domain/_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_state.py
@@ -32,6 +32,7 @@
 from bulrushhollow_core.domain._crashes import (
     confirm_crash,
     crashes_workers,
+    drop_losses,
     record_loss,
     record_survival,
 )
@@ -250,8 +251,12 @@
         if end.loss is None:
             record_survival(job, end.task, end.survived)
         else:
-            has_crashed = end.loss.worker in self.crashed_workers
-            record_loss(job, Loss(end.task, end.loss, at, has_crashed))
+            worker = end.loss.worker
+            has_crashed = worker in self.crashed_workers
+            record_loss(
+                job,
+                Loss(end.task, worker, at, end.loss.survived, end.loss.has_started, has_crashed),
+            )
             self._give_up_if_crashing(job, end.task, at)
         self._release_if_inactive(job)
 
@@ -268,6 +273,9 @@
                 member.state = TaskState.DONE
                 member.worker = None
                 record.done_count += 1
+        if job.losses:
+            members_done = range(len(record.tasks)) if is_gang else [end.task.member]
+            drop_losses(job, {end.task.step_ref.task(index) for index in members_done})
         steps = job.occurrences_by_number[end.task.occurrence]
         if all(step.is_done for step in steps):
             job.occurrences_done += 1
--- a/tests/test_domain_crashes.py
+++ b/tests/test_domain_crashes.py
@@ -4,14 +4,32 @@
 import unittest
 from collections.abc import Callable
 
+import msgspec
+
 from bulrushhollow_core.domain import JobState, Resources, Step, TaskRef, Work
+from bulrushhollow_core.domain._commands import (
+    EndRuns,
+    Outcome,
+    RecordCrash,
+    RunEnd,
+    Start,
+    StartRuns,
+)
+from bulrushhollow_core.domain._crashes import awaits_evidence, crash_count
 from bulrushhollow_core.domain._events import Event, LogEvent
-from bulrushhollow_core.domain._jobs import Occurrence
-from bulrushhollow_core.ids import JobId, Seconds
+from bulrushhollow_core.domain._jobs import (
+    Occurrence,
+    RunNumber,
+    WallTime,
+    WorkerLife,
+    WorkerLoss,
+)
+from bulrushhollow_core.domain._state import DomainState
+from bulrushhollow_core.ids import JobId, Seconds, WorkerId
 from standins.domain_site import configuration
 from standins.domain_workers import Crash
 from tests.domain_world import World
-from tests.test_domain_scheduler import SINGLE_TASK, SchedulerHarness, announcement
+from tests.test_domain_scheduler import SINGLE_TASK, WALL, SchedulerHarness, announcement
 
 CRASHING_JOB = JobId("c" * 16)
 QUEUE = "usual"
@@ -217,6 +235,82 @@
         self.assertIs(JobState.DONE, world.read(job, QUEUE))
 
 
+class RecordTest(unittest.TestCase):
+    """What the replicated state keeps of lost runs."""
+
+    def setUp(self) -> None:
+        harness = SchedulerHarness()
+        harness.submit(single_step(2))
+        self.state = harness.state
+        self.job = self.state.jobs_by_id[JobId("j")]
+        self.task = TaskRef(JobId("j"), Occurrence(0), 0, 0)
+        self.run_count = 0
+
+    def lose(self, born: int, survived: float = 0.0, has_started: bool = True) -> None:
+        self.run_count += 1
+        run, life = RunNumber(self.run_count), WorkerLife(WorkerId("w"), born)
+        self.state.apply(StartRuns((Start(self.task, run, life, "w:1"),)))
+        loss = WorkerLoss(life, Seconds(survived), has_started)
+        end = RunEnd(self.task, run, Outcome.LOST, "", Seconds(0.0), loss)
+        self.state.apply(EndRuns((end,), WALL))
+
+    def confirm(self, born: int, heard_at: float = 0.0) -> None:
+        life = WorkerLife(WorkerId("w"), born)
+        self.state.apply(RecordCrash(life, WallTime(heard_at), WALL))
+
+    def test_a_crash_that_is_proved_later_counts(self) -> None:
+        for born in (1, 2, 3):
+            self.lose(born)
+        self.assertFalse(self.job.has_ended)
+        for born in (1, 2, 3):
+            self.confirm(born)
+        self.assertIs(JobState.FAILED, self.job.state)
+
+    def test_a_crash_that_is_proved_before_the_loss_is_recorded_counts(self) -> None:
+        for born in (1, 2, 3):
+            self.confirm(born)
+            self.state = DomainState.decode(self.state.encode())
+            self.job = self.state.jobs_by_id[JobId("j")]
+            self.lose(born)
+        self.assertIs(JobState.FAILED, self.job.state)
+
+    def test_a_worker_that_was_heard_after_the_loss_had_not_crashed_then(self) -> None:
+        for born in (1, 2, 3):
+            self.lose(born)
+            self.confirm(born, heard_at=WALL + 1.0)
+        self.assertFalse(self.job.has_ended)
+
+    def test_a_run_that_survives_clearly_longer_drops_the_earlier_losses(self) -> None:
+        for born, survived in enumerate((0.5, 0.5, 4.0, 4.0)):
+            self.confirm(born)
+            self.lose(born, survived)
+        self.assertEqual(2, crash_count(self.job, self.task))
+
+    def test_a_crash_after_more_than_a_minute_is_not_blamed_on_the_run(self) -> None:
+        for born in range(5):
+            self.confirm(born)
+            self.lose(born, 3600.0)
+        self.assertFalse(self.job.has_ended)
+
+    def test_four_crashes_are_needed_if_a_start_is_not_known(self) -> None:
+        for born, has_started in enumerate((True, True, False, False)):
+            self.assertFalse(self.job.has_ended)
+            self.confirm(born)
+            self.lose(born, has_started=has_started)
+        self.assertIs(JobState.FAILED, self.job.state)
+
+    def test_a_task_with_unproved_losses_waits_for_proof_for_a_while(self) -> None:
+        for born in (1, 2, 3):
+            self.lose(born)
+        self.assertTrue(awaits_evidence(self.job, self.task, WallTime(WALL + 14.0)))
+        self.assertFalse(awaits_evidence(self.job, self.task, WallTime(WALL + 16.0)))
+
+    def test_ends_that_were_written_without_losses_can_be_read(self) -> None:
+        end = RunEnd(self.task, RunNumber(1), Outcome.DONE)
+        fields = msgspec.to_builtins(end)[:4]
+        self.assertEqual(end, msgspec.convert(fields, RunEnd))
+
+
 class StallTest(unittest.TestCase):
     # Guards against blaming worker after worker for a task that stands still wherever it runs.
     def test_a_task_that_stands_still_everywhere_quarantines_few_workers(self) -> None:
