Send the soak's heartbeats under the id of the worker's present life

Cause: a worker of the soak that comes back under another id announced itself under its first one and answered orders under the other, so that it was taken for gone each time.

--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -248,7 +248,7 @@
             outcome = await self.caller.call(
                 "POST",
                 self.control_address(core),
-                f"/Instances.Heartbeat/{worker.name}",
+                f"/Instances.Heartbeat/{worker.life.id}",
                 body,
                 timeout=1.0,
             )
