Keep other jobs away from a suspect run until it has survived longer than its losses

Callers saw: a job that was only near was shown as failed.

Cause: nothing joined its tasks for two seconds at their third start; at 2.7 s the next crashing task did. A run that survived 1.7 s and 2.1 s before is neither acquitted nor convicted by then.

Change: the isolation of a run lasts until it has survived clearly longer than the losses of its task, which is when they are dropped, and at most 10 s. A crash in between is then evidence, and one after it is not held against the earlier ones.

The test failed before: another job joined after 3.0 s.

--- a/packages/core/src/bulrushhollow_core/domain/_crashes.py
+++ b/packages/core/src/bulrushhollow_core/domain/_crashes.py
@@ -42,6 +42,9 @@
 CRASHES_TO_SUSPECT = 2
 """Crashes after which a task is suspect however long its runs survived."""
 
+MAX_ISOLATION = Seconds(10.0)
+"""Longest time, in seconds, for which other jobs are kept away from a run: about a whole task."""
+
 EVIDENCE_WAIT = Seconds(15.0)
 """Seconds for which a task with several losses waits for proof that its workers crashed. Workers
 return some seconds after a crash."""
@@ -75,6 +78,16 @@
     )
 
 
+def isolation_of(job: Job, task: TaskRef) -> Seconds:
+    """Return the seconds after which a run has survived longer than the task's losses allow."""
+    needed = (_acquitted_after(loss) for loss in losses_of(job, task))
+    return min(MAX_ISOLATION, max(needed, default=ACQUITTAL_MARGIN))
+
+
+def _acquitted_after(loss: Loss) -> Seconds:
+    return Seconds(ACQUITTAL_FACTOR * loss.survived + ACQUITTAL_MARGIN)
+
+
 def awaits_evidence(job: Job, task: TaskRef, wall: WallTime) -> bool:
     """Return whether a task waits for proof that workers which were lost under it have crashed."""
     losses = list(losses_of(job, task))
@@ -100,9 +113,7 @@
 def record_survival(job: Job, task: TaskRef, survived: Seconds) -> None:
     """Drop the losses that a task cannot have caused, as one of its runs survived longer."""
     job.losses = [
-        loss
-        for loss in job.losses
-        if loss.task != task or survived <= ACQUITTAL_FACTOR * loss.survived + ACQUITTAL_MARGIN
+        loss for loss in job.losses if loss.task != task or survived <= _acquitted_after(loss)
     ]
 
 
--- a/packages/core/src/bulrushhollow_core/domain/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/_fleet.py
@@ -53,8 +53,8 @@
 """Seconds after which an unanswered order can no longer be carried out. The platform states some
 seconds, and twelve have been observed."""
 
-ISOLATION_PERIOD = Seconds(2.0)
-"""Seconds that an isolated run must survive until other jobs' tasks may join it on its worker."""
+NO_ISOLATION = Seconds(0.0)
+"""Isolation of a run that is not suspect."""
 
 CRASH_MEMORY = Seconds(60.0)
 """Seconds for which a machine counts as crashed recently."""
@@ -103,8 +103,8 @@
     :param needs: resources that it takes.
     :param duration: seconds that it is expected to take on this worker.
     :param is_gang: whether it belongs to a gang, whose members run only together.
-    :param is_isolated: whether other jobs' tasks are kept away from its worker at first, because
-        its task may crash it.
+    :param isolation: seconds that it must survive until tasks of other jobs may join it on its
+        worker, which it may crash; 0 if they may at once.
     """
 
     def __init__(
@@ -116,11 +116,11 @@
         now: Seconds,
         duration: Seconds = UNKNOWN_DURATION,
         is_gang: bool = False,
-        is_isolated: bool = False,
+        isolation: Seconds = NO_ISOLATION,
     ) -> None:
         """Create a run that is proposed and not yet ordered."""
         self.is_gang = is_gang
-        self.is_isolated = is_isolated
+        self.isolation = isolation
         self.duration = duration
         self.task = task
         self.number = number
@@ -319,21 +319,21 @@
         """Allocate resources to a run."""
         self.runs_by_task[run.task] = run
         self._allocated = self._allocated.plus(run.needs)
-        if run.is_isolated:
+        if run.isolation > NO_ISOLATION:
             self._isolated_runs.append(run)
 
     def release(self, task: TaskRef) -> Run:
         """Release the resources of a run and return it."""
         run = self.runs_by_task.pop(task)
         self._allocated = self._allocated.minus(run.needs)
-        if run.is_isolated:
+        if run.isolation > NO_ISOLATION:
             self._isolated_runs.remove(run)
         return run
 
     @property
     def is_closed(self) -> bool:
         """Return whether an isolated run keeps other jobs' tasks away."""
-        return any(run.survived < ISOLATION_PERIOD for run in self._isolated_runs)
+        return any(run.survived < run.isolation for run in self._isolated_runs)
 
     def record_heard(self, now: Seconds) -> None:
         """Record that it announced itself or listed its runs."""
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -20,7 +20,7 @@
 )
 from bulrushhollow_core.domain._configuration import Queue, ServiceName
 from bulrushhollow_core.domain._copies import detached_copy
-from bulrushhollow_core.domain._crashes import is_suspect
+from bulrushhollow_core.domain._crashes import is_suspect, isolation_of
 from bulrushhollow_core.domain._delay_cost import DelayPricer
 from bulrushhollow_core.domain._demands import (
     UNLIMITED_TIME,
@@ -29,7 +29,7 @@
 )
 from bulrushhollow_core.domain._dispatch import OrderDispatcher
 from bulrushhollow_core.domain._events import Event, log_event
-from bulrushhollow_core.domain._fleet import Run, RunPhase, Worker
+from bulrushhollow_core.domain._fleet import NO_ISOLATION, Run, RunPhase, Worker
 from bulrushhollow_core.domain._hosts import Host
 from bulrushhollow_core.domain._jobs import (
     Job,
@@ -458,7 +458,7 @@
                     now,
                     duration,
                     demand.step.is_gang,
-                    demand.is_isolated,
+                    self._isolation_of(demand, placement.task),
                 )
                 self._shared.fleet.place(worker, run)
                 self._shared.proposed_runs_by_task[placement.task] = run
@@ -486,6 +486,12 @@
         slowness = max(self._shared.speeds.slowness_of(life) for life in lives)
         return Seconds(demand.step.estimate * factor * slowness)
 
+    def _isolation_of(self, demand: Demand, task: TaskRef) -> Seconds:
+        """Return the seconds for which other jobs are kept away from a run."""
+        if not demand.is_isolated:
+            return NO_ISOLATION
+        return isolation_of(self._shared.state.jobs_by_id[task.job], task)
+
     def _rack_of(self, life: WorkerLife) -> RackId | None:
         announcement = self._shared.fleet.workers_by_life[life].announcement
         return announcement.rack if announcement else None
--- a/tests/test_domain_crashes.py
+++ b/tests/test_domain_crashes.py
@@ -14,18 +14,21 @@
     RunEnd,
     Start,
     StartRuns,
+    SubmitJob,
 )
 from bulrushhollow_core.domain._crashes import awaits_evidence, crash_count
 from bulrushhollow_core.domain._events import Event, LogEvent
 from bulrushhollow_core.domain._jobs import (
+    Loss,
     Occurrence,
     RunNumber,
     WallTime,
     WorkerLife,
     WorkerLoss,
 )
+from bulrushhollow_core.domain._orders import ListedRun, OrderResult, PollAnswered
 from bulrushhollow_core.domain._state import DomainState
-from bulrushhollow_core.ids import JobId, Seconds, WorkerId
+from bulrushhollow_core.ids import JobId, Seconds, WorkerId, WorkspaceId
 from standins.domain_site import configuration
 from standins.domain_workers import Crash
 from tests.domain_world import World
@@ -235,6 +238,35 @@
         self.assertIs(JobState.DONE, world.read(job, QUEUE))
 
 
+class IsolationTest(unittest.TestCase):
+    # Guards against giving up a job that a crashing task joins as soon as its run looks sound.
+    def test_nothing_joins_a_suspect_run_until_it_has_survived_longer_than_before(self) -> None:
+        harness = SchedulerHarness()
+        harness.submit(SINGLE_TASK)
+        job = harness.state.jobs_by_id[JobId("j")]
+        task = TaskRef(job.id, Occurrence(0), 0, 0)
+        job.losses = [
+            Loss(task, WorkerLife(WorkerId("v"), born), WALL, Seconds(2.0), True, True)
+            for born in (1, 2)
+        ]
+        start = harness.launch()
+        harness.accept(start)
+        other = SubmitJob(JobId("k"), job.queue, WorkspaceId("team"), SINGLE_TASK, WALL)
+        harness.commit([other])
+        for seconds, is_open in ((1.0, False), (3.0, False), (6.5, True)):
+            harness.now = Seconds(10.2 + seconds)
+            harness.scheduler.worker_announced(
+                announcement(1, sequence=int(10 * seconds) + 2, clock=50.0 + seconds), harness.now
+            )
+            listed = ListedRun(start.task, start.run, "", int(10 * seconds))
+            answer = PollAnswered(
+                start.life, OrderResult.ACCEPTED, Seconds(50.0 + seconds), running=(listed,)
+            )
+            harness.scheduler.poll_answered(answer, harness.now)
+            starts = [each for each in harness.plan() if isinstance(each, StartRuns)]
+            self.assertEqual(is_open, bool(starts), f"after {seconds} s")
+
+
 class RecordTest(unittest.TestCase):
     """What the replicated state keeps of lost runs."""
 
