--- a/packages/core/src/bulrushhollow_core/domain/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/_answers.py
@@ -12,13 +12,7 @@
 )
 from bulrushhollow_core.domain._dispatch import OrderDispatcher
 from bulrushhollow_core.domain._events import Event, log_event
-from bulrushhollow_core.domain._fleet import (
-    Run,
-    RunPhase,
-    RunRef,
-    UnansweredStart,
-    Worker,
-)
+from bulrushhollow_core.domain._fleet import Worker
 from bulrushhollow_core.domain._jobs import RunNumber, TaskRef
 from bulrushhollow_core.domain._losses import WorkerLossHandler
 from bulrushhollow_core.domain._orders import (
@@ -30,6 +24,7 @@
     StartAnswered,
     StopAnswered,
 )
+from bulrushhollow_core.domain._runs import Run, RunPhase, RunRef, UnansweredStart
 from bulrushhollow_core.domain._scheduler_state import SchedulerState
 from bulrushhollow_core.ids import Seconds
 
--- a/packages/core/src/bulrushhollow_core/domain/_delay_cost.py
+++ b/packages/core/src/bulrushhollow_core/domain/_delay_cost.py
@@ -9,11 +9,11 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from bulrushhollow_core.domain._fleet import Run
 from bulrushhollow_core.domain._headroom import REUSE_DELAY
 from bulrushhollow_core.domain._jobs import Job, Occurrence, WallTime, core_equivalents
 from bulrushhollow_core.domain._queueing import WORTHLESS_FACTOR, duration_after
 from bulrushhollow_core.domain._recent_work import RecentWork, base_value, work_of
+from bulrushhollow_core.domain._runs import Run
 from bulrushhollow_core.domain._settings import DomainSettings
 from bulrushhollow_core.ids import JobId, Seconds
 
--- a/packages/core/src/bulrushhollow_core/domain/_demands.py
+++ b/packages/core/src/bulrushhollow_core/domain/_demands.py
@@ -11,7 +11,6 @@
 
 from bulrushhollow_core.domain._configuration import ServiceName
 from bulrushhollow_core.domain._delay_cost import EvictionLoss
-from bulrushhollow_core.domain._fleet import Run
 from bulrushhollow_core.domain._hosts import Host
 from bulrushhollow_core.domain._jobs import (
     NO_RESOURCES,
@@ -22,6 +21,7 @@
     core_equivalents,
 )
 from bulrushhollow_core.domain._queueing import Priority
+from bulrushhollow_core.domain._runs import Run
 from bulrushhollow_core.ids import JobId, Seconds, WorkspaceId
 
 
--- a/packages/core/src/bulrushhollow_core/domain/_dispatch.py
+++ b/packages/core/src/bulrushhollow_core/domain/_dispatch.py
@@ -14,17 +14,14 @@
     Start,
 )
 from bulrushhollow_core.domain._events import Event, log_event
-from bulrushhollow_core.domain._fleet import (
-    Run,
-    RunPhase,
-    Worker,
-)
+from bulrushhollow_core.domain._fleet import Worker
 from bulrushhollow_core.domain._jobs import WorkerLife
 from bulrushhollow_core.domain._orders import (
     OrderStart,
     OrderStop,
     Poll,
 )
+from bulrushhollow_core.domain._runs import Run, RunPhase
 from bulrushhollow_core.domain._scheduler_state import SchedulerState
 from bulrushhollow_core.ids import Seconds
 
--- a/packages/core/src/bulrushhollow_core/domain/_lasting.py
+++ b/packages/core/src/bulrushhollow_core/domain/_lasting.py
@@ -8,8 +8,9 @@
 
 from collections import Counter
 
-from bulrushhollow_core.domain._fleet import COMPLETE_PERCENT, Fleet, Run, RunPhase
+from bulrushhollow_core.domain._fleet import Fleet
 from bulrushhollow_core.domain._jobs import Job, StepRef
+from bulrushhollow_core.domain._runs import COMPLETE_PERCENT, Run, RunPhase
 
 
 def is_available(run: Run) -> bool:
--- a/packages/core/src/bulrushhollow_core/domain/_losses.py
+++ b/packages/core/src/bulrushhollow_core/domain/_losses.py
@@ -13,15 +13,9 @@
 )
 from bulrushhollow_core.domain._dispatch import OrderDispatcher
 from bulrushhollow_core.domain._events import Event, log_event
-from bulrushhollow_core.domain._fleet import (
-    LATE_ORDER_WINDOW,
-    Run,
-    RunPhase,
-    RunRef,
-    UnansweredStart,
-    Worker,
-)
+from bulrushhollow_core.domain._fleet import LATE_ORDER_WINDOW, Worker
 from bulrushhollow_core.domain._jobs import TaskRef
+from bulrushhollow_core.domain._runs import Run, RunPhase, RunRef, UnansweredStart
 from bulrushhollow_core.domain._scheduler_state import SchedulerState
 from bulrushhollow_core.ids import Seconds
 
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/_planning.py
@@ -29,7 +29,7 @@
 )
 from bulrushhollow_core.domain._dispatch import OrderDispatcher
 from bulrushhollow_core.domain._events import Event, log_event
-from bulrushhollow_core.domain._fleet import NO_ISOLATION, Run, RunPhase, Worker
+from bulrushhollow_core.domain._fleet import Worker
 from bulrushhollow_core.domain._hosts import Host
 from bulrushhollow_core.domain._jobs import (
     Job,
@@ -54,6 +54,7 @@
 from bulrushhollow_core.domain._reachability import Reachability
 from bulrushhollow_core.domain._recent_work import RecentWorkCache
 from bulrushhollow_core.domain._running_work import RunningWork
+from bulrushhollow_core.domain._runs import NO_ISOLATION, Run, RunPhase
 from bulrushhollow_core.domain._scheduler_state import SchedulerState
 from bulrushhollow_core.domain._speeds import NORMAL_SLOWNESS
 from bulrushhollow_core.ids import DataCentreId, JobId, RackId, Seconds
--- a/packages/core/src/bulrushhollow_core/domain/_running_work.py
+++ b/packages/core/src/bulrushhollow_core/domain/_running_work.py
@@ -7,11 +7,11 @@
 
 from bulrushhollow_core.domain._delay_cost import DelayPricer
 from bulrushhollow_core.domain._demands import NO_LOSS, Victim
-from bulrushhollow_core.domain._fleet import Run, RunPhase
 from bulrushhollow_core.domain._hosts import ExpectedEnd
 from bulrushhollow_core.domain._jobs import RunNumber, StepRef, WallTime, core_equivalents
 from bulrushhollow_core.domain._lasting import DisruptionBudget
 from bulrushhollow_core.domain._queueing import priority_of
+from bulrushhollow_core.domain._runs import Run, RunPhase
 from bulrushhollow_core.domain._scheduler_state import SchedulerState
 from bulrushhollow_core.ids import JobId, Seconds
 
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
@@ -21,12 +21,7 @@
     RunEnd,
 )
 from bulrushhollow_core.domain._events import Event, log_event
-from bulrushhollow_core.domain._fleet import (
-    Fleet,
-    Run,
-    RunPhase,
-    Worker,
-)
+from bulrushhollow_core.domain._fleet import Fleet, Worker
 from bulrushhollow_core.domain._headroom import Headroom
 from bulrushhollow_core.domain._jobs import (
     RunNumber,
@@ -35,6 +30,7 @@
     WorkerLife,
 )
 from bulrushhollow_core.domain._paces import StragglerDetector
+from bulrushhollow_core.domain._runs import Run, RunPhase
 from bulrushhollow_core.domain._settings import DomainSettings
 from bulrushhollow_core.domain._shares import RateMeter, ShareLedger
 from bulrushhollow_core.domain._speeds import SpeedEstimator
--- a/packages/core/src/bulrushhollow_core/domain/_shares.py
+++ b/packages/core/src/bulrushhollow_core/domain/_shares.py
@@ -14,11 +14,12 @@
 from bulrushhollow_core.domain._configuration import ConfigurationIndex
 from bulrushhollow_core.domain._copies import detached_copy
 from bulrushhollow_core.domain._events import Event, LogEvent, log_event
-from bulrushhollow_core.domain._fleet import Fleet, Run
+from bulrushhollow_core.domain._fleet import Fleet
 from bulrushhollow_core.domain._hosts import Host
 from bulrushhollow_core.domain._jobs import NO_RESOURCES, Job, Resources
 from bulrushhollow_core.domain._queueing import Priority, WaitingStep
 from bulrushhollow_core.domain._resources import total_of
+from bulrushhollow_core.domain._runs import Run
 from bulrushhollow_core.domain._state import DomainState
 from bulrushhollow_core.ids import JobId, Seconds, WorkspaceId
 
--- a/packages/core/src/bulrushhollow_core/domain/_speeds.py
+++ b/packages/core/src/bulrushhollow_core/domain/_speeds.py
@@ -12,8 +12,8 @@
 from statistics import median
 from typing import NamedTuple
 
-from bulrushhollow_core.domain._fleet import Run
 from bulrushhollow_core.domain._jobs import StepRef, TaskRef, WorkerLife
+from bulrushhollow_core.domain._runs import Run
 from bulrushhollow_core.ids import JobId, Seconds
 
 UPDATE_INTERVAL = Seconds(0.25)
--- a/packages/core/src/bulrushhollow_core/domain/_watch.py
+++ b/packages/core/src/bulrushhollow_core/domain/_watch.py
@@ -9,14 +9,10 @@
 
 from bulrushhollow_core.domain._answers import POLL_RETRY_INTERVAL
 from bulrushhollow_core.domain._dispatch import OrderDispatcher
-from bulrushhollow_core.domain._fleet import (
-    UNKNOWN_DURATION,
-    Run,
-    RunPhase,
-    Worker,
-)
+from bulrushhollow_core.domain._fleet import Worker
 from bulrushhollow_core.domain._lasting import allowed_disruptions
 from bulrushhollow_core.domain._losses import WorkerLossHandler
+from bulrushhollow_core.domain._runs import UNKNOWN_DURATION, Run, RunPhase
 from bulrushhollow_core.domain._scheduler_state import SchedulerState
 from bulrushhollow_core.ids import Seconds
 
--- a/tests/test_domain_cap_changes.py
+++ b/tests/test_domain_cap_changes.py
@@ -14,7 +14,7 @@
     SubmitJob,
 )
 from bulrushhollow_core.domain._events import Event
-from bulrushhollow_core.domain._fleet import RunRef, UnansweredStart, Worker
+from bulrushhollow_core.domain._fleet import Worker
 from bulrushhollow_core.domain._jobs import (
     Occurrence,
     Resources,
@@ -32,6 +32,7 @@
     StartAnswered,
     StopAnswered,
 )
+from bulrushhollow_core.domain._runs import RunRef, UnansweredStart
 from bulrushhollow_core.domain._scheduler import Scheduler
 from bulrushhollow_core.domain._settings import DomainSettings
 from bulrushhollow_core.ids import JobId, Seconds, Term, WorkerId, WorkspaceId
--- a/tests/test_domain_delay_cost.py
+++ b/tests/test_domain_delay_cost.py
@@ -8,10 +8,10 @@
 from bulrushhollow_core.domain._delay_cost import DelayPricer, EvictionLoss
 from bulrushhollow_core.domain._demands import Demand, Victim
 from bulrushhollow_core.domain._eviction_sets import set_cost
-from bulrushhollow_core.domain._fleet import Run
 from bulrushhollow_core.domain._hosts import Host
 from bulrushhollow_core.domain._jobs import Job, Occurrence, Resources, Step, WallTime, Work
 from bulrushhollow_core.domain._recent_work import summarize
+from bulrushhollow_core.domain._runs import Run
 from bulrushhollow_core.domain._scheduler import Scheduler
 from bulrushhollow_core.domain._settings import DomainSettings
 from bulrushhollow_core.ids import JobId, Seconds, Term
--- a/tests/test_domain_lasting.py
+++ b/tests/test_domain_lasting.py
@@ -4,9 +4,10 @@
 
 from bulrushhollow_core.domain import Resources, Step, TaskRef, Work, WorkerLife
 from bulrushhollow_core.domain._commands import SubmitJob
-from bulrushhollow_core.domain._fleet import Fleet, Run, RunPhase
+from bulrushhollow_core.domain._fleet import Fleet
 from bulrushhollow_core.domain._jobs import Job, Occurrence, RunNumber, StepRef, WallTime
 from bulrushhollow_core.domain._lasting import DisruptionBudget, allowed_disruptions
+from bulrushhollow_core.domain._runs import Run, RunPhase
 from bulrushhollow_core.domain._state import DomainState
 from bulrushhollow_core.ids import JobId, Seconds, WorkerId, WorkspaceId
 from standins.domain_site import queue
--- /dev/null
+++ b/tests/test_domain_next_life.py
@@ -0,0 +1,90 @@
+"""Starts that may be carried out in a worker's next life, after a crash."""
+
+import unittest
+
+from bulrushhollow_core.domain._commands import (
+    CancelJob,
+    EndRuns,
+    Outcome,
+    RegisterWorker,
+    RunEnd,
+    StartRuns,
+)
+from bulrushhollow_core.domain._orders import (
+    ListedEnd,
+    OrderResult,
+    OrderStop,
+    PollAnswered,
+    StartAnswered,
+    StopAnswered,
+)
+from bulrushhollow_core.domain._scheduler import Scheduler
+from bulrushhollow_core.domain._settings import DomainSettings
+from bulrushhollow_core.ids import JobId, Seconds, Term
+from tests.test_domain_scheduler import SINGLE_TASK, WALL, SchedulerHarness, announcement
+
+
+class NextLifeTest(unittest.TestCase):
+    """Orders name only the id of a worker, so its next life may carry out those of the earlier."""
+
+    def setUp(self) -> None:
+        self.harness = SchedulerHarness()
+        self.harness.submit(SINGLE_TASK)
+        self.start = self.harness.launch()
+
+    def begin_next_life(self) -> list[OrderStop]:
+        """Announce the worker's next life and return the stops that it is sent."""
+        self.harness.scheduler.take_actions()
+        self.harness.scheduler.worker_announced(announcement(2), self.harness.now)
+        actions = self.harness.scheduler.take_actions()
+        return [each for each in actions if isinstance(each, OrderStop) and each.life.born == 2]
+
+    # Guards against a run that starts in the next life of a worker after its task was done
+    # elsewhere, by a start that was on its way when the next life appeared.
+    def test_a_task_waits_for_the_stop_of_a_start_that_was_on_its_way(self) -> None:
+        stops = self.begin_next_life()
+        self.assertEqual({self.start.run}, {stop.run for stop in stops})
+        empty = PollAnswered(announcement(2).life, OrderResult.ACCEPTED, Seconds(51.0))
+        self.harness.scheduler.poll_answered(empty, self.harness.now)
+        self.harness.commit(
+            [EndRuns((RunEnd(self.start.task, self.start.run, Outcome.LOST),), WALL)]
+        )
+        self.assertEqual([], [each for each in self.harness.plan() if isinstance(each, StartRuns)])
+
+    # Guards against the same by a start whose run was stopped before it could be answered.
+    def test_a_start_that_times_out_after_its_stop_is_stopped_in_the_next_life(self) -> None:
+        self.harness.commit([CancelJob(JobId("j"), WALL)])
+        silent = StartAnswered(
+            self.start.life, self.start.task, self.start.run, OrderResult.NO_ANSWER, None
+        )
+        self.harness.scheduler.start_answered(silent, self.harness.now)
+        stopped = StopAnswered(
+            self.start.life, self.start.task, self.start.run, OrderResult.ACCEPTED, Seconds(50.3)
+        )
+        self.harness.scheduler.stop_answered(stopped, self.harness.now)
+        self.harness.now += 0.1
+        for _ in range(2):
+            empty = PollAnswered(self.start.life, OrderResult.ACCEPTED, Seconds(50.4))
+            self.harness.scheduler.poll_answered(empty, self.harness.now)
+            self.harness.now += 0.1
+        self.assertEqual([Outcome.NEVER_STARTED], self.harness.ends())
+        self.assertEqual({self.start.run}, {stop.run for stop in self.begin_next_life()})
+
+    # Guards against a task with two runs at once in the records of a new leader, which ended its
+    # process with an error when the first one ended.
+    def test_a_new_leader_ends_a_run_that_a_later_life_lists_as_ended(self) -> None:
+        harness = self.harness
+        harness.state.apply(RegisterWorker(announcement(2)))
+        scheduler = harness.scheduler = Scheduler(
+            harness.state, Term(4), DomainSettings(), harness.now
+        )
+        ended = ListedEnd(1, self.start.task, self.start.run, Outcome.STOPPED, "")
+        life = announcement(2).life
+        listed = PollAnswered(life, OrderResult.ACCEPTED, Seconds(51.0), ended=(ended,))
+        scheduler.poll_answered(listed, harness.now)
+        self.assertEqual(0, scheduler.run_count)
+        self.assertEqual([Outcome.STOPPED], harness.ends())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_domain_planner.py
+++ b/tests/test_domain_planner.py
@@ -4,7 +4,6 @@
 
 from bulrushhollow_core.domain._configuration import ServiceName
 from bulrushhollow_core.domain._demands import Demand, Victim
-from bulrushhollow_core.domain._fleet import Run
 from bulrushhollow_core.domain._headroom import Headroom
 from bulrushhollow_core.domain._hosts import ExpectedEnd, Host
 from bulrushhollow_core.domain._jobs import (
@@ -18,6 +17,7 @@
 )
 from bulrushhollow_core.domain._planner import Planner
 from bulrushhollow_core.domain._queueing import Priority, Timeliness
+from bulrushhollow_core.domain._runs import Run
 from bulrushhollow_core.ids import DataCentreId, JobId, RackId, Seconds, WorkerId
 
 WORKER_CAPACITY = Resources(64_000, 256_000, 8)
--- a/tests/test_domain_shares.py
+++ b/tests/test_domain_shares.py
@@ -6,7 +6,7 @@
 
 from bulrushhollow_core.domain import Resources, Step, Work, Workspace
 from bulrushhollow_core.domain._commands import CancelJob, PutConfiguration, SubmitJob
-from bulrushhollow_core.domain._fleet import Fleet, Run
+from bulrushhollow_core.domain._fleet import Fleet
 from bulrushhollow_core.domain._jobs import Occurrence, RunNumber, TaskRef, WallTime, WorkerLife
 from bulrushhollow_core.domain._queueing import (
     Priority,
@@ -15,6 +15,7 @@
     waiting_steps,
 )
 from bulrushhollow_core.domain._running_work import RunningWork
+from bulrushhollow_core.domain._runs import Run
 from bulrushhollow_core.domain._shares import RateMeter, ShareLedger
 from bulrushhollow_core.domain._state import DomainState
 from bulrushhollow_core.ids import JobId, Seconds, Version, WorkerId, WorkspaceId
--- a/tests/test_domain_speeds.py
+++ b/tests/test_domain_speeds.py
@@ -16,7 +16,6 @@
     SubmitJob,
 )
 from bulrushhollow_core.domain._demands import Demand, TimeBudget
-from bulrushhollow_core.domain._fleet import Run
 from bulrushhollow_core.domain._hosts import ExpectedEnd, Host
 from bulrushhollow_core.domain._jobs import (
     NO_RESOURCES,
@@ -43,6 +42,7 @@
 )
 from bulrushhollow_core.domain._planning import MAX_PLAN_INTERVAL
 from bulrushhollow_core.domain._running_work import RunningWork
+from bulrushhollow_core.domain._runs import Run
 from bulrushhollow_core.domain._speeds import SpeedEstimator
 from bulrushhollow_core.ids import JobId, Seconds, WorkerId, WorkspaceId
 from standins.domain_site import queue
