Acknowledge ends only to a worker's life that has just listed its runs

Cause: orders and polls name only the id of a worker, and each life numbers its ends from 1. A poll meant for the life before acknowledged the ends up to its number in the next life, which had run a start that was still on its way; that end was forgotten before any instance had read it.

Change: a poll acknowledges only within half a second of the worker's last list; after that it asks first, without waiting, and acknowledges with the next poll. An acknowledgement whose poll got no answer is repeated. The simulated workers now carry out a poll that names an earlier life, as real ones do, instead of refusing it; so the state machine can find this fault.

Left: a poll that is sent within that half second and is held up on a link until the next life has run and ended a task. Connections are reset by a crash, so it would have to be held up while connecting.

--- a/packages/core/src/bulrushhollow_core/domain/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/_answers.py
@@ -172,12 +172,14 @@
             return
         if answer.result is not OrderResult.ACCEPTED or answer.clock is None:
             worker.silent_since = worker.silent_since or now
+            worker.last_acknowledged_end = 0
             worker.poll_due = Seconds(
                 now + (POLL_RETRY_INTERVAL if worker.runs_by_task else IDLE_POLL_RETRY_INTERVAL)
             )
             return
         worker.record_contact(answer.clock, self._shared.settings.longest_lease, now)
         worker.record_heard(now)
+        worker.listed_at = now
         worker.has_answered_poll = True
         listed_runs = {(ended_run.task, ended_run.run) for ended_run in answer.ended}
         for ended_run in answer.ended:
--- a/packages/core/src/bulrushhollow_core/domain/_dispatch.py
+++ b/packages/core/src/bulrushhollow_core/domain/_dispatch.py
@@ -38,6 +38,10 @@
 STOP_RETRY_INTERVAL = Seconds(0.3)
 """Seconds after which an unanswered stop is repeated."""
 
+LIFE_CONFIRMED_FOR = Seconds(0.5)
+"""Seconds after a worker's list during which it is taken to be in the same life; a restart takes
+longer. Orders name only its id, and each life numbers its ends anew."""
+
 
 class OrderDispatcher:
     """Sends the orders that follow from committed commands."""
@@ -144,7 +148,11 @@
             return
         worker.is_poll_in_flight = True
         worker.polled_at = now
-        worker.last_acknowledged_end = worker.last_recorded_end
+        # In a later life the acknowledgement would discard ends that this leader has not seen.
+        may_acknowledge = now - worker.listed_at <= LIFE_CONFIRMED_FOR
+        if may_acknowledge:
+            worker.last_acknowledged_end = worker.last_recorded_end
+        is_confirmation = has_unacknowledged and not may_acknowledge
         # A worker that does not answer gets no new lease, so that its last one expires.
         may_grant = worker.has_clock and not is_silent
         lease_end = self._grant_lease(worker, now) if may_grant else None
@@ -153,10 +161,14 @@
                 life=worker.life,
                 address=worker.address,
                 fence=self._shared.fence,
-                acknowledged=worker.last_recorded_end,
+                acknowledged=worker.last_recorded_end if may_acknowledge else 0,
                 lease_end=lease_end,
                 # A silent worker is to answer at once, so that its return is noticed early.
-                wait=POLL_WAIT if worker.runs_by_task and may_grant else Seconds(0.0),
+                wait=(
+                    POLL_WAIT
+                    if worker.runs_by_task and may_grant and not is_confirmation
+                    else Seconds(0.0)
+                ),
             )
         )
 
--- a/packages/core/src/bulrushhollow_core/domain/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/_fleet.py
@@ -62,6 +62,8 @@
         self.last_contact_at = now
         self.heard_at = Seconds(-math.inf)
         """When it last announced itself or listed its runs; only these tell its life."""
+        self.listed_at = Seconds(-math.inf)
+        """When it last listed its runs."""
         self.silent_since: Seconds | None = None
         self.runs_by_task: dict[TaskRef, Run] = {}
         """Changed only by its :class:`Fleet`, which keeps an index of all runs."""
@@ -78,7 +80,7 @@
         self.last_recorded_end = 0
         """Number of the last end that the log records."""
         self.last_acknowledged_end = 0
-        """Number of the last end that was acknowledged to it."""
+        """Number of the last end that was acknowledged to it; 0 again after a lost poll."""
         self.is_poll_in_flight = False
         self.has_answered_poll = False
         """Whether it has answered a poll of this leader."""
--- a/packages/core/src/bulrushhollow_core/domain/_orders.py
+++ b/packages/core/src/bulrushhollow_core/domain/_orders.py
@@ -50,6 +50,7 @@
     Renew a worker's lease, and request its running and ended runs (long polling).
 
     :param acknowledged: number of the last recorded end; the worker may forget the ends up to it.
+        0 acknowledges none.
     :param lease_end: end of the lease by the worker's clock; None leaves the lease unchanged.
     :param wait: seconds for which the worker may delay the answer until a run ends.
     """
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -40,11 +40,12 @@
 CRASHING_SHARE = 0.03
 """Share of the jobs of which a task crashes every worker that starts it."""
 
-REGRESSIONS = (104, 141, 2043, 2004)
+REGRESSIONS = (104, 141, 2043, 2004, 3019)
 """Seeds that failed once. 104: a silent voter was removed before its successor counted, and the log
 stopped for good. 141: a list of runs from before a start was taken as proof that the run was gone.
 2043: a call that arrived during a planned stop was cut off with status 500 when the process ended.
-2004: an accepted job did not end; this is open, see KNOWN-RED.txt."""
+3019: a poll for a worker's earlier life acknowledged an end of the next one. 2004: an accepted job
+did not end, perhaps for the same reason."""
 
 FINAL_STATES = {JobState.DONE, JobState.FAILED, JobState.CANCELLED}
 
--- a/standins/domain_workers.py
+++ b/standins/domain_workers.py
@@ -390,9 +390,6 @@
         if order.life.id != self.life.id:
             answer(PollAnswered(order.life, OrderResult.OTHER_LIFE, self.clock))
             return
-        if order.life != self.life:
-            answer(PollAnswered(order.life, OrderResult.OTHER_LIFE, self.clock, self.life))
-            return
         if order.fence < self.fence:
             answer(PollAnswered(order.life, OrderResult.FENCED, self.clock))
             return
@@ -416,6 +413,10 @@
         polls, self.open_polls = self.open_polls, []
         now = self.pool.clock.now
         for order, answer in polls:
+            if order.life != self.life:
+                # The order names only the id, so it was carried out; the answer tells the life.
+                answer(PollAnswered(order.life, OrderResult.OTHER_LIFE, self.clock, self.life))
+                continue
             running = tuple(
                 ListedRun(
                     run.order.task, run.order.run, run.latest_checkpoint(now), run.percent_done(now)
--- a/tests/test_domain_next_life.py
+++ b/tests/test_domain_next_life.py
@@ -14,6 +14,7 @@
     ListedEnd,
     OrderResult,
     OrderStop,
+    Poll,
     PollAnswered,
     StartAnswered,
     StopAnswered,
@@ -86,5 +87,56 @@
         self.assertEqual([Outcome.STOPPED], harness.ends())
 
 
+class AcknowledgementTest(unittest.TestCase):
+    """Ends are numbered anew in each life, and an acknowledgement names only the worker's id."""
+
+    def setUp(self) -> None:
+        self.harness = SchedulerHarness()
+        self.harness.submit(SINGLE_TASK)
+        self.start = self.harness.launch()
+        self.harness.accept(self.start)
+
+    def list_end(self) -> list[EndRuns]:
+        """List the end of the task, and return its proposal without committing it."""
+        ended = ListedEnd(7, self.start.task, self.start.run, Outcome.DONE, "")
+        listed = PollAnswered(self.start.life, OrderResult.ACCEPTED, Seconds(51.0), ended=(ended,))
+        self.answer(listed)
+        proposals = self.harness.scheduler.take_proposals(Seconds(self.harness.now + 1), WALL)
+        return [each for each in proposals if isinstance(each, EndRuns)]
+
+    def answer(self, answer: PollAnswered) -> None:
+        self.harness.scheduler.poll_answered(answer, self.harness.now)
+
+    def take_poll(self) -> Poll:
+        [poll] = [each for each in self.harness.scheduler.take_actions() if isinstance(each, Poll)]
+        return poll
+
+    # Guards against a task that starts again after its end was recorded: a poll for a worker's
+    # earlier life acknowledged an end of the next life that no instance had read.
+    def test_ends_are_acknowledged_only_to_a_life_that_has_just_listed_them(self) -> None:
+        ends = self.list_end()
+        self.harness.now = Seconds(self.harness.now + 3.0)
+        self.harness.scheduler.take_actions()
+        self.harness.commit(ends)
+        confirmation = self.take_poll()
+        self.assertEqual((0, 0.0), (confirmation.acknowledged, confirmation.wait))
+        self.answer(PollAnswered(self.start.life, OrderResult.ACCEPTED, Seconds(54.0)))
+        self.assertEqual(7, self.take_poll().acknowledged)
+
+    # Guards against ends that a worker lists forever, since the poll that acknowledged them was
+    # lost and the polls of a silent worker acknowledge nothing.
+    def test_a_lost_acknowledgement_is_repeated(self) -> None:
+        ends = self.list_end()
+        self.harness.scheduler.take_actions()
+        self.harness.commit(ends)
+        self.assertEqual(7, self.take_poll().acknowledged)
+        self.answer(PollAnswered(self.start.life, OrderResult.NO_ANSWER))
+        self.harness.now = Seconds(self.harness.now + 3.0)
+        self.harness.scheduler.tick(self.harness.now, WALL)
+        self.assertEqual(0, self.take_poll().acknowledged)
+        self.answer(PollAnswered(self.start.life, OrderResult.ACCEPTED, Seconds(55.0)))
+        self.assertEqual(7, self.take_poll().acknowledged)
+
+
 if __name__ == "__main__":
     unittest.main()
