Bound the connections to all workers, and close those that are idle

Cause: the leader opened a connection for each order that was under way and kept up to 32 idle ones for each worker; nothing closed them but a later call to the same worker.

Change: connections to workers share one limit, two thirds of the descriptors that are not reserved; announcements and operators get the others.

--- a/packages/daemon/src/bulrushhollow_daemon/dispatch/__init__.py
+++ b/packages/daemon/src/bulrushhollow_daemon/dispatch/__init__.py
@@ -8,5 +8,12 @@
 
 from bulrushhollow_daemon.dispatch._connections import Connection, ConnectionPool
 from bulrushhollow_daemon.dispatch._dispatcher import AttemptAnswer, Dispatcher
+from bulrushhollow_daemon.dispatch._shared_connections import SharedConnections
 
-__all__ = ["AttemptAnswer", "Connection", "ConnectionPool", "Dispatcher"]
+__all__ = [
+    "AttemptAnswer",
+    "Connection",
+    "ConnectionPool",
+    "Dispatcher",
+    "SharedConnections",
+]
--- a/packages/daemon/src/bulrushhollow_daemon/dispatch/_connections.py
+++ b/packages/daemon/src/bulrushhollow_daemon/dispatch/_connections.py
@@ -22,6 +22,9 @@
 """Seconds allowed for opening a connection."""
 
 
+_backend = httpcore.AnyIOBackend()
+
+
 class Connection:
     """
     One HTTP/1.1 connection.
@@ -45,6 +48,22 @@
             await self.http.aclose()
 
 
+async def open_connection(address: str, timeout: Seconds) -> Connection:
+    """
+    Open a connection.
+
+    :param address: ``IP:PORT``.
+    :param timeout: seconds allowed, if fewer than ``CONNECT_TIMEOUT``.
+    :raises httpcore.ConnectError: if it can't be opened.
+    :raises httpcore.ConnectTimeout: if opening it takes too long.
+    """
+    host, _, port = address.rpartition(":")
+    host = host.strip("[]")
+    stream = await _backend.connect_tcp(host, int(port), timeout=min(timeout, CONNECT_TIMEOUT))
+    origin = httpcore.Origin(b"http", host.encode(), int(port))
+    return Connection(origin, CountingStream(stream))
+
+
 class ConnectionPool:
     """
     The connections to one address.
@@ -53,11 +72,7 @@
     """
 
     def __init__(self, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        self._host = host.strip("[]")
-        self._port = int(port)
-        self._origin = httpcore.Origin(b"http", self._host.encode(), self._port)
-        self._backend = httpcore.AnyIOBackend()
+        self._address = address
         self._idle: list[Connection] = []
         self._in_use = 0
 
@@ -89,10 +104,7 @@
                 await connection.close()
             while self._idle and len(self._idle) + self._in_use > max_connections:
                 await self._idle.pop(0).close()
-            stream = await self._backend.connect_tcp(
-                self._host, self._port, timeout=min(timeout, CONNECT_TIMEOUT)
-            )
-            return Connection(self._origin, CountingStream(stream))
+            return await open_connection(self._address, timeout)
         except BaseException:
             self._in_use -= 1
             raise
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_core.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_core.py
@@ -19,11 +19,7 @@
 from bulrushhollow_core.domain import Answer, Call, DomainNode
 from bulrushhollow_core.ids import InstanceName, Seconds, name_of
 from bulrushhollow_daemon import clock
-from bulrushhollow_daemon.caller_server import (
-    RESERVED_DESCRIPTORS,
-    ServerLimits,
-    make_caller_server,
-)
+from bulrushhollow_daemon.caller_server import ServerLimits, make_caller_server
 from bulrushhollow_daemon.decision_log import StandardOutputHandler
 from bulrushhollow_daemon.domain._leader import LeaderClient
 from bulrushhollow_daemon.domain._metrics import CallMetrics, CoreMetrics, ProcessMetrics
@@ -166,8 +162,9 @@
     def _make_servers(self) -> list[tuple[HttpServer, socket.socket]]:
         settings = self._settings
         assert settings.control_address is not None
-        max_connections = max(64, settings.max_descriptors - RESERVED_DESCRIPTORS)
-        limits = ServerLimits(CONTROL_HEADER_TIMEOUT, CONTROL_IDLE_TIMEOUT, max_connections)
+        limits = ServerLimits(
+            CONTROL_HEADER_TIMEOUT, CONTROL_IDLE_TIMEOUT, settings.connections.control
+        )
         servers = [
             (
                 make_caller_server(self._control_application, limits),
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_settings.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_settings.py
@@ -11,8 +11,33 @@
 
 from bulrushhollow_core.domain import DomainSettings
 from bulrushhollow_core.ids import DataCentreId, Seconds
+from bulrushhollow_daemon.caller_server import RESERVED_DESCRIPTORS
 from bulrushhollow_daemon.settings import Address
 
+MIN_CONNECTIONS = 64
+"""Connections to workers, or from them, that an instance with few descriptors allows."""
+
+
+class ConnectionBudget(msgspec.Struct, frozen=True):
+    """
+    Most connections of each kind that one instance keeps open.
+
+    :param workers: connections to workers.
+    :param waiting_polls: connections to workers that polls hold for long; orders use the others.
+    :param control: connections from workers and operators.
+    """
+
+    workers: int
+    waiting_polls: int
+    control: int
+
+
+def connection_budget(max_descriptors: int) -> ConnectionBudget:
+    """Divide the descriptors of an instance; peers and files keep those that are reserved."""
+    available = max(2 * MIN_CONNECTIONS, max_descriptors - RESERVED_DESCRIPTORS)
+    workers = available * 2 // 3
+    return ConnectionBudget(workers, workers * 3 // 4, available - workers)
+
 
 class InstanceSettings(msgspec.Struct, frozen=True):
     """
@@ -58,6 +83,11 @@
     domain: DomainSettings
     advice_address: str = ""
 
+    @property
+    def connections(self) -> "ConnectionBudget":
+        """Return how many connections of each kind the descriptors allow."""
+        return connection_budget(self.max_descriptors)
+
     @property
     def is_founder(self) -> bool:
         """
