Let polls wait at workers only while connections are left for orders

Cause: a poll waits at its worker for up to a second and holds a connection meanwhile. With as many working workers as the leader may have connections, polls hold them all, and a start or a stop waits longer than its timeout.

Tests: five workers, two places: two polls wait, the others are repeated after a second; an answer frees its place.

--- a/packages/core/src/bulrushhollow_core/domain/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/_answers.py
@@ -158,11 +158,12 @@
 
     def handle_poll_answer(self, answer: PollAnswered, now: Seconds) -> None:
         """Handle the running and the ended runs that a worker lists."""
+        self._dispatcher.forget_waiting_poll(answer.life)
         worker = self._shared.fleet.get(answer.life)
         if worker is None:
             return
         worker.is_poll_in_flight = False
-        worker.poll_due = now
+        worker.poll_due = max(worker.poll_due, now)
         if answer.result is OrderResult.OTHER_LIFE:
             if answer.successor is not None and answer.clock is not None:
                 successor = self._shared.fleet.get_or_create(answer.successor, worker.address, now)
--- a/packages/core/src/bulrushhollow_core/domain/_dispatch.py
+++ b/packages/core/src/bulrushhollow_core/domain/_dispatch.py
@@ -49,6 +49,7 @@
     def __init__(self, shared: SchedulerState) -> None:
         """Create a dispatcher for the shared state of the scheduler."""
         self._shared = shared
+        self._waiting_polls: set[WorkerLife] = set()
         self.listed_ends_by_proposal: deque[dict[WorkerLife, int]] = deque()
         """For each proposal of ends, the number of the last end that each worker had listed."""
 
@@ -152,10 +153,12 @@
         may_acknowledge = now - worker.listed_at <= LIFE_CONFIRMED_FOR
         if may_acknowledge:
             worker.last_acknowledged_end = worker.last_recorded_end
-        is_confirmation = has_unacknowledged and not may_acknowledge
         # A worker that does not answer gets no new lease, so that its last one expires.
         may_grant = worker.has_clock and not is_silent
         lease_end = self._grant_lease(worker, now) if may_grant else None
+        # A silent worker is to answer at once, so that its return is noticed early.
+        is_patient = bool(worker.runs_by_task) and may_grant
+        is_patient = is_patient and (may_acknowledge or not has_unacknowledged)
         self._shared.outbox.append(
             Poll(
                 life=worker.life,
@@ -163,15 +166,22 @@
                 fence=self._shared.fence,
                 acknowledged=worker.last_recorded_end if may_acknowledge else 0,
                 lease_end=lease_end,
-                # A silent worker is to answer at once, so that its return is noticed early.
-                wait=(
-                    POLL_WAIT
-                    if worker.runs_by_task and may_grant and not is_confirmation
-                    else Seconds(0.0)
-                ),
+                wait=self._choose_wait(worker, now) if is_patient else Seconds(0.0),
             )
         )
 
+    def _choose_wait(self, worker: Worker, now: Seconds) -> Seconds:
+        """Return how long a poll may wait at a worker; if not at all, the next poll is put off."""
+        if len(self._waiting_polls) >= self._shared.settings.max_waiting_polls:
+            worker.poll_due = Seconds(now + POLL_WAIT)
+            return Seconds(0.0)
+        self._waiting_polls.add(worker.life)
+        return POLL_WAIT
+
+    def forget_waiting_poll(self, life: WorkerLife) -> None:
+        """Record that the poll of a worker was answered, or that no answer will come."""
+        self._waiting_polls.discard(life)
+
     def acknowledge_ends(self, now: Seconds) -> None:
         """Poll the workers whose ends the oldest proposal recorded; the poll acknowledges them."""
         if not self.listed_ends_by_proposal:
--- a/packages/core/src/bulrushhollow_core/domain/_settings.py
+++ b/packages/core/src/bulrushhollow_core/domain/_settings.py
@@ -23,6 +23,8 @@
     :param restore_time: seconds that a task takes to resume from a checkpoint.
     :param remote_factor: factor by which a task is slower away from its data or rack.
     :param voter_count: number of voting instances: twice the tolerated losses plus one.
+    :param max_waiting_polls: most polls that may wait at workers at the same time; each holds a
+        connection. Other polls are answered at once, and ends of runs are noticed later.
     :param prices_delays: whether evictions are chosen by what they cost callers, where reclaiming
         capacity is cheap. Off by default: fewer large gangs are stopped, but plans take longer.
     """
@@ -33,6 +35,7 @@
     restore_time: Seconds = Seconds(0.6)
     remote_factor: float = 3.0
     voter_count: int = 3
+    max_waiting_polls: int = 1000
     prices_delays: bool = False
 
     @property
--- a/packages/daemon/src/bulrushhollow_daemon/domain/__init__.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/__init__.py
@@ -12,7 +12,7 @@
 from bulrushhollow_daemon.domain._leader import LeaderClient
 from bulrushhollow_daemon.domain._metrics import CallMetrics
 from bulrushhollow_daemon.domain._process import Application
-from bulrushhollow_daemon.domain._settings import InstanceSettings
+from bulrushhollow_daemon.domain._settings import InstanceSettings, connection_budget
 from bulrushhollow_daemon.domain._workers import WorkerClient
 
 __all__ = [
@@ -23,4 +23,5 @@
     "InstanceSettings",
     "LeaderClient",
     "WorkerClient",
+    "connection_budget",
 ]
--- /dev/null
+++ b/tests/test_domain_fanout.py
@@ -0,0 +1,82 @@
+"""Polls of more workers than a leader has connections for."""
+
+import unittest
+
+import msgspec
+
+from bulrushhollow_core.domain._commands import StartRuns, SubmitJob
+from bulrushhollow_core.domain._dispatch import POLL_WAIT
+from bulrushhollow_core.domain._jobs import Resources, Step, Work, WorkerLife
+from bulrushhollow_core.domain._orders import (
+    ListedRun,
+    OrderResult,
+    OrderStart,
+    Poll,
+    PollAnswered,
+)
+from bulrushhollow_core.domain._scheduler import Scheduler
+from bulrushhollow_core.domain._settings import DomainSettings
+from bulrushhollow_core.ids import JobId, Seconds, Term, WorkerId, WorkspaceId
+from standins.domain_site import queue
+from tests.test_domain_scheduler import WALL, SchedulerHarness, announcement
+
+WORKERS = 5
+WIDE = Work("spec", (Step(WORKERS, Resources(64_000, 100, 8), Seconds(9.0)),))
+"""A job with one task for each worker."""
+
+
+class PollFanOutTest(unittest.TestCase):
+    """Pattern: every worker of a large fleet runs tasks, and the leader polls all of them."""
+
+    def setUp(self) -> None:
+        self.harness = SchedulerHarness()
+        self.harness.scheduler = Scheduler(
+            self.harness.state, Term(3), DomainSettings(max_waiting_polls=2), self.harness.now
+        )
+        for number in range(WORKERS):
+            news = announcement(1, address=f"w{number}:1")
+            life = WorkerLife(WorkerId(f"w{number}"), 1)
+            news = msgspec.structs.replace(news, life=life)
+            self.harness.scheduler.worker_announced(news, self.harness.now)
+        for first_poll in self.next_polls(0.2):
+            listed = PollAnswered(first_poll.life, OrderResult.ACCEPTED, Seconds(50.1))
+            self.harness.scheduler.poll_answered(listed, self.harness.now)
+        self.harness.commit(
+            [SubmitJob(JobId("j"), queue("usual", 1), WorkspaceId("team"), WIDE, WALL)]
+        )
+        self.harness.commit([each for each in self.harness.plan() if isinstance(each, StartRuns)])
+        actions = self.harness.scheduler.take_actions()
+        self.starts_by_life = {each.life: each for each in actions if isinstance(each, OrderStart)}
+        self.polls = [each for each in actions if isinstance(each, Poll)]
+
+    def answer(self, poll: Poll) -> None:
+        start = self.starts_by_life[poll.life]
+        row = ListedRun(start.task, start.run, "", 10)
+        listed = PollAnswered(poll.life, OrderResult.ACCEPTED, Seconds(50.2), running=(row,))
+        self.harness.scheduler.poll_answered(listed, self.harness.now)
+
+    def next_polls(self, seconds: float) -> list[Poll]:
+        self.harness.now = Seconds(self.harness.now + seconds)
+        self.harness.scheduler.tick(self.harness.now, WALL)
+        return [each for each in self.harness.scheduler.take_actions() if isinstance(each, Poll)]
+
+    # Guards against polls that hold every connection, so that no order can be sent to a worker.
+    def test_only_some_polls_wait_and_the_others_are_repeated_later(self) -> None:
+        self.assertEqual(WORKERS, len(self.polls))
+        self.assertEqual([0.0, 0.0, 0.0, POLL_WAIT, POLL_WAIT], sorted(p.wait for p in self.polls))
+        for poll in [each for each in self.polls if each.wait == 0]:
+            self.answer(poll)
+        self.assertEqual([], self.next_polls(0.2), "they were polled just now")
+        self.assertEqual(3, len(self.next_polls(POLL_WAIT)))
+
+    # Guards against places of waiting polls that are lost with each answer.
+    def test_the_answer_to_a_waiting_poll_lets_another_poll_wait(self) -> None:
+        for poll in [each for each in self.polls if each.wait == 0]:
+            self.answer(poll)
+        [waiting, _] = [each for each in self.polls if each.wait > 0]
+        self.answer(waiting)
+        self.assertEqual([POLL_WAIT], [each.wait for each in self.next_polls(0.0)])
+
+
+if __name__ == "__main__":
+    unittest.main()
