Pass announcements on in batches when the leader has many workers

Cause: every worker was sent to the leader with its announcements, and each held a connection there. With 3,000 workers these alone are more than the descriptors, so connections are closed and made anew with each announcement, 2,000 a second; passed on one by one by another instance, each would cost the leader a call of about a millisecond.

Change: above half of its connections from workers, the leader's answer names the other instances that it reaches, and each worker announces itself at the one that rendezvous hashing chooses. A worker that drains is still announced alone, since its departure must be recorded before it is answered. An instance sends batches only after an answer that names relays, so a leader of an earlier version gets none, and a failed batch is followed by single announcements.

Tests: 700 workers spread over seven instances, none twice as many as another; batches, draining workers and a leader that reads no batch.

--- a/packages/core/src/bulrushhollow_core/domain/__init__.py
+++ b/packages/core/src/bulrushhollow_core/domain/__init__.py
@@ -10,6 +10,7 @@
 from bulrushhollow_core.domain._announcements import Availability, WorkerNews
 from bulrushhollow_core.domain._calls import (
     Announce,
+    AnnounceBatch,
     Answer,
     Call,
     CallId,
@@ -88,11 +89,13 @@
     StopAnswered,
     no_answer_to,
 )
+from bulrushhollow_core.domain._relays import announcement_target
 from bulrushhollow_core.domain._settings import DomainSettings
 
 __all__ = [
     "AdviceAnswered",
     "Announce",
+    "AnnounceBatch",
     "Answer",
     "AskAdvice",
     "CallReceived",
@@ -163,6 +166,7 @@
     "WorkerLife",
     "WorkerNews",
     "Workspace",
+    "announcement_target",
     "find_invalidity",
     "log_event",
     "no_answer_to",
--- a/packages/core/src/bulrushhollow_core/domain/_call_handler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_call_handler.py
@@ -13,6 +13,7 @@
 from bulrushhollow_core.domain._announcements import Availability
 from bulrushhollow_core.domain._calls import (
     Announce,
+    AnnounceBatch,
     Answer,
     Call,
     Cancel,
@@ -109,6 +110,8 @@
         self._address = address
         self.instances: tuple[str, ...] = ()
         """Addresses of all instances that may lead."""
+        self.relays: tuple[str, ...] = ()
+        """Addresses of the other instances that are reachable now."""
 
     def handle(
         self, call: Call, state: DomainState, scheduler: Scheduler, now: Seconds, wall: WallTime
@@ -133,6 +136,12 @@
                 )
             case Announce():
                 return self._handle_announcement(call, state, scheduler, now)
+            case AnnounceBatch(announcements=announcements):
+                if any(news.availability is Availability.DRAINING for news in announcements):
+                    return ImmediateAnswer(Malformed("a worker that drains is announced alone"))
+                for news in announcements:
+                    scheduler.worker_announced(news, now)
+                return ImmediateAnswer(self._announced(scheduler))
             case Deregister():
                 life = (
                     scheduler.find_latest_life(call.worker)
@@ -308,7 +317,13 @@
                 Event.WORKER_DRAINING, worker=announcement.life.id, remaining=announcement.remaining
             )
             return DeferredAnswer(DrainWorker(announcement.life), self._done, (draining,))
-        return ImmediateAnswer(self._done)
+        return ImmediateAnswer(self._announced(scheduler))
+
+    def _announced(self, scheduler: Scheduler) -> Done:
+        """Return the answer to announcements, with the instances to which later ones go."""
+        if scheduler.worker_count <= self._settings.max_direct_workers:
+            return self._done
+        return Done(self._address, self.relays)
 
 
 def _forecast(
--- a/packages/core/src/bulrushhollow_core/domain/_calls.py
+++ b/packages/core/src/bulrushhollow_core/domain/_calls.py
@@ -73,6 +73,15 @@
     announcement: WorkerNews
 
 
+class AnnounceBatch(msgspec.Struct, frozen=True, array_like=True, tag="announce_batch"):
+    """
+    Pass on the announcements of several workers. Those of workers that drain are passed on one by
+    one, since each must be recorded before it is answered.
+    """
+
+    announcements: tuple[WorkerNews, ...]
+
+
 class Deregister(msgspec.Struct, frozen=True, array_like=True, tag="deregister"):
     """
     Deregister a worker that leaves now.
@@ -110,6 +119,7 @@
     | ReadConfig
     | Evacuate
     | Announce
+    | AnnounceBatch
     | Deregister
     | Probe
     | ExplainPlacement
@@ -136,9 +146,12 @@
     The call has taken effect and is recorded by a majority.
 
     :param leader: address of the leader.
+    :param relays: addresses of the instances that pass announcements of workers on in batches, in
+        the answer to an announcement; none while the leader hears its workers itself.
     """
 
     leader: str = ""
+    relays: tuple[str, ...] = ()
 
 
 class Refused(msgspec.Struct, frozen=True, array_like=True, tag="refused"):
--- a/packages/core/src/bulrushhollow_core/domain/_node.py
+++ b/packages/core/src/bulrushhollow_core/domain/_node.py
@@ -179,6 +179,7 @@
         """Commands of the scheduler; they are kept and proposed again if the log rejects them."""
         self._unproposed_calls: list[_PendingCall] = []
         self._voters: frozenset[InstanceId] = frozenset()
+        self._connected_peers: set[InstanceId] = set()
         self._configured_at: Seconds | None = None
 
     # Queries and control.
@@ -241,8 +242,12 @@
             case PeerConnected(peer=peer, data_centre=data_centre):
                 if data_centre:
                     self._log.set_failure_domain(name_of(peer), data_centre)
+                self._connected_peers.add(peer)
+                self._update_relays()
                 self._handle_log_actions(self._log.peer_connected(peer, True, now), now)
             case PeerDisconnected(peer=peer, has_ended=has_ended):
+                self._connected_peers.discard(peer)
+                self._update_relays()
                 self._handle_log_actions(self._log.peer_disconnected(peer, now, has_ended), now)
             case StopRequested():
                 self._handle_log_actions(self._log.transfer_leadership(now), now)
@@ -371,6 +376,11 @@
             voter_list = ",".join(sorted(voters))
             self._actions.append(log_event(Event.MEMBERS_CHANGED, voters=voter_list))
 
+    def _update_relays(self) -> None:
+        self._call_handler.relays = tuple(
+            sorted({str(name_of(peer)) for peer in self._connected_peers})
+        )
+
     def _update_role(self, now: Seconds) -> None:
         """Create the scheduler once earlier leaders' entries are applied; drop it when deposed."""
         if self._log.is_leader and self.scheduler is not None:
--- a/packages/daemon/src/bulrushhollow_daemon/domain/__init__.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/__init__.py
@@ -7,6 +7,7 @@
 workers, operators and callers.
 """
 
+from bulrushhollow_daemon.domain._announcements import AnnouncementForwarder
 from bulrushhollow_daemon.domain._core import CoreInstance
 from bulrushhollow_daemon.domain._entry import EntryInstance
 from bulrushhollow_daemon.domain._leader import LeaderClient
@@ -16,6 +17,7 @@
 from bulrushhollow_daemon.domain._workers import WorkerClient
 
 __all__ = [
+    "AnnouncementForwarder",
     "Application",
     "CallMetrics",
     "CoreInstance",
