Count a run's standstill only by lists of its worker

Cause: the check for stalled runs took any contact for news of progress. After a cut the first answer is often that to a repeated stop; it ended the worker's silence, and the last progress was that from before the cut.

Change: only a list of its runs counts, and after a gap between lists longer than a poll the time without progress begins anew.

Test: a worker answers a stop after four seconds out of reach; it fails before, a run is stopped.

--- a/packages/core/src/bulrushhollow_core/domain/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/_answers.py
@@ -34,6 +34,9 @@
 IDLE_POLL_RETRY_INTERVAL = Seconds(1.0)
 """Seconds between two polls of a worker that does not answer and has no runs."""
 
+MAX_REPORT_AGE = Seconds(1.6)
+"""Seconds for which a worker's list of runs counts as current; the limit of one poll."""
+
 STOP_MARGIN = Seconds(0.1)
 """Seconds added to the longest duration of a stop, for late timers."""
 
@@ -180,6 +183,10 @@
             return
         worker.record_contact(answer.clock, self._shared.settings.longest_lease, now)
         worker.record_heard(now)
+        if now - worker.listed_at > MAX_REPORT_AGE:
+            # Nothing is known of the progress since the last list, so it counts from now on.
+            for run in worker.runs_by_task.values():
+                run.progress_at = now
         worker.listed_at = now
         worker.has_answered_poll = True
         listed_runs = {(ended_run.task, ended_run.run) for ended_run in answer.ended}
--- a/packages/core/src/bulrushhollow_core/domain/_watch.py
+++ b/packages/core/src/bulrushhollow_core/domain/_watch.py
@@ -7,7 +7,7 @@
 
 import math
 
-from bulrushhollow_core.domain._answers import POLL_RETRY_INTERVAL
+from bulrushhollow_core.domain._answers import MAX_REPORT_AGE, POLL_RETRY_INTERVAL
 from bulrushhollow_core.domain._dispatch import OrderDispatcher
 from bulrushhollow_core.domain._fleet import Worker
 from bulrushhollow_core.domain._lasting import allowed_disruptions
@@ -16,9 +16,6 @@
 from bulrushhollow_core.domain._scheduler_state import SchedulerState
 from bulrushhollow_core.ids import Seconds
 
-MAX_REPORT_AGE = Seconds(1.6)
-"""Seconds for which a worker's list of runs counts as current; the limit of one poll."""
-
 MIN_STALL_TIMEOUT = Seconds(3.0)
 """Seconds without progress after which a short run is stopped. Longer than two polls and a restore,
 and as long as a member of a gang waits for the others."""
@@ -91,11 +88,18 @@
             or self._shared.is_long_running(run)
         ):
             return
-        elif now - run.progress_at > _stall_timeout(run):
+        elif now - run.progress_at > _stall_timeout(run) and not self._awaits_members(run):
             self._loss_handler.stop_and_quarantine(worker, run, "a run stands still", now)
 
     def _has_current_report(self, worker: Worker, now: Seconds) -> bool:
-        return worker.silent_since is None and now - worker.last_contact_at < MAX_REPORT_AGE
+        return worker.silent_since is None and now - worker.listed_at < MAX_REPORT_AGE
+
+    def _awaits_members(self, run: Run) -> bool:
+        """Return whether a gang cannot work yet, since a member may not have started."""
+        return run.is_gang and any(
+            member.phase is not RunPhase.RUNNING
+            for member in self._shared.gang_members(run.task, run.number)
+        )
 
     def _should_move(self, worker: Worker, run: Run, now: Seconds) -> bool:
         """Return whether a run on a leaving worker should be stopped before the worker leaves."""
--- a/tests/test_domain_scheduler.py
+++ b/tests/test_domain_scheduler.py
@@ -282,6 +282,31 @@
         unknown = Work("spec", (msgspec.structs.replace(step, estimate=Seconds(0.0)),))
         self.assertEqual([], self.stopped_at(40, unknown))
 
+    # Guards against runs that are stopped, and workers that are quarantined, as soon as a partition
+    # heals: an answered order counted as news of their progress.
+    def test_runs_of_a_worker_that_was_out_of_reach_are_not_stalled(self) -> None:
+        harness = SchedulerHarness()
+        harness.submit(SINGLE_TASK)
+        start = harness.launch()
+        harness.accept(start)
+        row = ListedRun(start.task, start.run, "", 30)
+        listed = PollAnswered(start.life, OrderResult.ACCEPTED, Seconds(50.3), running=(row,))
+        harness.scheduler.poll_answered(listed, harness.now)
+        silent = PollAnswered(start.life, OrderResult.NO_ANSWER)
+        harness.scheduler.poll_answered(silent, Seconds(harness.now + 1.6))
+        harness.now = Seconds(harness.now + 4.0)
+        clock = Seconds(54.3)
+        stopped = StopAnswered(start.life, start.task, RunNumber(9), OrderResult.ACCEPTED, clock)
+        harness.scheduler.stop_answered(stopped, harness.now)
+        for _ in range(2):
+            harness.now = Seconds(harness.now + 0.1)
+            harness.scheduler.tick(harness.now, WALL)
+            harness.scheduler.poll_answered(
+                msgspec.structs.replace(listed, clock=clock), harness.now
+            )
+        actions = harness.scheduler.take_actions()
+        self.assertEqual([], [each for each in actions if isinstance(each, OrderStop)])
+
     def test_a_gang_member_that_waits_for_its_gang_is_not_stalled(self) -> None:
         # Such a member was stopped as stalled: its whole gang lost its work, and healthy workers
         # were quarantined.
