Stop a gang as soon as the start of one member is given up

Cause: a member whose start stays unanswered three times was stopped, the others waited for the end of its lease or for the check for stalled runs, which took their waiting for a fault of their workers.

Change: the other members are stopped with it.

--- a/packages/core/src/bulrushhollow_core/domain/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/_answers.py
@@ -105,10 +105,19 @@
                 self._dispatcher.send_start(worker, run, now)
             case OrderResult.NO_ANSWER:
                 self._record_silence(worker, answer.result, now)
-                self._dispatcher.stop(worker, run, now)
+                self._give_up_start(run, now)
             case _:
                 self._handle_refused_start(worker, run, answer.result, now)
 
+    def _give_up_start(self, run: Run, now: Seconds) -> None:
+        """Stop a run that may have started, and the rest of its gang, which would wait for it."""
+        runs = [run]
+        if run.is_gang:
+            runs = list(self._shared.gang_members(run.task, run.number))
+            for member in runs:
+                self._dispatcher.log_stop(member, "its gang cannot start")
+        self._dispatcher.stop_all(runs, now)
+
     def _record_silence(self, worker: Worker, result: OrderResult, now: Seconds) -> None:
         """
         Record that a worker did not answer a start. It gets no more work until it answers, and is
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_metrics.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_metrics.py
@@ -29,6 +29,7 @@
     "a run stands still": "stalled",
     "a run is slow": "slow",
     "its worker leaves": "worker_leaves",
+    "its gang cannot start": "gang_incomplete",
 }
 """Labels of stops, by the prefix of their reason; few, so that the metric stays bounded."""
 
--- a/tests/test_domain_scheduler.py
+++ b/tests/test_domain_scheduler.py
@@ -17,6 +17,7 @@
     SubmitJob,
 )
 from bulrushhollow_core.domain._configuration import ServiceName
+from bulrushhollow_core.domain._events import Event, LogEvent
 from bulrushhollow_core.domain._jobs import (
     Occurrence,
     Resources,
@@ -315,6 +316,59 @@
         self.assertTrue(self.stopped_at(99, gang))
 
 
+class IncompleteGangTest(unittest.TestCase):
+    """Pattern: a gang is placed on workers of which one has just been cut off."""
+
+    def setUp(self) -> None:
+        self.harness = SchedulerHarness()
+        other = msgspec.structs.replace(
+            announcement(1, address="o:1"), life=WorkerLife(WorkerId("o"), 1)
+        )
+        self.harness.scheduler.worker_announced(other, self.harness.now)
+        step = Step(2, Resources(64_000, 100, 8), Seconds(1.0), is_gang=True)
+        self.harness.submit(Work("spec", (step,)))
+        self.harness.commit(self.harness.plan())
+        actions = self.harness.scheduler.take_actions()
+        self.member, self.lost = [each for each in actions if isinstance(each, OrderStart)]
+        self.harness.accept(self.member)
+
+    def leave_unanswered(self, tries: int) -> list[LogEvent | OrderStop]:
+        """Leave the start of one member unanswered, and return the stops and the log."""
+        found: list[LogEvent | OrderStop] = []
+        row = ListedRun(self.member.task, self.member.run, "", 0)
+        for number in range(tries):
+            self.harness.now = Seconds(self.harness.now + 0.5)
+            silent = StartAnswered(
+                self.lost.life, self.lost.task, self.lost.run, OrderResult.NO_ANSWER, None
+            )
+            self.harness.scheduler.start_answered(silent, self.harness.now)
+            clock = Seconds(50.7 + number / 2)
+            listed = PollAnswered(self.member.life, OrderResult.ACCEPTED, clock, running=(row,))
+            self.harness.scheduler.poll_answered(listed, self.harness.now)
+            self.harness.scheduler.tick(self.harness.now, WALL)
+            actions = self.harness.scheduler.take_actions()
+            found += [each for each in actions if isinstance(each, LogEvent | OrderStop)]
+        return found
+
+    # Guards against members that hold their workers for seconds for a gang that cannot start.
+    def test_a_gang_is_stopped_once_the_start_of_a_member_is_given_up(self) -> None:
+        self.assertEqual([], [a for a in self.leave_unanswered(2) if isinstance(a, OrderStop)])
+        actions = self.leave_unanswered(1)
+        stopped = {each.task for each in actions if isinstance(each, OrderStop)}
+        self.assertEqual({self.member.task, self.lost.task}, stopped)
+
+    # Guards against healthy workers that are quarantined since a gang's other members are cut off.
+    def test_a_member_that_waits_for_the_others_is_not_stalled(self) -> None:
+        lost = self.harness.scheduler._shared.fleet.get(self.lost.life)
+        assert lost is not None
+        events = []
+        for _ in range(12):
+            lost.runs_by_task[self.lost.task].start_attempts = 1
+            events += self.leave_unanswered(1)
+        logged = {each.event for each in events if isinstance(each, LogEvent)}
+        self.assertNotIn(Event.WORKER_QUARANTINED, logged)
+
+
 class LeaseTest(unittest.TestCase):
     def test_a_worker_that_never_answers_again_loses_its_runs(self) -> None:
         # Each unanswered poll granted a new lease, so the runs of a dead worker never counted as
