Extend the lease of a start as soon as it is answered, and begin with a shorter one

Cause: a start on an idle worker granted three seconds; the poll sent beside it granted no more, since the start was not answered yet, and waited for up to a second at the worker. So work that had started within a second before an outage of the leader died with it although the worker ran on, and a start that was lost blocked its task and its gang for three seconds from the last try.

Change: the first poll is sent when the start is answered and grants the whole lease at once; the lease of the start itself is half as long, so a lost start blocks its task for 2.8 instead of 4.3 s.

--- a/packages/core/src/bulrushhollow_core/domain/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/_answers.py
@@ -94,6 +94,8 @@
         match answer.result:
             case OrderResult.ACCEPTED:
                 run.mark_running(now, is_fresh=not self._shared.checkpoint_of(run.task))
+                worker.poll_due = min(worker.poll_due, now)
+                self._dispatcher.poll(worker, now)
             case OrderResult.OTHER_LIFE:
                 self._loss_handler.declare_lost(worker, "another life answered", now)
             case OrderResult.FENCED:
--- a/packages/core/src/bulrushhollow_core/domain/_dispatch.py
+++ b/packages/core/src/bulrushhollow_core/domain/_dispatch.py
@@ -30,10 +30,9 @@
 workers allow, so that a worker that is cut off has most of its lease left, and stalled runs are
 noticed early."""
 
-START_LEASE = Seconds(3.0)
-"""Seconds of the lease that a start grants to an idle worker. The next poll extends it, in less
-than two seconds plus an election. If the start is lost, its task is blocked only until this
-lease expires."""
+START_LEASE = Seconds(1.5)
+"""Seconds of the lease that a start grants to an idle worker. A poll extends it as soon as the
+start is answered. If the start is lost, its task is blocked only until this lease expires."""
 
 STOP_RETRY_INTERVAL = Seconds(0.3)
 """Seconds after which an unanswered stop is repeated."""
@@ -76,8 +75,6 @@
         run.phase = RunPhase.STARTING
         run.started_at = run.progress_at = now
         self.send_start(worker, run, now)
-        worker.poll_due = min(worker.poll_due, now)
-        self.poll(worker, now)
 
     def send_start(self, worker: Worker, run: Run, now: Seconds) -> None:
         """Send the start of a run, with a new lease."""
@@ -100,11 +97,8 @@
     def _grant_lease(self, worker: Worker, now: Seconds) -> Seconds:
         """Return the end of a new lease; it is short while no run is known to run on the worker."""
         longest = self._shared.settings.longest_lease
-        phases = {run.phase for run in worker.runs_by_task.values()}
-        is_unconfirmed = phases <= {RunPhase.PROPOSED, RunPhase.STARTING}
-        return worker.grant_lease(
-            min(START_LEASE, longest) if is_unconfirmed else longest, longest, now
-        )
+        length = longest if worker.has_confirmed_runs else min(START_LEASE, longest)
+        return worker.grant_lease(length, longest, now)
 
     def send_stop(self, worker: Worker, run: Run, now: Seconds) -> None:
         """Send the stop of a run, and schedule its repetition."""
@@ -141,7 +135,7 @@
         has_unacknowledged = worker.last_recorded_end > worker.last_acknowledged_end
         is_silent = worker.silent_since is not None
         # The first poll of a life carries this leader's fence, which invalidates orders of others.
-        is_useful = bool(worker.runs_by_task) or has_unacknowledged or is_silent
+        is_useful = worker.has_confirmed_runs or has_unacknowledged or is_silent
         is_useful = is_useful or not worker.has_answered_poll
         if worker.is_poll_in_flight or not is_useful or now < worker.poll_due:
             return
@@ -157,7 +151,7 @@
         may_grant = worker.has_clock and not is_silent
         lease_end = self._grant_lease(worker, now) if may_grant else None
         # A silent worker is to answer at once, so that its return is noticed early.
-        is_patient = bool(worker.runs_by_task) and may_grant
+        is_patient = worker.has_confirmed_runs and may_grant
         is_patient = is_patient and (may_acknowledge or not has_unacknowledged)
         self._shared.outbox.append(
             Poll(
--- a/packages/core/src/bulrushhollow_core/domain/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/_fleet.py
@@ -16,7 +16,7 @@
     TaskRef,
     WorkerLife,
 )
-from bulrushhollow_core.domain._runs import NO_ISOLATION, Run, RunRef, UnansweredStart
+from bulrushhollow_core.domain._runs import NO_ISOLATION, Run, RunPhase, RunRef, UnansweredStart
 from bulrushhollow_core.ids import JobId, Seconds, WorkerId
 
 MIN_CLOCK_RATE = 0.98
@@ -105,6 +105,12 @@
             and self.last_recorded_end <= self.last_acknowledged_end
         )
 
+    @property
+    def has_confirmed_runs(self) -> bool:
+        """Return whether it has any run whose start it has answered."""
+        unconfirmed = (RunPhase.PROPOSED, RunPhase.STARTING)
+        return any(run.phase not in unconfirmed for run in self.runs_by_task.values())
+
     @property
     def capacity(self) -> Resources:
         """Return its resources; nothing before its first announcement."""
--- a/tests/test_domain_fanout.py
+++ b/tests/test_domain_fanout.py
@@ -47,6 +47,9 @@
         self.harness.commit([each for each in self.harness.plan() if isinstance(each, StartRuns)])
         actions = self.harness.scheduler.take_actions()
         self.starts_by_life = {each.life: each for each in actions if isinstance(each, OrderStart)}
+        for start in self.starts_by_life.values():
+            self.harness.accept(start)
+        actions = self.harness.scheduler.take_actions()
         self.polls = [each for each in actions if isinstance(each, Poll)]
 
     def answer(self, poll: Poll) -> None:
