Stop counting the places for a gang once there are enough

Cause: the search for a gang's place counted every place on every host, three times for each group of hosts.

Change: the count ends as soon as the gang fits.

--- a/packages/core/src/bulrushhollow_core/domain/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/_fleet.py
@@ -144,7 +144,9 @@
     @property
     def is_closed(self) -> bool:
         """Return whether an isolated run keeps other jobs' tasks away."""
-        return any(run.survived < run.isolation for run in self._isolated_runs)
+        return bool(self._isolated_runs) and any(
+            run.survived < run.isolation for run in self._isolated_runs
+        )
 
     def record_heard(self, now: Seconds) -> None:
         """Record that it announced itself or listed its runs."""
--- a/packages/core/src/bulrushhollow_core/domain/_groups.py
+++ b/packages/core/src/bulrushhollow_core/domain/_groups.py
@@ -31,12 +31,27 @@
     )
 
 
+def can_hold(demand: Demand, hosts: Iterable[Host], include_stopping: bool) -> bool:
+    """Return whether all tasks of a demand fit on the given hosts; looks at as few as it needs."""
+    needs = demand.step.needs
+    missing = len(demand.task_indexes)
+    for host in hosts:
+        free = available_on(host, include_stopping)
+        if needs.fits(free):
+            missing -= slots_in(free, needs, demand.max_tasks_on(host))
+            if missing <= 0:
+                return True
+    return missing <= 0
+
+
 def can_ever_hold(demand: Demand, hosts: Iterable[Host]) -> bool:
     """Return whether all tasks of a demand fit on the given hosts when nothing else runs there."""
-    slots = (
-        slots_in(host.capacity, demand.step.needs, demand.max_tasks_on(host)) for host in hosts
-    )
-    return sum(slots) >= len(demand.task_indexes)
+    missing = len(demand.task_indexes)
+    for host in hosts:
+        missing -= slots_in(host.capacity, demand.step.needs, demand.max_tasks_on(host))
+        if missing <= 0:
+            return True
+    return missing <= 0
 
 
 def candidate_groups(demand: Demand, hosts: HostGroup) -> list[HostGroup]:
@@ -59,10 +74,9 @@
     Groups in which the gang needs no slow and no suspect worker are preferred: one slow member
     delays the whole gang.
     """
-    wanted = len(demand.task_indexes)
 
     def fits_gang(hosts: Iterable[Host]) -> bool:
-        return slots_for(demand, hosts, include_stopping) >= wanted
+        return can_hold(demand, hosts, include_stopping)
 
     fitting = [group for group in groups if fits_gang(group)]
     if not fitting:
