--- a/packages/core/src/bulrushhollow_core/domain/_call_handler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_call_handler.py
@@ -9,20 +9,27 @@
 
 import msgspec
 
-from bulrushhollow_core.domain._admission import AdmissionController, Refusal
-from bulrushhollow_core.domain._announcements import Availability
-from bulrushhollow_core.domain._calls import (
+from bulrushhollow_core.domain._scheduler import Scheduler
+from bulrushhollow_core.domain.model import (
     Announce,
     AnnounceBatch,
     Answer,
+    Availability,
     Call,
     Cancel,
+    CancelJob,
+    Command,
     ConfigShown,
     Deregister,
+    DomainSettings,
     Done,
+    DrainWorker,
     Evacuate,
+    Event,
     ExplainPlacement,
     JobShown,
+    JobState,
+    LogEvent,
     Malformed,
     NoSuchJob,
     NoSuchQueue,
@@ -30,32 +37,31 @@
     PlacementExplained,
     Probe,
     PutConfig,
+    PutConfiguration,
+    Queue,
     QueueShown,
     Read,
     ReadConfig,
     RefusalReason,
     Refused,
     Serving,
-    Submit,
-)
-from bulrushhollow_core.domain._caps import CAP_RETRY_AFTER, exceeds_cap
-from bulrushhollow_core.domain._commands import (
-    CancelJob,
-    Command,
-    DrainWorker,
-    PutConfiguration,
     SetEvacuation,
+    Submit,
     SubmitJob,
+    WallTime,
+    WorkerLife,
+    detached_copy,
+    find_invalidity,
+    log_event,
 )
-from bulrushhollow_core.domain._configuration import Queue, find_invalidity
-from bulrushhollow_core.domain._copies import detached_copy
-from bulrushhollow_core.domain._events import Event, LogEvent, log_event
-from bulrushhollow_core.domain._explanation import MIN_EXPLANATION_INTERVAL, UNSUBMITTED_JOB
-from bulrushhollow_core.domain._jobs import JobState, WallTime, WorkerLife
-from bulrushhollow_core.domain._queueing import count_pending_jobs
-from bulrushhollow_core.domain._scheduler import Scheduler
-from bulrushhollow_core.domain._settings import DomainSettings
-from bulrushhollow_core.domain._state import DomainState
+from bulrushhollow_core.domain.placement import (
+    CAP_RETRY_AFTER,
+    MIN_EXPLANATION_INTERVAL,
+    UNSUBMITTED_JOB,
+    exceeds_cap,
+)
+from bulrushhollow_core.domain.queueing import AdmissionController, Refusal, count_pending_jobs
+from bulrushhollow_core.domain.replica import DomainState
 from bulrushhollow_core.ids import JobId, Seconds, WorkspaceId
 from bulrushhollow_core.placements import PlacementOutlook, Verdict
 
--- a/packages/core/src/bulrushhollow_core/domain/_node.py
+++ b/packages/core/src/bulrushhollow_core/domain/_node.py
@@ -26,28 +26,29 @@
     NotLeader as LogNotLeader,
 )
 from bulrushhollow_core.domain._call_handler import CallHandler, DeferredAnswer, ImmediateAnswer
-from bulrushhollow_core.domain._calls import (
+from bulrushhollow_core.domain._scheduler import Scheduler
+from bulrushhollow_core.domain.model import (
+    AdviceAnswered,
     Answer,
     Call,
     CallId,
+    Command,
+    DomainSettings,
+    Event,
     NotLeader,
+    OrderAnswer,
     OutcomeUnknown,
+    PollAnswered,
     RefusalReason,
     Refused,
-)
-from bulrushhollow_core.domain._commands import Command, decode_commands, encode_commands
-from bulrushhollow_core.domain._events import Event, log_event
-from bulrushhollow_core.domain._jobs import WallTime
-from bulrushhollow_core.domain._orders import (
-    AdviceAnswered,
-    OrderAnswer,
-    PollAnswered,
     StartAnswered,
     StopAnswered,
+    WallTime,
+    decode_commands,
+    encode_commands,
+    log_event,
 )
-from bulrushhollow_core.domain._scheduler import Scheduler
-from bulrushhollow_core.domain._settings import DomainSettings
-from bulrushhollow_core.domain._state import DomainState
+from bulrushhollow_core.domain.replica import DomainState
 from bulrushhollow_core.ids import InstanceId, LogIndex, Seconds, Term, name_of
 
 TIMING = Timing(
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler.py
@@ -10,43 +10,44 @@
 
 import msgspec
 
-from bulrushhollow_core.domain._admission import AdmissionController
-from bulrushhollow_core.domain._announcements import Availability, WorkerNews
-from bulrushhollow_core.domain._answers import OrderAnswerHandler
-from bulrushhollow_core.domain._caps import withdraw_starts_over_cap
-from bulrushhollow_core.domain._commands import (
+from bulrushhollow_core.domain.execution import (
+    OrderAnswerHandler,
+    OrderDispatcher,
+    SchedulerState,
+    WorkerLossHandler,
+    WorkerMonitor,
+)
+from bulrushhollow_core.domain.fleet import Worker
+from bulrushhollow_core.domain.model import (
+    AdviceAnswered,
+    Availability,
     CancelJob,
     Command,
+    DomainSettings,
     EndRuns,
+    Event,
+    Job,
+    PollAnswered,
     PutConfiguration,
     RecordCrash,
     RegisterWorker,
     SetEvacuation,
+    StartAnswered,
     StartRuns,
+    StopAnswered,
     SubmitJob,
-)
-from bulrushhollow_core.domain._crashes import crash_count, crashes_workers, losses_of
-from bulrushhollow_core.domain._dispatch import OrderDispatcher
-from bulrushhollow_core.domain._events import Event, log_event
-from bulrushhollow_core.domain._explanation import PlacementExplainer
-from bulrushhollow_core.domain._fleet import Worker
-from bulrushhollow_core.domain._jobs import (
-    Job,
     WallTime,
     WorkerLife,
+    WorkerNews,
+    log_event,
 )
-from bulrushhollow_core.domain._losses import WorkerLossHandler
-from bulrushhollow_core.domain._orders import (
-    AdviceAnswered,
-    PollAnswered,
-    StartAnswered,
-    StopAnswered,
+from bulrushhollow_core.domain.placement import (
+    PlacementExplainer,
+    PlanningCycle,
+    withdraw_starts_over_cap,
 )
-from bulrushhollow_core.domain._planning import PlanningCycle
-from bulrushhollow_core.domain._scheduler_state import SchedulerState
-from bulrushhollow_core.domain._settings import DomainSettings
-from bulrushhollow_core.domain._state import DomainState
-from bulrushhollow_core.domain._watch import WorkerMonitor
+from bulrushhollow_core.domain.queueing import AdmissionController
+from bulrushhollow_core.domain.replica import DomainState, crash_count, crashes_workers, losses_of
 from bulrushhollow_core.ids import JobId, Seconds, Term, WorkerId
 
 CHECK_INTERVAL = Seconds(0.1)
--- a/packages/core/src/bulrushhollow_core/domain/_advice.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_advice.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._advice
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.execution._advice
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Caches the answers of the advice service, which decides which workers may run the steps of some
 queues. The service is slow and answers one question at a time, so steps are asked for in advance,
@@ -11,8 +11,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from bulrushhollow_core.domain._jobs import StepRef, WorkerLife
-from bulrushhollow_core.domain._orders import AdviceAnswered, AskAdvice
+from bulrushhollow_core.domain.model import AdviceAnswered, AskAdvice, StepRef, WorkerLife
 from bulrushhollow_core.ids import JobId, Seconds
 
 MAX_WORKERS_PER_QUESTION = 30
--- a/packages/core/src/bulrushhollow_core/domain/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
@@ -1,31 +1,30 @@
 """
-bulrushhollow_core.domain._answers
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.execution._answers
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Handles the answers of workers to orders, and the runs that workers list in them.
 """
 
 import math
 
-from bulrushhollow_core.domain._commands import (
-    Outcome,
-)
-from bulrushhollow_core.domain._dispatch import OrderDispatcher
-from bulrushhollow_core.domain._events import Event, log_event
-from bulrushhollow_core.domain._fleet import Worker
-from bulrushhollow_core.domain._jobs import RunNumber, TaskRef
-from bulrushhollow_core.domain._losses import WorkerLossHandler
-from bulrushhollow_core.domain._orders import (
+from bulrushhollow_core.domain.execution._dispatch import OrderDispatcher
+from bulrushhollow_core.domain.execution._losses import WorkerLossHandler
+from bulrushhollow_core.domain.execution._scheduler_state import SchedulerState
+from bulrushhollow_core.domain.fleet import Run, RunPhase, RunRef, UnansweredStart, Worker
+from bulrushhollow_core.domain.model import (
+    Event,
     ListedEnd,
     ListedRun,
     OrderResult,
     OrderStop,
+    Outcome,
     PollAnswered,
+    RunNumber,
     StartAnswered,
     StopAnswered,
+    TaskRef,
+    log_event,
 )
-from bulrushhollow_core.domain._runs import Run, RunPhase, RunRef, UnansweredStart
-from bulrushhollow_core.domain._scheduler_state import SchedulerState
 from bulrushhollow_core.ids import Seconds
 
 POLL_RETRY_INTERVAL = Seconds(0.3)
--- a/packages/core/src/bulrushhollow_core/domain/_dispatch.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_dispatch.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._dispatch
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.execution._dispatch
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Sends starts, stops and polls to workers, and repeats stops without an answer.
 """
@@ -8,21 +8,19 @@
 from collections import deque
 from collections.abc import Iterable
 
-from bulrushhollow_core.domain._commands import (
-    Outcome,
-    RunEnd,
-    Start,
-)
-from bulrushhollow_core.domain._events import Event, log_event
-from bulrushhollow_core.domain._fleet import Worker
-from bulrushhollow_core.domain._jobs import WorkerLife
-from bulrushhollow_core.domain._orders import (
+from bulrushhollow_core.domain.execution._scheduler_state import SchedulerState
+from bulrushhollow_core.domain.fleet import Run, RunPhase, Worker
+from bulrushhollow_core.domain.model import (
+    Event,
     OrderStart,
     OrderStop,
+    Outcome,
     Poll,
+    RunEnd,
+    Start,
+    WorkerLife,
+    log_event,
 )
-from bulrushhollow_core.domain._runs import Run, RunPhase
-from bulrushhollow_core.domain._scheduler_state import SchedulerState
 from bulrushhollow_core.ids import Seconds
 
 POLL_WAIT = Seconds(1.0)
--- a/packages/core/src/bulrushhollow_core/domain/_losses.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_losses.py
@@ -1,22 +1,23 @@
 """
-bulrushhollow_core.domain._losses
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.execution._losses
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Handles workers that are lost or untrustworthy, and their runs.
 """
 
 from enum import Enum
 
-from bulrushhollow_core.domain._announcements import Availability
-from bulrushhollow_core.domain._commands import (
-    Outcome,
+from bulrushhollow_core.domain.execution._dispatch import OrderDispatcher
+from bulrushhollow_core.domain.execution._scheduler_state import SchedulerState
+from bulrushhollow_core.domain.fleet import (
+    LATE_ORDER_WINDOW,
+    Run,
+    RunPhase,
+    RunRef,
+    UnansweredStart,
+    Worker,
 )
-from bulrushhollow_core.domain._dispatch import OrderDispatcher
-from bulrushhollow_core.domain._events import Event, log_event
-from bulrushhollow_core.domain._fleet import LATE_ORDER_WINDOW, Worker
-from bulrushhollow_core.domain._jobs import TaskRef
-from bulrushhollow_core.domain._runs import Run, RunPhase, RunRef, UnansweredStart
-from bulrushhollow_core.domain._scheduler_state import SchedulerState
+from bulrushhollow_core.domain.model import Availability, Event, Outcome, TaskRef, log_event
 from bulrushhollow_core.ids import Seconds
 
 MAX_BLAMED_WORKERS = 3
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._scheduler_state
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.execution._scheduler_state
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 The state that the parts of a leader's scheduler share: the replicated state, the leader's view of
 the workers, and its decisions that have not been handed over yet.
@@ -10,31 +10,32 @@
 
 import msgspec
 
-from bulrushhollow_core.domain._admission import AdmissionController
-from bulrushhollow_core.domain._advice import AdviceCache
-from bulrushhollow_core.domain._announcements import WorkerNews
-from bulrushhollow_core.domain._commands import (
+from bulrushhollow_core.domain.execution._advice import AdviceCache
+from bulrushhollow_core.domain.fleet import (
+    Fleet,
+    Run,
+    RunPhase,
+    SpeedEstimator,
+    StragglerDetector,
+    Worker,
+)
+from bulrushhollow_core.domain.model import (
     Command,
+    DomainSettings,
+    Event,
     ForgetWorker,
     Outcome,
     RegisterWorker,
     RunEnd,
-)
-from bulrushhollow_core.domain._events import Event, log_event
-from bulrushhollow_core.domain._fleet import Fleet, Worker
-from bulrushhollow_core.domain._headroom import Headroom
-from bulrushhollow_core.domain._jobs import (
     RunNumber,
     StepRef,
     TaskRef,
     WorkerLife,
+    WorkerNews,
+    log_event,
 )
-from bulrushhollow_core.domain._paces import StragglerDetector
-from bulrushhollow_core.domain._runs import Run, RunPhase
-from bulrushhollow_core.domain._settings import DomainSettings
-from bulrushhollow_core.domain._shares import RateMeter, ShareLedger
-from bulrushhollow_core.domain._speeds import SpeedEstimator
-from bulrushhollow_core.domain._state import DomainState
+from bulrushhollow_core.domain.queueing import AdmissionController, Headroom, RateMeter, ShareLedger
+from bulrushhollow_core.domain.replica import DomainState
 from bulrushhollow_core.ids import JobId, Seconds, Term, WorkspaceId
 
 
--- a/packages/core/src/bulrushhollow_core/domain/_watch.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_watch.py
@@ -1,19 +1,23 @@
 """
-bulrushhollow_core.domain._watch
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.execution._watch
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Periodic checks of workers: expired leases, stalled runs, workers that leave, polls that are due.
 """
 
 import math
 
-from bulrushhollow_core.domain._answers import MAX_REPORT_AGE, POLL_RETRY_INTERVAL
-from bulrushhollow_core.domain._dispatch import OrderDispatcher
-from bulrushhollow_core.domain._fleet import Worker
-from bulrushhollow_core.domain._lasting import allowed_disruptions
-from bulrushhollow_core.domain._losses import WorkerLossHandler
-from bulrushhollow_core.domain._runs import UNKNOWN_DURATION, Run, RunPhase
-from bulrushhollow_core.domain._scheduler_state import SchedulerState
+from bulrushhollow_core.domain.execution._answers import MAX_REPORT_AGE, POLL_RETRY_INTERVAL
+from bulrushhollow_core.domain.execution._dispatch import OrderDispatcher
+from bulrushhollow_core.domain.execution._losses import WorkerLossHandler
+from bulrushhollow_core.domain.execution._scheduler_state import SchedulerState
+from bulrushhollow_core.domain.fleet import (
+    UNKNOWN_DURATION,
+    Run,
+    RunPhase,
+    Worker,
+    allowed_disruptions,
+)
 from bulrushhollow_core.ids import Seconds
 
 MIN_STALL_TIMEOUT = Seconds(3.0)
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/__init__.py
@@ -0,0 +1,66 @@
+"""
+bulrushhollow_core.domain.fleet
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What the leader knows of its workers and of the runs on them.
+"""
+
+from bulrushhollow_core.domain.fleet._fleet import (
+    LATE_ORDER_WINDOW,
+    Fleet,
+    Worker,
+)
+from bulrushhollow_core.domain.fleet._hosts import (
+    ExpectedEnd,
+    Host,
+    best_fit_key,
+    group_by_rack,
+    isolation_key,
+    slots_in,
+)
+from bulrushhollow_core.domain.fleet._lasting import (
+    DisruptionBudget,
+    allowed_disruptions,
+)
+from bulrushhollow_core.domain.fleet._paces import (
+    StragglerDetector,
+)
+from bulrushhollow_core.domain.fleet._reachability import (
+    Reachability,
+)
+from bulrushhollow_core.domain.fleet._runs import (
+    NO_ISOLATION,
+    UNKNOWN_DURATION,
+    Run,
+    RunPhase,
+    RunRef,
+    UnansweredStart,
+)
+from bulrushhollow_core.domain.fleet._speeds import (
+    NORMAL_SLOWNESS,
+    SpeedEstimator,
+)
+
+__all__ = [
+    "DisruptionBudget",
+    "ExpectedEnd",
+    "Fleet",
+    "Host",
+    "LATE_ORDER_WINDOW",
+    "NORMAL_SLOWNESS",
+    "NO_ISOLATION",
+    "Reachability",
+    "Run",
+    "RunPhase",
+    "RunRef",
+    "SpeedEstimator",
+    "StragglerDetector",
+    "UNKNOWN_DURATION",
+    "UnansweredStart",
+    "Worker",
+    "allowed_disruptions",
+    "best_fit_key",
+    "group_by_rack",
+    "isolation_key",
+    "slots_in",
+]
--- a/packages/core/src/bulrushhollow_core/domain/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._fleet
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.fleet._fleet
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 The leader's view of the workers: their latest announcements, the latest ends of their leases, the
 runs that take their resources, and which workers are suspect or quarantined.
@@ -8,15 +8,21 @@
 
 import math
 
-from bulrushhollow_core.domain._announcements import WorkerNews
-from bulrushhollow_core.domain._jobs import (
+from bulrushhollow_core.domain.fleet._runs import (
+    NO_ISOLATION,
+    Run,
+    RunPhase,
+    RunRef,
+    UnansweredStart,
+)
+from bulrushhollow_core.domain.model import (
     NO_RESOURCES,
     Resources,
     RunNumber,
     TaskRef,
     WorkerLife,
+    WorkerNews,
 )
-from bulrushhollow_core.domain._runs import NO_ISOLATION, Run, RunPhase, RunRef, UnansweredStart
 from bulrushhollow_core.ids import JobId, Seconds, WorkerId
 
 MIN_CLOCK_RATE = 0.98
--- a/packages/core/src/bulrushhollow_core/domain/_hosts.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_hosts.py
@@ -1,14 +1,13 @@
 """
-bulrushhollow_core.domain._hosts
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.fleet._hosts
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Free resources of workers, as one plan counts them.
 """
 
 from collections.abc import Collection, Iterable
 
-from bulrushhollow_core.domain._configuration import ServiceName
-from bulrushhollow_core.domain._jobs import NO_RESOURCES, Resources, WorkerLife
+from bulrushhollow_core.domain.model import NO_RESOURCES, Resources, ServiceName, WorkerLife
 from bulrushhollow_core.ids import DataCentreId, RackId, Seconds
 
 
--- a/packages/core/src/bulrushhollow_core/domain/_lasting.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_lasting.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._lasting
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.fleet._lasting
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Long-running tasks, which run until their job is cancelled, and the disruption budget that limits
 how many of them may be unavailable at the same time.
@@ -8,9 +8,9 @@
 
 from collections import Counter
 
-from bulrushhollow_core.domain._fleet import Fleet
-from bulrushhollow_core.domain._jobs import Job, StepRef
-from bulrushhollow_core.domain._runs import COMPLETE_PERCENT, Run, RunPhase
+from bulrushhollow_core.domain.fleet._fleet import Fleet
+from bulrushhollow_core.domain.fleet._runs import COMPLETE_PERCENT, Run, RunPhase
+from bulrushhollow_core.domain.model import Job, StepRef
 
 
 def is_available(run: Run) -> bool:
--- a/packages/core/src/bulrushhollow_core/domain/_paces.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_paces.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._paces
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.fleet._paces
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Detects stragglers: runs, and workers, that are slower than others. Estimates of durations are too
 inaccurate for this, so a task is compared only with tasks of the same step on other workers.
@@ -9,8 +9,8 @@
 from statistics import median
 from typing import NamedTuple
 
-from bulrushhollow_core.domain._jobs import StepRef, TaskRef, WorkerLife
-from bulrushhollow_core.domain._runs import Run
+from bulrushhollow_core.domain.fleet._runs import Run
+from bulrushhollow_core.domain.model import StepRef, TaskRef, WorkerLife
 from bulrushhollow_core.ids import JobId, Seconds
 
 MIN_SIBLINGS = 3
--- a/packages/core/src/bulrushhollow_core/domain/_reachability.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_reachability.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._reachability
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.fleet._reachability
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Tells which workers are probably out of reach, so that nothing new is placed on them. Workers of one
 data centre fail together: if a network partition cuts it off, all of them fall silent at once, long
@@ -9,7 +9,7 @@
 
 from collections.abc import Iterable, Sequence
 
-from bulrushhollow_core.domain._fleet import Worker
+from bulrushhollow_core.domain.fleet._fleet import Worker
 from bulrushhollow_core.ids import DataCentreId, Seconds
 
 MAX_HEARTBEAT_LATENESS = 1.3
--- a/packages/core/src/bulrushhollow_core/domain/_runs.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_runs.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._runs
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.fleet._runs
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 The runs of tasks as the leader knows them: their phase, their progress and how they were lost.
 """
@@ -9,7 +9,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from bulrushhollow_core.domain._jobs import (
+from bulrushhollow_core.domain.model import (
     MIN_SURVIVAL,
     Resources,
     RunNumber,
--- a/packages/core/src/bulrushhollow_core/domain/_speeds.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_speeds.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._speeds
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.fleet._speeds
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Estimates the speeds of workers from the progress of their tasks, and decides whether the fleet is
 uneven. Nothing states a worker's speed, and estimates of durations are too inaccurate, so a task is
@@ -12,8 +12,8 @@
 from statistics import median
 from typing import NamedTuple
 
-from bulrushhollow_core.domain._jobs import StepRef, TaskRef, WorkerLife
-from bulrushhollow_core.domain._runs import Run
+from bulrushhollow_core.domain.fleet._runs import Run
+from bulrushhollow_core.domain.model import StepRef, TaskRef, WorkerLife
 from bulrushhollow_core.ids import JobId, Seconds
 
 UPDATE_INTERVAL = Seconds(0.25)
--- a/packages/core/src/bulrushhollow_core/domain/_announcements.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_announcements.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._announcements
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.model._announcements
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Announcements of workers: their heartbeats.
 """
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from bulrushhollow_core.domain._configuration import ServiceName
-from bulrushhollow_core.domain._jobs import Resources, WorkerLife
+from bulrushhollow_core.domain.model._configuration import ServiceName
+from bulrushhollow_core.domain.model._jobs import Resources, WorkerLife
 from bulrushhollow_core.ids import DataCentreId, RackId, Seconds
 
 
--- a/packages/core/src/bulrushhollow_core/domain/_calls.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_calls.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._calls
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.model._calls
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 The calls of callers, operators and workers to a domain, and the answers. Any instance accepts a
 call; the leader answers it.
@@ -11,9 +11,9 @@
 
 import msgspec
 
-from bulrushhollow_core.domain._announcements import WorkerNews
-from bulrushhollow_core.domain._configuration import CallLimits, Configuration
-from bulrushhollow_core.domain._jobs import JobState, Work
+from bulrushhollow_core.domain.model._announcements import WorkerNews
+from bulrushhollow_core.domain.model._configuration import CallLimits, Configuration
+from bulrushhollow_core.domain.model._jobs import JobState, Work
 from bulrushhollow_core.ids import DataCentreId, Seconds, WorkerId
 from bulrushhollow_core.placements import PlacementOutlook
 
--- a/packages/core/src/bulrushhollow_core/domain/_commands.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_commands.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._commands
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.model._commands
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 The commands that the leader of a domain appends to the replicated log. One log entry holds a batch
 of commands.
@@ -10,9 +10,9 @@
 
 import msgspec
 
-from bulrushhollow_core.domain._announcements import WorkerNews
-from bulrushhollow_core.domain._configuration import Configuration, Queue
-from bulrushhollow_core.domain._jobs import (
+from bulrushhollow_core.domain.model._announcements import WorkerNews
+from bulrushhollow_core.domain.model._configuration import Configuration, Queue
+from bulrushhollow_core.domain.model._jobs import (
     RunNumber,
     TaskRef,
     WallTime,
--- a/packages/core/src/bulrushhollow_core/domain/_configuration.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_configuration.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._configuration
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.model._configuration
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 The configuration of a scheduling domain: its queues, services and workspaces, and its validation.
 """
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from bulrushhollow_core.domain._resources import NO_RESOURCES, Resources
+from bulrushhollow_core.domain.model._resources import NO_RESOURCES, Resources
 from bulrushhollow_core.ids import Seconds, Version, WorkspaceId
 
 QueueName = NewType("QueueName", str)
--- a/packages/core/src/bulrushhollow_core/domain/_copies.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_copies.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._copies
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.model._copies
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Copies of the leader's records for plans that are made and not carried out.
 """
--- a/packages/core/src/bulrushhollow_core/domain/_events.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_events.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._events
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.model._events
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Events of the decision log. The core returns them as actions; the process writes them out.
 """
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from bulrushhollow_core.domain._jobs import TaskRef
+from bulrushhollow_core.domain.model._jobs import TaskRef
 
 
 class Event(Enum):
--- a/packages/core/src/bulrushhollow_core/domain/_jobs.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_jobs.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._jobs
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.model._jobs
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Jobs as dependency graphs of steps, and the replicated state of their tasks.
 """
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from bulrushhollow_core.domain._configuration import Queue
-from bulrushhollow_core.domain._resources import (
+from bulrushhollow_core.domain.model._configuration import Queue
+from bulrushhollow_core.domain.model._resources import (
     NO_RESOURCES,
     Resources,
     core_equivalents,
--- a/packages/core/src/bulrushhollow_core/domain/_orders.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_orders.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._orders
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.model._orders
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Orders of the leader to workers and to the advice service, and the answers to them.
 """
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from bulrushhollow_core.domain._commands import Outcome
-from bulrushhollow_core.domain._jobs import RunNumber, StepRef, TaskRef, WorkerLife
+from bulrushhollow_core.domain.model._commands import Outcome
+from bulrushhollow_core.domain.model._jobs import RunNumber, StepRef, TaskRef, WorkerLife
 from bulrushhollow_core.ids import Seconds, Term, WorkerId
 
 
--- a/packages/core/src/bulrushhollow_core/domain/_relays.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_relays.py
@@ -1,13 +1,13 @@
 """
-bulrushhollow_core.domain._relays
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.model._relays
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Chooses the instance that hears the announcements of a worker.
 """
 
 import hashlib
 
-from bulrushhollow_core.domain._calls import Done
+from bulrushhollow_core.domain.model._calls import Done
 from bulrushhollow_core.ids import WorkerId
 
 
--- a/packages/core/src/bulrushhollow_core/domain/_resources.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_resources.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._resources
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.model._resources
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Amounts of cores, memory and accelerators.
 """
--- a/packages/core/src/bulrushhollow_core/domain/_settings.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_settings.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._settings
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.model._settings
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Settings of a scheduling domain.
 """
--- a/packages/core/src/bulrushhollow_core/domain/_caps.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_caps.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._caps
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.placement._caps
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Caps of workspaces: what the tasks of a workspace may take at the same time, on all workers. The
 usage is counted anew for each plan, from the runs that take resources and the starts that may
@@ -11,14 +11,22 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence, Set
 from typing import NamedTuple
 
-from bulrushhollow_core.domain._configuration import ConfigurationIndex, ServiceName
-from bulrushhollow_core.domain._demands import Demand, Victim
-from bulrushhollow_core.domain._events import Event, LogEvent, log_event
-from bulrushhollow_core.domain._evictions import cost_of
-from bulrushhollow_core.domain._hosts import Host
-from bulrushhollow_core.domain._jobs import NO_RESOURCES, Resources, Step, Work
-from bulrushhollow_core.domain._resources import total_of
-from bulrushhollow_core.domain._scheduler_state import SchedulerState
+from bulrushhollow_core.domain.execution import SchedulerState
+from bulrushhollow_core.domain.fleet import Host
+from bulrushhollow_core.domain.model import (
+    NO_RESOURCES,
+    ConfigurationIndex,
+    Event,
+    LogEvent,
+    Resources,
+    ServiceName,
+    Step,
+    Work,
+    log_event,
+    total_of,
+)
+from bulrushhollow_core.domain.placement._demands import Demand, Victim
+from bulrushhollow_core.domain.placement._evictions import cost_of
 from bulrushhollow_core.ids import Seconds, WorkspaceId
 
 CAP_RETRY_AFTER = Seconds(30.0)
--- a/packages/core/src/bulrushhollow_core/domain/_delay_cost.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_delay_cost.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._delay_cost
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.placement._delay_cost
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 What the delay of a job costs its caller. A job earns its full value if it ends within its
 objective, a fifth of it up to three times the objective, and nothing after that.
@@ -9,12 +9,22 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from bulrushhollow_core.domain._headroom import REUSE_DELAY
-from bulrushhollow_core.domain._jobs import Job, Occurrence, WallTime, core_equivalents
-from bulrushhollow_core.domain._queueing import WORTHLESS_FACTOR, duration_after
-from bulrushhollow_core.domain._recent_work import RecentWork, base_value, work_of
-from bulrushhollow_core.domain._runs import Run
-from bulrushhollow_core.domain._settings import DomainSettings
+from bulrushhollow_core.domain.fleet import Run
+from bulrushhollow_core.domain.model import (
+    DomainSettings,
+    Job,
+    Occurrence,
+    WallTime,
+    core_equivalents,
+)
+from bulrushhollow_core.domain.queueing import (
+    REUSE_DELAY,
+    WORTHLESS_FACTOR,
+    RecentWork,
+    base_value,
+    duration_after,
+    work_of,
+)
 from bulrushhollow_core.ids import JobId, Seconds
 
 LATE_SHARE = 0.2
--- a/packages/core/src/bulrushhollow_core/domain/_demands.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_demands.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._demands
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.placement._demands
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Tasks that wait to be placed, and running work that may be evicted to free resources for them.
 """
@@ -9,19 +9,18 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from bulrushhollow_core.domain._configuration import ServiceName
-from bulrushhollow_core.domain._delay_cost import EvictionLoss
-from bulrushhollow_core.domain._hosts import Host
-from bulrushhollow_core.domain._jobs import (
+from bulrushhollow_core.domain.fleet import Host, Run
+from bulrushhollow_core.domain.model import (
     NO_RESOURCES,
     Resources,
+    ServiceName,
     Step,
     StepRef,
     WorkerLife,
     core_equivalents,
 )
-from bulrushhollow_core.domain._queueing import Priority
-from bulrushhollow_core.domain._runs import Run
+from bulrushhollow_core.domain.placement._delay_cost import EvictionLoss
+from bulrushhollow_core.domain.queueing import Priority
 from bulrushhollow_core.ids import JobId, Seconds, WorkspaceId
 
 
--- a/packages/core/src/bulrushhollow_core/domain/_eviction_sets.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_eviction_sets.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._eviction_sets
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.placement._eviction_sets
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Chooses the set of runs whose eviction costs their callers least in total. The search adds the
 victims with the lowest cost for each slot that they free on all workers of a group, and then drops
@@ -11,10 +11,10 @@
 import itertools
 from collections.abc import Iterable, Sequence
 
-from bulrushhollow_core.domain._demands import Demand, Victim
-from bulrushhollow_core.domain._evictions import VictimIndex
-from bulrushhollow_core.domain._hosts import Host, slots_in
-from bulrushhollow_core.domain._jobs import Resources, WorkerLife
+from bulrushhollow_core.domain.fleet import Host, slots_in
+from bulrushhollow_core.domain.model import Resources, WorkerLife
+from bulrushhollow_core.domain.placement._demands import Demand, Victim
+from bulrushhollow_core.domain.placement._evictions import VictimIndex
 from bulrushhollow_core.ids import JobId
 
 
--- a/packages/core/src/bulrushhollow_core/domain/_evictions.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_evictions.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._evictions
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.placement._evictions
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Chooses the runs to evict for a demand. The search adds one slot at a time, on the worker where it
 discards the least work, so that no run is evicted on a worker that gains no slot.
@@ -11,9 +11,9 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-from bulrushhollow_core.domain._demands import Demand, Victim
-from bulrushhollow_core.domain._hosts import Host, slots_in
-from bulrushhollow_core.domain._jobs import NO_RESOURCES, Resources, WorkerLife
+from bulrushhollow_core.domain.fleet import Host, slots_in
+from bulrushhollow_core.domain.model import NO_RESOURCES, Resources, WorkerLife
+from bulrushhollow_core.domain.placement._demands import Demand, Victim
 
 
 class EvictionCost(NamedTuple):
--- a/packages/core/src/bulrushhollow_core/domain/_expected_room.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_expected_room.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._expected_room
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.placement._expected_room
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 When a demand is expected to fit, by the ends of runs that are expected on its workers.
 """
@@ -8,10 +8,10 @@
 import itertools
 from collections.abc import Callable, Sequence
 
-from bulrushhollow_core.domain._demands import Demand
-from bulrushhollow_core.domain._groups import HostGroup
-from bulrushhollow_core.domain._hosts import ExpectedEnd, Host, slots_in
-from bulrushhollow_core.domain._jobs import Resources, WorkerLife
+from bulrushhollow_core.domain.fleet import ExpectedEnd, Host, slots_in
+from bulrushhollow_core.domain.model import Resources, WorkerLife
+from bulrushhollow_core.domain.placement._demands import Demand
+from bulrushhollow_core.domain.placement._groups import HostGroup
 from bulrushhollow_core.ids import RackId, Seconds
 
 
--- a/packages/core/src/bulrushhollow_core/domain/_explanation.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_explanation.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._explanation
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.placement._explanation
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Explains where a job would be placed now. The job is added to a copy of the leader's state, and the
 planner makes a plan for it that is never carried out, so that explanations follow from the same
@@ -12,20 +12,25 @@
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
-from bulrushhollow_core.domain._commands import SubmitJob
-from bulrushhollow_core.domain._copies import detached_copy
-from bulrushhollow_core.domain._demands import Demand, Victim
-from bulrushhollow_core.domain._hosts import Host
-from bulrushhollow_core.domain._jobs import Job, StepRef, WallTime, WorkerLife
-from bulrushhollow_core.domain._plan import Placement, Plan
-from bulrushhollow_core.domain._planner import (
+from bulrushhollow_core.domain.execution import SchedulerState
+from bulrushhollow_core.domain.fleet import Host
+from bulrushhollow_core.domain.model import (
+    Job,
+    StepRef,
+    SubmitJob,
+    WallTime,
+    WorkerLife,
+    detached_copy,
+)
+from bulrushhollow_core.domain.placement._demands import Demand, Victim
+from bulrushhollow_core.domain.placement._plan import Placement, Plan
+from bulrushhollow_core.domain.placement._planner import (
     BACKGROUND_URGENCY,
     MAX_GANG_RESERVATIONS,
     Planner,
 )
-from bulrushhollow_core.domain._planning import PlanningCycle
-from bulrushhollow_core.domain._queueing import WaitingStep
-from bulrushhollow_core.domain._scheduler_state import SchedulerState
+from bulrushhollow_core.domain.placement._planning import PlanningCycle
+from bulrushhollow_core.domain.queueing import WaitingStep
 from bulrushhollow_core.ids import JobId, RackId, Seconds
 from bulrushhollow_core.placements import (
     DisplacedWork,
--- a/packages/core/src/bulrushhollow_core/domain/_groups.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_groups.py
@@ -1,15 +1,15 @@
 """
-bulrushhollow_core.domain._groups
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.placement._groups
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Groups of hosts that a gang may be placed on: single racks if the gang asks for one, or all hosts.
 """
 
 from collections.abc import Iterable, Sequence
 
-from bulrushhollow_core.domain._demands import Demand
-from bulrushhollow_core.domain._hosts import Host, group_by_rack, slots_in
-from bulrushhollow_core.domain._jobs import Resources
+from bulrushhollow_core.domain.fleet import Host, group_by_rack, slots_in
+from bulrushhollow_core.domain.model import Resources
+from bulrushhollow_core.domain.placement._demands import Demand
 
 HostGroup = Sequence[Host]
 """Hosts among which a gang may be spread."""
--- a/packages/core/src/bulrushhollow_core/domain/_plan.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_plan.py
@@ -1,12 +1,12 @@
 """
-bulrushhollow_core.domain._plan
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.placement._plan
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 The decisions of one planning round: which tasks start where, and which runs are stopped for them.
 """
 
-from bulrushhollow_core.domain._demands import Demand, Victim
-from bulrushhollow_core.domain._jobs import TaskRef, WorkerLife
+from bulrushhollow_core.domain.model import TaskRef, WorkerLife
+from bulrushhollow_core.domain.placement._demands import Demand, Victim
 
 
 class Placement:
--- a/packages/core/src/bulrushhollow_core/domain/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planner.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._planner
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.placement._planner
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Decides where tasks are placed. Demands are served in order. A demand that does not fit may evict
 less urgent runs. A gang that still does not fit reserves resources, so that smaller demands that
@@ -12,19 +12,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
-from bulrushhollow_core.domain._caps import CapLedger
-from bulrushhollow_core.domain._configuration import ServiceName
-from bulrushhollow_core.domain._demands import Demand, Victim
-from bulrushhollow_core.domain._expected_room import ExpectedRoom
-from bulrushhollow_core.domain._groups import (
-    HostGroup,
-    available_on,
-    best_group,
-    can_ever_hold,
-    candidate_groups,
-    slots_for,
-)
-from bulrushhollow_core.domain._hosts import (
+from bulrushhollow_core.domain.fleet import (
     ExpectedEnd,
     Host,
     best_fit_key,
@@ -32,15 +20,26 @@
     isolation_key,
     slots_in,
 )
-from bulrushhollow_core.domain._jobs import Resources
-from bulrushhollow_core.domain._plan import Placement, Plan
-from bulrushhollow_core.domain._speed_classes import (
+from bulrushhollow_core.domain.model import Resources, ServiceName
+from bulrushhollow_core.domain.placement._caps import CapLedger
+from bulrushhollow_core.domain.placement._demands import Demand, Victim
+from bulrushhollow_core.domain.placement._expected_room import ExpectedRoom
+from bulrushhollow_core.domain.placement._groups import (
+    HostGroup,
+    available_on,
+    best_group,
+    can_ever_hold,
+    candidate_groups,
+    slots_for,
+)
+from bulrushhollow_core.domain.placement._plan import Placement, Plan
+from bulrushhollow_core.domain.placement._speed_classes import (
     SpeedClass,
     SpeedProfile,
     groups_of_class,
     startable_accelerators,
 )
-from bulrushhollow_core.domain._victim_search import VictimSearch, max_lost_work_for
+from bulrushhollow_core.domain.placement._victim_search import VictimSearch, max_lost_work_for
 from bulrushhollow_core.ids import Seconds
 
 MAX_GANG_RESERVATIONS = 2
--- a/packages/core/src/bulrushhollow_core/domain/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._planning
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.placement._planning
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 One planning cycle: collects the waiting demands and the usable hosts, has a planner make a plan,
 and turns the plan into proposed starts and stop orders.
@@ -11,38 +11,47 @@
 from collections.abc import Iterator, Set
 from typing import NamedTuple, Self
 
-from bulrushhollow_core.domain._announcements import Availability, WorkerNews
-from bulrushhollow_core.domain._caps import CapLedger, CapReporter, build_cap_ledger
-from bulrushhollow_core.domain._claims import ClaimRegister
-from bulrushhollow_core.domain._commands import (
-    Start,
-    StartRuns,
-)
-from bulrushhollow_core.domain._configuration import Queue, ServiceName
-from bulrushhollow_core.domain._copies import detached_copy
-from bulrushhollow_core.domain._crashes import is_suspect, isolation_of
-from bulrushhollow_core.domain._delay_cost import DelayPricer
-from bulrushhollow_core.domain._demands import (
-    UNLIMITED_TIME,
-    Demand,
-    TimeBudget,
+from bulrushhollow_core.domain.execution import OrderDispatcher, SchedulerState
+from bulrushhollow_core.domain.fleet import (
+    NO_ISOLATION,
+    NORMAL_SLOWNESS,
+    Host,
+    Reachability,
+    Run,
+    RunPhase,
+    Worker,
 )
-from bulrushhollow_core.domain._dispatch import OrderDispatcher
-from bulrushhollow_core.domain._events import Event, log_event
-from bulrushhollow_core.domain._fleet import Worker
-from bulrushhollow_core.domain._hosts import Host
-from bulrushhollow_core.domain._jobs import (
+from bulrushhollow_core.domain.model import (
+    Availability,
+    Event,
     Job,
+    Queue,
     RunNumber,
+    ServiceName,
+    Start,
+    StartRuns,
     StepRef,
     TaskRef,
     WallTime,
     WorkerLife,
+    WorkerNews,
+    detached_copy,
+    log_event,
+)
+from bulrushhollow_core.domain.placement._caps import CapLedger, CapReporter, build_cap_ledger
+from bulrushhollow_core.domain.placement._delay_cost import DelayPricer
+from bulrushhollow_core.domain.placement._demands import (
+    UNLIMITED_TIME,
+    Demand,
+    TimeBudget,
 )
-from bulrushhollow_core.domain._plan import Placement, Plan
-from bulrushhollow_core.domain._planner import Planner
-from bulrushhollow_core.domain._queueing import (
+from bulrushhollow_core.domain.placement._plan import Placement, Plan
+from bulrushhollow_core.domain.placement._planner import Planner
+from bulrushhollow_core.domain.placement._running_work import RunningWork
+from bulrushhollow_core.domain.queueing import (
     LOCALITY_WAIT_FACTOR,
+    ClaimRegister,
+    RecentWorkCache,
     Timeliness,
     WaitingStep,
     deadline_of,
@@ -51,12 +60,7 @@
     peak_accelerators,
     waiting_steps,
 )
-from bulrushhollow_core.domain._reachability import Reachability
-from bulrushhollow_core.domain._recent_work import RecentWorkCache
-from bulrushhollow_core.domain._running_work import RunningWork
-from bulrushhollow_core.domain._runs import NO_ISOLATION, Run, RunPhase
-from bulrushhollow_core.domain._scheduler_state import SchedulerState
-from bulrushhollow_core.domain._speeds import NORMAL_SLOWNESS
+from bulrushhollow_core.domain.replica import is_suspect, isolation_of
 from bulrushhollow_core.ids import DataCentreId, JobId, RackId, Seconds
 
 MAX_PLAN_INTERVAL = Seconds(0.25)
--- a/packages/core/src/bulrushhollow_core/domain/_running_work.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_running_work.py
@@ -1,18 +1,16 @@
 """
-bulrushhollow_core.domain._running_work
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.placement._running_work
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 The runs of all workers as one plan sees them: which may be evicted at what cost, and when they end.
 """
 
-from bulrushhollow_core.domain._delay_cost import DelayPricer
-from bulrushhollow_core.domain._demands import NO_LOSS, Victim
-from bulrushhollow_core.domain._hosts import ExpectedEnd
-from bulrushhollow_core.domain._jobs import RunNumber, StepRef, WallTime, core_equivalents
-from bulrushhollow_core.domain._lasting import DisruptionBudget
-from bulrushhollow_core.domain._queueing import priority_of
-from bulrushhollow_core.domain._runs import Run, RunPhase
-from bulrushhollow_core.domain._scheduler_state import SchedulerState
+from bulrushhollow_core.domain.execution import SchedulerState
+from bulrushhollow_core.domain.fleet import DisruptionBudget, ExpectedEnd, Run, RunPhase
+from bulrushhollow_core.domain.model import RunNumber, StepRef, WallTime, core_equivalents
+from bulrushhollow_core.domain.placement._delay_cost import DelayPricer
+from bulrushhollow_core.domain.placement._demands import NO_LOSS, Victim
+from bulrushhollow_core.domain.queueing import priority_of
 from bulrushhollow_core.ids import JobId, Seconds
 
 
--- a/packages/core/src/bulrushhollow_core/domain/_speed_classes.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_speed_classes.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._speed_classes
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.placement._speed_classes
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Which workers of an uneven fleet suit a demand. A gang ends with its slowest member, so it is placed
 on workers of one speed class if possible.
@@ -11,9 +11,9 @@
 from statistics import median
 from typing import NamedTuple
 
-from bulrushhollow_core.domain._demands import Demand
-from bulrushhollow_core.domain._groups import HostGroup
-from bulrushhollow_core.domain._hosts import Host, slots_in
+from bulrushhollow_core.domain.fleet import Host, slots_in
+from bulrushhollow_core.domain.placement._demands import Demand
+from bulrushhollow_core.domain.placement._groups import HostGroup
 from bulrushhollow_core.ids import Seconds
 
 
--- a/packages/core/src/bulrushhollow_core/domain/_victim_search.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_victim_search.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._victim_search
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.placement._victim_search
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Which runs may be evicted for a demand, how much work that may discard, and which cost least.
 """
@@ -8,10 +8,10 @@
 import math
 from collections.abc import Callable, Sequence
 
-from bulrushhollow_core.domain._demands import Demand, Victim
-from bulrushhollow_core.domain._eviction_sets import EvictionSetSearch, set_cost
-from bulrushhollow_core.domain._evictions import EvictionSearch, VictimIndex
-from bulrushhollow_core.domain._groups import HostGroup
+from bulrushhollow_core.domain.placement._demands import Demand, Victim
+from bulrushhollow_core.domain.placement._eviction_sets import EvictionSetSearch, set_cost
+from bulrushhollow_core.domain.placement._evictions import EvictionSearch, VictimIndex
+from bulrushhollow_core.domain.placement._groups import HostGroup
 
 URGENT_LOSS_FACTOR = 4.0
 """Unsaved work that may be discarded for an urgent job, as a multiple of the job's own work. Urgent
--- a/packages/core/src/bulrushhollow_core/domain/_admission.py
+++ b/packages/core/src/bulrushhollow_core/domain/queueing/_admission.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._admission
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.queueing._admission
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Admission control: whether a submitted job could still end before its result loses all value. A job
 that can't is refused at once, so that its caller learns it without waiting.
@@ -11,30 +11,31 @@
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import NamedTuple
 
-from bulrushhollow_core.domain._commands import SubmitJob
-from bulrushhollow_core.domain._configuration import ConfigurationIndex, QueueName, ServiceName
-from bulrushhollow_core.domain._fleet import Fleet, Worker
-from bulrushhollow_core.domain._hosts import Host
-from bulrushhollow_core.domain._jobs import (
+from bulrushhollow_core.domain.fleet import Fleet, Host, Worker
+from bulrushhollow_core.domain.model import (
     NO_RESOURCES,
+    ConfigurationIndex,
+    DomainSettings,
     Job,
     Occurrence,
+    QueueName,
     Resources,
+    ServiceName,
     StepRef,
+    SubmitJob,
     WallTime,
     core_equivalents,
+    total_of,
 )
-from bulrushhollow_core.domain._queueing import (
+from bulrushhollow_core.domain.queueing._queueing import (
     WORTHLESS_FACTOR,
     Priority,
     WaitingStep,
     critical_path_duration,
     priority_of,
 )
-from bulrushhollow_core.domain._resources import total_of
-from bulrushhollow_core.domain._settings import DomainSettings
-from bulrushhollow_core.domain._shares import RateMeter, dominant_share
-from bulrushhollow_core.domain._state import DomainState
+from bulrushhollow_core.domain.queueing._shares import RateMeter, dominant_share
+from bulrushhollow_core.domain.replica import DomainState
 from bulrushhollow_core.ids import JobId, Seconds, WorkspaceId
 
 RESUME_RATIO = 0.8
--- a/packages/core/src/bulrushhollow_core/domain/_claims.py
+++ b/packages/core/src/bulrushhollow_core/domain/queueing/_claims.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._claims
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.queueing._claims
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Claims of steps on the resources that evictions free for them. Until its claim ends, a step keeps
 the position in the queue that justified the evictions, so that no step of a lower rank takes these
@@ -9,8 +9,8 @@
 
 from typing import NamedTuple
 
-from bulrushhollow_core.domain._jobs import StepRef
-from bulrushhollow_core.domain._queueing import Priority
+from bulrushhollow_core.domain.model import StepRef
+from bulrushhollow_core.domain.queueing._queueing import Priority
 from bulrushhollow_core.ids import Seconds
 
 CLAIM_MARGIN = Seconds(0.6)
--- a/packages/core/src/bulrushhollow_core/domain/_headroom.py
+++ b/packages/core/src/bulrushhollow_core/domain/queueing/_headroom.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._headroom
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.queueing._headroom
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Headroom for urgent work: how many accelerators less urgent work leaves free, so that the next
 urgent jobs start without waiting for an eviction.
--- a/packages/core/src/bulrushhollow_core/domain/_queueing.py
+++ b/packages/core/src/bulrushhollow_core/domain/queueing/_queueing.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._queueing
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.queueing._queueing
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 The queue: which tasks may start now, and the order in which they are served.
 
@@ -14,19 +14,18 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-from bulrushhollow_core.domain._configuration import QueueName
-from bulrushhollow_core.domain._crashes import awaits_evidence
-from bulrushhollow_core.domain._jobs import (
+from bulrushhollow_core.domain.model import (
     Job,
     JobState,
     Occurrence,
+    QueueName,
     StepRecord,
     StepRef,
     TaskRef,
     TaskState,
     WallTime,
 )
-from bulrushhollow_core.domain._state import DomainState
+from bulrushhollow_core.domain.replica import DomainState, awaits_evidence
 from bulrushhollow_core.ids import JobId, Seconds, WorkspaceId
 
 WORTHLESS_FACTOR = 3.0
--- a/packages/core/src/bulrushhollow_core/domain/_recent_work.py
+++ b/packages/core/src/bulrushhollow_core/domain/queueing/_recent_work.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._recent_work
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.queueing._recent_work
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 The mean work of the recent jobs of each queue. It is computed from the replicated jobs, so every
 leader gets the same result.
@@ -10,9 +10,8 @@
 from itertools import islice
 from typing import NamedTuple
 
-from bulrushhollow_core.domain._configuration import QueueName
-from bulrushhollow_core.domain._jobs import Job, core_equivalents
-from bulrushhollow_core.domain._state import DomainState
+from bulrushhollow_core.domain.model import Job, QueueName, core_equivalents
+from bulrushhollow_core.domain.replica import DomainState
 
 MAX_RECENT_JOBS = 256
 """Latest jobs that count; some minutes of load, and few enough to sum up at each submission."""
--- a/packages/core/src/bulrushhollow_core/domain/_shares.py
+++ b/packages/core/src/bulrushhollow_core/domain/queueing/_shares.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._shares
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.queueing._shares
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Fair shares of workspaces by weight. A workspace that uses or asks for more than its share of the
 capacity, or submits more jobs per second than its weight, is served after the others of the same
@@ -11,16 +11,20 @@
 from collections.abc import Iterable, Iterator, Sequence
 from typing import NamedTuple
 
-from bulrushhollow_core.domain._configuration import ConfigurationIndex
-from bulrushhollow_core.domain._copies import detached_copy
-from bulrushhollow_core.domain._events import Event, LogEvent, log_event
-from bulrushhollow_core.domain._fleet import Fleet
-from bulrushhollow_core.domain._hosts import Host
-from bulrushhollow_core.domain._jobs import NO_RESOURCES, Job, Resources
-from bulrushhollow_core.domain._queueing import Priority, WaitingStep
-from bulrushhollow_core.domain._resources import total_of
-from bulrushhollow_core.domain._runs import Run
-from bulrushhollow_core.domain._state import DomainState
+from bulrushhollow_core.domain.fleet import Fleet, Host, Run
+from bulrushhollow_core.domain.model import (
+    NO_RESOURCES,
+    ConfigurationIndex,
+    Event,
+    Job,
+    LogEvent,
+    Resources,
+    detached_copy,
+    log_event,
+    total_of,
+)
+from bulrushhollow_core.domain.queueing._queueing import Priority, WaitingStep
+from bulrushhollow_core.domain.replica import DomainState
 from bulrushhollow_core.ids import JobId, Seconds, WorkspaceId
 
 RATE_WINDOW = Seconds(5.0)
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/domain/replica/__init__.py
@@ -0,0 +1,28 @@
+"""
+bulrushhollow_core.domain.replica
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What the instances have agreed on and keep: the state machine of the log.
+"""
+
+from bulrushhollow_core.domain.replica._crashes import (
+    awaits_evidence,
+    crash_count,
+    crashes_workers,
+    is_suspect,
+    isolation_of,
+    losses_of,
+)
+from bulrushhollow_core.domain.replica._state import (
+    DomainState,
+)
+
+__all__ = [
+    "DomainState",
+    "awaits_evidence",
+    "crash_count",
+    "crashes_workers",
+    "is_suspect",
+    "isolation_of",
+    "losses_of",
+]
--- a/packages/core/src/bulrushhollow_core/domain/_crashes.py
+++ b/packages/core/src/bulrushhollow_core/domain/replica/_crashes.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._crashes
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.replica._crashes
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Decides which tasks crash the workers that start them.
 
@@ -12,14 +12,7 @@
 
 from collections.abc import Iterator
 
-from bulrushhollow_core.domain._jobs import (
-    MIN_SURVIVAL,
-    Job,
-    Loss,
-    TaskRef,
-    WallTime,
-    WorkerLife,
-)
+from bulrushhollow_core.domain.model import MIN_SURVIVAL, Job, Loss, TaskRef, WallTime, WorkerLife
 from bulrushhollow_core.ids import Seconds
 
 MAX_CRASHES = 3
--- a/packages/core/src/bulrushhollow_core/domain/_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/replica/_state.py
@@ -1,6 +1,6 @@
 """
-bulrushhollow_core.domain._state
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+bulrushhollow_core.domain.replica._state
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 The replicated state machine of a scheduling domain. Every instance with a disk applies the same
 commands from the log and reaches the same state; no clock is read here.
@@ -11,13 +11,18 @@
 
 import msgspec
 
-from bulrushhollow_core.domain._announcements import WorkerNews
-from bulrushhollow_core.domain._commands import (
+from bulrushhollow_core.domain.model import (
     CancelJob,
     Command,
+    Configuration,
+    ConfigurationIndex,
     DrainWorker,
     EndRuns,
     ForgetWorker,
+    Job,
+    JobState,
+    Loss,
+    Occurrence,
     Outcome,
     PutConfiguration,
     RecordCrash,
@@ -26,29 +31,23 @@
     SetEvacuation,
     Start,
     StartRuns,
-    SubmitJob,
-)
-from bulrushhollow_core.domain._configuration import Configuration, ConfigurationIndex
-from bulrushhollow_core.domain._crashes import (
-    confirm_crash,
-    crashes_workers,
-    drop_losses,
-    record_loss,
-    record_survival,
-)
-from bulrushhollow_core.domain._jobs import (
-    Job,
-    JobState,
-    Loss,
-    Occurrence,
     StepRecord,
     StepRef,
+    SubmitJob,
     Task,
     TaskRef,
     TaskState,
     WallTime,
     Work,
     WorkerLife,
+    WorkerNews,
+)
+from bulrushhollow_core.domain.replica._crashes import (
+    confirm_crash,
+    crashes_workers,
+    drop_losses,
+    record_loss,
+    record_survival,
 )
 from bulrushhollow_core.ids import DataCentreId, JobId
 
--- a/tests/test_domain_admission.py
+++ b/tests/test_domain_admission.py
@@ -6,19 +6,20 @@
 
 from bulrushhollow_core.domain import DomainSettings, Refused, Resources, Step, Submit, Work
 from bulrushhollow_core.domain._call_handler import CallHandler, DeferredAnswer, ImmediateAnswer
-from bulrushhollow_core.domain._calls import RefusalReason
-from bulrushhollow_core.domain._commands import (
+from bulrushhollow_core.domain._scheduler import Scheduler
+from bulrushhollow_core.domain.model import (
     CancelJob,
     DrainWorker,
     EndRuns,
     Outcome,
     PutConfiguration,
+    RefusalReason,
     RunEnd,
+    RunNumber,
     StartRuns,
     SubmitJob,
+    WallTime,
 )
-from bulrushhollow_core.domain._jobs import RunNumber, WallTime
-from bulrushhollow_core.domain._scheduler import Scheduler
 from bulrushhollow_core.ids import JobId, Seconds, Term, Version, WorkspaceId
 from standins.domain_site import HOST, KEY, queue
 from tests.test_domain_scheduler import SchedulerHarness, announcement
--- a/tests/test_domain_advice.py
+++ b/tests/test_domain_advice.py
@@ -6,16 +6,19 @@
 import msgspec
 
 from bulrushhollow_core.domain import AdviceAnswered, AskAdvice, IssuedTicket, StepRef
-from bulrushhollow_core.domain._advice import MAX_WORKERS_PER_QUESTION, AdviceCache
-from bulrushhollow_core.domain._commands import (
+from bulrushhollow_core.domain.execution import MAX_WORKERS_PER_QUESTION, AdviceCache
+from bulrushhollow_core.domain.model import (
     EndRuns,
+    Occurrence,
+    OrderResult,
+    OrderStart,
     Outcome,
     PutConfiguration,
+    StartAnswered,
     StartRuns,
     SubmitJob,
+    WorkerLife,
 )
-from bulrushhollow_core.domain._jobs import Occurrence, WorkerLife
-from bulrushhollow_core.domain._orders import OrderResult, OrderStart, StartAnswered
 from bulrushhollow_core.ids import JobId, Seconds, WorkerId, WorkspaceId
 from bulrushhollow_daemon.caller_server import ServerLimits, make_caller_server
 from bulrushhollow_daemon.http_server import bound_address, open_listener
--- a/tests/test_domain_announcements.py
+++ b/tests/test_domain_announcements.py
@@ -19,8 +19,7 @@
     announcement_target,
 )
 from bulrushhollow_core.domain._call_handler import CallHandler, ImmediateAnswer
-from bulrushhollow_core.domain._jobs import WorkerLife
-from bulrushhollow_core.domain._settings import DomainSettings
+from bulrushhollow_core.domain.model import DomainSettings, WorkerLife
 from bulrushhollow_core.ids import Seconds, WorkerId
 from bulrushhollow_daemon.domain import AnnouncementForwarder
 from tests.test_domain_scheduler import WALL, SchedulerHarness, announcement
--- a/tests/test_domain_cap_changes.py
+++ b/tests/test_domain_cap_changes.py
@@ -7,34 +7,29 @@
 
 from bulrushhollow_core.domain import RefusalReason, Refused, Submit
 from bulrushhollow_core.domain._call_handler import CallHandler, DeferredAnswer, ImmediateAnswer
-from bulrushhollow_core.domain._commands import (
+from bulrushhollow_core.domain._scheduler import Scheduler
+from bulrushhollow_core.domain.fleet import RunRef, UnansweredStart, Worker
+from bulrushhollow_core.domain.model import (
+    DomainSettings,
+    Event,
+    ListedRun,
+    Occurrence,
+    OrderResult,
+    OrderStart,
     Outcome,
+    PollAnswered,
     PutConfiguration,
-    StartRuns,
-    SubmitJob,
-)
-from bulrushhollow_core.domain._events import Event
-from bulrushhollow_core.domain._fleet import Worker
-from bulrushhollow_core.domain._jobs import (
-    Occurrence,
     Resources,
     RunNumber,
+    StartAnswered,
+    StartRuns,
     Step,
+    StopAnswered,
+    SubmitJob,
     TaskRef,
     Work,
     WorkerLife,
 )
-from bulrushhollow_core.domain._orders import (
-    ListedRun,
-    OrderResult,
-    OrderStart,
-    PollAnswered,
-    StartAnswered,
-    StopAnswered,
-)
-from bulrushhollow_core.domain._runs import RunRef, UnansweredStart
-from bulrushhollow_core.domain._scheduler import Scheduler
-from bulrushhollow_core.domain._settings import DomainSettings
 from bulrushhollow_core.ids import JobId, Seconds, Term, WorkerId, WorkspaceId
 from bulrushhollow_platform._answers import to_response
 from standins.domain_site import HOST, KEY, configuration, queue
--- a/tests/test_domain_capacity.py
+++ b/tests/test_domain_capacity.py
@@ -4,28 +4,32 @@
 
 import msgspec
 
-from bulrushhollow_core.domain._announcements import WorkerNews
-from bulrushhollow_core.domain._commands import (
+from bulrushhollow_core.domain._scheduler import Scheduler
+from bulrushhollow_core.domain.model import (
     CancelJob,
-    Outcome,
-    PutConfiguration,
-    StartRuns,
-    SubmitJob,
-)
-from bulrushhollow_core.domain._events import Event, LogEvent
-from bulrushhollow_core.domain._jobs import Occurrence, Resources, RunNumber, Step, TaskRef, Work
-from bulrushhollow_core.domain._orders import (
+    DomainSettings,
+    Event,
     ListedRun,
+    LogEvent,
+    Occurrence,
     OrderResult,
     OrderStart,
     OrderStop,
+    Outcome,
     PollAnswered,
+    PutConfiguration,
+    Resources,
+    RunNumber,
     StartAnswered,
+    StartRuns,
+    Step,
     StopAnswered,
+    SubmitJob,
+    TaskRef,
+    Work,
+    WorkerNews,
 )
-from bulrushhollow_core.domain._scheduler import Scheduler
-from bulrushhollow_core.domain._settings import DomainSettings
-from bulrushhollow_core.domain._state import DomainState
+from bulrushhollow_core.domain.replica import DomainState
 from bulrushhollow_core.ids import JobId, Seconds, Term, WorkspaceId
 from standins.domain_site import configuration
 from tests.test_domain_scheduler import WALL, SchedulerHarness, announcement
--- a/tests/test_domain_caps.py
+++ b/tests/test_domain_caps.py
@@ -7,14 +7,18 @@
 
 import msgspec
 
-from bulrushhollow_core.domain._caps import CapAccount, CapLedger, busy_services
-from bulrushhollow_core.domain._configuration import ServiceName
-from bulrushhollow_core.domain._demands import Demand, Victim
-from bulrushhollow_core.domain._hosts import ExpectedEnd, Host
-from bulrushhollow_core.domain._jobs import Resources
-from bulrushhollow_core.domain._plan import Plan
-from bulrushhollow_core.domain._planner import Planner
-from bulrushhollow_core.domain._victim_search import MAX_VICTIM_SEARCHES
+from bulrushhollow_core.domain.fleet import ExpectedEnd, Host
+from bulrushhollow_core.domain.model import Resources, ServiceName
+from bulrushhollow_core.domain.placement import (
+    MAX_VICTIM_SEARCHES,
+    CapAccount,
+    CapLedger,
+    Demand,
+    Plan,
+    Planner,
+    Victim,
+    busy_services,
+)
 from bulrushhollow_core.ids import Seconds, WorkspaceId
 from tests.test_domain_planner import NOW, make_demand, make_host, make_run, make_victim
 
--- a/tests/test_domain_configuration.py
+++ b/tests/test_domain_configuration.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from bulrushhollow_core.domain import Workspace, find_invalidity
-from bulrushhollow_core.domain._configuration import ConfigurationIndex, Invalidity
+from bulrushhollow_core.domain.model import ConfigurationIndex, Invalidity
 from bulrushhollow_core.ids import Seconds, WorkspaceId
 from standins.domain_site import HOST, configuration, queue
 
--- a/tests/test_domain_crashes.py
+++ b/tests/test_domain_crashes.py
@@ -7,27 +7,27 @@
 import msgspec
 
 from bulrushhollow_core.domain import JobState, Resources, Step, TaskRef, Work
-from bulrushhollow_core.domain._commands import (
+from bulrushhollow_core.domain.model import (
     EndRuns,
+    Event,
+    ListedRun,
+    LogEvent,
+    Loss,
+    Occurrence,
+    OrderResult,
     Outcome,
+    PollAnswered,
     RecordCrash,
     RunEnd,
+    RunNumber,
     Start,
     StartRuns,
     SubmitJob,
-)
-from bulrushhollow_core.domain._crashes import awaits_evidence, crash_count
-from bulrushhollow_core.domain._events import Event, LogEvent
-from bulrushhollow_core.domain._jobs import (
-    Loss,
-    Occurrence,
-    RunNumber,
     WallTime,
     WorkerLife,
     WorkerLoss,
 )
-from bulrushhollow_core.domain._orders import ListedRun, OrderResult, PollAnswered
-from bulrushhollow_core.domain._state import DomainState
+from bulrushhollow_core.domain.replica import DomainState, awaits_evidence, crash_count
 from bulrushhollow_core.ids import JobId, Seconds, WorkerId, WorkspaceId
 from standins.domain_site import configuration
 from standins.domain_workers import Crash
--- a/tests/test_domain_delay_cost.py
+++ b/tests/test_domain_delay_cost.py
@@ -5,15 +5,19 @@
 
 import msgspec
 
-from bulrushhollow_core.domain._delay_cost import DelayPricer, EvictionLoss
-from bulrushhollow_core.domain._demands import Demand, Victim
-from bulrushhollow_core.domain._eviction_sets import set_cost
-from bulrushhollow_core.domain._hosts import Host
-from bulrushhollow_core.domain._jobs import Job, Occurrence, Resources, Step, WallTime, Work
-from bulrushhollow_core.domain._recent_work import summarize
-from bulrushhollow_core.domain._runs import Run
 from bulrushhollow_core.domain._scheduler import Scheduler
-from bulrushhollow_core.domain._settings import DomainSettings
+from bulrushhollow_core.domain.fleet import Host, Run
+from bulrushhollow_core.domain.model import (
+    DomainSettings,
+    Job,
+    Occurrence,
+    Resources,
+    Step,
+    WallTime,
+    Work,
+)
+from bulrushhollow_core.domain.placement import DelayPricer, Demand, EvictionLoss, Victim, set_cost
+from bulrushhollow_core.domain.queueing import summarize
 from bulrushhollow_core.ids import JobId, Seconds, Term
 from standins.domain_site import queue
 from tests.test_domain_planner import (
@@ -28,6 +32,8 @@
 from tests.test_domain_scheduler import announcement
 
 WALL = WallTime(1_000_000.0)
+PLACEMENT = "bulrushhollow_core.domain.placement"
+
 CHEAP = DomainSettings(stop_timeout=Seconds(0.2), restore_time=Seconds(0.1), prices_delays=True)
 
 
@@ -171,8 +177,11 @@
         # The earlier deployments must be scheduled exactly as before.
         unused = AssertionError("delays have no price")
         with (
-            patch("bulrushhollow_core.domain._planning.DelayPricer", side_effect=unused),
-            patch("bulrushhollow_core.domain._victim_search.EvictionSetSearch", side_effect=unused),
+            patch("bulrushhollow_core.domain.placement._planning.DelayPricer", side_effect=unused),
+            patch(
+                "bulrushhollow_core.domain.placement._victim_search.EvictionSetSearch",
+                side_effect=unused,
+            ),
         ):
             stopped = jobs_stopped_for_a_gang(DomainSettings(prices_delays=True))
             self.assertEqual(["gang"] * 2, stopped, "two runs that have just started are cheapest")
--- a/tests/test_domain_departures.py
+++ b/tests/test_domain_departures.py
@@ -4,20 +4,23 @@
 
 import msgspec
 
-from bulrushhollow_core.domain._announcements import Availability
 from bulrushhollow_core.domain._call_handler import CallHandler, DeferredAnswer
-from bulrushhollow_core.domain._calls import Deregister, Done, NotAllowed, Submit
-from bulrushhollow_core.domain._commands import (
+from bulrushhollow_core.domain._scheduler import Scheduler
+from bulrushhollow_core.domain.model import (
+    Availability,
     Command,
+    Deregister,
+    DomainSettings,
+    Done,
     ForgetWorker,
+    NotAllowed,
     PutConfiguration,
     StartRuns,
+    Submit,
+    WorkerLife,
+    Workspace,
 )
-from bulrushhollow_core.domain._configuration import Workspace
-from bulrushhollow_core.domain._jobs import WorkerLife
-from bulrushhollow_core.domain._scheduler import Scheduler
-from bulrushhollow_core.domain._settings import DomainSettings
-from bulrushhollow_core.domain._state import DomainState
+from bulrushhollow_core.domain.replica import DomainState
 from bulrushhollow_core.ids import Seconds, Term, WorkerId, WorkspaceId
 from standins.domain_site import HOST, KEY, configuration
 from tests.test_domain_scheduler import SINGLE_TASK, WALL, SchedulerHarness, announcement
--- a/tests/test_domain_explanation.py
+++ b/tests/test_domain_explanation.py
@@ -25,9 +25,13 @@
     Workspace,
 )
 from bulrushhollow_core.domain._call_handler import DeferredAnswer, ImmediateAnswer
-from bulrushhollow_core.domain._calls import CallId
-from bulrushhollow_core.domain._commands import PutConfiguration, StartRuns
-from bulrushhollow_core.domain._jobs import WallTime, WorkerLife
+from bulrushhollow_core.domain.model import (
+    CallId,
+    PutConfiguration,
+    StartRuns,
+    WallTime,
+    WorkerLife,
+)
 from bulrushhollow_core.ids import InstanceId, RackId, Seconds, Version, WorkerId, WorkspaceId
 from bulrushhollow_core.placements import HoldReason, PlacementOutlook, StepOutlook, Verdict
 from bulrushhollow_daemon.domain._rpc import AskRequest, AskResponse
--- a/tests/test_domain_fanout.py
+++ b/tests/test_domain_fanout.py
@@ -4,18 +4,22 @@
 
 import msgspec
 
-from bulrushhollow_core.domain._commands import StartRuns, SubmitJob
-from bulrushhollow_core.domain._dispatch import POLL_WAIT
-from bulrushhollow_core.domain._jobs import Resources, Step, Work, WorkerLife
-from bulrushhollow_core.domain._orders import (
+from bulrushhollow_core.domain._scheduler import Scheduler
+from bulrushhollow_core.domain.execution import POLL_WAIT
+from bulrushhollow_core.domain.model import (
+    DomainSettings,
     ListedRun,
     OrderResult,
     OrderStart,
     Poll,
     PollAnswered,
+    Resources,
+    StartRuns,
+    Step,
+    SubmitJob,
+    Work,
+    WorkerLife,
 )
-from bulrushhollow_core.domain._scheduler import Scheduler
-from bulrushhollow_core.domain._settings import DomainSettings
 from bulrushhollow_core.ids import JobId, Seconds, Term, WorkerId, WorkspaceId
 from standins.domain_site import queue
 from tests.test_domain_scheduler import WALL, SchedulerHarness, announcement
--- a/tests/test_domain_lasting.py
+++ b/tests/test_domain_lasting.py
@@ -3,12 +3,15 @@
 import unittest
 
 from bulrushhollow_core.domain import Resources, Step, TaskRef, Work, WorkerLife
-from bulrushhollow_core.domain._commands import SubmitJob
-from bulrushhollow_core.domain._fleet import Fleet
-from bulrushhollow_core.domain._jobs import Job, Occurrence, RunNumber, StepRef, WallTime
-from bulrushhollow_core.domain._lasting import DisruptionBudget, allowed_disruptions
-from bulrushhollow_core.domain._runs import Run, RunPhase
-from bulrushhollow_core.domain._state import DomainState
+from bulrushhollow_core.domain.fleet import (
+    DisruptionBudget,
+    Fleet,
+    Run,
+    RunPhase,
+    allowed_disruptions,
+)
+from bulrushhollow_core.domain.model import Job, Occurrence, RunNumber, StepRef, SubmitJob, WallTime
+from bulrushhollow_core.domain.replica import DomainState
 from bulrushhollow_core.ids import JobId, Seconds, WorkerId, WorkspaceId
 from standins.domain_site import queue
 
--- a/tests/test_domain_next_life.py
+++ b/tests/test_domain_next_life.py
@@ -2,25 +2,23 @@
 
 import unittest
 
-from bulrushhollow_core.domain._commands import (
+from bulrushhollow_core.domain._scheduler import Scheduler
+from bulrushhollow_core.domain.model import (
     CancelJob,
+    DomainSettings,
     EndRuns,
-    Outcome,
-    RegisterWorker,
-    RunEnd,
-    StartRuns,
-)
-from bulrushhollow_core.domain._orders import (
     ListedEnd,
     OrderResult,
     OrderStop,
+    Outcome,
     Poll,
     PollAnswered,
+    RegisterWorker,
+    RunEnd,
     StartAnswered,
+    StartRuns,
     StopAnswered,
 )
-from bulrushhollow_core.domain._scheduler import Scheduler
-from bulrushhollow_core.domain._settings import DomainSettings
 from bulrushhollow_core.ids import JobId, Seconds, Term
 from tests.test_domain_scheduler import SINGLE_TASK, WALL, SchedulerHarness, announcement
 
--- a/tests/test_domain_planner.py
+++ b/tests/test_domain_planner.py
@@ -2,22 +2,19 @@
 
 import unittest
 
-from bulrushhollow_core.domain._configuration import ServiceName
-from bulrushhollow_core.domain._demands import Demand, Victim
-from bulrushhollow_core.domain._headroom import Headroom
-from bulrushhollow_core.domain._hosts import ExpectedEnd, Host
-from bulrushhollow_core.domain._jobs import (
+from bulrushhollow_core.domain.fleet import ExpectedEnd, Host, Run
+from bulrushhollow_core.domain.model import (
     Occurrence,
     Resources,
     RunNumber,
+    ServiceName,
     Step,
     StepRef,
     TaskRef,
     WorkerLife,
 )
-from bulrushhollow_core.domain._planner import Planner
-from bulrushhollow_core.domain._queueing import Priority, Timeliness
-from bulrushhollow_core.domain._runs import Run
+from bulrushhollow_core.domain.placement import Demand, Planner, Victim
+from bulrushhollow_core.domain.queueing import Headroom, Priority, Timeliness
 from bulrushhollow_core.ids import DataCentreId, JobId, RackId, Seconds, WorkerId
 
 WORKER_CAPACITY = Resources(64_000, 256_000, 8)
--- a/tests/test_domain_preemption.py
+++ b/tests/test_domain_preemption.py
@@ -2,17 +2,26 @@
 
 import unittest
 
-from bulrushhollow_core.domain._commands import Command, Outcome, StartRuns, SubmitJob
-from bulrushhollow_core.domain._events import Event, LogEvent
-from bulrushhollow_core.domain._jobs import Resources, RunNumber, Step, TaskRef, WallTime, Work
-from bulrushhollow_core.domain._orders import (
+from bulrushhollow_core.domain.model import (
+    Command,
+    Event,
     ListedEnd,
     ListedRun,
+    LogEvent,
     OrderResult,
     OrderStart,
     OrderStop,
+    Outcome,
     PollAnswered,
+    Resources,
+    RunNumber,
+    StartRuns,
+    Step,
     StopAnswered,
+    SubmitJob,
+    TaskRef,
+    WallTime,
+    Work,
 )
 from bulrushhollow_core.ids import JobId, Seconds
 from standins.domain_site import queue
--- a/tests/test_domain_proposals.py
+++ b/tests/test_domain_proposals.py
@@ -19,7 +19,7 @@
     Submit,
     WallTime,
 )
-from bulrushhollow_core.domain._calls import Answer
+from bulrushhollow_core.domain.model import Answer
 from bulrushhollow_core.ids import InstanceId, Seconds
 from standins.domain_site import HOST, KEY, configuration
 from tests.test_domain_scheduler import SINGLE_TASK
--- a/tests/test_domain_queueing.py
+++ b/tests/test_domain_queueing.py
@@ -3,10 +3,9 @@
 import unittest
 
 from bulrushhollow_core.domain import JobState, Resources, Step, Work
-from bulrushhollow_core.domain._commands import CancelJob, PutConfiguration, SubmitJob
-from bulrushhollow_core.domain._jobs import WallTime
-from bulrushhollow_core.domain._queueing import guaranteed_jobs, waiting_steps
-from bulrushhollow_core.domain._state import DomainState
+from bulrushhollow_core.domain.model import CancelJob, PutConfiguration, SubmitJob, WallTime
+from bulrushhollow_core.domain.queueing import guaranteed_jobs, waiting_steps
+from bulrushhollow_core.domain.replica import DomainState
 from bulrushhollow_core.ids import JobId, Seconds, WorkspaceId
 from standins.domain_site import configuration, queue
 
--- a/tests/test_domain_reachability.py
+++ b/tests/test_domain_reachability.py
@@ -2,14 +2,25 @@
 
 import unittest
 
-from bulrushhollow_core.domain._announcements import Availability, WorkerNews
-from bulrushhollow_core.domain._commands import PutConfiguration, SubmitJob
-from bulrushhollow_core.domain._configuration import ServiceName
-from bulrushhollow_core.domain._jobs import Resources, Step, WallTime, Work, WorkerLife
-from bulrushhollow_core.domain._orders import OrderResult, OrderStart, Poll, StartAnswered
 from bulrushhollow_core.domain._scheduler import Scheduler
-from bulrushhollow_core.domain._settings import DomainSettings
-from bulrushhollow_core.domain._state import DomainState
+from bulrushhollow_core.domain.model import (
+    Availability,
+    DomainSettings,
+    OrderResult,
+    OrderStart,
+    Poll,
+    PutConfiguration,
+    Resources,
+    ServiceName,
+    StartAnswered,
+    Step,
+    SubmitJob,
+    WallTime,
+    Work,
+    WorkerLife,
+    WorkerNews,
+)
+from bulrushhollow_core.domain.replica import DomainState
 from bulrushhollow_core.ids import DataCentreId, JobId, RackId, Seconds, Term, WorkerId
 from standins.domain_site import configuration, queue
 
--- a/tests/test_domain_refusals.py
+++ b/tests/test_domain_refusals.py
@@ -2,12 +2,12 @@
 
 import unittest
 
-from bulrushhollow_core.domain._commands import Outcome
-from bulrushhollow_core.domain._orders import (
+from bulrushhollow_core.domain.model import (
     ListedEnd,
     OrderResult,
     OrderStart,
     OrderStop,
+    Outcome,
     PollAnswered,
     StartAnswered,
     StopAnswered,
--- a/tests/test_domain_runtime.py
+++ b/tests/test_domain_runtime.py
@@ -13,7 +13,7 @@
     TaskRef,
     WorkerLife,
 )
-from bulrushhollow_core.domain._jobs import Occurrence, RunNumber
+from bulrushhollow_core.domain.model import Occurrence, RunNumber
 from bulrushhollow_core.ids import JobId, Seconds, Term, WorkerId
 from bulrushhollow_daemon.domain._runtime import CoreRuntime
 
--- a/tests/test_domain_scheduler.py
+++ b/tests/test_domain_scheduler.py
@@ -5,44 +5,41 @@
 
 import msgspec
 
-from bulrushhollow_core.domain._announcements import Availability, WorkerNews
-from bulrushhollow_core.domain._commands import (
+from bulrushhollow_core.domain._scheduler import Scheduler
+from bulrushhollow_core.domain.fleet import Run, StragglerDetector
+from bulrushhollow_core.domain.model import (
+    Availability,
     Command,
+    DomainSettings,
     DrainWorker,
     EndRuns,
+    Event,
+    ListedRun,
+    LogEvent,
+    Occurrence,
+    OrderResult,
+    OrderStart,
+    OrderStop,
     Outcome,
+    Poll,
+    PollAnswered,
     PutConfiguration,
-    RunEnd,
-    StartRuns,
-    SubmitJob,
-)
-from bulrushhollow_core.domain._configuration import ServiceName
-from bulrushhollow_core.domain._events import Event, LogEvent
-from bulrushhollow_core.domain._jobs import (
-    Occurrence,
     Resources,
+    RunEnd,
     RunNumber,
+    ServiceName,
+    StartAnswered,
+    StartRuns,
     Step,
+    StopAnswered,
+    SubmitJob,
     TaskRef,
     WallTime,
     Work,
     WorkerLife,
+    WorkerNews,
 )
-from bulrushhollow_core.domain._orders import (
-    ListedRun,
-    OrderResult,
-    OrderStart,
-    OrderStop,
-    Poll,
-    PollAnswered,
-    StartAnswered,
-    StopAnswered,
-)
-from bulrushhollow_core.domain._paces import StragglerDetector
-from bulrushhollow_core.domain._runs import Run
-from bulrushhollow_core.domain._scheduler import Scheduler
-from bulrushhollow_core.domain._settings import DomainSettings
-from bulrushhollow_core.domain._state import DomainState
+from bulrushhollow_core.domain.replica import DomainState
 from bulrushhollow_core.ids import DataCentreId, JobId, RackId, Seconds, Term, WorkerId, WorkspaceId
 from standins.domain_site import configuration, queue
 
--- a/tests/test_domain_shares.py
+++ b/tests/test_domain_shares.py
@@ -5,19 +5,27 @@
 import msgspec
 
 from bulrushhollow_core.domain import Resources, Step, Work, Workspace
-from bulrushhollow_core.domain._commands import CancelJob, PutConfiguration, SubmitJob
-from bulrushhollow_core.domain._fleet import Fleet
-from bulrushhollow_core.domain._jobs import Occurrence, RunNumber, TaskRef, WallTime, WorkerLife
-from bulrushhollow_core.domain._queueing import (
+from bulrushhollow_core.domain.fleet import Fleet, Run
+from bulrushhollow_core.domain.model import (
+    CancelJob,
+    Occurrence,
+    PutConfiguration,
+    RunNumber,
+    SubmitJob,
+    TaskRef,
+    WallTime,
+    WorkerLife,
+)
+from bulrushhollow_core.domain.placement import RunningWork
+from bulrushhollow_core.domain.queueing import (
     Priority,
+    RateMeter,
+    ShareLedger,
     guaranteed_jobs,
     priority_of,
     waiting_steps,
 )
-from bulrushhollow_core.domain._running_work import RunningWork
-from bulrushhollow_core.domain._runs import Run
-from bulrushhollow_core.domain._shares import RateMeter, ShareLedger
-from bulrushhollow_core.domain._state import DomainState
+from bulrushhollow_core.domain.replica import DomainState
 from bulrushhollow_core.ids import JobId, Seconds, Version, WorkerId, WorkspaceId
 from standins.domain_site import configuration, queue
 from tests.test_domain_planner import make_demand, make_host, make_planner, make_run, make_victim
--- a/tests/test_domain_speeds.py
+++ b/tests/test_domain_speeds.py
@@ -6,44 +6,39 @@
 
 import msgspec
 
-from bulrushhollow_core.domain._commands import (
+from bulrushhollow_core.domain.fleet import ExpectedEnd, Host, Run, SpeedEstimator
+from bulrushhollow_core.domain.model import (
+    NO_RESOURCES,
+    AdviceAnswered,
     CancelJob,
     EndRuns,
+    ListedRun,
+    Occurrence,
+    OrderResult,
     Outcome,
+    PollAnswered,
+    Resources,
     RunEnd,
+    RunNumber,
     Start,
     StartRuns,
-    SubmitJob,
-)
-from bulrushhollow_core.domain._demands import Demand, TimeBudget
-from bulrushhollow_core.domain._hosts import ExpectedEnd, Host
-from bulrushhollow_core.domain._jobs import (
-    NO_RESOURCES,
-    Occurrence,
-    Resources,
-    RunNumber,
     Step,
     StepRef,
+    SubmitJob,
     TaskRef,
     Work,
     WorkerLife,
 )
-from bulrushhollow_core.domain._orders import (
-    AdviceAnswered,
-    ListedRun,
-    OrderResult,
-    PollAnswered,
-)
-from bulrushhollow_core.domain._plan import Plan
-from bulrushhollow_core.domain._planner import (
+from bulrushhollow_core.domain.placement import (
     MAX_GANG_RESERVATIONS,
+    MAX_PLAN_INTERVAL,
     MAX_WAIT_ESTIMATES,
+    Demand,
+    Plan,
     Planner,
+    RunningWork,
+    TimeBudget,
 )
-from bulrushhollow_core.domain._planning import MAX_PLAN_INTERVAL
-from bulrushhollow_core.domain._running_work import RunningWork
-from bulrushhollow_core.domain._runs import Run
-from bulrushhollow_core.domain._speeds import SpeedEstimator
 from bulrushhollow_core.ids import JobId, Seconds, WorkerId, WorkspaceId
 from standins.domain_site import queue
 from tests.test_domain_planner import (
--- a/tests/test_domain_state.py
+++ b/tests/test_domain_state.py
@@ -3,9 +3,10 @@
 import unittest
 
 from bulrushhollow_core.domain import JobState, Resources, RunNumber, Step, Work, WorkerLife
-from bulrushhollow_core.domain._commands import (
+from bulrushhollow_core.domain.model import (
     CancelJob,
     EndRuns,
+    Occurrence,
     Outcome,
     PutConfiguration,
     RunEnd,
@@ -13,11 +14,13 @@
     Start,
     StartRuns,
     SubmitJob,
+    TaskRef,
+    TaskState,
+    WallTime,
     decode_commands,
     encode_commands,
 )
-from bulrushhollow_core.domain._jobs import Occurrence, TaskRef, TaskState, WallTime
-from bulrushhollow_core.domain._state import DomainState
+from bulrushhollow_core.domain.replica import DomainState
 from bulrushhollow_core.ids import DataCentreId, JobId, Seconds, WorkerId, WorkspaceId
 from standins.domain_site import configuration, queue
 
