Group the arguments of a demand by what they tell

They are now the step that waits, its tasks, its standing against other work, the limits on its hosts, its timing and what is placed already: six.

--- a/packages/core/src/bulrushhollow_core/domain/placement/__init__.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/__init__.py
@@ -19,7 +19,11 @@
 )
 from bulrushhollow_core.domain.placement._demands import (
     Demand,
+    DemandedStep,
+    HostLimits,
+    Standing,
     TimeBudget,
+    Timing,
     Victim,
 )
 from bulrushhollow_core.domain.placement._eviction_sets import (
@@ -55,6 +59,10 @@
     "CapLedger",
     "DelayPricer",
     "Demand",
+    "Timing",
+    "Standing",
+    "HostLimits",
+    "DemandedStep",
     "EvictionLoss",
     "MAX_GANG_RESERVATIONS",
     "MAX_PLAN_INTERVAL",
--- a/packages/core/src/bulrushhollow_core/domain/placement/_caps.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_caps.py
@@ -218,7 +218,7 @@
                 for victim in victims
                 if victim.workspace == demand.workspace
                 and not victim.is_chosen
-                and victim.priority > demand.priority
+                and victim.priority > demand.standing.priority
             ),
             key=lambda victim: cost_of([victim]),
         )
--- a/packages/core/src/bulrushhollow_core/domain/placement/_demands.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_demands.py
@@ -41,116 +41,148 @@
 
 NO_LOSS = EvictionLoss(0.0, 0.0)
 """Loss of a victim while delays have no price."""
+
 NO_WAIT = Seconds(0.0)
 """Wait of a demand that has not waited for fast workers."""
 
 
-class Demand:
+class DemandedStep(NamedTuple):
     """
-    Tasks of one step that wait to be placed.
+    The step whose tasks wait.
 
     :param service: service whose workers may run the tasks.
-    :param task_indexes: indexes of the waiting tasks within the step.
+    :param workspace: workspace whose cap limits the tasks; None for no cap.
+    """
+
+    ref: StepRef
+    service: ServiceName
+    step: Step
+    workspace: WorkspaceId | None = None
+
+
+class Standing(NamedTuple):
+    """
+    What a demand may claim over other work.
+
     :param urgency: urgency of the job; 0 is the most urgent.
     :param priority: position in the queue; lower is served first.
     :param is_guaranteed: whether the job fits into its workspace's guarantee.
-    :param excluded_workers: workers that must not run the tasks: those on which the step failed,
-        and for its last attempt all suspect ones.
-    :param may_leave_data_rack: whether the tasks may run outside the rack of their data.
-    :param duration: seconds that one task is expected to take.
-    :param placed_by_worker: tasks of the step that each worker already has; counts towards the
-        step's limit per worker.
     :param may_evict: whether runs may be evicted for it. False for a demand that is served after
         its victims.
     :param is_reclaiming: whether its guarantee is due, so that any victim may be evicted.
-    :param allowed_workers: the only workers that may run the tasks; None for no such limit.
-    :param workspace: workspace whose cap limits the tasks; None for no cap.
-    :param time_budget: time until the deadline; only used on uneven fleets.
     :param delay_cost: value that its job loses by being late; None while delays have no price.
-    :param waited_for_fast: seconds since it first waited for fast workers of an uneven fleet.
+    """
+
+    urgency: int
+    priority: Priority
+    is_guaranteed: bool
+    may_evict: bool = True
+    is_reclaiming: bool = False
+    delay_cost: float | None = None
+
+
+class HostLimits(NamedTuple):
+    """
+    Which workers may run the tasks of a demand.
+
+    :param excluded_workers: workers that must not run the tasks: those on which the step failed,
+        and for its last attempt all suspect ones.
+    :param allowed_workers: the only workers that may run the tasks; None for no such limit.
+    :param may_leave_data_rack: whether the tasks may run outside the rack of their data.
     :param is_isolated: whether one of its tasks may crash its worker, so that it prefers empty
         workers, and other jobs' tasks are kept away from those that it uses.
     """
 
+    excluded_workers: frozenset[WorkerLife] = frozenset()
+    allowed_workers: frozenset[WorkerLife] | None = None
+    may_leave_data_rack: bool = True
+    is_isolated: bool = False
+
+
+class Timing(NamedTuple):
+    """
+    How long the tasks of a demand take, and how long they may.
+
+    :param duration: seconds that one task is expected to take.
+    :param budget: time until the deadline; only used on uneven fleets.
+    :param waited_for_fast: seconds since it first waited for fast workers of an uneven fleet.
+    """
+
+    duration: Seconds
+    budget: TimeBudget = UNLIMITED_TIME
+    waited_for_fast: Seconds = NO_WAIT
+
+
+class Demand:
+    """
+    Tasks of one step that wait to be placed.
+
+    :param source: the step.
+    :param task_indexes: indexes of the waiting tasks within the step.
+    :param placed_by_worker: tasks of the step that each worker already has; counts towards the
+        step's limit per worker.
+    """
+
     def __init__(
         self,
-        ref: StepRef,
-        service: ServiceName,
-        step: Step,
+        source: DemandedStep,
         task_indexes: Sequence[int],
-        urgency: int,
-        priority: Priority,
-        is_guaranteed: bool,
-        excluded_workers: frozenset[WorkerLife],
-        may_leave_data_rack: bool,
-        duration: Seconds,
+        standing: Standing,
+        limits: HostLimits,
+        timing: Timing,
         placed_by_worker: dict[WorkerLife, int],
-        may_evict: bool = True,
-        is_reclaiming: bool = False,
-        allowed_workers: frozenset[WorkerLife] | None = None,
-        workspace: WorkspaceId | None = None,
-        time_budget: TimeBudget = UNLIMITED_TIME,
-        delay_cost: float | None = None,
-        waited_for_fast: Seconds = NO_WAIT,
-        is_isolated: bool = False,
     ) -> None:
         """Create a demand for the given tasks of a step."""
-        self.ref = ref
-        self.service = service
-        self.step = step
+        self.source = source
         self.task_indexes = list(task_indexes)
-        self.urgency = urgency
-        self.priority = priority
-        self.is_guaranteed = is_guaranteed
-        self.excluded_workers = excluded_workers
-        self.may_leave_data_rack = may_leave_data_rack
-        self.duration = duration
+        self.standing = standing
+        self.limits = limits
+        self.timing = timing
         self.placed_by_worker = placed_by_worker
-        self.may_evict = may_evict
-        self.is_reclaiming = is_reclaiming
-        self.allowed_workers = allowed_workers
-        self.workspace = workspace
-        self.time_budget = time_budget
-        self.delay_cost = delay_cost
-        self.waited_for_fast = waited_for_fast
-        self.is_isolated = is_isolated
+
+    @property
+    def ref(self) -> StepRef:
+        """Return the step's reference."""
+        return self.source.ref
+
+    @property
+    def service(self) -> ServiceName:
+        """Return the service whose workers may run the tasks."""
+        return self.source.service
+
+    @property
+    def step(self) -> Step:
+        """Return the step."""
+        return self.source.step
+
+    @property
+    def workspace(self) -> WorkspaceId | None:
+        """Return the workspace whose cap limits the tasks; None for no cap."""
+        return self.source.workspace
 
     @property
     def core_seconds(self) -> float:
         """Return the expected work of all its tasks, in core-seconds."""
-        return core_equivalents(self.step.needs) * self.duration * len(self.task_indexes)
+        return core_equivalents(self.step.needs) * self.timing.duration * len(self.task_indexes)
 
     @property
     def has_worker_constraints(self) -> bool:
         """Return whether it may use fewer workers than other demands of the same shape."""
         return (
-            bool(self.excluded_workers)
-            or self.allowed_workers is not None
+            bool(self.limits.excluded_workers)
+            or self.limits.allowed_workers is not None
             or self.step.max_per_worker > 0
         )
 
     def for_tasks(self, task_indexes: Sequence[int]) -> "Demand":
         """Return a demand for some of its tasks; the counts of placed tasks are kept."""
         return Demand(
-            self.ref,
-            self.service,
-            self.step,
+            self.source,
             task_indexes,
-            self.urgency,
-            self.priority,
-            self.is_guaranteed,
-            self.excluded_workers,
-            self.may_leave_data_rack,
-            self.duration,
+            self.standing,
+            self.limits,
+            self.timing,
             dict(self.placed_by_worker),
-            self.may_evict,
-            self.is_reclaiming,
-            self.allowed_workers,
-            self.workspace,
-            self.time_budget,
-            self.delay_cost,
-            self.waited_for_fast,
-            self.is_isolated,
         )
 
     def max_tasks_on(self, host: Host) -> int:
--- a/packages/core/src/bulrushhollow_core/domain/placement/_eviction_sets.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_eviction_sets.py
@@ -46,7 +46,7 @@
         max_lost_work: float,
     ) -> None:
         """Start from the resources that are free once current stops have ended."""
-        self._priority = demand.priority
+        self._priority = demand.standing.priority
         self._needs = demand.step.needs
         self._wanted = len(demand.task_indexes)
         self._index = index
--- a/packages/core/src/bulrushhollow_core/domain/placement/_explanation.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_explanation.py
@@ -180,7 +180,8 @@
         room = planner.room_for(demand)
         return _Observation(
             demand,
-            is_permitted=demand.allowed_workers is None or bool(demand.allowed_workers),
+            is_permitted=demand.limits.allowed_workers is None
+            or bool(demand.limits.allowed_workers),
             has_usable_worker=any(
                 host.can_run(demand.service, demand.step.required_label)
                 and demand.step.needs.fits(host.capacity)
@@ -291,9 +292,11 @@
 
 def _rule_of(demand: Demand) -> HoldReason:
     """Return the rule that keeps independent tasks from room that is left."""
-    if demand.step.data_rack and not demand.may_leave_data_rack:
+    if demand.step.data_rack and not demand.limits.may_leave_data_rack:
         return HoldReason.DATA_RACK
-    is_background = demand.urgency >= BACKGROUND_URGENCY and demand.step.needs.accelerators > 0
+    is_background = (
+        demand.standing.urgency >= BACKGROUND_URGENCY and demand.step.needs.accelerators > 0
+    )
     return HoldReason.HEADROOM if is_background else HoldReason.NO_ROOM
 
 
--- a/packages/core/src/bulrushhollow_core/domain/placement/_groups.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_groups.py
@@ -85,7 +85,7 @@
     sound = [
         group for group in trusted if fits_gang(h for h in group if not (h.is_suspect or h.is_slow))
     ]
-    select = max if demand.is_isolated else min
+    select = max if demand.limits.is_isolated else min
     return select(
         sound or trusted or fitting,
         key=lambda group: sum(available_on(host, include_stopping).accelerators for host in group),
--- a/packages/core/src/bulrushhollow_core/domain/placement/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planner.py
@@ -176,11 +176,11 @@
         if kind not in self._eligible_by_kind:
             self._eligible_by_kind[kind] = [host for host in self._hosts if host.can_run(*kind)]
         hosts = self._eligible_by_kind[kind]
-        if demand.allowed_workers is not None:
-            hosts = [host for host in hosts if host.life in demand.allowed_workers]
-        if not demand.excluded_workers:
+        if demand.limits.allowed_workers is not None:
+            hosts = [host for host in hosts if host.life in demand.limits.allowed_workers]
+        if not demand.limits.excluded_workers:
             return hosts
-        return [host for host in hosts if host.life not in demand.excluded_workers]
+        return [host for host in hosts if host.life not in demand.limits.excluded_workers]
 
     # Demands that did not fit before.
 
@@ -270,7 +270,7 @@
         or late anyway. A mix occupies fast workers for as long as the slowest member runs, so a
         gang waits for fast workers for a limited time.
         """
-        is_urgent = demand.urgency == 0
+        is_urgent = demand.standing.urgency == 0
         if is_urgent and self._speeds.has_unmeasured:
             measured = self._groups_for(demand, hosts, SpeedClass.MEASURED_FAST)
             if self._start_gang(demand, measured, SpeedClass.MEASURED_FAST):
@@ -283,7 +283,7 @@
             slow = self._groups_for(demand, hosts, SpeedClass.SLOW)
             if self._start_gang(demand, slow, SpeedClass.SLOW):
                 return True
-        if demand.is_reclaiming or not fast:
+        if demand.standing.is_reclaiming or not fast:
             return False
         if self._await_stops(demand, fast, SpeedClass.FAST):
             return True
@@ -356,7 +356,7 @@
         """
 
         def packing_key(host: Host) -> tuple[bool, bool, int, int]:
-            if demand.is_isolated:
+            if demand.limits.is_isolated:
                 return isolation_key(host)
             return best_fit_key(host, available_on(host, include_stopping))
 
@@ -379,7 +379,7 @@
             for _ in range(min(slots, len(waiting))):
                 host.allocate(needs)
                 placements.append(Placement(demand.ref.task(waiting.pop(0)), host.life))
-            if demand.is_isolated and slots and not include_stopping:
+            if demand.limits.is_isolated and slots and not include_stopping:
                 host.close()
             if not waiting:
                 break
@@ -437,7 +437,7 @@
 
     def _prefers_fast(self, demand: Demand) -> bool:
         """Return whether independent tasks fill fast workers first: urgent and nearly late ones."""
-        return demand.urgency == 0 or (
+        return demand.standing.urgency == 0 or (
             self._speeds.is_uneven and not self._speeds.is_on_time_on_slow(demand)
         )
 
@@ -453,7 +453,7 @@
     def _startable_count(self, demand: Demand) -> int:
         """Return how many tasks of a demand may start without using the headroom."""
         step = demand.step
-        if demand.urgency < BACKGROUND_URGENCY or step.needs.accelerators == 0:
+        if demand.standing.urgency < BACKGROUND_URGENCY or step.needs.accelerators == 0:
             return len(demand.task_indexes)
         minimum = 0.0 if step.is_checkpointable else HEADROOM_SHARE * self._total_accelerators
         usable = startable_accelerators(
@@ -479,7 +479,7 @@
         ordered = sorted(
             fitting_hosts,
             key=lambda host: (
-                isolation_key(host) if demand.is_isolated else (),
+                isolation_key(host) if demand.limits.is_isolated else (),
                 host.is_suspect,
                 bool(data_rack) and host.rack != data_rack,
                 host.is_slow is prefers_fast,
@@ -624,7 +624,7 @@
 def _local_hosts(demand: Demand, hosts: list[Host]) -> LocalHosts:
     """Return the hosts in the rack of a demand's data, or all if it may leave that rack."""
     data_rack = demand.step.data_rack
-    if data_rack and not demand.may_leave_data_rack:
+    if data_rack and not demand.limits.may_leave_data_rack:
         local_hosts = [host for host in hosts if host.rack == data_rack]
         if local_hosts:
             return LocalHosts(data_rack, local_hosts)
--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -43,7 +43,11 @@
 from bulrushhollow_core.domain.placement._demands import (
     UNLIMITED_TIME,
     Demand,
+    DemandedStep,
+    HostLimits,
+    Standing,
     TimeBudget,
+    Timing,
 )
 from bulrushhollow_core.domain.placement._plan import Placement, Plan
 from bulrushhollow_core.domain.placement._planner import Planner
@@ -245,45 +249,56 @@
         now: Seconds,
         wall: WallTime,
     ) -> Demand:
-        ref = waiting_step.ref
-        step = waiting_step.job.work.steps[ref.step]
+        job, ref = waiting_step.job, waiting_step.ref
+        step = job.work.steps[ref.step]
         waiting_since = self._waiting_since_by_step.setdefault(ref, now)
         excluded_workers = set(self._shared.excluded_workers_by_step.get(ref, ()))
         if self._is_last_attempt(waiting_step):
             excluded_workers |= suspects
-        is_deferred = self._pricer is not None and self._pricer.may_defer(
-            waiting_step.job, ref.occurrence
+        is_remote_allowed = (
+            step.data_rack not in racks
+            or now - waiting_since > LOCALITY_WAIT_FACTOR * step.estimate
+        )
+        is_isolated = bool(job.losses) and any(
+            is_suspect(job, ref.task(index)) for index in waiting_step.task_indexes
         )
         return Demand(
-            ref=ref,
-            service=self._current_queue(waiting_step.job.queue).service,
-            step=step,
-            task_indexes=waiting_step.task_indexes,
-            urgency=waiting_step.job.queue.urgency,
-            priority=waiting_step.priority,
-            is_guaranteed=waiting_step.job.id in guaranteed,
-            excluded_workers=frozenset(excluded_workers),
-            may_leave_data_rack=step.data_rack not in racks
-            or now - waiting_since > LOCALITY_WAIT_FACTOR * step.estimate,
-            duration=step.estimate,
-            placed_by_worker=self._count_placed_by_worker(ref) if step.max_per_worker else {},
-            may_evict=self._may_evict(waiting_step) and not is_deferred,
-            is_reclaiming=waiting_step.job.id in guaranteed
-            and now - waiting_since >= RECLAIM_DELAY
-            and not is_deferred,
-            allowed_workers=self._allowed_workers(waiting_step, hosts, now),
-            workspace=waiting_step.job.workspace,
-            time_budget=self._time_budget(waiting_step, wall),
-            delay_cost=(
-                self._pricer.cost_of_being_late(waiting_step.job, ref.occurrence)
-                if self._pricer is not None and waiting_step.job.queue.urgency == 0
-                else None
+            DemandedStep(ref, self._current_queue(job.queue).service, step, job.workspace),
+            waiting_step.task_indexes,
+            self._standing_of(waiting_step, guaranteed, Seconds(now - waiting_since)),
+            HostLimits(
+                frozenset(excluded_workers),
+                self._allowed_workers(waiting_step, hosts, now),
+                is_remote_allowed,
+                is_isolated,
             ),
-            waited_for_fast=Seconds(now - self._waits_for_fast_since_by_step.get(ref, now)),
-            is_isolated=bool(waiting_step.job.losses)
-            and any(
-                is_suspect(waiting_step.job, ref.task(index)) for index in waiting_step.task_indexes
+            Timing(
+                step.estimate,
+                self._time_budget(waiting_step, wall),
+                Seconds(now - self._waits_for_fast_since_by_step.get(ref, now)),
             ),
+            self._count_placed_by_worker(ref) if step.max_per_worker else {},
+        )
+
+    def _standing_of(
+        self, waiting_step: WaitingStep, guaranteed: set[JobId], waited: Seconds
+    ) -> Standing:
+        """Return what a step that has waited for some time may claim over other work."""
+        job, occurrence = waiting_step.job, waiting_step.ref.occurrence
+        is_guaranteed = job.id in guaranteed
+        delay_cost = None
+        is_deferred = False
+        if self._pricer is not None:
+            is_deferred = self._pricer.may_defer(job, occurrence)
+            if job.queue.urgency == 0:
+                delay_cost = self._pricer.cost_of_being_late(job, occurrence)
+        return Standing(
+            urgency=job.queue.urgency,
+            priority=waiting_step.priority,
+            is_guaranteed=is_guaranteed,
+            may_evict=self._may_evict(waiting_step) and not is_deferred,
+            is_reclaiming=is_guaranteed and waited >= RECLAIM_DELAY and not is_deferred,
+            delay_cost=delay_cost,
         )
 
     def _time_budget(self, waiting_step: WaitingStep, wall: WallTime) -> TimeBudget:
@@ -441,7 +456,7 @@
             self._claims.end(demand.ref)
             self._shared.shares.record_start(demand.ref.job)
         for demand, victim in plan.evictions:
-            self._claims.record(demand.ref, demand.priority, now)
+            self._claims.record(demand.ref, demand.standing.priority, now)
             for run in victim.runs:
                 self._dispatcher.log_stop(run, f"preempted for {demand.ref.job}")
             self._dispatcher.stop_all(victim.runs, now)
@@ -493,7 +508,7 @@
 
     def _isolation_of(self, demand: Demand, task: TaskRef) -> Seconds:
         """Return the seconds for which other jobs are kept away from a run."""
-        if not demand.is_isolated:
+        if not demand.limits.is_isolated:
             return NO_ISOLATION
         return isolation_of(self._shared.state.jobs_by_id[task.job], task)
 
@@ -541,7 +556,7 @@
                 step=demand.ref.step,
                 tasks=len(demand.task_indexes),
                 waited=round(now - self._waiting_since_by_step.get(demand.ref, now), 3),
-                guaranteed=demand.is_guaranteed,
+                guaranteed=demand.standing.is_guaranteed,
                 **planner.room_for(demand),
             )
         )
@@ -557,8 +572,8 @@
                 tasks=count,
                 run=run,
                 waited=round(now - waiting_since, 3),
-                guaranteed=demand.is_guaranteed,
-                isolated=demand.is_isolated,
+                guaranteed=demand.standing.is_guaranteed,
+                isolated=demand.limits.is_isolated,
                 version=(
                     self._shared.state.configuration.version
                     if self._shared.state.configuration
--- a/packages/core/src/bulrushhollow_core/domain/placement/_speed_classes.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_speed_classes.py
@@ -54,20 +54,20 @@
 
     def slack_on_slow(self, demand: Demand) -> Seconds:
         """Return for how many seconds a demand can wait and be on time with a slow member."""
-        budget = demand.time_budget
-        return Seconds(budget.left - demand.duration * self.slow_factor - budget.following)
+        budget = demand.timing.budget
+        return Seconds(budget.left - demand.timing.duration * self.slow_factor - budget.following)
 
     def is_late_anyway(self, demand: Demand) -> bool:
         """Return whether a demand is expected to be late even if it starts now on fast hosts."""
-        budget = demand.time_budget
-        return demand.duration + budget.following > budget.left
+        budget = demand.timing.budget
+        return demand.timing.duration + budget.following > budget.left
 
     def has_waited_enough(self, demand: Demand) -> bool:
         """
         Return whether a demand has waited for fast hosts for as long as it would gain there. Runs
         that are overdue are expected to end at once in every plan, so each wait looks short.
         """
-        return demand.waited_for_fast >= demand.duration * (self.slow_factor - 1.0)
+        return demand.timing.waited_for_fast >= demand.timing.duration * (self.slow_factor - 1.0)
 
     def is_worth_waiting(self, demand: Demand, wait: Seconds) -> bool:
         """
@@ -75,11 +75,11 @@
         ends earlier, or the demand is urgent and on time only there. Other work does not wait
         longer, since expected ends are uncertain and its deadline is usually far.
         """
-        budget = demand.time_budget
-        is_on_time = wait + demand.duration + budget.following <= budget.left
-        if demand.urgency == 0 and is_on_time:
+        budget = demand.timing.budget
+        is_on_time = wait + demand.timing.duration + budget.following <= budget.left
+        if demand.standing.urgency == 0 and is_on_time:
             return True
-        return wait + demand.duration < demand.duration * self.slow_factor
+        return wait + demand.timing.duration < demand.timing.duration * self.slow_factor
 
 
 def groups_of_class(
--- a/packages/core/src/bulrushhollow_core/domain/placement/_victim_search.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_victim_search.py
@@ -47,9 +47,9 @@
 
         Work that is not urgent waits: evicting for it costs its victims as much as it gains.
         """
-        if demand.urgency > 0 or not demand.may_evict:
+        if demand.standing.urgency > 0 or not demand.standing.may_evict:
             return False
-        if not demand.is_guaranteed:
+        if not demand.standing.is_guaranteed:
             if self.count >= MAX_VICTIM_SEARCHES:
                 return False
             self.count += 1
@@ -64,9 +64,9 @@
         :param max_lost_work: core-seconds of work that may be discarded at most.
         :return: None if no permitted eviction makes enough room.
         """
-        if demand.delay_cost is None:
+        if demand.standing.delay_cost is None:
             return self._least_lost_work(demand, groups, max_lost_work)
-        return self._least_lost_value(demand, groups, demand.delay_cost, max_lost_work)
+        return self._least_lost_value(demand, groups, demand.standing.delay_cost, max_lost_work)
 
     def permitted(self, demand: Demand) -> list[Victim]:
         """Return the runs that may be evicted for a demand."""
@@ -95,7 +95,7 @@
         max_lost_work: float,
     ) -> list[Victim] | None:
         """Return the victims whose callers lose least, or None if they lose more than it gains."""
-        max_cost = math.inf if demand.is_reclaiming else delay_cost
+        max_cost = math.inf if demand.standing.is_reclaiming else delay_cost
         index = self._index_for(demand)
         best: list[Victim] | None = None
         for group in groups:
@@ -108,7 +108,7 @@
 
     def _index_for(self, demand: Demand) -> VictimIndex:
         """Return the victims for demands that may evict the same runs as this one."""
-        rank = (demand.urgency, demand.is_reclaiming)
+        rank = (demand.standing.urgency, demand.standing.is_reclaiming)
         if rank not in self._indexes_by_rank:
             self._indexes_by_rank[rank] = VictimIndex(self.permitted(demand))
         return self._indexes_by_rank[rank]
@@ -116,7 +116,7 @@
 
 def max_lost_work_for(demand: Demand) -> float:
     """Return the core-seconds of unsaved work that may be discarded for a demand."""
-    if demand.is_reclaiming:
+    if demand.standing.is_reclaiming:
         return math.inf
     return URGENT_LOSS_FACTOR * demand.core_seconds + URGENT_LOSS_ALLOWANCE
 
@@ -127,7 +127,7 @@
     guarantee while the guarantee of the demand is due. Before that, one urgent job would only be
     late in place of another.
     """
-    if victim.urgency > demand.urgency:
+    if victim.urgency > demand.standing.urgency:
         return True
-    is_surplus = victim.urgency == demand.urgency == 0 and not victim.is_guaranteed
-    return demand.is_reclaiming and is_surplus
+    is_surplus = victim.urgency == demand.standing.urgency == 0 and not victim.is_guaranteed
+    return demand.standing.is_reclaiming and is_surplus
--- a/tests/test_domain_caps.py
+++ b/tests/test_domain_caps.py
@@ -30,7 +30,7 @@
 def demand_of(workspace: WorkspaceId | None, name: str, count: int, **options: object) -> Demand:
     """Return a demand of tasks with one accelerator each, of a workspace."""
     demand = make_demand(name, count, 1, same_rack=False, **options)  # type: ignore[arg-type]
-    demand.workspace = workspace
+    demand.source = demand.source._replace(workspace=workspace)
     return demand
 
 
@@ -101,7 +101,7 @@
 
     def test_nothing_starts_while_usage_exceeds_a_lowered_cap(self) -> None:
         free_of_accelerators = make_demand("j", 1, 0, is_gang=False, same_rack=False)
-        free_of_accelerators.workspace = TEAM
+        free_of_accelerators.source = free_of_accelerators.source._replace(workspace=TEAM)
         waiting = [free_of_accelerators, tasks_of(TEAM, "k", 1)]
         self.assertEqual({}, placed(plan(ledger(4, used=5), waiting, [make_host("a", "r")])))
 
@@ -171,11 +171,13 @@
     def test_a_gang_that_no_workers_can_ever_hold_does_not_hold_up_its_workspace(self) -> None:
         # Its reservation would drain the workspace for as long as the gang waits.
         unknown_label = demand_of(TEAM, "label", 6)
-        unknown_label.step = msgspec.structs.replace(unknown_label.step, required_label="none")
+        unknown_label.source = unknown_label.source._replace(
+            step=msgspec.structs.replace(unknown_label.step, required_label="none")
+        )
         too_large = make_demand("large", 2, 9, same_rack=False)
-        too_large.workspace = TEAM
+        too_large.source = too_large.source._replace(workspace=TEAM)
         without_workers = demand_of(TEAM, "nowhere", 6)
-        without_workers.allowed_workers = frozenset()
+        without_workers.limits = without_workers.limits._replace(allowed_workers=frozenset())
         for gang in (unknown_label, too_large, without_workers):
             waiting = [gang, tasks_of(TEAM, "small", 8, urgency=1)]
             result = plan(ledger(18, used=14), waiting, [make_host("a", "r"), make_host("b", "r")])
@@ -240,7 +242,7 @@
             victim_of(TEAM, "here", hosts[0], 8, lost_work=9.0),
         ]
         urgent = make_demand("urgent", 8, 1, urgency=0)
-        urgent.workspace = TEAM
+        urgent.source = urgent.source._replace(workspace=TEAM)
         result = plan(ledger(16, 12), [urgent], hosts, victims)
         self.assertEqual({"here"}, evicted(result))
 
@@ -286,7 +288,9 @@
         urgent = demand_of(TEAM, "urgent", 4, urgency=0)
         planner = Planner([host], lambda: victims, list, caps=ledger(4, 2))
         planner._victim_search.count = MAX_VICTIM_SEARCHES - 1
-        urgent.step = msgspec.structs.replace(urgent.step, needs=Resources(4_000, 4_000, 1))
+        urgent.source = urgent.source._replace(
+            step=msgspec.structs.replace(urgent.step, needs=Resources(4_000, 4_000, 1))
+        )
         self.assertEqual({"own", "foreign"}, evicted(planner.make_plan([urgent])))
 
 
@@ -324,7 +328,7 @@
                 max_per_worker=rng.choice((0, 0, 2)),
                 is_reclaiming=urgency == 0 and rng.random() < 0.3,
             )
-            demand.workspace = OTHER
+            demand.source = demand.source._replace(workspace=OTHER)
             demands.append(demand)
         options = {} if caps is None else {"caps": caps}
         result = Planner(hosts, lambda: victims, lambda: ends, 6, **options).make_plan(demands)
--- a/tests/test_domain_delay_cost.py
+++ b/tests/test_domain_delay_cost.py
@@ -59,7 +59,7 @@
 
 def plan_for(demand: Demand, hosts: list[Host], victims: list[Victim]) -> list[str]:
     """Plan for a demand that gains 3.2 by being on time, and return the jobs that are stopped."""
-    demand.delay_cost = 3.2
+    demand.standing = demand.standing._replace(delay_cost=3.2)
     plan = make_planner(hosts, victims, []).make_plan([demand])
     return sorted(victim.job for _, victim in plan.evictions)
 
--- a/tests/test_domain_planner.py
+++ b/tests/test_domain_planner.py
@@ -13,7 +13,15 @@
     TaskRef,
     WorkerLife,
 )
-from bulrushhollow_core.domain.placement import Demand, Planner, Victim
+from bulrushhollow_core.domain.placement import (
+    Demand,
+    DemandedStep,
+    HostLimits,
+    Planner,
+    Standing,
+    Timing,
+    Victim,
+)
 from bulrushhollow_core.domain.queueing import Headroom, Priority, Timeliness
 from bulrushhollow_core.ids import DataCentreId, JobId, RackId, Seconds, WorkerId
 
@@ -75,19 +83,14 @@
     )
     ref = StepRef(JobId(name), Occurrence(0), 0)
     return Demand(
-        ref=ref,
-        service=ServiceName("svc"),
-        step=step,
-        task_indexes=range(count),
-        urgency=urgency,
-        priority=make_priority(urgency, is_guaranteed),
-        is_guaranteed=is_guaranteed,
-        excluded_workers=frozenset(),
-        may_leave_data_rack=may_leave_data_rack,
-        duration=step.estimate,
-        placed_by_worker=placed or {},
-        may_evict=may_evict,
-        is_reclaiming=is_reclaiming,
+        DemandedStep(ref, ServiceName("svc"), step),
+        range(count),
+        Standing(
+            urgency, make_priority(urgency, is_guaranteed), is_guaranteed, may_evict, is_reclaiming
+        ),
+        HostLimits(may_leave_data_rack=may_leave_data_rack),
+        Timing(step.estimate),
+        placed or {},
     )
 
 
@@ -368,7 +371,7 @@
         surplus = make_demand("j", 1, 8, urgency=0)
         for demand, evicted in ((guaranteed, 1), (surplus, 0)):
             plan = make_planner(hosts, [victim], []).make_plan([demand])
-            self.assertEqual(evicted, len(plan.evictions), demand.is_guaranteed)
+            self.assertEqual(evicted, len(plan.evictions), demand.standing.is_guaranteed)
 
     def test_a_job_that_is_served_last_evicts_nothing(self) -> None:
         # Its victims would be placed again before it and evicted again, in an endless cycle.
--- a/tests/test_domain_speeds.py
+++ b/tests/test_domain_speeds.py
@@ -247,7 +247,7 @@
 
 
 def with_deadline(demand: Demand, seconds: float) -> Demand:
-    demand.time_budget = TimeBudget(Seconds(seconds), Seconds(0.0))
+    demand.timing = demand.timing._replace(budget=TimeBudget(Seconds(seconds), Seconds(0.0)))
     return demand
 
 
@@ -326,7 +326,7 @@
         for urgency, deadline in ((0, 3.4), (1, 20.0)):
             for waited, expected in ((limit - 0.1, set()), (limit, {"a", "c"})):
                 demand = with_deadline(make_demand("j", 2, 8, urgency), deadline)
-                demand.waited_for_fast = Seconds(waited)
+                demand.timing = demand.timing._replace(waited_for_fast=Seconds(waited))
                 self.assertEqual(expected, used(make_plan(demand, make_rack(), 0.1)))
 
     def test_a_gang_waits_for_fast_workers_only_with_a_reservation(self) -> None:
