Move the view of the hosts out of the planning cycle

The checks that rule out most are made first, and whether a service guards its capacity is looked up once a plan.

--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_host_view.py
@@ -0,0 +1,109 @@
+"""
+bulrushhollow_core.domain.placement._host_view
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The workers that may get new work, with their free resources, as one plan starts from them.
+"""
+
+from typing import Self
+
+from bulrushhollow_core.domain.execution import SchedulerState
+from bulrushhollow_core.domain.fleet import NORMAL_SLOWNESS, Host, Reachability, Worker
+from bulrushhollow_core.domain.model import (
+    Availability,
+    Event,
+    WorkerNews,
+    detached_copy,
+    log_event,
+)
+from bulrushhollow_core.ids import DataCentreId, Seconds
+
+
+class HostView:
+    """Builds the hosts of each plan from what is known of the workers."""
+
+    def __init__(self, shared: SchedulerState) -> None:
+        """Create a view of the workers in the shared state of the scheduler."""
+        self._shared = shared
+        self._silent_data_centres: frozenset[DataCentreId] = frozenset()
+
+    def detached(self, shared: SchedulerState) -> Self:
+        """
+        Return a copy that views another state.
+
+        :param shared: a copy of this view's state, whose outbox the copy writes to.
+        """
+        clone = detached_copy(self)
+        clone._shared = shared
+        return clone
+
+    def usable_hosts(self, now: Seconds) -> list[Host]:
+        """Return the workers that may get new work."""
+        workers = self._shared.fleet.workers_by_life.values()
+        reachability = Reachability(workers, self._shared.settings.heartbeat_interval, now)
+        self._log_reachability(reachability)
+        index = self._shared.state.configuration_index
+        guards_by_service = index.checks_admission_by_service if index is not None else {}
+        return [
+            self._build_host(worker, worker.announcement, now)
+            for worker in workers
+            if worker.announcement is not None
+            and self._accepts_work(worker, worker.announcement, now)
+            and reachability.is_likely(worker)
+            and (
+                # Such workers refuse what exceeds their capacity.
+                guards_by_service.get(worker.announcement.service, False)
+                or reachability.is_capacity_current(worker)
+            )
+        ]
+
+    def _accepts_work(self, worker: Worker, announcement: WorkerNews, now: Seconds) -> bool:
+        """Return whether nothing that is known of a worker rules out new work."""
+        state = self._shared.state
+        return (
+            announcement.availability is Availability.READY
+            and now >= worker.backoff_until
+            and now >= worker.quarantined_until
+            and worker.has_clock
+            and not worker.is_closed
+            and announcement.data_centre not in state.evacuated_data_centres
+            and worker.life not in state.draining_workers
+            and worker.life not in self._shared.departed_lives
+        )
+
+    def _build_host(self, worker: Worker, announcement: WorkerNews, now: Seconds) -> Host:
+        speeds = self._shared.speeds
+        slowness = speeds.slowness_of(worker.life) if speeds.is_uneven else NORMAL_SLOWNESS
+        host = Host(
+            life=worker.life,
+            service=announcement.service,
+            data_centre=announcement.data_centre,
+            rack=announcement.rack,
+            labels=announcement.labels,
+            capacity=announcement.capacity,
+            free=worker.free,
+            is_suspect=worker.is_suspect,
+            is_slow=(
+                slowness > NORMAL_SLOWNESS
+                if speeds.is_uneven
+                else self._shared.straggler_detector.is_slow(worker.life)
+            ),
+            slowness=slowness,
+            is_measured=speeds.is_uneven and speeds.is_measured(worker.life),
+            has_crashed=self._shared.fleet.has_crashed_recently(worker.address, now),
+        )
+        for run in worker.runs_by_task.values():
+            if self._shared.is_freeing_resources(run, now):
+                host.add_stopping(run.needs)
+        return host
+
+    def _log_reachability(self, reachability: Reachability) -> None:
+        """Log which data centres are silent if these are others than before."""
+        if reachability.silent_data_centres == self._silent_data_centres:
+            return
+        self._silent_data_centres = reachability.silent_data_centres
+        self._shared.outbox.append(
+            log_event(
+                Event.REACHABILITY_CHANGED, silent=",".join(sorted(self._silent_data_centres))
+            )
+        )
--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -14,27 +14,22 @@
 from bulrushhollow_core.domain.execution import OrderDispatcher, SchedulerState
 from bulrushhollow_core.domain.fleet import (
     NO_ISOLATION,
-    NORMAL_SLOWNESS,
     Host,
-    Reachability,
     Run,
     RunPhase,
     Worker,
 )
 from bulrushhollow_core.domain.model import (
-    Availability,
     Event,
     Job,
     Queue,
     RunNumber,
-    ServiceName,
     Start,
     StartRuns,
     StepRef,
     TaskRef,
     WallTime,
     WorkerLife,
-    WorkerNews,
     detached_copy,
     log_event,
 )
@@ -49,6 +44,7 @@
     TimeBudget,
     Timing,
 )
+from bulrushhollow_core.domain.placement._host_view import HostView
 from bulrushhollow_core.domain.placement._plan import Placement, Plan
 from bulrushhollow_core.domain.placement._planner import Planner
 from bulrushhollow_core.domain.placement._running_work import RunningWork
@@ -65,7 +61,7 @@
     waiting_steps,
 )
 from bulrushhollow_core.domain.replica import is_suspect, isolation_of
-from bulrushhollow_core.ids import DataCentreId, JobId, RackId, Seconds
+from bulrushhollow_core.ids import JobId, RackId, Seconds
 
 MAX_PLAN_INTERVAL = Seconds(0.25)
 """Seconds after which a plan is made even if nothing has happened."""
@@ -116,13 +112,13 @@
         self._waiting_since_by_step: dict[StepRef, Seconds] = {}
         self._waits_for_fast_since_by_step: dict[StepRef, Seconds] = {}
         """When each waiting step first waited for fast workers; a new leader starts anew."""
+        self._host_view = HostView(shared)
         self._claims = ClaimRegister(shared.settings.stop_timeout)
         self._cap_reporter = CapReporter()
         self._recent_work = RecentWorkCache()
         self._pricer: DelayPricer | None = None
         """Prices of delays in the current plan; None while delays have no price."""
         self._capacity_log_due = Seconds(-math.inf)
-        self._silent_data_centres: frozenset[DataCentreId] = frozenset()
 
     def plan(self, now: Seconds, wall: WallTime) -> bool:
         """
@@ -161,6 +157,7 @@
         """
         clone = detached_copy(self)
         clone._shared = shared
+        clone._host_view = self._host_view.detached(shared)
         clone._claims = detached_copy(self._claims)
         clone._recent_work = detached_copy(self._recent_work)
         return clone
@@ -169,7 +166,7 @@
         """Return what waits and the workers that it may use."""
         guaranteed = guaranteed_jobs(self._shared.state)
         waiting = waiting_steps(self._shared.state, self._busy_tasks(now), guaranteed, wall)
-        return QueueView(guaranteed, waiting, self._usable_hosts(now) if waiting else [])
+        return QueueView(guaranteed, waiting, self._host_view.usable_hosts(now) if waiting else [])
 
     def prepare(self, queue: QueueView, now: Seconds, wall: WallTime) -> PreparedPlan:
         """Return a planner for the queue; the caller has it make the plan."""
@@ -390,64 +387,6 @@
         )
         return failures + 1 >= waiting_step.job.queue.max_attempts
 
-    def _usable_hosts(self, now: Seconds) -> list[Host]:
-        """Return the workers that may get new work."""
-        reachability = Reachability(
-            self._shared.fleet.workers_by_life.values(),
-            self._shared.settings.heartbeat_interval,
-            now,
-        )
-        self._log_reachability(reachability)
-        return [
-            self._build_host(worker, worker.announcement, now)
-            for worker in self._shared.fleet.workers_by_life.values()
-            if worker.announcement is not None
-            and worker.announcement.availability is Availability.READY
-            and worker.life not in self._shared.state.draining_workers
-            and worker.life not in self._shared.departed_lives
-            and worker.announcement.data_centre not in self._shared.state.evacuated_data_centres
-            and worker.has_clock
-            and not worker.is_closed
-            and reachability.is_likely(worker)
-            and (
-                self._guards_capacity(worker.announcement.service)
-                or reachability.is_capacity_current(worker)
-            )
-            and now >= worker.backoff_until
-            and now >= worker.quarantined_until
-        ]
-
-    def _guards_capacity(self, service: ServiceName) -> bool:
-        """Return whether the workers of a service refuse what exceeds their capacity."""
-        index = self._shared.state.configuration_index
-        return index is not None and index.checks_admission_by_service.get(service, False)
-
-    def _build_host(self, worker: Worker, announcement: WorkerNews, now: Seconds) -> Host:
-        speeds = self._shared.speeds
-        slowness = speeds.slowness_of(worker.life) if speeds.is_uneven else NORMAL_SLOWNESS
-        host = Host(
-            life=worker.life,
-            service=announcement.service,
-            data_centre=announcement.data_centre,
-            rack=announcement.rack,
-            labels=announcement.labels,
-            capacity=announcement.capacity,
-            free=worker.free,
-            is_suspect=worker.is_suspect,
-            is_slow=(
-                slowness > NORMAL_SLOWNESS
-                if speeds.is_uneven
-                else self._shared.straggler_detector.is_slow(worker.life)
-            ),
-            slowness=slowness,
-            is_measured=speeds.is_uneven and speeds.is_measured(worker.life),
-            has_crashed=self._shared.fleet.has_crashed_recently(worker.address, now),
-        )
-        for run in worker.runs_by_task.values():
-            if self._shared.is_freeing_resources(run, now):
-                host.add_stopping(run.needs)
-        return host
-
     def _execute_plan(self, plan: Plan, now: Seconds) -> None:
         for demand in plan.waiting_for_fast:
             self._waits_for_fast_since_by_step.setdefault(demand.ref, now)
@@ -536,17 +475,6 @@
             )
         )
 
-    def _log_reachability(self, reachability: Reachability) -> None:
-        """Log which data centres are silent if these are others than before."""
-        if reachability.silent_data_centres == self._silent_data_centres:
-            return
-        self._silent_data_centres = reachability.silent_data_centres
-        self._shared.outbox.append(
-            log_event(
-                Event.REACHABILITY_CHANGED, silent=",".join(sorted(self._silent_data_centres))
-            )
-        )
-
     def _log_expired_claim(self, demand: Demand, planner: Planner, now: Seconds) -> None:
         self._shared.outbox.append(
             log_event(
