Listen for callers before the modules of an entry instance are loaded

Change: the entry file reads the listening address from the settings and listens before it imports anything else; callers that connect meanwhile wait in the queue of the listener, which the server takes over.

--- a/packages/daemon/src/bulrushhollow_daemon/http_server.py
+++ b/packages/daemon/src/bulrushhollow_daemon/http_server.py
@@ -14,6 +14,7 @@
 
 import uvicorn
 
+from bulrushhollow_daemon.listeners import claim_listener
 from bulrushhollow_daemon.settings import Address, Limits
 
 if TYPE_CHECKING:
@@ -26,9 +27,6 @@
 KEEP_ALIVE_TIMEOUT = 5
 """Seconds for which an idle connection of a caller is kept open."""
 
-BACKLOG = 256
-"""Most connections that wait to be accepted."""
-
 
 class HttpServer(uvicorn.Server):
     """A server that handles no signals and can close its listener before it stops."""
@@ -100,13 +98,7 @@
 
     :raises OSError: if the address can't be used.
     """
-    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((address.host, address.port))
-    sock.listen(BACKLOG)
-    sock.setblocking(False)
-    return sock
+    return claim_listener(address.host, address.port)
 
 
 def bound_address(sock: socket.socket) -> Address:
