--- a/packages/core/src/bulrushhollow_core/domain/execution/_dispatch.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_dispatch.py
@@ -148,9 +148,10 @@
         # A worker that does not answer gets no new lease, so that its last one expires.
         may_grant = worker.has_clock and not is_silent
         lease_end = self._grant_lease(worker, now) if may_grant else None
-        # A silent worker is to answer at once, so that its return is noticed early.
-        is_patient = worker.has_confirmed_runs and may_grant
-        is_patient = is_patient and (may_acknowledge or not has_unacknowledged)
+        # A silent worker is to answer at once, so that its return is noticed early, and so is one
+        # whose ends are to be acknowledged once its life is confirmed.
+        is_confirmation = has_unacknowledged and not may_acknowledge
+        may_wait = worker.has_confirmed_runs and may_grant and not is_confirmation
         self._shared.outbox.append(
             Poll(
                 life=worker.life,
@@ -158,7 +159,7 @@
                 fence=self._shared.fence,
                 acknowledged=worker.last_recorded_end if may_acknowledge else 0,
                 lease_end=lease_end,
-                wait=self._choose_wait(worker, now) if is_patient else Seconds(0.0),
+                wait=self._choose_wait(worker, now) if may_wait else Seconds(0.0),
             )
         )
 
@@ -171,7 +172,7 @@
         return POLL_WAIT
 
     def forget_waiting_poll(self, life: WorkerLife) -> None:
-        """Record that the poll of a worker was answered, or that no answer will come."""
+        """Record that the poll of a worker was answered, or timed out."""
         self._waiting_polls.discard(life)
 
     def acknowledge_ends(self, now: Seconds) -> None:
