--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,6 +17,7 @@
 
 
 async def main():
+    """Run the case; return how the rule was broken, or None."""
     fleet = Deployment(pathlib.Path(__file__).parent)
     fleet.plan = lambda task, run: (TASK_S, "done")
     doubled = []
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -30,6 +30,7 @@
 
 
 async def main():
+    """Run the case; return how the rule was broken, or None."""
     fleet = Deployment(pathlib.Path(__file__).parent)
     ends = {}
     supervisor = None
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -26,12 +26,15 @@
 
 
 async def main():
+    """Run the case; return how the rule was broken, or None."""
     fleet = Deployment(pathlib.Path(__file__).parent)
     try:
         await fleet.open()
         leader = await fleet.leader()
         frozen = random.choice([core for core in fleet.cores if core is not leader])
-        sound = [c for c, core in zip(fleet.controls, fleet.cores) if core is not frozen]
+        sound = [
+            c for c, core in zip(fleet.controls, fleet.cores, strict=True) if core is not frozen
+        ]
         slow = f"{frozen.ip}:{fleet.ports['control']}"
 
         # A first evacuation, which is taken back some seconds later.
--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -406,6 +406,8 @@
 
 def run_case(main):
     """Run ``main`` and exit with 1 if it returns the break of a rule, 0 if None, 2 if it can't."""
+    # Ends the started processes as well if the script is told to stop.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         broken = asyncio.run(asyncio.wait_for(main(), 115))
     except CannotRun as error:
@@ -414,7 +416,7 @@
     except TimeoutError:
         print("could not run: took too long")
         raise SystemExit(2)
-    except Exception:
+    except (Exception, KeyboardInterrupt):
         traceback.print_exc()
         raise SystemExit(2)
     print(broken or "the rule held")
