Keep one bad message or failed order from ending a process

What callers saw: one heartbeat of another system whose address is no IP and port ended the leader with ValueError, then every next leader and every restarted process, since the registration is in the log.

Cause: HttpWorkerClient catches errors of the network only, and any other error of an order ends the task group of the process. The address was checked nowhere on its way into the log.

Ruled out: the receiver of the heartbeat (it answers 200 and goes on) and the handling of the call (the registration commits).

Connections are made to IP addresses and ports only. Heartbeats are checked at the boundary and by the leader, in a batch one by one. Background tasks are started again after an error; the runtime of data centres treats failed attempts the same way. A job of more than 50,000 tasks, or with negative needs, is refused: each instance with a disk keeps every task in memory.

--- a/packages/core/src/bulrushhollow_core/domain/__init__.py
+++ b/packages/core/src/bulrushhollow_core/domain/__init__.py
@@ -84,6 +84,7 @@
     WorkerNews,
     Workspace,
     announcement_target,
+    find_announcement_error,
     find_invalidity,
     log_event,
     no_answer_to,
@@ -166,5 +167,6 @@
     "announcement_target",
     "find_invalidity",
     "log_event",
+    "find_announcement_error",
     "no_answer_to",
 ]
--- a/packages/core/src/bulrushhollow_core/domain/_call_handler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_call_handler.py
@@ -50,7 +50,9 @@
     SubmitJob,
     WallTime,
     WorkerLife,
+    WorkerNews,
     detached_copy,
+    find_announcement_error,
     find_invalidity,
     log_event,
 )
@@ -69,6 +71,12 @@
 """Seconds after which to retry a call that arrived before the first configuration, which operators
 put soon after the start."""
 
+MAX_LOGGED_TEXT = 80
+"""Characters of a text from an invalid announcement that are logged."""
+
+MAX_JOB_TASKS = 50_000
+"""Most tasks of one occurrence of a job; every instance with a disk holds each in memory."""
+
 
 class ImmediateAnswer(msgspec.Struct, frozen=True):
     """The answer to a call that needs no command."""
@@ -145,9 +153,7 @@
             case AnnounceBatch(announcements=announcements):
                 if any(news.availability is Availability.DRAINING for news in announcements):
                     return ImmediateAnswer(Malformed("a worker that drains is announced alone"))
-                for news in announcements:
-                    scheduler.worker_announced(news, now)
-                return ImmediateAnswer(self._announced(scheduler))
+                return self._handle_announcements(announcements, scheduler, now)
             case Deregister():
                 life = (
                     scheduler.find_latest_life(call.worker)
@@ -314,6 +320,11 @@
         self, call: Announce, state: DomainState, scheduler: Scheduler, now: Seconds
     ) -> ImmediateAnswer | DeferredAnswer:
         announcement = call.announcement
+        reason = find_announcement_error(announcement)
+        if reason:
+            return ImmediateAnswer(
+                Malformed(reason), (_announcement_refused(announcement, reason),)
+            )
         scheduler.worker_announced(announcement, now)
         if (
             announcement.availability is Availability.DRAINING
@@ -325,6 +336,17 @@
             return DeferredAnswer(DrainWorker(announcement.life), self._done, (draining,))
         return ImmediateAnswer(self._announced(scheduler))
 
+    def _handle_announcements(
+        self, announcements: tuple[WorkerNews, ...], scheduler: Scheduler, now: Seconds
+    ) -> ImmediateAnswer:
+        """Handle a batch of announcements; one that is invalid does not affect the others."""
+        errors = [(news, find_announcement_error(news)) for news in announcements]
+        for news, error in errors:
+            if not error:
+                scheduler.worker_announced(news, now)
+        refused = tuple(_announcement_refused(news, error) for news, error in errors if error)
+        return ImmediateAnswer(self._announced(scheduler), refused)
+
     def _announced(self, scheduler: Scheduler) -> Done:
         """Return the answer to announcements, with the instances to which later ones go."""
         if scheduler.worker_count <= self._settings.max_direct_workers:
@@ -332,6 +354,15 @@
         return Done(self._address, self.relays)
 
 
+def _announcement_refused(announcement: WorkerNews, reason: str) -> LogEvent:
+    return log_event(
+        Event.ANNOUNCEMENT_REFUSED,
+        worker=announcement.life.id[:MAX_LOGGED_TEXT],
+        address=announcement.address[:MAX_LOGGED_TEXT],
+        reason=reason,
+    )
+
+
 def _forecast(
     command: SubmitJob, state: DomainState, scheduler: Scheduler, now: Seconds, wall: WallTime
 ) -> PlacementOutlook:
@@ -410,6 +441,12 @@
     for number, step in enumerate(steps):
         if step.count < 1:
             return f"step {number} has no tasks"
+        if min(step.needs.cpu, step.needs.memory, step.needs.accelerators) < 0:
+            return f"step {number} needs a negative amount of a resource"
+        if step.max_per_worker < 0:
+            return f"step {number} allows a negative number of tasks on a worker"
         if any(not 0 <= dependency < number for dependency in step.depends_on):
             return f"step {number} depends on a step that does not precede it"
+    if sum(step.count for step in steps) > MAX_JOB_TASKS:
+        return f"the job has more than {MAX_JOB_TASKS} tasks"
     return ""
--- a/packages/core/src/bulrushhollow_core/domain/_node.py
+++ b/packages/core/src/bulrushhollow_core/domain/_node.py
@@ -278,7 +278,16 @@
             refusal = Refused(RefusalReason.FOUNDING, Seconds(1.0))
             self._actions.append(Reply(call_id, refusal))
             return
-        result = self._call_handler.handle(call, self.state, self.scheduler, now, wall)
+        try:
+            result = self._call_handler.handle(call, self.state, self.scheduler, now, wall)
+            if isinstance(result, DeferredAnswer):
+                # A command that no entry can hold would end the step in which it is proposed.
+                encode_commands([result.command])
+        except Exception as error:
+            # One call must not end the process, and with it every instance that leads later.
+            failed = log_event(Event.CALL_FAILED, call=type(call).__name__, error=repr(error))
+            self._actions.extend((failed, Reply(call_id, OutcomeUnknown())))
+            return
         self._actions.extend(result.log_events)
         if isinstance(result, ImmediateAnswer):
             self._actions.append(Reply(call_id, result.answer))
--- a/packages/core/src/bulrushhollow_core/domain/model/__init__.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/__init__.py
@@ -9,6 +9,7 @@
 from bulrushhollow_core.domain.model._announcements import (
     Availability,
     WorkerNews,
+    find_announcement_error,
 )
 from bulrushhollow_core.domain.model._calls import (
     Announce,
@@ -220,6 +221,7 @@
     "decode_commands",
     "detached_copy",
     "encode_commands",
+    "find_announcement_error",
     "find_invalidity",
     "log_event",
     "no_answer_to",
--- a/packages/core/src/bulrushhollow_core/domain/model/_orders.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_orders.py
@@ -183,9 +183,10 @@
     valid_for: Seconds = Seconds(0.0)
 
 
-def no_answer_to(
-    order: OrderStart | OrderStop | Poll,
-) -> StartAnswered | StopAnswered | PollAnswered:
+OrderAnswer = StartAnswered | StopAnswered | PollAnswered | AdviceAnswered
+
+
+def no_answer_to(order: Order) -> OrderAnswer:
     """Return the answer that a leader records for an order that got none."""
     result = OrderResult.NO_ANSWER
     match order:
@@ -195,6 +196,5 @@
             return StopAnswered(order.life, order.task, order.run, result, None)
         case Poll():
             return PollAnswered(order.life, result)
-
-
-OrderAnswer = StartAnswered | StopAnswered | PollAnswered | AdviceAnswered
+        case AskAdvice():
+            return AdviceAnswered(order.step, order.workers, None)
--- a/packages/core/src/bulrushhollow_core/endpoints.py
+++ b/packages/core/src/bulrushhollow_core/endpoints.py
@@ -6,6 +6,8 @@
 entry instance.
 """
 
+import ipaddress
+
 import msgspec
 
 from bulrushhollow_core.ids import DataCentreId, EndpointId, Int64
@@ -43,6 +45,21 @@
 REASON_HEADER = "reason"
 """Reason of a refusal, set by an entry instance; absent from an endpoint's own answer."""
 
+MAX_PORT = 65_535
+"""Highest port number of TCP."""
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is an address to connect to: ``IP:PORT``; names are not looked up."""
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) <= MAX_PORT):
+        return False
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return True
+
 
 class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag="announcement"):
     """
--- a/packages/core/src/bulrushhollow_core/requests/_directory.py
+++ b/packages/core/src/bulrushhollow_core/requests/_directory.py
@@ -8,14 +8,13 @@
 instance that missed an announcement queries its peers for it.
 """
 
-import ipaddress
 import random
 
 import msgspec
 
 from bulrushhollow_core.actions import Send
 from bulrushhollow_core.answers import EndpointStatus
-from bulrushhollow_core.endpoints import Announcement, AnnouncementAnswer
+from bulrushhollow_core.endpoints import Announcement, AnnouncementAnswer, is_address
 from bulrushhollow_core.ids import (
     DataCentreId,
     EndpointId,
@@ -275,7 +274,7 @@
             return Refusal(Reason.INVALID, f"slots and connections must be 1 to {MAX_SLOTS}")
         if not announcement.endpoint or not announcement.service:
             return Refusal(Reason.INVALID, "endpoint and service must have a name")
-        if not _is_address(announcement.address):
+        if not is_address(announcement.address):
             return Refusal(Reason.INVALID, f"{announcement.address!r} is not IP:PORT")
         return None
 
@@ -416,12 +415,3 @@
     return AnnouncementRefresh(
         announcement.endpoint, announcement.incarnation, announcement.sequence, checksum, age
     )
-
-
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
-        return False
-    return port.isascii() and port.isdigit() and 0 < int(port) <= 65_535
--- a/packages/daemon/src/bulrushhollow_daemon/dispatch/_connections.py
+++ b/packages/daemon/src/bulrushhollow_daemon/dispatch/_connections.py
@@ -9,6 +9,7 @@
 import anyio
 import httpcore
 
+from bulrushhollow_core.endpoints import is_address
 from bulrushhollow_core.ids import Seconds
 from bulrushhollow_daemon.dispatch._streams import CountingStream
 
@@ -21,7 +22,6 @@
 CONNECT_TIMEOUT = Seconds(1.0)
 """Seconds allowed for opening a connection."""
 
-
 _backend = httpcore.AnyIOBackend()
 
 
@@ -57,6 +57,8 @@
     :raises httpcore.ConnectError: if it can't be opened.
     :raises httpcore.ConnectTimeout: if opening it takes too long.
     """
+    if not is_address(address):
+        raise httpcore.ConnectError(f"{address!r} is not an IP address and a port")
     host, _, port = address.rpartition(":")
     host = host.strip("[]")
     stream = await _backend.connect_tcp(host, int(port), timeout=min(timeout, CONNECT_TIMEOUT))
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_core.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_core.py
@@ -44,6 +44,7 @@
 from bulrushhollow_daemon.domain._workers import WorkerClient
 from bulrushhollow_daemon.http_server import HttpServer, open_listener
 from bulrushhollow_daemon.journal import Journal
+from bulrushhollow_daemon.supervision import keep_running
 
 CONTROL_HEADER_TIMEOUT = Seconds(5.0)
 """Seconds within which the head of a control call must arrive; such a head is small."""
@@ -142,9 +143,13 @@
                     self._node.bootstrap(clock.now())
                     logger.info("log_founded")
                 tasks.start_soon(self._runtime.run, self._peers)
-                tasks.start_soon(self._poll_members)
+                tasks.start_soon(keep_running, self._poll_members)
                 tasks.start_soon(
-                    watch_settings, self._read_settings, self._apply_settings, self._log_handler
+                    keep_running,
+                    watch_settings,
+                    self._read_settings,
+                    self._apply_settings,
+                    self._log_handler,
                 )
                 for server, sock in servers:
                     tasks.start_soon(server.serve, [sock])
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_entry.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_entry.py
@@ -34,6 +34,7 @@
 from bulrushhollow_daemon.domain._status import InstanceStatus
 from bulrushhollow_daemon.http_messages import Response
 from bulrushhollow_daemon.http_server import HttpServer, open_listener
+from bulrushhollow_daemon.supervision import keep_running
 
 PROBE_INTERVAL = Seconds(0.8)
 """Seconds between two probes of the leader; readiness thus follows a change within two seconds."""
@@ -106,9 +107,13 @@
         logger.info("started", extra={"seeds": ",".join(self._settings.seeds)})
         self._apply_settings(self._settings)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._probe_leader)
+            tasks.start_soon(keep_running, self._probe_leader)
             tasks.start_soon(
-                watch_settings, self._read_settings, self._apply_settings, self._log_handler
+                keep_running,
+                watch_settings,
+                self._read_settings,
+                self._apply_settings,
+                self._log_handler,
             )
             for server, sock in servers:
                 tasks.start_soon(server.serve, [sock])
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_peers.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_peers.py
@@ -16,6 +16,7 @@
 from bulrushhollow_core.consensus import ConsensusMessage
 from bulrushhollow_core.ids import InstanceId, Seconds, name_of
 from bulrushhollow_daemon.domain._rpc import CallFailure, MessageBatch, PeerInfo, RpcClient
+from bulrushhollow_daemon.supervision import keep_running
 
 DELIVER_TIMEOUT = Seconds(0.8)
 """Seconds within which a delivery must be answered; less than an election takes, so that a silent
@@ -149,7 +150,7 @@
             if address not in self._peers_by_address and self._tasks is not None:
                 peer = _Peer(address, self._port)
                 self._peers_by_address[address] = peer
-                self._tasks.start_soon(self._exchange_messages, peer)
+                self._tasks.start_soon(keep_running, self._exchange_messages, peer)
 
     def send(self, recipient: InstanceId, message: ConsensusMessage) -> None:
         """Queue a message, or drop it unless exactly this incarnation can be reached."""
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
@@ -27,6 +27,7 @@
     LogEvent,
     MessageReceived,
     Order,
+    OrderAnswer,
     OrderStart,
     OrderStop,
     PeerConnected,
@@ -197,12 +198,29 @@
                 pass
 
     async def _send_order(self, order: Order) -> None:
+        """Send an order and queue its answer; an unexpected error counts as no answer."""
+        try:
+            answer = await self._carry_out(order)
+        except Exception:
+            logger.exception("order_failed", extra=_describe_order(order))
+            answer = no_answer_to(order)
+        self.post(answer)
+
+    async def _carry_out(self, order: Order) -> OrderAnswer:
         match order:
             case OrderStart():
-                self.post(await self._workers.start(order))
+                return await self._workers.start(order)
             case OrderStop():
-                self.post(await self._workers.stop(order))
+                return await self._workers.stop(order)
             case Poll():
-                self.post(await self._workers.poll(order))
+                return await self._workers.poll(order)
             case AskAdvice():
-                self.post(await self._workers.advise(order))
+                return await self._workers.advise(order)
+
+
+def _describe_order(order: Order) -> dict[str, str]:
+    """Return the fields of a log line about an order."""
+    kind = type(order).__name__
+    if isinstance(order, AskAdvice):
+        return {"kind": kind, "job": order.step.job}
+    return {"kind": kind, "worker": order.life.id, "address": order.address}
--- a/packages/daemon/src/bulrushhollow_daemon/runtime.py
+++ b/packages/daemon/src/bulrushhollow_daemon/runtime.py
@@ -39,10 +39,18 @@
 )
 from bulrushhollow_core.outcomes import Refusal
 from bulrushhollow_core.platform import PlatformCall, StartTask
-from bulrushhollow_core.requests import Arrival, Dispatch, FinishRequest, Forward, ProposeSettlement
+from bulrushhollow_core.requests import (
+    Arrival,
+    AttemptEnd,
+    AttemptResult,
+    Dispatch,
+    FinishRequest,
+    Forward,
+    ProposeSettlement,
+)
 from bulrushhollow_daemon import clock
 from bulrushhollow_daemon.api import RequestAnswer
-from bulrushhollow_daemon.dispatch import Dispatcher
+from bulrushhollow_daemon.dispatch import AttemptAnswer, Dispatcher
 from bulrushhollow_daemon.exceptions import PlatformUnreachableError
 from bulrushhollow_daemon.in_flight import InFlightRequest, InFlightRequests
 from bulrushhollow_daemon.journal import Journal, apply_rewrites
@@ -224,9 +232,15 @@
         span_name = "forward" if isinstance(dispatch, Forward) else "dispatch"
         call = request.call
         with self._tracer.span(span_name, call.traceparent, request=call.request_id) as span:
-            answer = await self._dispatcher.send(
-                dispatch, call.body, request.profile, span.headers()
-            )
+            try:
+                answer = await self._dispatcher.send(
+                    dispatch, call.body, request.profile, span.headers()
+                )
+            except Exception:
+                logger.exception("attempt_failed", extra={"address": dispatch.address})
+                # The request may have been sent before the error.
+                lost = AttemptResult(AttemptEnd.LOST, detail="the attempt failed unexpectedly")
+                answer = AttemptAnswer(lost)
         request.attempts_in_flight -= 1
         request.store_answer(dispatch.attempt, answer)
         self.post(AttemptFinished(dispatch.request_id, dispatch.attempt, answer.result))
@@ -239,6 +253,8 @@
                 answer = await self._platform.sync(call, span.headers())
         except (PlatformUnreachableError, TimeoutError) as error:
             logger.warning("platform_unreachable", extra={"detail": str(error)})
+        except Exception:
+            logger.exception("platform_call_failed")
         self.post(PlatformAnswered(answer))
 
     def _platform_span(self, call: PlatformCall) -> AbstractContextManager[Span]:
