Let only announcements of named services replace workers

Cause: a later start time at the same address, or under the same id, counted as proof that the earlier life is over. Nothing compared the announced service with the configuration.

Evidence: the second runs start 36 ms after the heartbeat, in the step that logs worker_lost with the reason 'outlived'. Ruled out: the foreign worker gets no task, and the lease of the live one has not run out.

Change: an announcement of an unnamed service replaces nobody and changes no other worker, on both ways in. A worker whose service was removed counts as long as it answers or has runs.

--- a/packages/core/src/bulrushhollow_core/domain/_call_handler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_call_handler.py
@@ -325,6 +325,14 @@
             return ImmediateAnswer(
                 Malformed(reason), (_announcement_refused(announcement, reason),)
             )
+        reason = scheduler.find_disregard_reason(announcement)
+        if reason:
+            refused = _announcement_refused(announcement, reason)
+            if announcement.availability is Availability.DRAINING:
+                # The answer to a worker that drains promises that it gets no more work.
+                refusal = Refused(RefusalReason.UNKNOWN_SERVICE, CONFIGURATION_RETRY_AFTER)
+                return ImmediateAnswer(refusal, (refused,))
+            return ImmediateAnswer(self._announced(scheduler), (refused,))
         scheduler.worker_announced(announcement, now)
         if (
             announcement.availability is Availability.DRAINING
@@ -340,12 +348,14 @@
         self, announcements: tuple[WorkerNews, ...], scheduler: Scheduler, now: Seconds
     ) -> ImmediateAnswer:
         """Handle a batch of announcements; one that is invalid does not affect the others."""
-        errors = [(news, find_announcement_error(news)) for news in announcements]
-        for news, error in errors:
-            if not error:
+        refused: list[LogEvent] = []
+        for news in announcements:
+            reason = find_announcement_error(news) or scheduler.find_disregard_reason(news)
+            if reason:
+                refused.append(_announcement_refused(news, reason))
+            else:
                 scheduler.worker_announced(news, now)
-        refused = tuple(_announcement_refused(news, error) for news, error in errors if error)
-        return ImmediateAnswer(self._announced(scheduler), refused)
+        return ImmediateAnswer(self._announced(scheduler), tuple(refused))
 
     def _announced(self, scheduler: Scheduler) -> Done:
         """Return the answer to announcements, with the instances to which later ones go."""
@@ -359,6 +369,7 @@
         Event.ANNOUNCEMENT_REFUSED,
         worker=announcement.life.id[:MAX_LOGGED_TEXT],
         address=announcement.address[:MAX_LOGGED_TEXT],
+        service=announcement.service[:MAX_LOGGED_TEXT],
         reason=reason,
     )
 
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler.py
@@ -138,24 +138,51 @@
         if question is not None:
             self._shared.outbox.append(question)
 
+    def find_disregard_reason(self, announcement: WorkerNews) -> str:
+        """
+        Return why an announcement says nothing about the workers of the domain, or an empty text.
+
+        Until the first configuration no service is named. Announcements count as well then, unless
+        they contradict what is known.
+        """
+        if self._shared.names_service(announcement.service):
+            return ""
+        known = self._shared.fleet.get(announcement.life)
+        if known is not None and known.announcement is not None:
+            if known.announcement.service != announcement.service:
+                return "the worker has announced another service"
+            if self._shared.is_vouched_for(known):
+                return ""
+        if self._shared.state.configuration is not None:
+            return "the configuration names no such service"
+        if self._shared.fleet.rivals_of(announcement):
+            return "its id or address is taken, and no service is named yet"
+        return ""
+
     def worker_announced(self, announcement: WorkerNews, now: Seconds) -> None:
         """Handle an announcement, unless it is late, repeated, or of a life that is over."""
         life = announcement.life
-        last_sequence = self._shared.fleet.sequence_by_life.get(life, -1)
+        known = self._shared.fleet.get(life)
+        is_late = announcement.sequence <= self._shared.fleet.sequence_by_life.get(life, -1)
+        if is_late and known is not None and not self._shared.is_vouched_for(known):
+            # The latest number may come from an announcement that another system made.
+            is_late = not self._shared.names_service(announcement.service)
+        rivals = self._shared.fleet.rivals_of(announcement)
         if (
-            life in self._shared.departed_lives
-            or announcement.sequence <= last_sequence
-            or self._shared.fleet.is_superseded(announcement)
+            is_late
+            or life in self._shared.departed_lives
+            or any(
+                rival.life.born > life.born and self._shared.is_vouched_for(rival)
+                for rival in rivals
+            )
         ):
             return
         self._shared.fleet.sequence_by_life[life] = announcement.sequence
-        is_new = self._shared.fleet.get(life) is None
+        is_new = known is None
         worker = self._shared.fleet.get_or_create(life, announcement.address, now)
         worker.record_clock(announcement.clock, now)
-        for earlier in self._shared.fleet.superseded_by(announcement):
-            if earlier.life.id == life.id:
-                self._loss_handler.transfer_runs(earlier, worker, now)
-            self._loss_handler.declare_lost(earlier, "outlived", now)
+        if self._shared.names_service(announcement.service):
+            self._replace_rivals(worker, rivals, now)
         previous = worker.announcement
         self._shared.fleet.record_announcement(worker, announcement, now)
         self._shared.propose_registration(announcement)
@@ -171,6 +198,16 @@
         if announcement.availability is Availability.DRAINING:
             worker.leaves_at = Seconds(now + announcement.remaining)
 
+    def _replace_rivals(self, worker: Worker, rivals: list[Worker], now: Seconds) -> None:
+        """Handle that a worker has taken over its id or address from earlier lives."""
+        for rival in rivals:
+            if not self._shared.is_vouched_for(rival):
+                self._shared.forget_foreign_worker(rival.life)
+                continue
+            if rival.life.id == worker.life.id:
+                self._loss_handler.transfer_runs(rival, worker, now)
+            self._loss_handler.declare_lost(rival, "outlived", now)
+
     def deregister(self, life: WorkerLife, now: Seconds) -> None:
         """Handle that a worker leaves now; its runs end with it."""
         worker = self._shared.fleet.get(life)
--- a/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
@@ -28,6 +28,7 @@
     RegisterWorker,
     RunEnd,
     RunNumber,
+    ServiceName,
     StepRef,
     TaskRef,
     WorkerLife,
@@ -179,6 +180,32 @@
             self.pending_registrations.add(announcement.life)
             self.proposals.append(RegisterWorker(announcement.without_times()))
 
+    def names_service(self, service: ServiceName) -> bool:
+        """Return whether the configuration in force names a service."""
+        index = self.state.configuration_index
+        return index is not None and service in index.services
+
+    def is_vouched_for(self, worker: Worker) -> bool:
+        """
+        Return whether more than its own announcement shows that a worker belongs to the domain.
+
+        Other systems may announce machines of the domain as their own, under services that the
+        configuration does not name. A worker whose service was removed still counts if it answers
+        orders or has runs.
+        """
+        announcement = worker.announcement
+        return (
+            announcement is None
+            or self.names_service(announcement.service)
+            or worker.has_answered_poll
+            or bool(worker.runs_by_task)
+        )
+
+    def forget_foreign_worker(self, life: WorkerLife) -> None:
+        """Remove a worker that nothing vouches for; a later announcement of this life is new."""
+        self.fleet.sequence_by_life.pop(life, None)
+        self.forget_worker(life)
+
     def forget_worker(self, life: WorkerLife) -> None:
         """Remove a worker, and propose to remove it from the replicated state."""
         self.fleet.remove(life)
--- a/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
@@ -378,19 +378,9 @@
         """Return the known lives under an id."""
         return frozenset(self._lives_by_id.get(worker_id, ()))
 
-    def superseded_by(self, announcement: WorkerNews) -> list[Worker]:
-        """Return the workers whose lives are over since a later life made an announcement."""
-        lives = self._conflicting_lives(announcement)
-        return [self.workers_by_life[life] for life in lives if life.born < announcement.life.born]
-
-    def is_superseded(self, announcement: WorkerNews) -> bool:
-        """Return whether an announcement comes from a life that a later life has replaced."""
-        return any(
-            life.born > announcement.life.born for life in self._conflicting_lives(announcement)
-        )
-
-    def _conflicting_lives(self, announcement: WorkerNews) -> list[WorkerLife]:
-        """Return the other known lives under the same id or address, in a fixed order."""
+    def rivals_of(self, announcement: WorkerNews) -> list[Worker]:
+        """Return the other workers under the same id or address, in a fixed order."""
         lives_at_address = self._lives_by_address.get(announcement.address, set())
         lives = (self.lives_of(announcement.life.id) | lives_at_address) - {announcement.life}
-        return sorted(lives, key=lambda life: (life.id, life.born))
+        ordered = sorted(lives, key=lambda life: (life.id, life.born))
+        return [self.workers_by_life[life] for life in ordered]
--- a/packages/core/src/bulrushhollow_core/domain/model/_calls.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_calls.py
@@ -137,6 +137,8 @@
     """A gang or a single task of the job needs more than its workspace's cap."""
     OVERLOADED = "overloaded"
     """The job could not end before its result loses its value."""
+    UNKNOWN_SERVICE = "unknown_service"
+    """The configuration in force names no such service."""
     EXPLAINING = "explaining"
     """The leader has explained another placement just before."""
 
--- a/packages/core/src/bulrushhollow_core/domain/model/_configuration.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_configuration.py
@@ -154,6 +154,7 @@
         self.checks_admission_by_service = {
             service.name: service.checks_admission for service in configuration.services
         }
+        self.services = frozenset(self.checks_admission_by_service)
         self.has_weights = any(workspace.weight > 0 for workspace in configuration.workspaces)
         self._workspaces_by_key = {
             key: workspace.name for workspace in configuration.workspaces for key in workspace.keys
