Execute no call whose caller has stopped waiting for it

What callers saw: the end of an evacuation was sent to a core machine that had just frozen, and acknowledged by another one a second later. The zone was evacuated again.

Cause: an order was executed whenever it was read. Nothing in it tells its age, and neither the process that reads it nor the leader asked whether its caller could still be waiting.

Evidence: the frozen machine answers '/Evacuations.Finish' after the wake, in a few milliseconds. Ruled out: it does not act on its old log, and the second evacuation is in force until the wake. How long a call had waited was not logged; process_paused and call_outdated tell it now.

Change: submissions, cancellations, evacuations, and deregistrations without a start time are dated. Late checks of a process show for how long it stood still; what it reads then may have waited as long, and its caller's time is shortened by it. A call whose caller has closed its connection is not passed on. Each attempt carries its end on the leader's clock, which is estimated from its answers. A cancellation of a submission that is proposed and not yet committed follows it in the log; it was answered with 'no such job' before. The head of a control call must arrive within a second.

--- a/packages/core/src/bulrushhollow_core/domain/__init__.py
+++ b/packages/core/src/bulrushhollow_core/domain/__init__.py
@@ -8,6 +8,7 @@
 """
 
 from bulrushhollow_core.domain._node import (
+    NEVER,
     CallReceived,
     DomainNode,
     Input,
@@ -35,6 +36,7 @@
     Done,
     Evacuate,
     Event,
+    Expired,
     ExplainPlacement,
     IssuedTicket,
     JobShown,
@@ -86,6 +88,7 @@
     announcement_target,
     find_announcement_error,
     find_invalidity,
+    is_dated,
     log_event,
     no_answer_to,
 )
@@ -110,6 +113,7 @@
     "Done",
     "ListedEnd",
     "Evacuate",
+    "Expired",
     "Event",
     "ExplainPlacement",
     "IssuedTicket",
@@ -120,6 +124,7 @@
     "NoSuchJob",
     "NoSuchQueue",
     "NotAllowed",
+    "NEVER",
     "NotLeader",
     "LogEvent",
     "Occurrence",
@@ -166,6 +171,7 @@
     "Workspace",
     "announcement_target",
     "find_invalidity",
+    "is_dated",
     "log_event",
     "find_announcement_error",
     "no_answer_to",
--- a/packages/core/src/bulrushhollow_core/domain/_call_handler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_call_handler.py
@@ -135,7 +135,7 @@
             case Submit():
                 return self._submit_job(call, state, scheduler, now, wall)
             case Cancel():
-                return self._cancel_job(call, state, wall)
+                return self._cancel_job(call, state, scheduler.admission, wall)
             case Read():
                 return self._read_state(call, state)
             case PutConfig():
@@ -259,12 +259,16 @@
         )
 
     def _cancel_job(
-        self, call: Cancel, state: DomainState, wall: WallTime
+        self, call: Cancel, state: DomainState, admission: AdmissionController, wall: WallTime
     ) -> ImmediateAnswer | DeferredAnswer:
         authorization = self._authorize(call, state)
         if not isinstance(authorization, _AuthorizedCall):
             return ImmediateAnswer(authorization)
-        job = state.jobs_by_id.get(JobId(authorization.path_rest))
+        job_id = JobId(authorization.path_rest)
+        job = state.jobs_by_id.get(job_id)
+        if job is None and admission.is_proposed(job_id):
+            # The submission may still commit, and its entry precedes this one.
+            return DeferredAnswer(CancelJob(job_id, wall), self._done)
         if job is None or job.state in (JobState.DONE, JobState.FAILED):
             return ImmediateAnswer(NoSuchJob())
         if job.state is JobState.CANCELLED:
--- a/packages/core/src/bulrushhollow_core/domain/_node.py
+++ b/packages/core/src/bulrushhollow_core/domain/_node.py
@@ -6,6 +6,7 @@
 the scheduler.
 """
 
+import math
 import random
 from collections.abc import Sequence
 
@@ -35,6 +36,7 @@
     Command,
     DomainSettings,
     Event,
+    Expired,
     NotLeader,
     OrderAnswer,
     OutcomeUnknown,
@@ -77,6 +79,10 @@
 """Payload bytes above which the commands of one step are split into several entries."""
 
 
+NEVER = Seconds(math.inf)
+"""Time of what does not expire."""
+
+
 class PeerConnected(msgspec.Struct, frozen=True):
     """
     A peer with a disk became reachable.
@@ -107,10 +113,15 @@
 
 
 class CallReceived(msgspec.Struct, frozen=True):
-    """A call arrived from a caller, an operator or a worker."""
+    """
+    A call arrived from a caller, an operator or a worker.
+
+    :param expires_at: when it must no longer be executed, on the clock of this instance.
+    """
 
     id: CallId
     call: Call
+    expires_at: Seconds = NEVER
 
 
 class StopRequested(msgspec.Struct, frozen=True):
@@ -252,8 +263,11 @@
                 self._handle_log_actions(self._log.peer_disconnected(peer, now, has_ended), now)
             case StopRequested():
                 self._handle_log_actions(self._log.transfer_leadership(now), now)
-            case CallReceived(id=call_id, call=call):
-                self._handle_call(call_id, call, now, wall)
+            case CallReceived(id=call_id, call=call, expires_at=expires_at):
+                if now < expires_at:
+                    self._handle_call(call_id, call, now, wall)
+                else:
+                    self._refuse_expired(event, now)
             case _ if self.scheduler is None:
                 pass
             case StartAnswered():
@@ -296,6 +310,11 @@
         self._call_commands.append(result.command)
         self._unproposed_calls.append(_PendingCall(call_id, result.answer))
 
+    def _refuse_expired(self, received: CallReceived, now: Seconds) -> None:
+        late = round(now - received.expires_at, 3)
+        expired = log_event(Event.CALL_EXPIRED, call=type(received.call).__name__, late=late)
+        self._actions.extend((expired, Reply(received.id, Expired())))
+
     # The log.
 
     def _propose_commands(self, now: Seconds) -> None:
--- a/packages/core/src/bulrushhollow_core/domain/model/__init__.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/__init__.py
@@ -22,6 +22,7 @@
     Deregister,
     Done,
     Evacuate,
+    Expired,
     ExplainPlacement,
     JobShown,
     Malformed,
@@ -40,6 +41,7 @@
     Refused,
     Serving,
     Submit,
+    is_dated,
 )
 from bulrushhollow_core.domain.model._commands import (
     CancelJob,
@@ -149,6 +151,7 @@
     "DrainWorker",
     "EndRuns",
     "Evacuate",
+    "Expired",
     "Event",
     "ExplainPlacement",
     "ForgetWorker",
@@ -223,6 +226,7 @@
     "encode_commands",
     "find_announcement_error",
     "find_invalidity",
+    "is_dated",
     "log_event",
     "no_answer_to",
     "total_of",
--- a/packages/core/src/bulrushhollow_core/domain/model/_calls.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_calls.py
@@ -126,6 +126,18 @@
 )
 
 
+def is_dated(call: Call) -> bool:
+    """
+    Return whether a call must not be executed late, since its caller may have changed the same
+    thing elsewhere meanwhile. Configurations, announcements and lives of workers are numbered.
+    """
+    match call:
+        case Submit() | Cancel() | Evacuate() | Deregister(born=None):
+            return True
+        case _:
+            return False
+
+
 class RefusalReason(Enum):
     """Why a call was refused, without any effect."""
 
@@ -171,6 +183,10 @@
     """The call may have taken effect, or may still do so; it is safe to repeat it."""
 
 
+class Expired(msgspec.Struct, frozen=True, array_like=True, tag="expired"):
+    """The call arrived too late. It has had no effect and will have none."""
+
+
 class NotLeader(msgspec.Struct, frozen=True, array_like=True, tag="not_leader"):
     """
     The call has had no effect on this instance, which does not lead.
@@ -246,6 +262,7 @@
     Done
     | Refused
     | OutcomeUnknown
+    | Expired
     | NotLeader
     | NoSuchQueue
     | NotAllowed
--- a/packages/core/src/bulrushhollow_core/domain/model/_events.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_events.py
@@ -34,6 +34,8 @@
     """An announcement that cannot come from a worker of the domain."""
     CALL_FAILED = "call_failed"
     """An unexpected error ended a call; other calls are not affected."""
+    CALL_EXPIRED = "call_expired"
+    """A call arrived after its caller had stopped waiting, and was not executed."""
     WORKER_HEARD = "worker_heard"
     WORKER_LOST = "worker_lost"
     WORKER_QUARANTINED = "worker_quarantined"
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_core.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_core.py
@@ -16,7 +16,7 @@
 from prometheus_client import CollectorRegistry
 
 from bulrushhollow_core.consensus import ConsensusRecord, Restorer
-from bulrushhollow_core.domain import Answer, Call, DomainNode
+from bulrushhollow_core.domain import DomainNode
 from bulrushhollow_core.ids import InstanceName, Seconds, name_of
 from bulrushhollow_daemon import clock
 from bulrushhollow_daemon.caller_server import ServerLimits, make_caller_server
@@ -37,6 +37,7 @@
     MessageBatch,
     PeerInfo,
     RpcServer,
+    answer_request,
 )
 from bulrushhollow_daemon.domain._runtime import CoreRuntime
 from bulrushhollow_daemon.domain._settings import InstanceSettings
@@ -46,8 +47,9 @@
 from bulrushhollow_daemon.journal import Journal
 from bulrushhollow_daemon.supervision import keep_running
 
-CONTROL_HEADER_TIMEOUT = Seconds(5.0)
-"""Seconds within which the head of a control call must arrive; such a head is small."""
+CONTROL_HEADER_TIMEOUT = Seconds(1.0)
+"""Seconds within which the head of a control call must arrive; such a head is small, and its sender
+waits no longer."""
 
 CONTROL_IDLE_TIMEOUT = Seconds(30.0)
 """Seconds for which an idle control connection is kept; workers announce themselves every second
@@ -117,7 +119,7 @@
         self._peers = Peers(
             settings.address, settings.peer_port, self._describe_self, self._runtime
         )
-        self._leader = LeaderClient(settings.peer_port, (settings.address, self._answer_local))
+        self._leader = LeaderClient(settings.peer_port, (settings.address, self._runtime.ask))
         self._control_application = make_control(self._leader, CallMetrics(self._registry))
 
     async def run(self) -> None:
@@ -144,6 +146,7 @@
                     logger.info("log_founded")
                 tasks.start_soon(self._runtime.run, self._peers)
                 tasks.start_soon(keep_running, self._poll_members)
+                tasks.start_soon(keep_running, self._leader.pauses.run)
                 tasks.start_soon(
                     keep_running,
                     watch_settings,
@@ -254,8 +257,5 @@
             self._runtime.receive_messages(batch.sender.instance, batch.messages)
         return self._describe_self()
 
-    async def _answer_local(self, call: Call) -> Answer:
-        return await self._runtime.ask(call)
-
     async def _on_ask(self, request: AskRequest) -> AskResponse:
-        return AskResponse(await self._runtime.ask(request.call))
+        return await answer_request(request, self._node.me, self._runtime.ask)
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_entry.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_entry.py
@@ -108,6 +108,7 @@
         self._apply_settings(self._settings)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(keep_running, self._probe_leader)
+            tasks.start_soon(keep_running, self._leader.pauses.run)
             tasks.start_soon(
                 keep_running,
                 watch_settings,
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_leader.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_leader.py
@@ -16,6 +16,8 @@
 from bulrushhollow_core.domain import (
     Answer,
     Call,
+    Deregister,
+    Expired,
     ExplainPlacement,
     NoSuchQueue,
     NotAllowed,
@@ -27,10 +29,13 @@
     RefusalReason,
     Refused,
     Serving,
+    is_dated,
 )
 from bulrushhollow_core.ids import Seconds
 from bulrushhollow_daemon import clock
 from bulrushhollow_daemon.domain._rpc import CallFailure, RpcClient
+from bulrushhollow_daemon.http_messages import CallerDisconnectedError, Request
+from bulrushhollow_daemon.pauses import PauseDetector
 
 ATTEMPT_TIMEOUT = Seconds(0.7)
 """Seconds for one attempt. A commit takes some 20 ms, ten times that on a slow disk."""
@@ -98,14 +103,14 @@
     Finds the leader and sends calls to it.
 
     :param port: port of the peer protocol, the same on every instance.
-    :param local_handler: address of this process, and a function that answers calls in it; None
-        for a process that never leads.
+    :param local_handler: address of this process, and a function that answers calls in it unless
+        they expire before; None for a process that never leads.
     """
 
     def __init__(
         self,
         port: int,
-        local_handler: tuple[str, Callable[[Call], Awaitable[Answer]]] | None = None,
+        local_handler: tuple[str, Callable[[Call, Seconds], Awaitable[Answer]]] | None = None,
     ) -> None:
         """Start without a known leader."""
         self._port = port
@@ -119,6 +124,8 @@
         self._quorum_reached_at = Seconds(clock.now() + EXPECTED_OUTAGE - QUORUM_MEMORY)
         """Reading of this process's clock when an instance last reached a quorum. A quorum is
         expected as long as a leader after the start of this process."""
+        self.pauses = PauseDetector()
+        """Pauses of this process; its owner runs the checks."""
         self._is_searching = False
         self._retry_at_by_address: dict[str, Seconds] = {}
         self.address: str | None = None
@@ -140,6 +147,32 @@
             self._probe_answer, self._probe_answered_at = answer, clock.now()
             self.add_candidates(answer.instances)
 
+    async def relay(self, call: Call, request: Request, deadline: Seconds) -> Answer:
+        """
+        Return the leader's answer to a call that has just been read from a connection.
+
+        A call that must not be executed late is not passed on if it may have waited so long to be
+        read that its caller waits no longer.
+
+        :param deadline: when the caller stops waiting if the call was read at once.
+        :raises CallerDisconnectedError: if the caller has closed its connection already.
+        """
+        if not is_dated(call):
+            return await self.ask(call, deadline)
+        waited = self.pauses.longest_wait(clock.now())
+        # A worker that leaves may end without waiting for the answer.
+        if not isinstance(call, Deregister) and await request.is_disconnected():
+            self._log_outdated(call, waited, "the caller has closed its connection")
+            raise CallerDisconnectedError
+        if clock.now() + waited >= deadline:
+            self._log_outdated(call, waited, "the process was paused")
+            return OutcomeUnknown()
+        return await self.ask(call, Seconds(deadline - waited))
+
+    def _log_outdated(self, call: Call, waited: Seconds, reason: str) -> None:
+        fields = {"kind": type(call).__name__, "waited": round(waited, 3), "reason": reason}
+        logger.warning("call_outdated", extra=fields)
+
     async def ask(self, call: Call, deadline: Seconds) -> Answer:
         """
         Return the leader's answer to a call.
@@ -165,6 +198,8 @@
                 self._mark_failed(address, answer.detail)
             elif isinstance(answer, NotLeader):
                 self._follow_redirect(address, answer)
+            elif isinstance(answer, Expired):
+                logger.warning("attempt_expired", extra={"leader": address})
             elif isinstance(answer, OutcomeUnknown):
                 is_outcome_unknown = True
                 self._mark_failed(address, "outcome unknown")
@@ -289,7 +324,7 @@
     async def _ask_at(self, address: str, call: Call, timeout: Seconds) -> Answer | CallFailure:
         if self._local_handler is not None and address == self._local_handler[0]:
             with anyio.move_on_after(timeout):
-                return await self._local_handler[1](call)
+                return await self._local_handler[1](call, Seconds(clock.now() + timeout))
             return CallFailure(was_sent=True, detail="no answer in time")
         client = self._clients_by_address.get(address)
         if client is None:
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_rpc.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_rpc.py
@@ -20,8 +20,9 @@
 from h2.exceptions import H2Error
 
 from bulrushhollow_core.consensus import ConsensusMessage
-from bulrushhollow_core.domain import Answer, Call
+from bulrushhollow_core.domain import NEVER, Answer, Call, Expired, Probe, is_dated
 from bulrushhollow_core.ids import InstanceId, Seconds
+from bulrushhollow_daemon import clock
 from bulrushhollow_daemon.codec import StructCodec
 
 CONNECTION_ERRORS = (
@@ -41,6 +42,15 @@
 """Seconds within which a connection must open. It stays inside one region, where a round trip
 takes about a millisecond."""
 
+MAX_CLOCK_DRIFT = 0.02
+"""Seconds by which the clocks of two processes drift apart in a second at most."""
+
+MAX_CLOCK_READINGS = 2
+"""Attempts of one call; the second one follows a restart of the recipient."""
+
+UNKNOWN_INSTANCE = InstanceId("")
+"""Stands for an incarnation that an earlier version does not name."""
+
 DELIVER_METHOD = "/bulrushhollow.Domain/Deliver"
 ASK_METHOD = "/bulrushhollow.Domain/Ask"
 
@@ -74,16 +84,82 @@
     messages: tuple[ConsensusMessage, ...]
 
 
+class CallExpiry(msgspec.Struct, frozen=True, array_like=True):
+    """
+    When a call must no longer be executed.
+
+    :param instance: incarnation of the recipient whose clock the time is on.
+    :param at: reading of that clock.
+    """
+
+    instance: InstanceId
+    at: Seconds
+
+
 class AskRequest(msgspec.Struct, frozen=True, array_like=True):
-    """A call for the leader."""
+    """
+    A call for the leader.
+
+    :param expiry: when it must no longer be executed; None if it may be executed at any time.
+    """
 
     call: Call
+    expiry: CallExpiry | None = None
 
 
 class AskResponse(msgspec.Struct, frozen=True, array_like=True):
-    """The answer to a call for the leader."""
+    """
+    The answer to a call for the leader.
+
+    :param instance: incarnation that answers; empty if it is an earlier version.
+    :param clock: reading of its clock when it answered.
+    """
 
     answer: Answer
+    instance: InstanceId = UNKNOWN_INSTANCE
+    clock: Seconds = Seconds(0.0)
+
+
+class PeerClock:
+    """
+    Estimates the clock of another process from readings in its answers.
+
+    A reading is as old as its way back took, so each estimate is behind the true value. The
+    greatest is used, as far as the clocks may have drifted apart since.
+    """
+
+    def __init__(self, instance: InstanceId, reading: Seconds, now: Seconds) -> None:
+        """Start from a first reading, which arrived now."""
+        self.instance = instance
+        self._offset = reading - now
+        self._updated_at = now
+
+    def update(self, reading: Seconds, now: Seconds) -> None:
+        """Record a reading that arrived now."""
+        drifted = self._offset - MAX_CLOCK_DRIFT * (now - self._updated_at)
+        self._offset = max(reading - now, drifted)
+        self._updated_at = now
+
+    def expiry(self, at: Seconds) -> CallExpiry:
+        """Return the expiry of a call at a time of this process's clock."""
+        return CallExpiry(self.instance, Seconds(at + self._offset))
+
+
+async def answer_request(
+    request: AskRequest,
+    me: InstanceId,
+    answer_call: Callable[[Call, Seconds], Awaitable[Answer]],
+) -> AskResponse:
+    """
+    Answer a call on the instance that received it.
+
+    :param answer_call: answers a call, unless that is later than a time of this process's clock.
+    """
+    answer: Answer = Expired()
+    expiry = request.expiry
+    if expiry is None or expiry.instance == me:
+        answer = await answer_call(request.call, expiry.at if expiry else NEVER)
+    return AskResponse(answer, me, clock.now())
 
 
 class CallFailure(msgspec.Struct, frozen=True):
@@ -164,6 +240,7 @@
         self._port = port
         self._codec = StructCodec()
         self._channel: grpclib.client.Channel | None = None
+        self._peer_clock: PeerClock | None = None
 
     async def deliver(self, batch: MessageBatch, timeout: Seconds) -> PeerInfo | CallFailure:
         """Deliver messages of the log, and return the description of their recipient."""
@@ -172,9 +249,44 @@
         return result
 
     async def ask(self, call: Call, timeout: Seconds) -> Answer | CallFailure:
-        """Send a call, and return its answer."""
-        result = await self._call(ASK_METHOD, AskRequest, AskResponse, AskRequest(call), timeout)
-        return result.answer if isinstance(result, AskResponse) else result
+        """
+        Send a call, and return its answer.
+
+        A call that must not be executed late carries the time at which this attempt ends, on the
+        clock of the recipient. That clock is read first if it is unknown, or after a restart.
+        """
+        ends_at = Seconds(clock.now() + timeout)
+        if not is_dated(call):
+            return await self._ask(AskRequest(call), timeout)
+        answer: Answer | CallFailure = Expired()
+        for _ in range(MAX_CLOCK_READINGS):
+            if self._peer_clock is None:
+                probed = await self._ask(AskRequest(Probe()), Seconds(ends_at - clock.now()))
+                if isinstance(probed, CallFailure):
+                    return msgspec.structs.replace(probed, was_sent=False)
+            expiry = self._peer_clock.expiry(ends_at) if self._peer_clock is not None else None
+            timeout = Seconds(max(0.0, ends_at - clock.now()))
+            answer = await self._ask(AskRequest(call, expiry), timeout)
+            if not isinstance(answer, Expired):
+                break
+        return answer
+
+    async def _ask(self, request: AskRequest, timeout: Seconds) -> Answer | CallFailure:
+        response = await self._call(ASK_METHOD, AskRequest, AskResponse, request, timeout)
+        if not isinstance(response, AskResponse):
+            assert isinstance(response, CallFailure)
+            return response
+        self._record_clock(response)
+        return response.answer
+
+    def _record_clock(self, response: AskResponse) -> None:
+        now = clock.now()
+        if response.instance == UNKNOWN_INSTANCE:
+            self._peer_clock = None
+        elif self._peer_clock is None or self._peer_clock.instance != response.instance:
+            self._peer_clock = PeerClock(response.instance, response.clock, now)
+        else:
+            self._peer_clock.update(response.clock, now)
 
     def close(self) -> None:
         """Close the connection; the next call opens a new one."""
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
@@ -17,6 +17,7 @@
 from bulrushhollow_core.actions import Send
 from bulrushhollow_core.consensus import ConsensusRecord
 from bulrushhollow_core.domain import (
+    NEVER,
     Answer,
     AskAdvice,
     Call,
@@ -38,7 +39,7 @@
     WallTime,
     no_answer_to,
 )
-from bulrushhollow_core.ids import InstanceId
+from bulrushhollow_core.ids import InstanceId, Seconds
 from bulrushhollow_daemon import clock
 from bulrushhollow_daemon.domain._metrics import CoreMetrics
 from bulrushhollow_daemon.domain._peers import Peers
@@ -82,14 +83,18 @@
         self._last_call_number = 0
         self._waiters_by_call: dict[CallId, Waiter[Answer]] = {}
 
-    async def ask(self, call: Call) -> Answer:
-        """Feed a call to the node, and return its answer."""
+    async def ask(self, call: Call, expires_at: Seconds = NEVER) -> Answer:
+        """
+        Feed a call to the node, and return its answer.
+
+        :param expires_at: when it must no longer be executed.
+        """
         self._last_call_number += 1
         call_id = CallId(self._last_call_number)
         waiter: Waiter[Answer] = Waiter()
         self._waiters_by_call[call_id] = waiter
         try:
-            self.post(CallReceived(call_id, call))
+            self.post(CallReceived(call_id, call, expires_at))
             return await waiter.wait()
         finally:
             del self._waiters_by_call[call_id]
--- a/packages/daemon/src/bulrushhollow_daemon/http_messages.py
+++ b/packages/daemon/src/bulrushhollow_daemon/http_messages.py
@@ -10,6 +10,7 @@
 from urllib.parse import parse_qs
 
 import anyio
+import anyio.lowlevel
 import msgspec
 
 from bulrushhollow_core.outcomes import Execution, Reason, Refusal
@@ -48,6 +49,9 @@
 
 SERVICE_UNAVAILABLE = 503
 
+EOF_TURNS = 4
+"""Turns of the event loop in which the end of a connection is read that has arrived already."""
+
 
 class CallerDisconnectedError(Exception):
     """The caller closed its connection before its request was complete or answered."""
@@ -98,6 +102,20 @@
                     return bytes(body)
         return Refusal(Reason.DEADLINE, f"the body did not arrive within {timeout} s")
 
+    async def is_disconnected(self) -> bool:
+        """
+        Return whether the caller has closed its connection; only valid after the body was read.
+
+        The end of a connection may be read up to two turns of the event loop after the last bytes,
+        even if both have arrived together.
+        """
+        for _ in range(EOF_TURNS):
+            await anyio.lowlevel.checkpoint()
+        with anyio.move_on_after(0):
+            message = await self._receive()
+            return bool(message["type"] == "http.disconnect")
+        return False
+
     async def wait_disconnected(self) -> None:
         """Wait until the caller closes its connection; only valid after the body was read."""
         while (await self._receive())["type"] != "http.disconnect":
