Let a step return to workers on which it has failed

Cause: a failure excluded its worker from the step until the job ended or the leader changed, and nothing looked whether any worker was left.

Evidence: capacity shows one waiting task and 24 usable workers until the end, and nothing is placed. Ruled out: a quarantine, which one failed job does not cause. That suspect workers are kept from a last attempt has the same effect, but the long-running form of the case has no last attempt.

Change: such workers are excluded for ten seconds while others may run the step, else for 2.5, before a last attempt for six, and for one second from long-running steps; after that they are used if no others have room. The same holds for suspect workers before a last attempt. A quarantine ends early if a waiting step has no other worker. Gangs count the workers that their full width needs.

--- a/packages/core/src/bulrushhollow_core/domain/execution/_advice.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_advice.py
@@ -52,6 +52,10 @@
         tickets = self._tickets_by_step.get(step, {})
         return frozenset(life for life, ticket in tickets.items() if _is_usable(ticket, now))
 
+    def is_denied(self, step: StepRef, life: WorkerLife) -> bool:
+        """Return whether a worker is known not to be allowed to run a step."""
+        return life in self._denied_workers_by_step.get(step, ())
+
     def ticket_for(self, step: StepRef, life: WorkerLife) -> str:
         """Return the ticket with which to start a step on a worker; empty for none."""
         ticket = self._tickets_by_step.get(step, {}).get(life)
--- a/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
@@ -231,7 +231,7 @@
             return
         if ended_run.outcome is not Outcome.FAILED:
             return
-        self._shared.exclude_worker(ended_run.task, worker.life)
+        self._shared.exclude_worker(ended_run.task, worker.life, now)
         if worker.record_failure(ended_run.task.job, now):
             self._loss_handler.log_quarantine(worker, "its tasks fail", now)
 
--- a/packages/core/src/bulrushhollow_core/domain/execution/_losses.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_losses.py
@@ -161,7 +161,7 @@
         """Stop a stalled or slow run; quarantine its worker unless the task itself is to blame."""
         if self.may_blame_worker(run.task):
             self._shared.blamed_workers_by_task.setdefault(run.task, set()).add(worker.life)
-            self._shared.exclude_worker(run.task, worker.life)
+            self._shared.exclude_worker(run.task, worker.life, now)
             if worker.quarantine(now):
                 self.log_quarantine(worker, reason, now)
         self._dispatcher.log_stop(run, reason)
--- a/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
@@ -65,8 +65,8 @@
         """Proposed starts that must not be ordered: a new configuration lowered a cap."""
         self.cap_holds_since: dict[WorkspaceId, Seconds] = {}
         """Since when a gang's reservation of a cap holds back work that it must yield to."""
-        self.excluded_workers_by_step: dict[StepRef, set[WorkerLife]] = {}
-        """Workers on which a task of the step failed, stalled or was too slow."""
+        self.excluded_workers_by_step: dict[StepRef, dict[WorkerLife, Seconds]] = {}
+        """Workers on which a task of the step failed, stalled or was too slow, with when."""
         self.blamed_workers_by_task: dict[TaskRef, set[WorkerLife]] = {}
         """Workers that were quarantined because the task stalled or was too slow there."""
         self.departed_lives: set[WorkerLife] = set(state.departed_workers)
@@ -148,9 +148,9 @@
         runs = self.fleet.runs_of(task.job)
         return (run for run in runs if run.number == number and run.task.step_ref == task.step_ref)
 
-    def exclude_worker(self, task: TaskRef, life: WorkerLife) -> None:
-        """Exclude a worker from all further tasks of a task's step."""
-        self.excluded_workers_by_step.setdefault(task.step_ref, set()).add(life)
+    def exclude_worker(self, task: TaskRef, life: WorkerLife, now: Seconds) -> None:
+        """Exclude a worker from further tasks of a task's step, for a limited time."""
+        self.excluded_workers_by_step.setdefault(task.step_ref, {})[life] = now
 
     def record_submission(self, job_id: JobId, now: Seconds) -> None:
         """Meter an accepted job."""
--- a/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
@@ -94,6 +94,9 @@
         self.polled_at = Seconds(-math.inf)
         self.backoff_until = Seconds(-math.inf)
         self.quarantined_until = Seconds(-math.inf)
+        self.quarantined_at = Seconds(-math.inf)
+        self.failed_at = Seconds(-math.inf)
+        """When work last failed on it."""
         self.leaves_at = Seconds(math.inf)
         self._quarantine = QUARANTINE_MIN
         self._failed_jobs: set[JobId] = set()
@@ -263,6 +266,7 @@
         :return: whether this put it into quarantine.
         """
         self._failed_jobs.add(job)
+        self.failed_at = now
         if len(self._failed_jobs) < FAILURES_TO_QUARANTINE:
             return False
         return self.quarantine(now)
@@ -275,11 +279,16 @@
         """
         if now < self.quarantined_until:
             return False
+        self.quarantined_at = self.failed_at = now
         self.quarantined_until = Seconds(now + self._quarantine)
         self._quarantine = Seconds(min(QUARANTINE_MAX, 2 * self._quarantine))
         self._failed_jobs.clear()
         return True
 
+    def release_from_quarantine(self, now: Seconds) -> None:
+        """End its quarantine early; it stays suspect until a task succeeds on it."""
+        self.quarantined_until = now
+
     def record_success(self) -> None:
         """Record that a task succeeded on it; this resets its failures and the next quarantine."""
         self._failed_jobs.clear()
--- a/packages/core/src/bulrushhollow_core/domain/fleet/_hosts.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_hosts.py
@@ -5,6 +5,7 @@
 Free resources of workers, as one plan counts them.
 """
 
+import math
 from collections.abc import Collection, Iterable
 
 from bulrushhollow_core.domain.model import NO_RESOURCES, Resources, ServiceName, WorkerLife
@@ -24,6 +25,7 @@
         even fleet.
     :param is_measured: whether its speed has been measured.
     :param has_crashed: whether a worker on its machine has crashed recently.
+    :param failed_at: when work last failed on it.
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         slowness: float = 1.0,
         is_measured: bool = True,
         has_crashed: bool = False,
+        failed_at: Seconds = Seconds(-math.inf),
     ) -> None:
         """Create a host with its current free resources."""
         self.life = life
@@ -56,6 +59,7 @@
         self.slowness = slowness
         self.is_measured = is_measured
         self.has_crashed = has_crashed
+        self.failed_at = failed_at
 
     def can_run(self, service: ServiceName, label: str) -> bool:
         """Return whether it runs tasks of a service that require a label; empty for any."""
--- a/packages/core/src/bulrushhollow_core/domain/placement/_demands.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_demands.py
@@ -85,18 +85,20 @@
     """
     Which workers may run the tasks of a demand.
 
-    :param excluded_workers: workers that must not run the tasks: those on which the step failed,
-        and for its last attempt all suspect ones.
+    :param excluded_workers: workers that must not run the tasks now: those on which the step has
+        failed lately, and for its last attempt all suspect ones.
     :param allowed_workers: the only workers that may run the tasks; None for no such limit.
     :param may_leave_data_rack: whether the tasks may run outside the rack of their data.
     :param is_isolated: whether one of its tasks may crash its worker, so that it prefers empty
         workers, and other jobs' tasks are kept away from those that it uses.
+    :param avoided_workers: workers that run the tasks only if no others have room for them.
     """
 
     excluded_workers: frozenset[WorkerLife] = frozenset()
     allowed_workers: frozenset[WorkerLife] | None = None
     may_leave_data_rack: bool = True
     is_isolated: bool = False
+    avoided_workers: frozenset[WorkerLife] = frozenset()
 
 
 class Timing(NamedTuple):
@@ -169,7 +171,7 @@
     def has_worker_constraints(self) -> bool:
         """Return whether it may use fewer workers than other demands of the same shape."""
         return (
-            bool(self.limits.excluded_workers)
+            bool(self.limits.excluded_workers or self.limits.avoided_workers)
             or self.limits.allowed_workers is not None
             or self.step.max_per_worker > 0
         )
--- a/packages/core/src/bulrushhollow_core/domain/placement/_host_view.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_host_view.py
@@ -5,17 +5,22 @@
 The workers that may get new work, with their free resources, as one plan starts from them.
 """
 
+from collections.abc import Callable, Iterable
 from typing import Self
 
 from bulrushhollow_core.domain.execution import SchedulerState
-from bulrushhollow_core.domain.fleet import NORMAL_SLOWNESS, Host, Reachability, Worker
+from bulrushhollow_core.domain.fleet import NORMAL_SLOWNESS, Host, Reachability, Worker, slots_in
 from bulrushhollow_core.domain.model import (
     Availability,
     Event,
+    Job,
+    ServiceName,
     WorkerNews,
     detached_copy,
     log_event,
 )
+from bulrushhollow_core.domain.placement._exclusions import exclusion_time
+from bulrushhollow_core.domain.queueing import WaitingStep
 from bulrushhollow_core.ids import DataCentreId, Seconds
 
 
@@ -37,6 +42,49 @@
         clone._shared = shared
         return clone
 
+    def release_needed_workers(
+        self, steps: Iterable[WaitingStep], service_of: Callable[[Job], ServiceName], now: Seconds
+    ) -> None:
+        """
+        End quarantines early if a waiting step has no other worker, as all that may run it have
+        failed. Steps without a worker would otherwise wait for as long as the quarantines last.
+        """
+        candidates = [
+            (worker, worker.announcement)
+            for worker in self._shared.fleet.workers_by_life.values()
+            if worker.announcement is not None
+            and self._is_eligible(worker, worker.announcement, now)
+        ]
+        if all(now >= worker.quarantined_until for worker, _ in candidates):
+            return
+        for waiting_step in steps:
+            job = waiting_step.job
+            step = job.work.steps[waiting_step.ref.step]
+            service = service_of(job)
+            capable = sorted(
+                (
+                    worker
+                    for worker, news in candidates
+                    if news.service == service
+                    and (not step.required_label or step.required_label in news.labels)
+                    and step.needs.fits(news.capacity)
+                    and not self._shared.advice.is_denied(waiting_step.ref, worker.life)
+                ),
+                key=lambda worker: worker.quarantined_at,
+            )
+            wait = exclusion_time(step.is_long_running, is_last_attempt=False)
+            # A gang needs room for all of its members at the same time.
+            missing = len(waiting_step.task_indexes) if step.is_gang else 1
+            for worker in capable:
+                if now >= worker.quarantined_until:
+                    missing -= slots_in(worker.capacity, step.needs, missing)
+            for worker in capable:
+                if missing <= 0:
+                    break
+                if worker.quarantined_at + wait <= now < worker.quarantined_until:
+                    worker.release_from_quarantine(now)
+                    missing -= slots_in(worker.capacity, step.needs, missing)
+
     def usable_hosts(self, now: Seconds) -> list[Host]:
         """Return the workers that may get new work."""
         workers = self._shared.fleet.workers_by_life.values()
@@ -59,13 +107,20 @@
 
     def _accepts_work(self, worker: Worker, announcement: WorkerNews, now: Seconds) -> bool:
         """Return whether nothing that is known of a worker rules out new work."""
+        return (
+            now >= worker.backoff_until
+            and now >= worker.quarantined_until
+            and not worker.is_closed
+            and self._is_eligible(worker, announcement, now)
+        )
+
+    def _is_eligible(self, worker: Worker, announcement: WorkerNews, now: Seconds) -> bool:
+        """Return whether nothing but a passing state of a worker may rule out new work."""
         state = self._shared.state
         return (
             announcement.availability is Availability.READY
-            and now >= worker.backoff_until
-            and now >= worker.quarantined_until
             and worker.has_clock
-            and not worker.is_closed
+            and worker.silent_since is None
             and announcement.data_centre not in state.evacuated_data_centres
             and worker.life not in state.draining_workers
             and worker.life not in self._shared.departed_lives
@@ -91,6 +146,7 @@
             slowness=slowness,
             is_measured=speeds.is_uneven and speeds.is_measured(worker.life),
             has_crashed=self._shared.fleet.has_crashed_recently(worker.address, now),
+            failed_at=worker.failed_at,
         )
         for run in worker.runs_by_task.values():
             if self._shared.is_freeing_resources(run, now):
--- a/packages/core/src/bulrushhollow_core/domain/placement/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planner.py
@@ -214,6 +214,10 @@
     # Gangs.
 
     def _place_gang(self, demand: Demand, hosts: list[Host]) -> None:
+        if demand.limits.avoided_workers:
+            preferred = [h for h in hosts if h.life not in demand.limits.avoided_workers]
+            if self._start_gang(demand, self._groups_for(demand, preferred)):
+                return
         groups = self._groups_for(demand, hosts)
         if self._speeds.is_uneven and self._place_by_speed(demand, hosts, groups):
             return
@@ -479,6 +483,7 @@
         ordered = sorted(
             fitting_hosts,
             key=lambda host: (
+                host.life in demand.limits.avoided_workers,
                 isolation_key(host) if demand.limits.is_isolated else (),
                 host.is_suspect,
                 bool(data_rack) and host.rack != data_rack,
--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -44,6 +44,7 @@
     TimeBudget,
     Timing,
 )
+from bulrushhollow_core.domain.placement._exclusions import ExcludedStep, find_exclusions
 from bulrushhollow_core.domain.placement._host_view import HostView
 from bulrushhollow_core.domain.placement._plan import Placement, Plan
 from bulrushhollow_core.domain.placement._planner import Planner
@@ -166,6 +167,10 @@
         """Return what waits and the workers that it may use."""
         guaranteed = guaranteed_jobs(self._shared.state)
         waiting = waiting_steps(self._shared.state, self._busy_tasks(now), guaranteed, wall)
+        if waiting:
+            self._host_view.release_needed_workers(
+                waiting, lambda job: self._current_queue(job.queue).service, now
+            )
         return QueueView(guaranteed, waiting, self._host_view.usable_hosts(now) if waiting else [])
 
     def prepare(self, queue: QueueView, now: Seconds, wall: WallTime) -> PreparedPlan:
@@ -190,9 +195,8 @@
             now,
         )
         racks = {host.rack for host in hosts}
-        suspects = {host.life for host in hosts if host.is_suspect}
         demands = (
-            self._build_demand(waiting_step, hosts, racks, suspects, guaranteed, now, wall)
+            self._build_demand(waiting_step, hosts, racks, guaranteed, now, wall)
             for waiting_step in waiting
         )
         return PreparedPlan(waiting, demands, planner, caps)
@@ -241,7 +245,6 @@
         waiting_step: WaitingStep,
         hosts: list[Host],
         racks: set[RackId],
-        suspects: set[WorkerLife],
         guaranteed: set[JobId],
         now: Seconds,
         wall: WallTime,
@@ -249,9 +252,20 @@
         job, ref = waiting_step.job, waiting_step.ref
         step = job.work.steps[ref.step]
         waiting_since = self._waiting_since_by_step.setdefault(ref, now)
-        excluded_workers = set(self._shared.excluded_workers_by_step.get(ref, ()))
-        if self._is_last_attempt(waiting_step):
-            excluded_workers |= suspects
+        service = self._current_queue(job.queue).service
+        allowed_workers = self._allowed_workers(waiting_step, hosts, now)
+        exclusions = find_exclusions(
+            ExcludedStep(
+                service,
+                step,
+                len(waiting_step.task_indexes),
+                allowed_workers,
+                self._is_last_attempt(waiting_step),
+            ),
+            hosts,
+            self._shared.excluded_workers_by_step.get(ref, {}),
+            now,
+        )
         is_remote_allowed = (
             step.data_rack not in racks
             or now - waiting_since > LOCALITY_WAIT_FACTOR * step.estimate
@@ -260,14 +274,15 @@
             is_suspect(job, ref.task(index)) for index in waiting_step.task_indexes
         )
         return Demand(
-            DemandedStep(ref, self._current_queue(job.queue).service, step, job.workspace),
+            DemandedStep(ref, service, step, job.workspace),
             waiting_step.task_indexes,
             self._standing_of(waiting_step, guaranteed, Seconds(now - waiting_since)),
             HostLimits(
-                frozenset(excluded_workers),
-                self._allowed_workers(waiting_step, hosts, now),
+                exclusions.excluded,
+                allowed_workers,
                 is_remote_allowed,
                 is_isolated,
+                exclusions.avoided,
             ),
             Timing(
                 step.estimate,
@@ -375,6 +390,8 @@
 
     def _is_last_attempt(self, waiting_step: WaitingStep) -> bool:
         """Return whether the job fails if this step fails once more."""
+        if waiting_step.job.work.steps[waiting_step.ref.step].is_long_running:
+            return False
         records = waiting_step.job.occurrences_by_number.get(waiting_step.ref.occurrence)
         if records is None:
             return waiting_step.job.queue.max_attempts <= 1
