--- a/packages/core/src/bulrushhollow_core/domain/fleet/_hosts.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_hosts.py
@@ -11,6 +11,9 @@
 from bulrushhollow_core.domain.model import NO_RESOURCES, Resources, ServiceName, WorkerLife
 from bulrushhollow_core.ids import DataCentreId, RackId, Seconds
 
+NEVER_FAILED = Seconds(-math.inf)
+"""When work last failed on a worker on which none has."""
+
 
 class Host:
     """
@@ -42,7 +45,7 @@
         slowness: float = 1.0,
         is_measured: bool = True,
         has_crashed: bool = False,
-        failed_at: Seconds = Seconds(-math.inf),
+        failed_at: Seconds = NEVER_FAILED,
     ) -> None:
         """Create a host with its current free resources."""
         self.life = life
