Keep explanations of placements from ending quarantines

Cause: quarantines were ended early where the queue is viewed, which an explanation of a placement does as well. Its copy of the state shares the workers, so that a question about a job that nobody submits could end the quarantine of a worker.

--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -133,6 +133,10 @@
         queue = self.view_queue(now, wall)
         self._forget_waiting_times({waiting_step.ref for waiting_step in queue.waiting})
         if queue.waiting:
+            # Those that are released get work from the next plan on.
+            self._host_view.release_needed_workers(
+                queue.waiting, lambda job: self._current_queue(job.queue).service, now
+            )
             self._log_capacity(queue.hosts, queue.waiting, now)
         if not queue.hosts:
             self._shared.admission.clear_plan()
@@ -167,10 +171,6 @@
         """Return what waits and the workers that it may use."""
         guaranteed = guaranteed_jobs(self._shared.state)
         waiting = waiting_steps(self._shared.state, self._busy_tasks(now), guaranteed, wall)
-        if waiting:
-            self._host_view.release_needed_workers(
-                waiting, lambda job: self._current_queue(job.queue).service, now
-            )
         return QueueView(guaranteed, waiting, self._host_view.usable_hosts(now) if waiting else [])
 
     def prepare(self, queue: QueueView, now: Seconds, wall: WallTime) -> PreparedPlan:
--- a/tests/test_domain_exclusions.py
+++ b/tests/test_domain_exclusions.py
@@ -20,6 +20,7 @@
     Work,
     WorkerLife,
 )
+from bulrushhollow_core.domain.placement import UNSUBMITTED_JOB
 from bulrushhollow_core.domain.placement._exclusions import (
     EXCLUSION_TIME,
     LASTING_EXCLUSION_TIME,
@@ -137,6 +138,18 @@
         self.assertEqual(fleet.lives[1], start.life)
         self.assertGreater(worker.quarantined_until, fleet.now + 4.0)
 
+    def test_an_explanation_ends_no_quarantine(self) -> None:
+        # Guards against a question about a placement that changes what is placed.
+        fleet = FailingFleet(1, TASK, attempts=4)
+        worker = fleet.scheduler._shared.fleet.get(fleet.lives[0])
+        assert worker is not None
+        worker.quarantine(fleet.now)
+        until = worker.quarantined_until
+        command = SubmitJob(UNSUBMITTED_JOB, queue("usual", 1), None, Work("s", (TASK,)), WALL)
+        later = Seconds(fleet.now + EXCLUSION_TIME + 1.0)
+        fleet.scheduler.explainer.explain(command, later, WALL)
+        self.assertEqual(until, worker.quarantined_until)
+
     def test_a_last_attempt_runs_although_other_jobs_failed_on_all_workers(self) -> None:
         # Guards against a last attempt that waits for a success elsewhere.
         fleet = FailingFleet(2, TASK, attempts=1)
