--- a/tests/test_domain_next_life.py
+++ b/tests/test_domain_next_life.py
@@ -3,6 +3,8 @@
 import unittest
 
 from bulrushhollow_core.domain._scheduler import Scheduler
+from bulrushhollow_core.domain.execution._answers import MAX_START_ATTEMPTS
+from bulrushhollow_core.domain.fleet import LATE_ORDER_WINDOW
 from bulrushhollow_core.domain.model import (
     CancelJob,
     DomainSettings,
@@ -20,6 +22,7 @@
     StartAnswered,
     StartRuns,
     StopAnswered,
+    no_answer_to,
 )
 from bulrushhollow_core.ids import JobId, Seconds, Term
 from tests.test_domain_scheduler import SINGLE_TASK, WALL, SchedulerHarness, announcement
@@ -87,6 +90,51 @@
         self.assertEqual([Outcome.STOPPED], harness.ends())
 
 
+class UnansweredStartTest(unittest.TestCase):
+    """A start without an answer may be carried out in a life that no instance has heard of yet."""
+
+    def setUp(self) -> None:
+        self.harness = SchedulerHarness()
+        self.harness.submit(SINGLE_TASK)
+        self.start = self.harness.launch()
+        self.give_up_start()
+
+    def give_up_start(self) -> None:
+        """Leave the start and its repetitions unanswered, then let the worker list nothing."""
+        harness, start = self.harness, self.start
+        for _ in range(MAX_START_ATTEMPTS):
+            silent = no_answer_to(start)
+            harness.scheduler.start_answered(silent, harness.now)
+        stopped = StopAnswered(
+            start.life, start.task, start.run, OrderResult.ACCEPTED, Seconds(50.3)
+        )
+        harness.scheduler.stop_answered(stopped, harness.now)
+        for _ in range(2):
+            harness.now = Seconds(harness.now + 0.1)
+            empty = PollAnswered(start.life, OrderResult.ACCEPTED, Seconds(50.4))
+            harness.scheduler.poll_answered(empty, harness.now)
+        proposals = harness.scheduler.take_proposals(Seconds(harness.now + 1), WALL)
+        harness.commit(proposals)
+
+    def starts_after(self, seconds: float) -> list[StartRuns]:
+        self.harness.now = Seconds(self.harness.now + seconds)
+        return [each for each in self.harness.plan() if isinstance(each, StartRuns)]
+
+    # Guards against two runs of a task at once (TWICE): a start that went unanswered was carried
+    # out after its worker's restart, while the task ran elsewhere.
+    def test_a_task_waits_while_an_unanswered_start_may_be_carried_out(self) -> None:
+        self.assertEqual([], self.starts_after(2.0))
+        self.assertTrue(self.starts_after(LATE_ORDER_WINDOW))
+
+    # Guards against the same after a change of leader, whose successor knew nothing of the start.
+    def test_a_new_leader_waits_for_unanswered_starts_of_the_earlier_one(self) -> None:
+        harness = self.harness
+        harness.scheduler = Scheduler(harness.state, Term(4), DomainSettings(), harness.now)
+        harness.scheduler.worker_announced(announcement(1, sequence=9), harness.now)
+        self.assertEqual([], self.starts_after(2.0))
+        self.assertTrue(self.starts_after(LATE_ORDER_WINDOW))
+
+
 class AcknowledgementTest(unittest.TestCase):
     """Ends are numbered anew in each life, and an acknowledgement names only the worker's id."""
 
