Fence orders by the life of their worker, not only by the term

Cause: orders name the id of a worker, which keeps it through restarts, and all orders of one leader had the same fencing token. A poll that went unanswered was carried out in the next life under that id; it acknowledged ends by the numbers of the life before and so discarded ends that nobody had read. The next list lacked their runs, which counted as proof that they were lost.

Change: each life under an id gets a token of its own, which rises within the term. The first order to a life, before or with its first work, makes all orders to earlier lives void there. A new leader numbers the lives that it adopts in the order of their births. Weighed against it: no work for a new life while an unanswered order to an earlier one may be carried out. That leaves each restarted worker idle for up to 15 s, since a crash nearly always leaves a poll unanswered.

--- a/packages/core/src/bulrushhollow_core/consensus/_consensus.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_consensus.py
@@ -73,6 +73,8 @@
     :param rng: draws election timeouts and the ids of logs and processes.
     :param voter_limit: maximum number of voters; further instances with a disk stay learners until
         a voter has been silent for the silence timeout. None for no limit.
+    :param term_spacing: distance between the terms of successive elections. The numbers between a
+        term and the next multiple belong to the leader of that term.
     """
 
     def __init__(
@@ -84,6 +86,7 @@
         now: Seconds,
         timing: Timing = DEFAULT_TIMING,
         voter_limit: int | None = None,
+        term_spacing: int = 1,
     ) -> None:
         """Start as a follower without a leader."""
         self._me = me
@@ -93,7 +96,7 @@
         self._timing = timing
         self._replica = Replica(me, has_disk, restored)
         self._follower = Follower(self._replica, rng.getrandbits(RANDOM_ID_BITS))
-        self._election = Election(self._replica, timing, rng, now)
+        self._election = Election(self._replica, timing, rng, now, term_spacing)
         self._voting = VotingRules(self._replica, self._follower, self._election, timing, now)
         self._leader: Leader | None = None
         self._connected_by_id: dict[InstanceId, bool] = {}
@@ -281,7 +284,7 @@
             return MemberChangeRefused(MemberChangeReason.QUORUM_PRESENT)
         former_voters = log.members.voters - {self._me}
         last_index, commit_index = log.last_index, self._replica.commit_index
-        self._become_sole_voter(Term(self._replica.term + 1), now)
+        self._become_sole_voter(self._election.next_term, now)
         return ForcedRecovery(last_index, commit_index, former_voters, self.flush(now))
 
     # Status.
--- a/packages/core/src/bulrushhollow_core/consensus/_election.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_election.py
@@ -13,7 +13,7 @@
 
 from bulrushhollow_core.consensus._messages import RequestVote, VoteAnswer
 from bulrushhollow_core.consensus._replica import Replica
-from bulrushhollow_core.consensus._types import Timing
+from bulrushhollow_core.consensus._types import Timing, next_term
 from bulrushhollow_core.ids import InstanceId, Seconds, Term
 
 PRE_VOTE_RETRY_SHARE = 0.4
@@ -38,13 +38,22 @@
     Candidate side of elections.
 
     :param rng: randomizes election timeouts, so that instances rarely stand at the same time.
+    :param term_spacing: distance between the terms of successive elections.
     """
 
-    def __init__(self, replica: Replica, timing: Timing, rng: random.Random, now: Seconds) -> None:
+    def __init__(
+        self,
+        replica: Replica,
+        timing: Timing,
+        rng: random.Random,
+        now: Seconds,
+        term_spacing: int = 1,
+    ) -> None:
         """Start a full election timeout, so that an existing leader can send a heartbeat first."""
         self._replica = replica
         self._timing = timing
         self._rng = rng
+        self._term_spacing = term_spacing
         self._timeout_at = Seconds(-math.inf)
         self.phase = Phase.IDLE
         self.granted_by: frozenset[InstanceId] = frozenset()
@@ -57,6 +66,11 @@
         members = self._replica.log.members
         return len(self.granted_by & members.voters) >= members.quorum_size
 
+    @property
+    def next_term(self) -> Term:
+        """Return the term of the next election."""
+        return next_term(self._replica.term, self._term_spacing)
+
     def reset(self, now: Seconds) -> None:
         """Stop any election and restart the election timeout."""
         jitter = self._rng.uniform(0.0, self._timing.election_jitter)
@@ -90,14 +104,14 @@
     def start_pre_vote(self, now: Seconds) -> None:
         """Ask the other voters whether they would grant a vote."""
         self._stand(Phase.PRE_VOTE, PRE_VOTE_RETRY_SHARE * self._timing.vote_timeout, now)
-        self._request_votes(Term(self._replica.term + 1), is_transfer=False, now=now)
+        self._request_votes(self.next_term, is_transfer=False, now=now)
 
     def start_vote(self, now: Seconds, is_transfer: bool = False) -> None:
         """Enter the next term, vote for this instance and request the votes of the others."""
         replica = self._replica
         assert replica.log_id is not None, "a voter has a log"
         self._stand(Phase.VOTE, self._timing.vote_timeout, now)
-        replica.set_term(replica.log_id, Term(replica.term + 1), replica.me)
+        replica.set_term(replica.log_id, self.next_term, replica.me)
         self._request_votes(replica.term, is_transfer, now)
 
     def _stand(self, phase: Phase, max_wait: float, now: Seconds) -> None:
@@ -107,9 +121,10 @@
 
     def record_vote(self, source: InstanceId, answer: VoteAnswer) -> None:
         """Count a vote if it answers the request of the current phase."""
-        requested_term = self._replica.term + (1 if self.phase is Phase.PRE_VOTE else 0)
+        is_pre_vote = self.phase is Phase.PRE_VOTE
+        requested_term = self.next_term if is_pre_vote else self._replica.term
         is_current = self.phase is not Phase.IDLE and answer.term == requested_term
-        if answer.granted and is_current and answer.is_pre_vote == (self.phase is Phase.PRE_VOTE):
+        if answer.granted and is_current and answer.is_pre_vote == is_pre_vote:
             self.granted_by |= {source}
 
     def _request_votes(self, term: Term, is_transfer: bool, now: Seconds) -> None:
--- a/packages/core/src/bulrushhollow_core/consensus/_types.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_types.py
@@ -20,6 +20,15 @@
 domain, up to 256 KiB as text, must fit."""
 
 
+def next_term(term: Term, spacing: int) -> Term:
+    """
+    Return the term of the next election: the next multiple of a spacing.
+
+    Voters of an earlier version stand one term later, between two multiples.
+    """
+    return Term((term // spacing + 1) * spacing)
+
+
 class EntryKind(Enum):
     """Kind of payload that a log entry carries."""
 
--- a/packages/core/src/bulrushhollow_core/domain/_node.py
+++ b/packages/core/src/bulrushhollow_core/domain/_node.py
@@ -28,6 +28,7 @@
 )
 from bulrushhollow_core.domain._call_handler import CallHandler, DeferredAnswer, ImmediateAnswer
 from bulrushhollow_core.domain._scheduler import Scheduler
+from bulrushhollow_core.domain.fleet import TERM_SPACING
 from bulrushhollow_core.domain.model import (
     AdviceAnswered,
     Answer,
@@ -175,7 +176,7 @@
         self.state = DomainState()
         self._settings = settings
         self._log = Consensus(
-            me, True, restored, rng, now, TIMING, voter_limit=settings.voter_count
+            me, True, restored, rng, now, TIMING, settings.voter_count, TERM_SPACING
         )
         if data_centre:
             self._log.set_failure_domain(name_of(me), data_centre)
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler.py
@@ -70,7 +70,7 @@
     Schedules the jobs of a domain on its workers while this instance leads.
 
     :param state: replicated state; its owner applies the committed commands to it.
-    :param fence: fencing token of this leader.
+    :param fence: lowest fencing token of this leader, its term.
     :param now: when this instance began to lead.
     """
 
--- a/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
@@ -223,7 +223,7 @@
                 result=result.value,
                 acknowledged=worker.last_acknowledged_end,
                 waited=round(now - worker.polled_at, 3),
-                fence=self._shared.fence,
+                fence=worker.fence,
             )
         )
 
@@ -299,7 +299,7 @@
                         worker.address,
                         listed_run.task,
                         listed_run.run,
-                        self._shared.fence,
+                        worker.fence,
                     )
                 )
             return
--- a/packages/core/src/bulrushhollow_core/domain/execution/_dispatch.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_dispatch.py
@@ -86,7 +86,7 @@
                 run=run.number,
                 spec=job.work.spec,
                 lease_end=self._grant_lease(worker, now),
-                fence=self._shared.fence,
+                fence=worker.fence,
                 checkpoint=self._shared.checkpoint_of(run.task),
                 ticket=self._shared.advice.ticket_for(run.task.step_ref, worker.life),
             )
@@ -101,7 +101,7 @@
     def send_stop(self, worker: Worker, run: Run, now: Seconds) -> None:
         """Send the stop of a run, and schedule its repetition."""
         run.stop_due = Seconds(now + STOP_RETRY_INTERVAL)
-        order = OrderStop(worker.life, worker.address, run.task, run.number, self._shared.fence)
+        order = OrderStop(worker.life, worker.address, run.task, run.number, worker.fence)
         self._shared.outbox.append(order)
 
     def stop(self, worker: Worker, run: Run, now: Seconds) -> None:
@@ -123,9 +123,7 @@
         for ref, due in list(worker.pending_stops.items()):
             if now >= due:
                 worker.pending_stops[ref] = Seconds(now + STOP_RETRY_INTERVAL)
-                order = OrderStop(
-                    worker.life, worker.address, ref.task, ref.number, self._shared.fence
-                )
+                order = OrderStop(worker.life, worker.address, ref.task, ref.number, worker.fence)
                 self._shared.outbox.append(order)
 
     def poll(self, worker: Worker, now: Seconds) -> None:
@@ -158,7 +156,7 @@
             Poll(
                 life=worker.life,
                 address=worker.address,
-                fence=self._shared.fence,
+                fence=worker.fence,
                 acknowledged=worker.last_recorded_end if may_acknowledge else 0,
                 lease_end=lease_end,
                 wait=self._choose_wait(worker, now) if may_wait else Seconds(0.0),
@@ -196,7 +194,7 @@
                 born=worker.life.born,
                 before=worker.last_acknowledged_end,
                 end=worker.last_recorded_end,
-                fence=self._shared.fence,
+                fence=worker.fence,
             )
         )
 
--- a/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
@@ -45,7 +45,7 @@
     Volatile state of a leader's scheduler, next to the replicated state.
 
     :param state: replicated state; its owner applies the committed commands to it.
-    :param fence: fencing token of this leader.
+    :param fence: lowest fencing token of this leader, its term.
     :param now: when this instance began to lead.
     """
 
@@ -58,7 +58,7 @@
         self.settings = settings
         self.leading_since = now
         self.plan_due = now
-        self.fleet = Fleet()
+        self.fleet = Fleet(fence)
         self.proposed_runs_by_task: dict[TaskRef, Run] = {}
         """Runs whose start is proposed to the log and not yet committed."""
         self.withdrawn_starts: set[TaskRef] = set()
@@ -86,15 +86,28 @@
         """Orders and log lines that the owner has not taken yet."""
         self.pending_registrations: set[WorkerLife] = set()
         """Workers whose registration is proposed to the log and not yet committed."""
-        for life, announcement in state.announcements_by_life.items():
-            worker = self.fleet.get_or_create(life, announcement.address, now)
-            worker.announcement = announcement
-            # A late announcement from before this one must not replace it.
-            self.fleet.sequence_by_life[life] = announcement.sequence
+        self._adopt_workers(now)
         for ref, task in state.active_tasks():
             if task.worker is not None:
                 self.adopt(ref, task.run, task.worker, task.address, now)
 
+    def _adopt_workers(self, now: Seconds) -> None:
+        """Add the workers that are recorded, the earlier lives first: fencing tokens rise."""
+        address_by_life = {
+            task.worker: task.address
+            for _, task in self.state.active_tasks()
+            if task.worker is not None
+        }
+        announcements = self.state.announcements_by_life
+        address_by_life |= {life: announcements[life].address for life in announcements}
+        for life in sorted(address_by_life, key=lambda life: (life.id, life.born)):
+            worker = self.fleet.get_or_create(life, address_by_life[life], now)
+            announcement = announcements.get(life)
+            if announcement is not None:
+                worker.announcement = announcement
+                # A late announcement from before this one must not replace it.
+                self.fleet.sequence_by_life[life] = announcement.sequence
+
     def runs(self) -> Iterator[Run]:
         """Yield every run that takes resources."""
         for worker in self.fleet.workers_by_life.values():
--- a/packages/core/src/bulrushhollow_core/domain/fleet/__init__.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/__init__.py
@@ -5,6 +5,9 @@
 What the leader knows of its workers and of the runs on them.
 """
 
+from bulrushhollow_core.domain.fleet._fencing import (
+    TERM_SPACING,
+)
 from bulrushhollow_core.domain.fleet._fleet import (
     LATE_ORDER_WINDOW,
     Fleet,
@@ -55,6 +58,7 @@
     "RunRef",
     "SpeedEstimator",
     "StragglerDetector",
+    "TERM_SPACING",
     "UNKNOWN_DURATION",
     "UnansweredStart",
     "Worker",
--- a/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
@@ -8,6 +8,7 @@
 
 import math
 
+from bulrushhollow_core.domain.fleet._fencing import TokenIssuer
 from bulrushhollow_core.domain.fleet._runs import (
     NO_ISOLATION,
     Run,
@@ -23,7 +24,7 @@
     WorkerLife,
     WorkerNews,
 )
-from bulrushhollow_core.ids import JobId, Seconds, WorkerId
+from bulrushhollow_core.ids import FencingToken, JobId, Seconds, Term, WorkerId
 
 MIN_CLOCK_RATE = 0.98
 """Lowest rate of a worker's clock relative to true time; the platform limits its drift to 2 %."""
@@ -46,6 +47,12 @@
 """Seconds after which an unanswered order can no longer be carried out. The platform states some
 seconds, and twelve have been observed."""
 
+NO_FENCE = FencingToken(0)
+"""Fencing token that no worker refuses before it has seen another; the lowest one."""
+
+NO_TERM = Term(0)
+"""Term of a fleet that no leader commands."""
+
 CRASH_MEMORY = Seconds(60.0)
 """Seconds for which a machine counts as crashed recently."""
 
@@ -56,11 +63,20 @@
 
     Times are by the leader's clock, except those of leases and `clock` arguments, which are by the
     worker's own clock.
+
+    :param fence: fencing token of all orders to it.
     """
 
-    def __init__(self, life: WorkerLife, address: str, now: Seconds) -> None:
+    def __init__(
+        self,
+        life: WorkerLife,
+        address: str,
+        now: Seconds,
+        fence: FencingToken = NO_FENCE,
+    ) -> None:
         """Create a worker that has not announced itself."""
         self.life = life
+        self.fence = fence
         self.address = address
         self.announcement: WorkerNews | None = None
         self.announced_at = Seconds(-math.inf)
@@ -301,10 +317,15 @@
 
 
 class Fleet:
-    """All workers that the leader knows, indexed by life, id and address, and their runs by job."""
+    """
+    All workers that the leader knows, indexed by life, id and address, and their runs by job.
+
+    :param term: term of the leader, which is its lowest fencing token.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, term: Term = NO_TERM) -> None:
         """Create an empty fleet."""
+        self._token_issuer = TokenIssuer(term)
         self.workers_by_life: dict[WorkerLife, Worker] = {}
         self.sequence_by_life: dict[WorkerLife, int] = {}
         self._runs_by_job: dict[JobId, dict[TaskRef, Run]] = {}
@@ -332,7 +353,8 @@
         """Return a worker; add it if it is unknown."""
         worker = self.workers_by_life.get(life)
         if worker is None:
-            worker = self.workers_by_life[life] = Worker(life, address, now)
+            fence = self._token_issuer.issue(life.id)
+            worker = self.workers_by_life[life] = Worker(life, address, now, fence)
             self._lives_by_id.setdefault(life.id, set()).add(life)
             self._lives_by_address.setdefault(address, set()).add(life)
         return worker
--- a/packages/core/src/bulrushhollow_core/domain/model/_orders.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_orders.py
@@ -11,7 +11,7 @@
 
 from bulrushhollow_core.domain.model._commands import Outcome
 from bulrushhollow_core.domain.model._jobs import RunNumber, StepRef, TaskRef, WorkerLife
-from bulrushhollow_core.ids import Seconds, Term, WorkerId
+from bulrushhollow_core.ids import FencingToken, Seconds, WorkerId
 
 
 class OrderStart(msgspec.Struct, frozen=True):
@@ -19,7 +19,7 @@
     Start a run.
 
     :param lease_end: end of the worker's lease by the worker's clock.
-    :param fence: fencing token of the leader.
+    :param fence: fencing token of the leader for this life of the worker.
     :param checkpoint: checkpoint to resume from; empty for none.
     :param ticket: proof that the worker may run the step; empty where none is needed.
     """
@@ -30,7 +30,7 @@
     run: RunNumber
     spec: str
     lease_end: Seconds
-    fence: Term
+    fence: FencingToken
     checkpoint: str
     ticket: str = ""
 
@@ -42,7 +42,7 @@
     address: str
     task: TaskRef
     run: RunNumber
-    fence: Term
+    fence: FencingToken
 
 
 class Poll(msgspec.Struct, frozen=True):
@@ -57,7 +57,7 @@
 
     life: WorkerLife
     address: str
-    fence: Term
+    fence: FencingToken
     acknowledged: int
     lease_end: Seconds | None
     wait: Seconds
--- a/packages/core/src/bulrushhollow_core/ids.py
+++ b/packages/core/src/bulrushhollow_core/ids.py
@@ -43,6 +43,10 @@
 """Sequence number of a start of one job; the first is 1."""
 
 Term = NewType("Term", int)
+
+FencingToken = NewType("FencingToken", int)
+"""Number of an order to a worker, which carries out no order with a lower one than it has seen."""
+
 LogIndex = NewType("LogIndex", int)
 
 TaskId = NewType("TaskId", str)
--- a/standins/domain_workers.py
+++ b/standins/domain_workers.py
@@ -31,7 +31,7 @@
     WorkerLife,
     WorkerNews,
 )
-from bulrushhollow_core.ids import DataCentreId, RackId, Seconds, Term, WorkerId
+from bulrushhollow_core.ids import DataCentreId, FencingToken, RackId, Seconds, WorkerId
 
 LONGEST_LEASE = Seconds(6.0)
 """Seconds of the longest lease that a worker grants."""
@@ -210,7 +210,7 @@
         self.runs: dict[TaskRef, LiveRun] = {}
         self.unacknowledged_ends: list[ListedEnd] = []
         self.highest_run_by_task: dict[TaskRef, RunNumber] = {}
-        self.fence = Term(0)
+        self.fence = FencingToken(0)
         self.lease_end = -math.inf
         self.lease_expired_at = -math.inf
         self.ended_at_by_number: dict[int, float] = {}
