Hold a task while its unanswered start may still be carried out

Cause: a start that went unanswered was stopped, the worker's list showed that the run was not there, and the task started elsewhere at once. That proves something about this life only: after a restart the worker knows neither the stop nor a fencing token and carries the start out, before any instance has heard of the new life. No token can prevent that, since the late order is the first one that the new life gets.

Change: the end of such a run says so in the log, and its task waits until the order can no longer be carried out, 12 s after its timeout, or after a new leader began to lead. The same for a run of an earlier leader that no list has shown. Lasting tasks don't wait: being away does more harm there. An order that was never sent, since no connection could be made or it was withheld, leaves nothing to wait for; answers say so now. LATE_ORDER_WINDOW is 12 s after the timeout instead of 15, as the platform states 2 to 12 s after the order.

Two tests were changed: withheld orders and closed ports are now expected to be reported as not sent, which they did not tell before. In UnansweredStartTest the worker announces itself again after the wait; without that its second assertion could not hold on any code.

What remains: a run whose repeated start was accepted and that is done can start again if its worker restarts within 12 s and gets the first order before any other.

--- a/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
@@ -11,7 +11,7 @@
 from bulrushhollow_core.domain.execution._dispatch import OrderDispatcher
 from bulrushhollow_core.domain.execution._losses import WorkerLossHandler
 from bulrushhollow_core.domain.execution._scheduler_state import SchedulerState
-from bulrushhollow_core.domain.fleet import Run, RunPhase, RunRef, UnansweredStart, Worker
+from bulrushhollow_core.domain.fleet import Run, RunPhase, RunRef, Worker
 from bulrushhollow_core.domain.model import (
     Event,
     ListedEnd,
@@ -72,10 +72,9 @@
         run = worker.runs_by_task.get(answer.task) if worker else None
         if worker is None or run is None or run.number != answer.run:
             return
-        if answer.result is OrderResult.NO_ANSWER:
+        if answer.result is OrderResult.NO_ANSWER and answer.was_sent:
             # It may still be carried out, even in a later life, also if the run was stopped since.
-            unanswered = UnansweredStart(now, run.needs)
-            worker.unanswered_starts[RunRef(run.task, run.number)] = unanswered
+            worker.record_unanswered_start(run, now)
         if answer.clock is not None:
             worker.record_contact(answer.clock, self._shared.settings.longest_lease, now)
             worker.last_contact_at = now
@@ -272,7 +271,7 @@
         if run is not None:
             run.mark_listed(now)
             self._shared.fleet.release(self._shared.fleet.workers_by_life[run.life], run.task)
-            self._shared.propose_end_of(run, ended_run.outcome, ended_run.checkpoint)
+            self._shared.propose_end_of(run, ended_run.outcome, ended_run.checkpoint, now)
         else:
             self._shared.propose_end(
                 ended_run.task, ended_run.run, ended_run.outcome, ended_run.checkpoint
@@ -343,7 +342,7 @@
                 if has_never_started and run.loss is None:
                     outcome = Outcome.NEVER_STARTED
                 self._log_unlisted_run(worker, run, outcome)
-                self._shared.propose_end_of(run, outcome, run.checkpoint)
+                self._shared.propose_end_of(run, outcome, run.checkpoint, now)
                 self._shared.request_plan(now)
 
     def _log_unlisted_run(self, worker: Worker, run: Run, outcome: Outcome) -> None:
--- a/packages/core/src/bulrushhollow_core/domain/execution/_losses.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_losses.py
@@ -68,7 +68,9 @@
                 self._log_lost_run(worker, run, cause)
                 if cause is not LossCause.DEPARTED:
                     run.lose()
-                self._shared.propose_end_of(run, Outcome.LOST, run.checkpoint)
+                if cause is not LossCause.CRASHED and run.phase is RunPhase.STARTING:
+                    worker.record_unanswered_start(run, now)
+                self._shared.propose_end_of(run, Outcome.LOST, run.checkpoint, now)
                 self._shared.fleet.release(worker, run.task)
         if is_life_over:
             self._shared.departed_lives.add(worker.life)
--- a/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
@@ -6,15 +6,17 @@
 the workers, and its decisions that have not been handed over yet.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Set
 
 import msgspec
 
 from bulrushhollow_core.domain.execution._advice import AdviceCache
 from bulrushhollow_core.domain.fleet import (
+    LATE_ORDER_WINDOW,
     Fleet,
     Run,
     RunPhase,
+    RunRef,
     SpeedEstimator,
     StragglerDetector,
     Worker,
@@ -87,6 +89,10 @@
         self.pending_registrations: set[WorkerLife] = set()
         """Workers whose registration is proposed to the log and not yet committed."""
         self._adopt_workers(now)
+        self.held_until_by_task: dict[TaskRef, Seconds] = dict.fromkeys(
+            state.tasks_that_may_start_late(), Seconds(now + LATE_ORDER_WINDOW)
+        )
+        """Until when tasks wait whose last start may still be carried out."""
         for ref, task in state.active_tasks():
             if task.worker is not None:
                 self.adopt(ref, task.run, task.worker, task.address, now)
@@ -132,9 +138,42 @@
         """Propose the end of a run to the log, and write it to the decision log."""
         self.propose(RunEnd(task, run, outcome, checkpoint))
 
-    def propose_end_of(self, run: Run, outcome: Outcome, checkpoint: str) -> None:
-        """Propose the end of a run that was ordered."""
-        self.propose(RunEnd(run.task, run.number, outcome, checkpoint, run.survived, run.loss))
+    def propose_end_of(self, run: Run, outcome: Outcome, checkpoint: str, now: Seconds) -> None:
+        """Propose the end of a run that was ordered; its task waits for an unanswered start."""
+        held_until = self._late_start_until(run, now)
+        # A lasting task that is away does more harm than a second one for a moment.
+        may_start_late = now < held_until and not self.is_long_running(run)
+        if may_start_late:
+            self.held_until_by_task[run.task] = held_until
+        self.propose(
+            RunEnd(
+                run.task,
+                run.number,
+                outcome,
+                checkpoint,
+                run.survived,
+                run.loss,
+                may_start_late,
+            )
+        )
+
+    def _late_start_until(self, run: Run, now: Seconds) -> Seconds:
+        """Return until when the start of a run may be carried out in a life not yet known."""
+        worker = self.fleet.get(run.life)
+        start = worker.unanswered_starts.get(RunRef(run.task, run.number)) if worker else None
+        if start is not None:
+            return Seconds(start.timed_out_at + LATE_ORDER_WINDOW)
+        if run.phase is RunPhase.ADOPTED and not run.has_been_listed:
+            # The earlier leader may have ordered it just before this one began to lead.
+            return Seconds(self.leading_since + LATE_ORDER_WINDOW)
+        return now
+
+    def held_tasks(self, now: Seconds) -> Set[TaskRef]:
+        """Return the tasks whose last start may still be carried out."""
+        over = [task for task, until in self.held_until_by_task.items() if now >= until]
+        for task in over:
+            del self.held_until_by_task[task]
+        return self.held_until_by_task.keys()
 
     def propose(self, end: RunEnd) -> None:
         """Propose an end to the log, and write it to the decision log."""
@@ -149,6 +188,7 @@
                 run=run,
                 outcome=outcome.value,
                 worker=worker.id if worker else "",
+                may_start_late=end.may_start_late,
             )
         )
 
--- a/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
@@ -43,9 +43,9 @@
 """Seconds of the longest quarantine; each one lasts twice as long as the one before."""
 
 
-LATE_ORDER_WINDOW = Seconds(15.0)
-"""Seconds after which an unanswered order can no longer be carried out. The platform states some
-seconds, and twelve have been observed."""
+LATE_ORDER_WINDOW = Seconds(12.0)
+"""Seconds from the timeout of an order until it can no longer be carried out; the platform carries
+out late orders up to twelve seconds after they were sent."""
 
 NO_FENCE = FencingToken(0)
 """Fencing token that no worker refuses before it has seen another; the lowest one."""
@@ -92,7 +92,7 @@
         self._isolated_runs: list[Run] = []
         self._allocated = NO_RESOURCES
         self.unanswered_starts: dict[RunRef, UnansweredStart] = {}
-        """Starts without an answer; they may still be carried out."""
+        """Starts that were sent and got no answer; they may still be carried out."""
         self.pending_stops: dict[RunRef, Seconds] = {}
         """Runs that must not start in this life, and when to send their stop again."""
         self.accepted_stops: dict[RunRef, Seconds] = {}
@@ -177,6 +177,10 @@
         """Record that it announced itself or listed its runs."""
         self.last_contact_at = self.heard_at = now
 
+    def record_unanswered_start(self, run: Run, now: Seconds) -> None:
+        """Record that nobody waits any longer for the answer to the start of a run."""
+        self.unanswered_starts[RunRef(run.task, run.number)] = UnansweredStart(now, run.needs)
+
     def possibly_started_tasks(self, now: Seconds) -> set[TaskRef]:
         """Return the tasks that a late order may have started in this life and may still run."""
         return {ref.task for ref in self._possibly_started_runs(now)}
--- a/packages/core/src/bulrushhollow_core/domain/fleet/_runs.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_runs.py
@@ -152,6 +152,11 @@
         self.listed_at = now
         self.loss = None
 
+    @property
+    def has_been_listed(self) -> bool:
+        """Return whether a worker has listed it to this leader."""
+        return self.listed_at > -math.inf
+
     @property
     def has_started(self) -> bool:
         """
--- a/packages/core/src/bulrushhollow_core/domain/model/_commands.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_commands.py
@@ -93,6 +93,8 @@
     :param checkpoint: the run's last checkpoint; empty for none.
     :param survived: seconds that it is known to have survived, if its worker has ended it.
     :param loss: how it was lost with its worker; None if it was not.
+    :param may_start_late: whether its start went unanswered and may still be carried out in a later
+        life of its worker.
     """
 
     task: TaskRef
@@ -101,6 +103,7 @@
     checkpoint: str = ""
     survived: Seconds = Seconds(0.0)
     loss: WorkerLoss | None = None
+    may_start_late: bool = False
 
 
 class EndRuns(msgspec.Struct, frozen=True, array_like=True, tag="end_runs"):
--- a/packages/core/src/bulrushhollow_core/domain/model/_jobs.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_jobs.py
@@ -158,6 +158,8 @@
     :param address: address of that worker.
     :param failures: number of failed runs.
     :param checkpoint: latest checkpoint; empty for none.
+    :param may_start_late: whether the start of that run may still be carried out although the run
+        has ended.
     """
 
     state: TaskState = TaskState.WAITING
@@ -166,6 +168,7 @@
     address: str = ""
     failures: int = 0
     checkpoint: str = ""
+    may_start_late: bool = False
 
 
 class StepRecord(msgspec.Struct, array_like=True):
--- a/packages/core/src/bulrushhollow_core/domain/model/_orders.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_orders.py
@@ -102,6 +102,7 @@
     The answer to an :class:`OrderStart`.
 
     :param clock: the worker's clock when it answered; None if unknown.
+    :param was_sent: whether any part of the order may have left this instance.
     """
 
     life: WorkerLife
@@ -109,6 +110,7 @@
     run: RunNumber
     result: OrderResult
     clock: Seconds | None
+    was_sent: bool = True
 
 
 class StopAnswered(msgspec.Struct, frozen=True):
@@ -186,12 +188,16 @@
 OrderAnswer = StartAnswered | StopAnswered | PollAnswered | AdviceAnswered
 
 
-def no_answer_to(order: Order) -> OrderAnswer:
-    """Return the answer that a leader records for an order that got none."""
+def no_answer_to(order: Order, was_sent: bool = True) -> OrderAnswer:
+    """
+    Return the answer that a leader records for an order that got none.
+
+    :param was_sent: whether any part of the order may have left this instance.
+    """
     result = OrderResult.NO_ANSWER
     match order:
         case OrderStart():
-            return StartAnswered(order.life, order.task, order.run, result, None)
+            return StartAnswered(order.life, order.task, order.run, result, None, was_sent)
         case OrderStop():
             return StopAnswered(order.life, order.task, order.run, result, None)
         case Poll():
--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -234,7 +234,9 @@
             for worker in self._shared.fleet.workers_by_life.values()
             if worker.pending_stops or worker.accepted_stops
         )
-        return self._shared.proposed_runs_by_task.keys() | set().union(*possibly_started)
+        return set().union(
+            self._shared.proposed_runs_by_task, self._shared.held_tasks(now), *possibly_started
+        )
 
     def _forget_waiting_times(self, still_waiting: set[StepRef]) -> None:
         for since_by_step in (self._waiting_since_by_step, self._waits_for_fast_since_by_step):
--- a/packages/core/src/bulrushhollow_core/domain/replica/_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/replica/_state.py
@@ -125,6 +125,13 @@
         for job in self.active_jobs_by_id.values():
             yield from _active_tasks(job)
 
+    def tasks_that_may_start_late(self) -> Iterator[TaskRef]:
+        """Yield the waiting tasks whose last start may still be carried out."""
+        for job in self.active_jobs_by_id.values():
+            for ref, task in _tasks_of(job):
+                if task.may_start_late and task.state is TaskState.WAITING:
+                    yield ref
+
     def jobs_lost_with(self, worker: WorkerLife) -> list[Job]:
         """Return the jobs with runs that were lost with a worker."""
         return [
@@ -220,6 +227,7 @@
         if task is None or task.state is not TaskState.WAITING or start.run <= task.run:
             return
         task.state = TaskState.ACTIVE
+        task.may_start_late = False
         task.run = start.run
         task.worker = start.worker
         task.address = start.address
@@ -237,6 +245,7 @@
         task.state = TaskState.WAITING
         task.worker = None
         task.address = ""
+        task.may_start_late = end.may_start_late
         is_gang = job.work.steps[end.task.step].is_gang
         if end.checkpoint:
             task.checkpoint = end.checkpoint
@@ -397,10 +406,14 @@
 
 
 def _active_tasks(job: Job) -> Iterator[tuple[TaskRef, Task]]:
+    return ((ref, task) for ref, task in _tasks_of(job) if task.state is TaskState.ACTIVE)
+
+
+def _tasks_of(job: Job) -> Iterator[tuple[TaskRef, Task]]:
+    """Yield the tasks of the steps that are not done."""
     for occurrence, steps in job.occurrences_by_number.items():
         for number, step in enumerate(steps):
             if step.is_done:
                 continue
             for index, task in enumerate(step.tasks):
-                if task.state is TaskState.ACTIVE:
-                    yield TaskRef(job.id, occurrence, number, index), task
+                yield TaskRef(job.id, occurrence, number, index), task
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
@@ -174,7 +174,7 @@
         logger.warning(
             "order_withheld", extra={"kind": type(order).__name__, "worker": order.life.id}
         )
-        self.post(no_answer_to(order))
+        self.post(no_answer_to(order, was_sent=False))
 
     def _sync_records(self, actions: Iterable[msgspec.Struct]) -> None:
         """Write all records of a step to the journal and sync them to disk."""
--- a/tests/test_domain_next_life.py
+++ b/tests/test_domain_next_life.py
@@ -117,8 +117,15 @@
         harness.commit(proposals)
 
     def starts_after(self, seconds: float) -> list[StartRuns]:
-        self.harness.now = Seconds(self.harness.now + seconds)
-        return [each for each in self.harness.plan() if isinstance(each, StartRuns)]
+        """Let time pass, announce the worker anew, and return the starts of the next plan."""
+        harness = self.harness
+        harness.now = Seconds(harness.now + seconds)
+        news = announcement(1, sequence=int(harness.now), clock=50.0 + harness.now)
+        harness.scheduler.worker_announced(news, harness.now)
+        clock = Seconds(50.0 + harness.now)
+        listed = PollAnswered(self.start.life, OrderResult.ACCEPTED, clock)
+        harness.scheduler.poll_answered(listed, harness.now)
+        return [each for each in harness.plan() if isinstance(each, StartRuns)]
 
     # Guards against two runs of a task at once (TWICE): a start that went unanswered was carried
     # out after its worker's restart, while the task ran elsewhere.
--- a/tests/test_domain_runtime.py
+++ b/tests/test_domain_runtime.py
@@ -45,7 +45,9 @@
         with self.assertLogs("bulrushhollow.domain", "WARNING") as logs:
             orders, inputs = self.step(leads_after_sync=False)
         self.assertEqual([], orders)
-        start_answer = StartAnswered(LIFE, TASK, RunNumber(1), OrderResult.NO_ANSWER, None)
+        start_answer = StartAnswered(
+            LIFE, TASK, RunNumber(1), OrderResult.NO_ANSWER, None, was_sent=False
+        )
         self.assertEqual([start_answer, PollAnswered(LIFE, OrderResult.NO_ANSWER)], inputs)
         self.assertEqual(2, len(logs.records))
 
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -143,6 +143,7 @@
             fixture.is_reachable = False
             answer = await fixture.client.start(fixture.start_order())
             self.assertIs(OrderResult.NO_ANSWER, answer.result)
+            self.assertTrue(answer.was_sent)
 
         run_test(scenario)
 
@@ -151,6 +152,7 @@
             fixture.worker.address = "127.0.0.1:1"
             answer = await fixture.client.start(fixture.start_order())
             self.assertIs(OrderResult.NO_ANSWER, answer.result)
+            self.assertFalse(answer.was_sent)
 
         run_test(scenario)
 
