Reckon the leases of an earlier leader by the new leader's clock

What callers would see: tasks of a worker that the new leader doesn't reach start again on other workers while they still run there, several at one moment. A run that ends `done` before its lease does is listed later, ignored by the state, since its task has a newer run, and acknowledged all the same.

Cause: a new leader that has heard only announcements of a worker took the first reading of the worker's clock as present, and reckoned from it when the leases of the earlier leader end. An announcement that was held up on its way has an old reading. Once a fresh one followed, the leases seemed to end earlier than they do, by as much as the first one was late.

Evidence: the test fails before for announcements that are 1, 3 and 8 s late: the run is proposed as lost within the lease.

Why the fix works: an earlier leader granted nothing after this one began to lead, and a worker shortens what it is granted to the longest lease. So the end by this leader's own clock bounds those leases, whatever was heard when. The leases that it grants itself are bounded by the worker's clock as before; a worker counts as lost only after both ends.

--- a/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
@@ -247,15 +247,16 @@
 
         :param leading_since: when this leader began to lead; earlier leaders granted before that.
         """
-        latest_end = leading_since + longest_lease / MIN_CLOCK_RATE + LEASE_MARGIN
+        # Not by the worker's clock: its first reading may have been on its way for a while.
+        earlier_end = leading_since + longest_lease / MIN_CLOCK_RATE + LEASE_MARGIN
         if self._lease_end is None or self._clock_reading is None:
-            return now > latest_end
+            return now > earlier_end
         end = (
             self._clock_read_at
             + (self._lease_end - self._clock_reading) / MIN_CLOCK_RATE
             + LEASE_MARGIN
         )
-        return now > end
+        return now > max(earlier_end, end)
 
     # Failures and quarantine.
 
