--- a/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
@@ -176,6 +176,7 @@
         if worker is None:
             return
         worker.is_poll_in_flight = False
+        worker.has_ended = answer.result is OrderResult.NOT_LISTENING
         worker.poll_due = max(worker.poll_due, now)
         if answer.result is OrderResult.OTHER_LIFE:
             if answer.successor is not None and answer.clock is not None:
--- a/packages/core/src/bulrushhollow_core/domain/execution/_watch.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_watch.py
@@ -62,14 +62,16 @@
         has_ordered_runs = any(
             run.phase is not RunPhase.PROPOSED for run in worker.runs_by_task.values()
         )
+        has_left = worker.life in self._shared.departed_lives
         if has_ordered_runs and worker.has_lease_expired(
             self._shared.leading_since, self._shared.settings.longest_lease, now
         ):
             self._loss_handler.declare_lost(
-                worker, "its lease has run out", now, is_life_over=False
+                worker, "its lease has run out", now, is_life_over=has_left
             )
             return
-        if worker.life in self._shared.departed_lives and worker.silent_since is not None:
+        # A worker whose departure was not acknowledged to it stays for a while, with its runs.
+        if has_left and (worker.has_ended or not has_ordered_runs and worker.is_silent):
             self._loss_handler.declare_lost(worker, "it has left", now)
             return
         if not worker.runs_by_task and now - worker.last_contact_at > FORGET_AFTER:
--- a/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
@@ -71,6 +71,8 @@
         self.listed_at = Seconds(-math.inf)
         """When it last listed its runs."""
         self.silent_since: Seconds | None = None
+        self.has_ended = False
+        """Whether its last poll showed that its process has ended."""
         self.runs_by_task: dict[TaskRef, Run] = {}
         """Changed only by its :class:`Fleet`, which keeps an index of all runs."""
         self._isolated_runs: list[Run] = []
@@ -114,6 +116,11 @@
             and self.last_recorded_end <= self.last_acknowledged_end
         )
 
+    @property
+    def is_silent(self) -> bool:
+        """Return whether it has not answered an order and nothing since."""
+        return self.silent_since is not None
+
     @property
     def has_confirmed_runs(self) -> bool:
         """Return whether it has any run whose start it has answered."""
--- a/packages/core/src/bulrushhollow_core/domain/model/_orders.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_orders.py
@@ -93,6 +93,8 @@
     """The ticket is missing or invalid; the order had no effect."""
     OTHER_LIFE = "gone"
     """Another life of the worker, or another worker, answered at the address."""
+    NOT_LISTENING = "ended"
+    """No process listens at the address, so the worker has ended. Only polls are answered so."""
     NO_ANSWER = "silent"
     """No answer in time; the order may have been carried out, or may be later."""
 
--- a/tests/test_domain_leases.py
+++ b/tests/test_domain_leases.py
@@ -70,5 +70,30 @@
                 self.assertEqual([Outcome.LOST], leader.run_until(leader.lease_end + 1.0))
 
 
+class LeavingWorkerTest(unittest.TestCase):
+    """A worker stays for some seconds if the answer to its departure does not reach it."""
+
+    def setUp(self) -> None:
+        self.leader = NewLeader()
+        self.leader.hear(0.0)
+        self.leader.scheduler.deregister(announcement(1).life, self.leader.now)
+
+    # Guards against a task that starts again while it runs on a worker that has said that it leaves
+    # and is cut off before the answer.
+    def test_a_silent_worker_keeps_its_runs_while_its_lease_lasts(self) -> None:
+        self.assertEqual([], self.leader.run_until(self.leader.lease_end))
+        self.assertEqual([Outcome.LOST], self.leader.run_until(self.leader.lease_end + 1.0))
+        self.assertEqual(0, self.leader.scheduler.worker_count)
+
+    # Guards against tasks that wait for the lease of a worker that has ended as it had announced.
+    def test_a_worker_that_no_longer_listens_loses_its_runs_at_once(self) -> None:
+        self.leader.run_until(self.leader.now + TICK_INTERVAL)
+        ended = PollAnswered(announcement(1).life, OrderResult.NOT_LISTENING)
+        self.leader.scheduler.poll_answered(ended, self.leader.now)
+        self.leader.scheduler.tick(Seconds(self.leader.now + TICK_INTERVAL), WALL)
+        self.assertEqual([Outcome.LOST], self.leader.ends())
+        self.assertEqual(0, self.leader.scheduler.worker_count)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -107,6 +107,23 @@
 
         run_test(scenario)
 
+    # Guards against a worker that has ended as it had announced and counts as out of reach.
+    def test_a_refused_connection_answers_a_poll_and_no_other_order(self) -> None:
+        async def scenario(fixture: WorkerFixture) -> None:
+            listener = open_listener(Address("127.0.0.1", 0))
+            address = str(bound_address(listener))
+            listener.close()
+            life = fixture.worker.life
+            fence = Term(1)
+            poll = Poll(life, address, fence, 0, None, Seconds(0.0))
+            stop = OrderStop(life, address, TASK, RunNumber(1), fence)
+            polled = await fixture.client.poll(poll)
+            stopped = await fixture.client.stop(stop)
+            self.assertIs(OrderResult.NOT_LISTENING, polled.result)
+            self.assertIs(OrderResult.NO_ANSWER, stopped.result)
+
+        run_test(scenario)
+
     def test_order_with_a_lower_fencing_token_is_refused(self) -> None:
         async def scenario(fixture: WorkerFixture) -> None:
             await fixture.client.poll(fixture.poll_order())
