Ignore lists that answer a poll of an earlier term

What callers would see: a task starts again while its first run starts or runs.

Cause: an instance that loses the lead and takes it again within the second and a half that a poll may last gives the answer to the scheduler of its new term. That one ends each adopted run which the list lacks, since a worker that has seen its fencing token starts nothing for an earlier leader. This worker has seen only the earlier token, so a start on its way may still be carried out; and the worker counts as having answered the new leader.

Evidence: the test of the scheduler fails before, the run is proposed as lost.

Why the fix works: the loop round the node adds the fencing token of the poll to its answer, and a leader ignores an answer with another token than its own. Its own first poll brings the token, and only the list that answers it ends runs. The test of withheld orders now expects the token in the answer, too, and is otherwise as before.

--- a/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
@@ -171,6 +171,9 @@
 
     def handle_poll_answer(self, answer: PollAnswered, now: Seconds) -> None:
         """Handle the running and the ended runs that a worker lists."""
+        if answer.fence not in (None, self._shared.fence):
+            # Its list does not show what started before the worker saw the present token.
+            return
         self._dispatcher.forget_waiting_poll(answer.life)
         worker = self._shared.fleet.get(answer.life)
         if worker is None:
--- a/packages/core/src/bulrushhollow_core/domain/model/_orders.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_orders.py
@@ -153,6 +153,7 @@
     :param successor: the other life of the same worker that answered, if one did.
     :param running: runs in progress.
     :param ended: ended runs that are not acknowledged.
+    :param fence: fencing token of the poll; None if unknown.
     """
 
     life: WorkerLife
@@ -161,6 +162,7 @@
     successor: WorkerLife | None = None
     running: tuple[ListedRun, ...] = ()
     ended: tuple[ListedEnd, ...] = ()
+    fence: Term | None = None
 
 
 class IssuedTicket(msgspec.Struct, frozen=True):
@@ -197,6 +199,6 @@
         case OrderStop():
             return StopAnswered(order.life, order.task, order.run, result, None)
         case Poll():
-            return PollAnswered(order.life, result)
+            return PollAnswered(order.life, result, fence=order.fence)
         case AskAdvice():
             return AdviceAnswered(order.step, order.workers, None)
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
@@ -218,7 +218,8 @@
             case OrderStop():
                 return await self._workers.stop(order)
             case Poll():
-                return await self._workers.poll(order)
+                answer = await self._workers.poll(order)
+                return msgspec.structs.replace(answer, fence=order.fence)
             case AskAdvice():
                 return await self._workers.advise(order)
 
--- a/tests/test_domain_leases.py
+++ b/tests/test_domain_leases.py
@@ -70,6 +70,19 @@
                 self.assertEqual([Outcome.LOST], leader.run_until(leader.lease_end + 1.0))
 
 
+class EarlierTermTest(unittest.TestCase):
+    # Guards against a run that counts as lost by a list made before its start: the poll is of an
+    # earlier term in which this instance led too, and its answer arrives in the present one.
+    def test_an_answer_to_a_poll_of_an_earlier_term_ends_no_run(self) -> None:
+        leader = NewLeader()
+        for fence, outcomes in ((Term(3), []), (Term(4), [Outcome.LOST])):
+            empty = PollAnswered(
+                announcement(1).life, OrderResult.ACCEPTED, Seconds(60.0), fence=fence
+            )
+            leader.scheduler.poll_answered(empty, leader.now)
+            self.assertEqual(outcomes, leader.ends())
+
+
 class LeavingWorkerTest(unittest.TestCase):
     """A worker stays for some seconds if the answer to its departure does not reach it."""
 
--- a/tests/test_domain_runtime.py
+++ b/tests/test_domain_runtime.py
@@ -23,6 +23,19 @@
 POLL = Poll(LIFE, "w:1", Term(3), 0, Seconds(9.0), Seconds(1.0))
 
 
+class PollTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against answers that a later term of the same instance takes for answers to its polls.
+    async def test_an_answer_to_a_poll_carries_the_fencing_token_of_the_poll(self) -> None:
+        workers = mock.AsyncMock()
+        workers.poll.return_value = PollAnswered(LIFE, OrderResult.ACCEPTED, Seconds(5.0))
+        runtime = CoreRuntime(mock.Mock(), mock.Mock(), workers, mock.Mock())
+        await runtime._send_order(POLL)
+        [answer] = runtime._pending_inputs
+        self.assertEqual(
+            PollAnswered(LIFE, OrderResult.ACCEPTED, Seconds(5.0), fence=POLL.fence), answer
+        )
+
+
 class StallingDiskTest(unittest.TestCase):
     def step(self, leads_after_sync: bool) -> tuple[list[object], list[object]]:
         """Return the orders sent and the inputs queued by a step whose sync takes long."""
@@ -46,7 +59,8 @@
             orders, inputs = self.step(leads_after_sync=False)
         self.assertEqual([], orders)
         start_answer = StartAnswered(LIFE, TASK, RunNumber(1), OrderResult.NO_ANSWER, None)
-        self.assertEqual([start_answer, PollAnswered(LIFE, OrderResult.NO_ANSWER)], inputs)
+        poll_answer = PollAnswered(LIFE, OrderResult.NO_ANSWER, fence=POLL.fence)
+        self.assertEqual([start_answer, poll_answer], inputs)
         self.assertEqual(2, len(logs.records))
 
 
