Test that no run is given up while its worker and its lease live

Cause: the state machine couldn't show the two faults before this. And the oracle lacked two parts of rule TWICE: a start after a `done` end breaks it also if it comes before the acknowledgement, and the end of one member of a gang represents all.

Change: the oracle checks both; nothing that it required is gone. Announcements may arrive up to eight seconds late. Workers drain, deregister, and leave with the answer or, cut off, some seconds later; a worker that has left refuses connections, one that has crashed doesn't answer. In the new test workers come back under another id, while leaders are killed or frozen one after the other.

--- a/standins/domain_oracle.py
+++ b/standins/domain_oracle.py
@@ -85,6 +85,8 @@
         self.runs_by_task: dict[TaskRef, list[tuple[Worker, RunNumber]]] = {}
         self.done_tasks: set[TaskRef] = set()
         self.recorded_done_tasks: set[TaskRef] = set()
+        self.last_start_by_task: dict[TaskRef, tuple[float, RunNumber, str]] = {}
+        """Time, run and worker of the last start of each task that the scheduler could foresee."""
         self.failure_count_by_task: dict[TaskRef, int] = {}
         self.cancelled_at_by_job: dict[JobId, float] = {}
         self.violations: list[str] = []
@@ -160,6 +162,7 @@
                 f"{task} starts after its job was cancelled",
             )
         other_runs.append((worker, order.run))
+        self.last_start_by_task[task] = (self.world.now, order.run, worker.name)
 
     def _check_capacity(self, worker: Worker, task: TaskRef) -> None:
         """Check that the running and stopping tasks stay within the worker's capacity."""
@@ -244,10 +247,25 @@
         # An end before the worker's lease expired is not binding: its task counted as lost.
         is_binding = worker.lease_expired_at < worker.ended_at_by_number[row.number]
         if row.outcome is Outcome.DONE and is_binding:
-            self.recorded_done_tasks.add(row.task)
+            self._record_done(row.task, worker.ended_at_by_number[row.number])
         if row.outcome is Outcome.FAILED:
             self.failure_count_by_task[row.task] = self.failure_count_by_task.get(row.task, 0) + 1
 
+    def _record_done(self, task: TaskRef, ended_at: float) -> None:
+        """
+        Record that an acknowledged end completes a task; a start after the end breaks the promise,
+        also if it came before the acknowledgement. The end of one member completes its gang.
+        """
+        step = self.step(task)
+        members = range(step.count) if step.is_gang else [task.member]
+        for member in (task.step_ref.task(index) for index in members):
+            self.recorded_done_tasks.add(member)
+            started_at, run, name = self.last_start_by_task.get(member, (-math.inf, 0, ""))
+            self._require(
+                started_at <= ended_at,
+                f"{member} run {run} started on {name} after the recorded end of {task}",
+            )
+
     def check_shown_state(self, job: JobId, state: JobState) -> None:
         """Check a job's state as a caller reads it."""
         work = self.world.work_by_job[job]
--- a/standins/domain_workers.py
+++ b/standins/domain_workers.py
@@ -195,6 +195,8 @@
         """Each capacity that it had before, with the time at which it ceased to have it."""
         self.guards_capacity = True
         self.is_up = True
+        self.has_left = False
+        """Whether its process has ended and its machine has not: nothing listens there."""
         self.is_grey = False
         self.is_order_delayed = False
         self.availability = Availability.READY
@@ -207,6 +209,7 @@
         """Start with empty memory, as after a restart; under the id before unless one is given."""
         self.life = WorkerLife(WorkerId(worker_id or self.life.id), born)
         self.is_up = True
+        self.has_left = False
         self.runs: dict[TaskRef, LiveRun] = {}
         self.unacknowledged_ends: list[ListedEnd] = []
         self.highest_run_by_task: dict[TaskRef, RunNumber] = {}
@@ -253,6 +256,11 @@
                 for worker, other in self.pool.gang_members(run):
                     worker._end_member(other, Outcome.GANG_BROKEN)
 
+    def leave(self) -> None:
+        """End the process; every run is lost, and connections are refused."""
+        self.crash()
+        self.has_left = True
+
     def crash_under(self, task: TaskRef, crash: Crash) -> None:
         """Crash because of a task, and come back after a while."""
         self.crash(task)
--- a/tests/domain_world.py
+++ b/tests/domain_world.py
@@ -3,8 +3,9 @@
 domain's invariants.
 
 Tests inject the faults: instances die, lose their disks, freeze and are partitioned; workers crash,
-return under their old id and are partitioned; orders are answered late, lost, carried out without
-an answer, or carried out seconds after they have timed out.
+return under their old id or another one, are partitioned, and leave with or without an answer;
+their announcements arrive late; orders are answered late, lost, carried out without an answer, or
+carried out seconds after they have timed out.
 """
 
 import itertools
@@ -25,6 +26,7 @@
     CallReceived,
     Cancel,
     Configuration,
+    Deregister,
     DomainNode,
     DomainSettings,
     Done,
@@ -34,12 +36,14 @@
     MessageReceived,
     NoSuchJob,
     NotLeader,
+    OrderResult,
     OrderStart,
     OrderStop,
     OutcomeUnknown,
     PeerConnected,
     PeerDisconnected,
     Poll,
+    PollAnswered,
     PutConfig,
     Read,
     RefusalReason,
@@ -193,6 +197,7 @@
         workers: int = 12,
         late_order_rate: float = 0.0,
         lost_answer_rate: float = 0.0,
+        late_announcement_rate: float = 0.0,
     ) -> None:
         super().__init__()
         self.rng = random.Random(seed)
@@ -200,6 +205,7 @@
         """The decision logs of all instances, as their processes write them."""
         self.late_order_rate = late_order_rate
         self.lost_answer_rate = lost_answer_rate
+        self.late_announcement_rate = late_announcement_rate
         self.settings = DomainSettings(
             longest_lease=LONGEST_LEASE, heartbeat_interval=Seconds(HEARTBEAT_INTERVAL)
         )
@@ -288,7 +294,29 @@
             if isinstance(answer, Done):
                 self.announced_lives.add(life)
 
-        self.send_call(Announce(worker.heartbeat()), handle_answer, source=worker.address)
+        call = Announce(worker.heartbeat())
+        if self.late_announcement_rate and self.rng.random() < self.late_announcement_rate:
+            self.call_later(
+                self.rng.uniform(0.5, 8),
+                lambda: self.send_call(call, handle_answer, source=worker.address),
+            )
+            return
+        self.send_call(call, handle_answer, source=worker.address)
+
+    def deregister(self, worker: Worker, may_answer: bool, seconds: float) -> None:
+        """Let a worker say that it leaves; without an answer it leaves some seconds later."""
+        life = worker.life
+
+        def leave() -> None:
+            if worker.is_up and worker.life == life:
+                worker.leave()
+
+        def handle_answer(answer: Answer | None) -> None:
+            if may_answer and isinstance(answer, Done):
+                leave()
+
+        self.send_call(Deregister(life.id, life.born), handle_answer, source=worker.address)
+        self.call_later(seconds, leave)
 
     def send_order(self, source: Instance, order: OrderStart | OrderStop | Poll) -> None:
         worker = next((w for w in self.worker_pool.workers if w.address == order.address), None)
@@ -301,6 +329,8 @@
             if not self.are_connected(source.address, worker.address):
                 return
             state["answered"] = True
+            if isinstance(order, Poll):
+                result = msgspec.structs.replace(result, fence=order.fence)
             self.call_later(MESSAGE_DELAY, lambda: self.deliver_answer(source, generation, result))
 
         wait = order.wait if isinstance(order, Poll) else 0.0
@@ -327,6 +357,8 @@
         self, worker: Worker, order: msgspec.Struct, answer: Callable[[msgspec.Struct], None]
     ) -> None:
         if not worker.is_up:
+            if worker.has_left and isinstance(order, Poll):
+                answer(PollAnswered(order.life, OrderResult.NOT_LISTENING))
             return
         match order:
             case OrderStart():
--- a/tests/test_domain_machine.py
+++ b/tests/test_domain_machine.py
@@ -3,6 +3,7 @@
 import os
 import random
 import unittest
+from collections.abc import Callable
 
 from bulrushhollow_core.domain import (
     Availability,
@@ -32,14 +33,25 @@
 LOST_ANSWER_SEEDS = (1, 2, 3, 4)
 """Seeds of the runs in which workers carry out orders and their answers are lost."""
 
+SILENCE_SEEDS = (1, 2, 90004, 90037, 90103, 90115)
+"""Seeds of the runs in which workers are cut off while they run on, and announcements are late.
+90004 and 90037 guard against a leaving worker that counts as gone once it is silent, 90103 and
+90115 against leases of an earlier leader that seem to end too soon."""
+
 
 def start_domain(
     seed: int,
     late_order_rate: float = 0.0,
     lost_answer_rate: float = 0.0,
     checks_admission: bool = True,
+    late_announcement_rate: float = 0.0,
 ) -> World:
-    world = World(seed, late_order_rate=late_order_rate, lost_answer_rate=lost_answer_rate)
+    world = World(
+        seed,
+        late_order_rate=late_order_rate,
+        lost_answer_rate=lost_answer_rate,
+        late_announcement_rate=late_announcement_rate,
+    )
     world.run(4)
     assert world.put_configuration(configuration(1, checks_admission=checks_admission))
     world.run(1)
@@ -134,11 +146,16 @@
 
 
 class Faults:
-    """Injects faults one by one, and repairs each after a while."""
+    """
+    Injects faults one by one, and repairs each after a while.
 
-    def __init__(self, world: World, rng: random.Random) -> None:
+    :param keeps_ids: whether workers return under the id that they had.
+    """
+
+    def __init__(self, world: World, rng: random.Random, keeps_ids: bool = True) -> None:
         self.world = world
         self.rng = rng
+        self.keeps_ids = keeps_ids
         self.wiped_at = -100.0
 
     def inject(self) -> None:
@@ -192,8 +209,7 @@
                 world.call_later(rng.uniform(0.2, 2), lambda e=each: e.is_up or e.start())
         elif kind in ("crash", "reborn") and worker.is_up:
             worker.crash()
-            born = worker.life.born + 1
-            world.call_later(rng.uniform(0.3, 4), lambda: worker.is_up or worker.begin_life(born))
+            world.call_later(rng.uniform(0.3, 4), lambda: worker.is_up or self.begin_life(worker))
         elif kind == "drain" and worker.is_up:
             worker.availability = Availability.DRAINING
             worker.remaining = rng.uniform(0.1, 3)
@@ -206,11 +222,78 @@
             world.call_later(rng.uniform(1, 9), world.heal)
 
     def restart(self, worker: Worker) -> None:
-        """End the life of a drained worker, and begin a new one under the same id."""
+        """End the life of a drained worker, and begin a new one."""
         if worker.is_up:
             worker.crash()
         worker.availability = Availability.READY
-        worker.begin_life(worker.life.born + 1)
+        self.begin_life(worker)
+
+    def begin_life(self, worker: Worker) -> None:
+        """Begin a new life of a worker, under its id or another one."""
+        born = worker.life.born + 1
+        worker.begin_life(born, "" if self.keeps_ids else f"{worker.name}-{born}")
+
+
+class SilenceFaults(Faults):
+    """Cuts off workers that run on, changes leaders meanwhile, and lets workers leave."""
+
+    def __init__(self, world: World, rng: random.Random) -> None:
+        super().__init__(world, rng, keeps_ids=False)
+
+    def inject(self) -> None:
+        world, rng = self.world, self.rng
+        workers = rng.sample(world.worker_pool.workers, 2)
+        kind = rng.choice(("any", "cut_workers", "change_leaders", "leave"))
+        if kind == "any":
+            super().inject()
+        elif kind == "cut_workers":
+            for worker in workers:
+                self.cut_off(worker)
+        elif kind == "change_leaders":
+            self.cut_off(workers[0])
+            for _ in range(rng.randint(1, 3)):
+                world.call_later(rng.uniform(0, 4), self.end_leader)
+        elif workers[0].is_up and workers[0].availability is Availability.READY:
+            self.leave(workers[0])
+
+    def cut_off(self, worker: Worker) -> None:
+        """Cut off a worker; some of its announcements get through by way of an instance."""
+        world, rng = self.world, self.rng
+        leader = world.leader()
+        is_leader_only = leader is not None and rng.random() < 0.5
+        addresses = [leader.address] if is_leader_only else [i.address for i in world.instances]
+        world.cut(worker.address, addresses)
+        world.call_later(rng.uniform(1, 9), world.heal)
+
+    def end_leader(self) -> None:
+        """Kill or freeze the leader for a while."""
+        world, rng = self.world, self.rng
+        leader = world.leader()
+        if leader is None:
+            return
+        if rng.random() < 0.5:
+            leader.frozen_until = world.now + rng.uniform(1, 5)
+            return
+        leader.kill()
+        world.call_later(rng.uniform(0.2, 4), lambda: leader.is_up or leader.start())
+
+    def leave(self, worker: Worker) -> None:
+        """Let a worker drain, say that it leaves, stay a little longer, and come back."""
+        world, rng = self.world, self.rng
+        worker.availability = Availability.DRAINING
+        worker.remaining = rng.uniform(0.1, 3)
+        leaves_after = worker.remaining + rng.uniform(0, 4)
+
+        def deregister() -> None:
+            if not worker.is_up:
+                return
+            may_answer = rng.random() < 0.5
+            world.deregister(worker, may_answer, rng.uniform(1, 6))
+            if not may_answer:
+                world.call_later(0.05, lambda: self.cut_off(worker))
+
+        world.call_later(leaves_after, deregister)
+        world.call_later(leaves_after + 7, lambda: self.restart(worker))
 
 
 def run_seed(
@@ -221,11 +304,15 @@
     changes_caps: bool = False,
     changes_capacities: bool = False,
     has_crashing_tasks: bool = False,
+    late_announcement_rate: float = 0.0,
+    make_faults: Callable[[World, random.Random], Faults] = Faults,
 ) -> World:
     """Submit jobs and inject faults, then repair everything and check that every job has ended."""
-    world = start_domain(seed, late_order_rate, lost_answer_rate, not changes_capacities)
+    world = start_domain(
+        seed, late_order_rate, lost_answer_rate, not changes_capacities, late_announcement_rate
+    )
     rng = random.Random(seed * 7919)
-    faults = Faults(world, rng)
+    faults = make_faults(world, rng)
     cap_changes = CapChanges(world, seed)
     capacity_changes = CapacityChanges(world, seed) if changes_capacities else None
     crashing_tasks = CrashingTasks(world, seed) if has_crashing_tasks else None
@@ -251,7 +338,7 @@
             faults.inject()
             next_fault = world.now + rng.uniform(1, 6)
         world.run(rng.uniform(0.1, 1.2))
-    world.late_order_rate = world.lost_answer_rate = 0.0
+    world.late_order_rate = world.lost_answer_rate = world.late_announcement_rate = 0.0
     world.run(12)
     world.heal()
     for instance in world.instances:
@@ -341,6 +428,21 @@
             with self.subTest(seed=seed):
                 run_seed(seed, lost_answer_rate=0.3)
 
+    # Guards against tasks that start again while they run, or after they are done, on workers that
+    # the leader does not reach. No worker returns under its id.
+    def test_no_run_is_given_up_while_its_worker_and_its_lease_live(self) -> None:
+        first = int(os.environ.get("FUZZ_SEED", "0"))
+        count = int(os.environ.get("FUZZ_STEPS", "0")) // 1000
+        seeds = range(first, first + count) if first and count else SILENCE_SEEDS
+        for seed in seeds:
+            with self.subTest(seed=seed):
+                run_seed(
+                    seed,
+                    lost_answer_rate=0.1 * (seed % 2),
+                    late_announcement_rate=0.3,
+                    make_faults=SilenceFaults,
+                )
+
 
 if __name__ == "__main__":
     unittest.main()
