--- a/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
@@ -87,6 +87,8 @@
         self.listed_at = Seconds(-math.inf)
         """When it last listed its runs."""
         self.silent_since: Seconds | None = None
+        self.has_ended = False
+        """Whether its last poll showed that its process has ended."""
         self.runs_by_task: dict[TaskRef, Run] = {}
         """Changed only by its :class:`Fleet`, which keeps an index of all runs."""
         self._isolated_runs: list[Run] = []
@@ -130,6 +132,11 @@
             and self.last_recorded_end <= self.last_acknowledged_end
         )
 
+    @property
+    def is_silent(self) -> bool:
+        """Return whether it has not answered an order and nothing since."""
+        return self.silent_since is not None
+
     @property
     def has_confirmed_runs(self) -> bool:
         """Return whether it has any run whose start it has answered."""
@@ -267,15 +274,16 @@
 
         :param leading_since: when this leader began to lead; earlier leaders granted before that.
         """
-        latest_end = leading_since + longest_lease / MIN_CLOCK_RATE + LEASE_MARGIN
+        # Not by the worker's clock: its first reading may have been on its way for a while.
+        earlier_end = leading_since + longest_lease / MIN_CLOCK_RATE + LEASE_MARGIN
         if self._lease_end is None or self._clock_reading is None:
-            return now > latest_end
+            return now > earlier_end
         end = (
             self._clock_read_at
             + (self._lease_end - self._clock_reading) / MIN_CLOCK_RATE
             + LEASE_MARGIN
         )
-        return now > end
+        return now > max(earlier_end, end)
 
     # Failures and quarantine.
 
--- a/packages/core/src/bulrushhollow_core/domain/model/_orders.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_orders.py
@@ -93,6 +93,8 @@
     """The ticket is missing or invalid; the order had no effect."""
     OTHER_LIFE = "gone"
     """Another life of the worker, or another worker, answered at the address."""
+    NOT_LISTENING = "ended"
+    """No process listens at the address, so the worker has ended. Only polls are answered so."""
     NO_ANSWER = "silent"
     """No answer in time; the order may have been carried out, or may be later."""
 
@@ -153,6 +155,7 @@
     :param successor: the other life of the same worker that answered, if one did.
     :param running: runs in progress.
     :param ended: ended runs that are not acknowledged.
+    :param fence: fencing token of the poll; None if unknown.
     """
 
     life: WorkerLife
@@ -161,6 +164,7 @@
     successor: WorkerLife | None = None
     running: tuple[ListedRun, ...] = ()
     ended: tuple[ListedEnd, ...] = ()
+    fence: FencingToken | None = None
 
 
 class IssuedTicket(msgspec.Struct, frozen=True):
@@ -201,6 +205,6 @@
         case OrderStop():
             return StopAnswered(order.life, order.task, order.run, result, None)
         case Poll():
-            return PollAnswered(order.life, result)
+            return PollAnswered(order.life, result, fence=order.fence)
         case AskAdvice():
             return AdviceAnswered(order.step, order.workers, None)
