Count a run that was done after it had been given up

Cause: EndRuns ignored each end of a task that was not active, and the poll after it acknowledged the end all the same. A late start that is done during the hold of its task, or a run that was recorded as lost too early, so became a second run of a done task (rule TWICE).

Change: 'done' of the latest run of a waiting task counts. Nothing else runs then, and repeating it changes nothing. 'failed' stays ignored: listed again to a new leader, it would count twice.

--- a/packages/core/src/bulrushhollow_core/domain/replica/_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/replica/_state.py
@@ -240,7 +240,11 @@
         task = self.find_task(end.task)
         if job is None or record is None or task is None:
             return
-        if task.run != end.run or task.state is not TaskState.ACTIVE:
+        is_long_running = job.work.steps[end.task.step].is_long_running
+        is_success = end.outcome is Outcome.DONE and not is_long_running
+        # A run that was given up may have been done; its worker forgets the end that it listed.
+        is_late_success = is_success and task.state is TaskState.WAITING and end.run > 0
+        if task.run != end.run or not (task.state is TaskState.ACTIVE or is_late_success):
             return
         task.state = TaskState.WAITING
         task.worker = None
@@ -251,8 +255,7 @@
             task.checkpoint = end.checkpoint
             if is_gang and (end.outcome is not Outcome.GANG_BROKEN or not record.checkpoint):
                 record.checkpoint = end.checkpoint
-        is_long_running = job.work.steps[end.task.step].is_long_running
-        if end.outcome is Outcome.DONE and not is_long_running:
+        if is_success:
             self._record_success(job, record, end, is_gang, at)
         elif end.outcome is Outcome.FAILED:
             self._record_failure(job, record, end, is_gang, at)
