Show stopped runs whose starts may still be carried out

Three ways on which the end of a run says that its start can no longer be carried out although nothing shows it: the start was on its way while a list ended the stopped run; the run was an earlier leader's and was stopped before any list; the worker began its next life while the stopped run's start was on its way.

--- a/tests/test_domain_late_starts.py
+++ b/tests/test_domain_late_starts.py
@@ -2,13 +2,31 @@
 
 import unittest
 
+import msgspec
+
 from bulrushhollow_core.domain import JobState, OrderStart
+from bulrushhollow_core.domain._scheduler import Scheduler
 from bulrushhollow_core.domain.fleet import LATE_ORDER_WINDOW
-from bulrushhollow_core.ids import JobId
+from bulrushhollow_core.domain.model import (
+    DomainSettings,
+    EndRuns,
+    ListedEnd,
+    OrderResult,
+    Outcome,
+    PollAnswered,
+    Resources,
+    RunEnd,
+    Step,
+    StopAnswered,
+    Work,
+    WorkerLife,
+    no_answer_to,
+)
+from bulrushhollow_core.ids import JobId, Seconds, Term, WorkerId
 from standins.domain_site import configuration
 from standins.domain_workers import Worker
 from tests.domain_world import Instance, World
-from tests.test_domain_scheduler import SINGLE_TASK
+from tests.test_domain_scheduler import SINGLE_TASK, WALL, SchedulerHarness, announcement
 
 JOB = JobId("a" * 16)
 
@@ -64,5 +82,82 @@
         self.assertEqual(1, self.world.oracle.start_count)
 
 
+class GangTest(unittest.TestCase):
+    """A member of a gang fails, and the other one, whose start has no answer yet, is stopped."""
+
+    def setUp(self) -> None:
+        self.harness = SchedulerHarness()
+        other = msgspec.structs.replace(
+            announcement(1, address="o:1"), life=WorkerLife(WorkerId("o"), 1)
+        )
+        self.harness.scheduler.worker_announced(other, self.harness.now)
+        step = Step(2, Resources(64_000, 100, 8), Seconds(1.0), is_gang=True)
+        self.harness.submit(Work("spec", (step,)))
+        self.harness.commit(self.harness.plan())
+        actions = self.harness.scheduler.take_actions()
+        self.silent, self.failed = [each for each in actions if isinstance(each, OrderStart)]
+
+    def stop_silent_member(self) -> None:
+        """Let one member fail, and the worker of the other one accept its stop."""
+        harness, failed, silent = self.harness, self.failed, self.silent
+        row = ListedEnd(1, failed.task, failed.run, Outcome.FAILED, "")
+        listed = PollAnswered(failed.life, OrderResult.ACCEPTED, Seconds(51.0), ended=(row,))
+        harness.scheduler.poll_answered(listed, harness.now)
+        harness.now = Seconds(harness.now + 0.1)
+        harness.commit(harness.scheduler.take_proposals(harness.now, WALL))
+        stopped = StopAnswered(
+            silent.life, silent.task, silent.run, OrderResult.ACCEPTED, Seconds(51.1)
+        )
+        harness.scheduler.stop_answered(stopped, harness.now)
+
+    def ends_after_empty_lists(self) -> list[RunEnd]:
+        """Let the worker of the stopped member list nothing, and return the ends of that member."""
+        harness = self.harness
+        for _ in range(2):
+            harness.now = Seconds(harness.now + 0.1)
+            harness.scheduler.tick(harness.now, WALL)
+            empty = PollAnswered(self.silent.life, OrderResult.ACCEPTED, Seconds(51.2))
+            harness.scheduler.poll_answered(empty, harness.now)
+        proposals = harness.scheduler.take_proposals(Seconds(harness.now + 1), WALL)
+        ends = [end for each in proposals if isinstance(each, EndRuns) for end in each.ends]
+        return [end for end in ends if end.task == self.silent.task]
+
+    # Guards against two runs of a task at once (TWICE): the end of a run was recorded while its
+    # start was on its way, and the start was carried out in the next life of the worker.
+    def test_a_list_does_not_end_a_run_whose_start_has_no_answer_yet(self) -> None:
+        self.stop_silent_member()
+        self.assertEqual([], self.ends_after_empty_lists())
+        self.harness.scheduler.start_answered(no_answer_to(self.silent), self.harness.now)
+        [end] = self.ends_after_empty_lists()
+        self.assertTrue(end.may_start_late)
+
+    # Guards against the same for a start of an earlier leader: the run was stopped before any list
+    # showed whether it had started.
+    def test_a_stopped_run_of_an_earlier_leader_may_start_late(self) -> None:
+        harness = self.harness
+        harness.scheduler = Scheduler(harness.state, Term(4), DomainSettings(), harness.now)
+        self.stop_silent_member()
+        [end] = self.ends_after_empty_lists()
+        self.assertTrue(end.may_start_late)
+
+    # Guards against a start that was on its way when its run was stopped, and that the stops in the
+    # worker's next life leave out.
+    def test_a_start_without_an_answer_is_still_unanswered_in_the_next_life(self) -> None:
+        self.stop_silent_member()
+        harness, silent = self.harness, self.silent
+        address = f"{silent.life.id}:1"
+        later = msgspec.structs.replace(
+            announcement(2, address=address), life=WorkerLife(silent.life.id, 2)
+        )
+        harness.scheduler.worker_announced(later, harness.now)
+        stopped = StopAnswered(
+            later.life, silent.task, silent.run, OrderResult.ACCEPTED, Seconds(50.3)
+        )
+        harness.scheduler.stop_answered(stopped, harness.now)
+        self.silent = msgspec.structs.replace(silent, life=later.life)
+        [end] = self.ends_after_empty_lists()
+        self.assertTrue(end.may_start_late)
+
+
 if __name__ == "__main__":
     unittest.main()
