Treat a start as unanswered until its answer has come

Cause: a start whose answer was awaited counted as unanswered only while its run was in the phase of starting. A stop ended that phase, so a list ended the run before the answer, and neither the hold of the task nor the stops in the worker's next life covered the start. For a run of an earlier leader the stop hid in the same way that no list had shown it.

Change: the run itself says whether an answer to its start is awaited; a list does not end it before, which takes at most the timeout of an order.

--- a/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
@@ -72,6 +72,7 @@
         run = worker.runs_by_task.get(answer.task) if worker else None
         if worker is None or run is None or run.number != answer.run:
             return
+        run.awaits_start_answer = False
         if answer.result is OrderResult.NO_ANSWER and answer.was_sent:
             # It may still be carried out, even in a later life, also if the run was stopped since.
             worker.record_unanswered_start(run, now)
@@ -327,13 +328,15 @@
     ) -> None:
         """
         End the runs that are not listed and that the worker will not start. A list proves this only
-        if its poll was sent after the answer to the run's order.
+        if its poll was sent after the answer to the run's order, and if no start is on its way.
         """
         for run in list(worker.runs_by_task.values()):
             if (run.task, run.number) in listed_runs:
                 continue
             has_never_started = (
-                run.phase is RunPhase.STOPPING and worker.polled_at > run.stop_accepted_at
+                run.phase is RunPhase.STOPPING
+                and worker.polled_at > run.stop_accepted_at
+                and not run.awaits_start_answer
             )
             is_lost = run.phase is RunPhase.RUNNING and worker.polled_at > run.accepted_at
             if run.phase is RunPhase.ADOPTED or has_never_started or is_lost:
--- a/packages/core/src/bulrushhollow_core/domain/execution/_dispatch.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_dispatch.py
@@ -77,6 +77,7 @@
     def send_start(self, worker: Worker, run: Run, now: Seconds) -> None:
         """Send the start of a run, with a new lease."""
         run.start_attempts += 1
+        run.awaits_start_answer = True
         job = self._shared.state.jobs_by_id[run.task.job]
         self._shared.outbox.append(
             OrderStart(
--- a/packages/core/src/bulrushhollow_core/domain/execution/_losses.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_losses.py
@@ -68,7 +68,7 @@
                 self._log_lost_run(worker, run, cause)
                 if cause is not LossCause.DEPARTED:
                     run.lose()
-                if cause is not LossCause.CRASHED and run.phase is RunPhase.STARTING:
+                if cause is not LossCause.CRASHED and run.awaits_start_answer:
                     worker.record_unanswered_start(run, now)
                 self._shared.propose_end_of(run, Outcome.LOST, run.checkpoint, now)
                 self._shared.fleet.release(worker, run.task)
@@ -95,7 +95,7 @@
         late_starts |= {
             RunRef(run.task, run.number): UnansweredStart(now, run.needs)
             for run in earlier.runs_by_task.values()
-            if run.phase is RunPhase.STARTING
+            if run.awaits_start_answer
         }
         later.unanswered_starts.update(late_starts)
         later.pending_stops.update(dict.fromkeys(late_starts, now))
@@ -109,6 +109,7 @@
             self._shared.fleet.release(earlier, ref)
             run.life = later.life
             run.phase = RunPhase.STOPPING
+            run.awaits_start_answer = False
             self._shared.fleet.place(later, run)
             self._dispatcher.send_stop(later, run, now)
 
--- a/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
@@ -163,7 +163,7 @@
         start = worker.unanswered_starts.get(RunRef(run.task, run.number)) if worker else None
         if start is not None:
             return Seconds(start.timed_out_at + LATE_ORDER_WINDOW)
-        if run.phase is RunPhase.ADOPTED and not run.has_been_listed:
+        if run.is_adopted and not run.has_been_listed:
             # The earlier leader may have ordered it just before this one began to lead.
             return Seconds(self.leading_since + LATE_ORDER_WINDOW)
         return now
--- a/packages/core/src/bulrushhollow_core/domain/fleet/_runs.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_runs.py
@@ -103,6 +103,8 @@
         """Whether an earlier leader started it."""
         self.started_at = now
         self.start_attempts = 0
+        self.awaits_start_answer = False
+        """Whether its start was sent and has neither been answered nor timed out."""
         self.percent = 0
         self.sampled_percent = 0
         """Latest progress below 100 percent, at `sampled_at`; the pace is computed from it."""
