Show a task that starts while the run of its latest possible start goes on

The start is carried out 0.1 s before the platform's limit in a life of which no instance has heard; the task starts on another worker once its hold is over: 'runs twice'.

--- a/tests/test_domain_late_starts.py
+++ b/tests/test_domain_late_starts.py
@@ -30,14 +30,17 @@
 
 JOB = JobId("a" * 16)
 
+WHOLE_WORKER = Work("spec", (Step(1, Resources(64_000, 256_000, 8), Seconds(60.0)),))
+
 
 class LosingWorld(World):
-    """A domain that loses the starts to one worker until they are let through."""
+    """A domain that loses all starts until they are let through."""
 
-    def __init__(self) -> None:
+    def __init__(self, workers: int = 1) -> None:
         self.lost_starts: list[OrderStart] = []
+        self.lost_at: list[float] = []
         self.loses_starts = True
-        super().__init__(1, workers=1)
+        super().__init__(1, workers=workers)
         self.run(4)
         assert self.put_configuration(configuration(1))
         self.run(1)
@@ -47,10 +50,18 @@
             super().send_order(source, order)
             return
         self.lost_starts.append(order)
+        self.lost_at.append(self.now)
         state = {"answered": False}
         self.call_later(0.6, lambda: self.time_out_order(source, source.generation, order, state))
 
 
+def restart(worker: Worker) -> None:
+    """Restart a worker under its id; its clock starts anew, so a late lease lasts longest."""
+    worker.crash()
+    worker.begin_life(worker.life.born + 1)
+    worker.clock_offset = 0.0
+
+
 class LateStartTest(unittest.TestCase):
     def setUp(self) -> None:
         self.world = LosingWorld()
@@ -65,23 +76,42 @@
     def has_ended_run(self) -> bool:
         return any("run_ended" in line for line in self.world.log)
 
-    def restart(self, worker: Worker) -> None:
-        """Restart a worker under its id; its clock starts anew, so a late lease lasts longest."""
-        worker.crash()
-        worker.begin_life(worker.life.born + 1)
-        worker.clock_offset = 0.0
-
     # Guards against a done task that starts again (TWICE): its late start was carried out in the
     # worker's next life and was done at once, and the end was acknowledged without being recorded.
     def test_a_task_that_a_late_start_has_done_does_not_start_again(self) -> None:
         self.give_up_start(duration=0.2)
-        self.restart(self.worker)
+        restart(self.worker)
         self.world.execute_order_late(self.worker, self.world.lost_starts[0])
         self.world.run(LATE_ORDER_WINDOW + 10.0)
         self.assertEqual(JobState.DONE, self.world.read(JOB, "usual"))
         self.assertEqual(1, self.world.oracle.start_count)
 
 
+class LatestStartTest(unittest.TestCase):
+    # Guards against two runs of a task at once (TWICE): its start was carried out at the end of the
+    # time for which the task waits, in a life that no instance had heard of yet, and it ran on.
+    def test_a_task_waits_for_the_run_of_the_latest_possible_start(self) -> None:
+        world = LosingWorld(workers=2)
+        world.submit(JOB, "usual", SINGLE_TASK, 5.0)
+        self.assertTrue(world.run_until(lambda: "run_ended" in "".join(world.log), 10.0))
+        world.loses_starts = False
+        start, sent_at = world.lost_starts[-1], world.lost_at[-1]
+        [worker] = [each for each in world.worker_pool.workers if each.life == start.life]
+        # So that the next run does not go to the same worker.
+        world.submit("b" * 16, "usual", WHOLE_WORKER, 60.0)
+        world.run(sent_at + LATE_ORDER_WINDOW - 0.1 - world.now)
+        self.assertEqual(Resources(0, 0, 0), worker.capacity.minus(worker.used))
+        restart(worker)
+        # Its first heartbeat is not there yet.
+        world.cut(worker.address, [instance.address for instance in world.instances])
+        world.execute_order_late(worker, start)
+        self.assertIn(start.task, worker.runs)
+        world.run(1.0)
+        world.heal()
+        world.run(20.0)
+        self.assertEqual([], world.oracle.violations)
+
+
 class GangTest(unittest.TestCase):
     """A member of a gang fails, and the other one, whose start has no answer yet, is stopped."""
 
