Ignore answers of the platform to calls of an earlier epoch

Cause: calls are numbered anew under each epoch, and an answer was matched by its number alone. The platform records the epoch of each call that it carries out, so an answer with a lower one is from before; refused late calls are dropped by the site already.

--- a/packages/core/src/bulrushhollow_core/jobs/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_scheduler.py
@@ -233,6 +233,9 @@
             return []
         if answer.fenced or answer.highest_epoch > active.epoch:
             return [Fenced(answer.highest_epoch)] if answer.highest_epoch > active.epoch else []
+        if answer.highest_epoch < active.epoch:
+            # An answer to a call of an earlier epoch; the numbers of calls start anew in each.
+            return []
         sent_at = active.session.accept(answer)
         if sent_at is None:
             return []
