Show a worker that is fenced off for the rest of a term

A new leader numbers the lives that it adopts by their births. If the clock of a worker was set back before its last restart, its present life gets the lower token and refuses all orders once the poll for the life before has arrived. The test fails on this code; with tokens by the term alone both had the same one.

--- a/tests/test_domain_fencing.py
+++ b/tests/test_domain_fencing.py
@@ -9,7 +9,16 @@
 from bulrushhollow_core.domain._scheduler import Scheduler
 from bulrushhollow_core.domain.fleet import TERM_SPACING
 from bulrushhollow_core.domain.fleet._fencing import TokenIssuer
-from bulrushhollow_core.domain.model import DomainSettings, OrderStart, Poll, RegisterWorker
+from bulrushhollow_core.domain.model import (
+    DomainSettings,
+    ForgetWorker,
+    OrderResult,
+    OrderStart,
+    OrderStop,
+    Poll,
+    PollAnswered,
+    RegisterWorker,
+)
 from bulrushhollow_core.ids import InstanceId, Seconds, Term, WorkerId
 from tests.test_domain_scheduler import SINGLE_TASK, SchedulerHarness, announcement
 
@@ -82,6 +91,24 @@
         self.assertEqual({1, 2}, set(fence_by_born))
         self.assertGreater(fence_by_born[2], fence_by_born[1])
 
+    # Guards against a worker that is fenced off until the next term: a clock set back gave its
+    # present life the earlier birth, and a new leader gave the life before the higher token.
+    def test_a_life_that_answers_for_a_later_one_gets_a_higher_token(self) -> None:
+        harness = self.harness
+        harness.scheduler.worker_announced(announcement(2), harness.now)
+        harness.submit(SINGLE_TASK)
+        harness.commit(harness.plan())
+        harness.state.apply(ForgetWorker(announcement(2).life))
+        harness.state.apply(RegisterWorker(announcement(1)))
+        harness.scheduler = Scheduler(harness.state, Term(4), DomainSettings(), harness.now)
+        [poll] = [each for each in self.polls() if each.life.born == 2]
+        present = announcement(1).life
+        answer = PollAnswered(poll.life, OrderResult.OTHER_LIFE, Seconds(1.0), present)
+        harness.scheduler.poll_answered(answer, harness.now)
+        [stop] = [o for o in harness.scheduler.take_actions() if isinstance(o, OrderStop)]
+        self.assertEqual(present, stop.life)
+        self.assertGreater(stop.fence, poll.fence)
+
 
 if __name__ == "__main__":
     unittest.main()
