Give the present life of a worker the highest token

Cause: tokens rise with the births of adopted lives, but an answer for an earlier or a later birth shows which life is the present one. Its orders now carry a token above those of all other lives under the id, so none of them fences it off. A token is issued only if another life has one as high.

--- a/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
@@ -182,6 +182,7 @@
         if answer.result is OrderResult.OTHER_LIFE:
             if answer.successor is not None and answer.clock is not None:
                 successor = self._shared.fleet.get_or_create(answer.successor, worker.address, now)
+                self._shared.fleet.raise_fence(successor)
                 successor.record_clock(answer.clock, now)
                 self._loss_handler.transfer_runs(worker, successor, now)
             self._loss_handler.declare_lost(worker, "another life answered", now)
--- a/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
@@ -363,6 +363,12 @@
             self._lives_by_address.setdefault(address, set()).add(life)
         return worker
 
+    def raise_fence(self, worker: Worker) -> None:
+        """Give a worker a new token, unless it has the highest one of the lives under its id."""
+        other_lives = self.lives_of(worker.life.id) - {worker.life}
+        if any(self.workers_by_life[life].fence >= worker.fence for life in other_lives):
+            worker.fence = self._token_issuer.issue(worker.life.id)
+
     def record_announcement(self, worker: Worker, announcement: WorkerNews, now: Seconds) -> None:
         """Record the latest announcement of a worker."""
         self._lives_by_address[worker.address].discard(worker.life)
