Show an answer that reaches a later leadership of its instance

The answer to a poll names only the life. If the instance loses the leadership and leads again before it arrives, the new scheduler takes it for the answer to its own poll.

--- a/tests/test_domain_runtime.py
+++ b/tests/test_domain_runtime.py
@@ -1,8 +1,13 @@
-"""The loop round a node: a leader whose disk stalls sends no orders once its lease has ended."""
+"""
+The loop round a node: a leader whose disk stalls sends no orders once its lease has ended, and no
+answer reaches a later leadership.
+"""
 
 import unittest
 from unittest import mock
 
+import anyio
+
 from bulrushhollow_core.actions import Persist
 from bulrushhollow_core.domain import (
     OrderResult,
@@ -52,5 +57,29 @@
         self.assertEqual(2, len(logs.records))
 
 
+class LateAnswerTest(unittest.TestCase):
+    def answer_poll(self, leads_again: bool) -> list[object]:
+        """Return the inputs queued by the answer to a poll; meanwhile, the node may lead again."""
+        node = mock.Mock()
+        answer = PollAnswered(LIFE, OrderResult.ACCEPTED, Seconds(5.0))
+
+        async def poll(order: Poll) -> PollAnswered:
+            if leads_again:
+                node.scheduler = mock.Mock()
+            return answer
+
+        runtime = CoreRuntime(node, mock.Mock(), mock.Mock(poll=poll), mock.Mock())
+        anyio.run(runtime._send_order, POLL)
+        return runtime._pending_inputs
+
+    def test_the_answer_to_a_poll_is_an_input(self) -> None:
+        self.assertEqual(1, len(self.answer_poll(leads_again=False)))
+
+    # Guards against a run that another leader has ordered meanwhile and that counts as lost, since
+    # a list from before lacks it: its end is acknowledged without being recorded.
+    def test_the_answer_to_a_poll_of_an_earlier_leadership_is_dropped(self) -> None:
+        self.assertEqual([], self.answer_poll(leads_again=True))
+
+
 if __name__ == "__main__":
     unittest.main()
