Drop the answers to orders of an earlier leadership

Cause: an answer names the life of the worker, not the term of its order. A list from before an instance lost the leadership ended runs that the leader in between had ordered.

--- a/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
@@ -203,13 +203,19 @@
                 pass
 
     async def _send_order(self, order: Order) -> None:
-        """Send an order and queue its answer; an unexpected error counts as no answer."""
+        """
+        Send an order and queue its answer, unless another term has begun meanwhile; an unexpected
+        error counts as no answer.
+        """
+        scheduler = self.node.scheduler
         try:
             answer = await self._carry_out(order)
         except Exception:
             logger.exception("order_failed", extra=_describe_order(order))
             answer = no_answer_to(order)
-        self.post(answer)
+        # What a worker listed before shows nothing of the orders of the leaders in between.
+        if self.node.scheduler is scheduler:
+            self.post(answer)
 
     async def _carry_out(self, order: Order) -> OrderAnswer:
         match order:
