Refuse announcements that no log entry can hold

Callers saw: after one heartbeat with a million empty labels (under the 4 MiB that a heartbeat may have) the leader answered 200 and recorded nothing more: no registration, no start, no end, until another instance led and heard it again. A clock reading of 1e40 ms was taken as it is, so that leases by it end at a number beyond 64 bits. An announcement passed on with port 70000, 0, -1,  or none counted as a worker.

Cause: the leader keeps the commands of its scheduler until the log takes all of them, and the check of announcements bounded the characters of its texts, but neither the number of labels nor the rack nor the clock. The port was checked by the decoder of heartbeats alone.

Evidence: tests.test_odd_entries fails on the code before in 29 places, among them test_a_leader_goes_on_recording_beside_an_odd_announcement for many labels and a long rack.

The check now counts each text with a terminator, the rack and the labels included, and bounds the clock and the port; an address has 64 characters at most, so that a scope or brackets of any length don't get into each start.

--- a/packages/core/src/bulrushhollow_core/domain/model/_announcements.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_announcements.py
@@ -12,13 +12,18 @@
 
 from bulrushhollow_core.domain.model._configuration import ServiceName
 from bulrushhollow_core.domain.model._jobs import Resources, WorkerLife
+from bulrushhollow_core.endpoints import has_port
 from bulrushhollow_core.ids import DataCentreId, RackId, Seconds
 
 MAX_INTEGER = 2**63 - 1
 """Largest integer of an announcement, in magnitude; the log stores none that is larger."""
 
+MAX_CLOCK = Seconds(2**53 / 1000)
+"""Largest reading of a worker's clock, in magnitude; leases that end later have no number."""
+
 MAX_TEXT_LENGTH = 16_384
-"""Most characters in all texts of an announcement together; the log stores each announcement."""
+"""Most characters in all texts of an announcement together, each with a terminator; the log stores
+each announcement."""
 
 
 class Availability(Enum):
@@ -66,16 +71,23 @@
     Other systems may send announcements too, and the log of an earlier version may hold some.
     """
     life, capacity = announcement.life, announcement.capacity
-    texts = (life.id, announcement.service, announcement.address, announcement.data_centre)
+    texts = (
+        *(life.id, announcement.service, announcement.address, announcement.data_centre),
+        *(announcement.rack, *announcement.labels),
+    )
     amounts = (capacity.cpu, capacity.memory, capacity.accelerators)
     if not life.id or not announcement.address:
         return "it names no worker or no address"
-    if sum(map(len, (*texts, *announcement.labels))) > MAX_TEXT_LENGTH:
+    if sum(map(len, texts)) + len(texts) > MAX_TEXT_LENGTH:
         return f"its texts have more than {MAX_TEXT_LENGTH} characters"
+    if not has_port(announcement.address):
+        return "its address has no port that exists"
     if any(abs(number) > MAX_INTEGER for number in (life.born, announcement.sequence, *amounts)):
         return "a number is out of range"
     if any(amount < 0 for amount in amounts):
         return "its capacity is negative"
     if not (math.isfinite(announcement.clock) and math.isfinite(announcement.remaining)):
         return "a time is not finite"
+    if abs(announcement.clock) > MAX_CLOCK:
+        return "a time is out of range"
     return ""
--- a/packages/core/src/bulrushhollow_core/endpoints.py
+++ b/packages/core/src/bulrushhollow_core/endpoints.py
@@ -48,19 +48,37 @@
 MAX_PORT = 65_535
 """Highest port number of TCP."""
 
+MAX_ADDRESS_LENGTH = 64
+"""Most characters of an address. The longest of IPv6 has 53, but a scope may have any length."""
+
 
 def is_address(text: str) -> bool:
     """Return whether a text is an address to connect to: ``IP:PORT``; names are not looked up."""
+    host = text.rpartition(":")[0]
+    return has_port(text) and is_host(host[1:-1] if _is_bracketed(host) else host)
+
+
+def has_port(text: str) -> bool:
+    """Return whether a text is a host, of any kind, and a port that exists."""
     host, _, port = text.rpartition(":")
-    if not (port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) <= MAX_PORT):
+    if not host or len(text) > MAX_ADDRESS_LENGTH or not (port.isascii() and port.isdigit()):
         return False
+    return 0 < int(port) <= MAX_PORT
+
+
+def is_host(text: str) -> bool:
+    """Return whether a text is an IP address."""
     try:
-        ipaddress.ip_address(host.strip("[]"))
+        ipaddress.ip_address(text)
     except ValueError:
         return False
     return True
 
 
+def _is_bracketed(host: str) -> bool:
+    return host.startswith("[") and host.endswith("]")
+
+
 class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag="announcement"):
     """
     Announcement that an endpoint sends to any entry instance: ``POST /v1/endpoints``.
