Refuse workers that say they started in the far future

Callers saw: one heartbeat with `born` and the address of a live worker ended that worker's life. Its run was recorded as lost at once and its task may start again beside it; with the worker's own id its runs moved to the invented life. The worker's own announcements no longer counted, nor did those of its next real life.

Cause: the life that started last at an id or address replaces the others, and any number of 64 bits counted as a start time.

The leader now refuses a start more than a year ahead of its own clock. The bound is long, since a leader whose clock is wrong must still have workers; a start time within it can't be told from a real one.

--- a/packages/core/src/bulrushhollow_core/domain/__init__.py
+++ b/packages/core/src/bulrushhollow_core/domain/__init__.py
@@ -88,6 +88,7 @@
     announcement_target,
     find_announcement_error,
     find_invalidity,
+    find_life_error,
     is_dated,
     log_event,
     no_answer_to,
@@ -174,5 +175,6 @@
     "is_dated",
     "log_event",
     "find_announcement_error",
+    "find_life_error",
     "no_answer_to",
 ]
--- a/packages/core/src/bulrushhollow_core/domain/_call_handler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_call_handler.py
@@ -54,6 +54,7 @@
     detached_copy,
     find_announcement_error,
     find_invalidity,
+    find_life_error,
     log_event,
 )
 from bulrushhollow_core.domain.placement import (
@@ -149,11 +150,11 @@
                     SetEvacuation(data_centre, is_evacuated), self._done, (changed,)
                 )
             case Announce():
-                return self._handle_announcement(call, state, scheduler, now)
+                return self._handle_announcement(call, state, scheduler, now, wall)
             case AnnounceBatch(announcements=announcements):
                 if any(news.availability is Availability.DRAINING for news in announcements):
                     return ImmediateAnswer(Malformed("a worker that drains is announced alone"))
-                return self._handle_announcements(announcements, scheduler, now)
+                return self._handle_announcements(announcements, scheduler, now, wall)
             case Deregister():
                 life = (
                     scheduler.find_latest_life(call.worker)
@@ -321,10 +322,15 @@
     # Workers.
 
     def _handle_announcement(
-        self, call: Announce, state: DomainState, scheduler: Scheduler, now: Seconds
+        self,
+        call: Announce,
+        state: DomainState,
+        scheduler: Scheduler,
+        now: Seconds,
+        wall: WallTime,
     ) -> ImmediateAnswer | DeferredAnswer:
         announcement = call.announcement
-        reason = find_announcement_error(announcement)
+        reason = _find_error(announcement, wall)
         if reason:
             return ImmediateAnswer(
                 Malformed(reason), (_announcement_refused(announcement, reason),)
@@ -349,12 +355,16 @@
         return ImmediateAnswer(self._announced(scheduler))
 
     def _handle_announcements(
-        self, announcements: tuple[WorkerNews, ...], scheduler: Scheduler, now: Seconds
+        self,
+        announcements: tuple[WorkerNews, ...],
+        scheduler: Scheduler,
+        now: Seconds,
+        wall: WallTime,
     ) -> ImmediateAnswer:
         """Handle a batch of announcements; one that is invalid does not affect the others."""
         refused: list[LogEvent] = []
         for news in announcements:
-            reason = find_announcement_error(news) or scheduler.find_disregard_reason(news)
+            reason = _find_error(news, wall) or scheduler.find_disregard_reason(news)
             if reason:
                 refused.append(_announcement_refused(news, reason))
             else:
@@ -368,6 +378,11 @@
         return Done(self._address, self.relays)
 
 
+def _find_error(announcement: WorkerNews, wall: WallTime) -> str:
+    """Return why an announcement cannot come from a worker now, or an empty text if it can."""
+    return find_announcement_error(announcement) or find_life_error(announcement.life, wall)
+
+
 def _announcement_refused(announcement: WorkerNews, reason: str) -> LogEvent:
     return log_event(
         Event.ANNOUNCEMENT_REFUSED,
--- a/packages/core/src/bulrushhollow_core/domain/model/__init__.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/__init__.py
@@ -10,6 +10,7 @@
     Availability,
     WorkerNews,
     find_announcement_error,
+    find_life_error,
 )
 from bulrushhollow_core.domain.model._calls import (
     Announce,
@@ -225,6 +226,7 @@
     "detached_copy",
     "encode_commands",
     "find_announcement_error",
+    "find_life_error",
     "find_invalidity",
     "is_dated",
     "log_event",
--- a/packages/core/src/bulrushhollow_core/domain/model/_announcements.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_announcements.py
@@ -11,16 +11,22 @@
 import msgspec
 
 from bulrushhollow_core.domain.model._configuration import ServiceName
-from bulrushhollow_core.domain.model._jobs import Resources, WorkerLife
+from bulrushhollow_core.domain.model._jobs import Resources, WallTime, WorkerLife
 from bulrushhollow_core.endpoints import has_port
 from bulrushhollow_core.ids import DataCentreId, RackId, Seconds
 
+MS_PER_SECOND = 1000.0
+
 MAX_INTEGER = 2**63 - 1
 """Largest integer of an announcement, in magnitude; the log stores none that is larger."""
 
 MAX_CLOCK = Seconds(2**53 / 1000)
 """Largest reading of a worker's clock, in magnitude; leases that end later have no number."""
 
+MAX_BORN_AHEAD = Seconds(366 * 86_400.0)
+"""Seconds by which the clock of a worker's machine may be ahead of that of the leader. It is long,
+since a leader with a wrong clock must still have workers."""
+
 MAX_TEXT_LENGTH = 16_384
 """Most characters in all texts of an announcement together, each with a terminator; the log stores
 each announcement."""
@@ -91,3 +97,13 @@
     if abs(announcement.clock) > MAX_CLOCK:
         return "a time is out of range"
     return ""
+
+
+def find_life_error(life: WorkerLife, wall: WallTime) -> str:
+    """
+    Return why a worker cannot have started when it says, or an empty text if it can.
+
+    A life that starts later replaces the earlier ones, and no life could replace one of the future.
+    """
+    is_future = life.born > (wall + MAX_BORN_AHEAD) * MS_PER_SECOND
+    return "it says that it started in the future" if is_future else ""
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -161,6 +161,21 @@
                 self.announce(news, other)
                 self.assertEqual({LIFE, other.life}, self.lives)
 
+    # Guards against a start time in the far future that counts as the next life of a live worker.
+    def test_a_start_time_in_the_far_future_replaces_no_life(self) -> None:
+        for born in (2**53, 2**63 - 1):
+            for worker in (LIFE.id, ODD_LIFE.id):
+                with self.subTest(born=born, worker=worker):
+                    self.setUp()
+                    self.harness.submit(SINGLE_TASK)
+                    self.harness.accept(self.harness.launch())
+                    news = odd_news(life=WorkerLife(worker, born), address="w:1")
+                    self.assertIsInstance(self.announce(news), Malformed)
+                    self.announce(news, odd_news(life=WorkerLife(WorkerId("x"), 7)))
+                    self.assertIn(LIFE, self.lives)
+                    self.assertEqual(1, self.harness.scheduler.run_count)
+                    self.assertEqual([], self.harness.ends())
+
 
 class RecordedEntryTest(unittest.TestCase):
     """Odd entries that are in a log or a snapshot already."""
