Split starts and ends that no log entry can hold

Callers saw: a worker that lists 200 ends with checkpoints of 16,000 characters, or a plan with 200 starts of a job whose id has 8,000, gave a command that the log refuses.

Cause: all ends of a moment are one command, and so are all starts of a plan. Commands are spread over entries of the log, but one command is never divided.

Starts and ends now become as many commands as it takes to keep each within half an entry, and one as before if they fit. The ends that a worker listed count as recorded with the last of its commands, so that none is acknowledged early.

--- a/packages/core/src/bulrushhollow_core/domain/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler.py
@@ -39,6 +39,7 @@
     WallTime,
     WorkerLife,
     WorkerNews,
+    end_commands,
     log_event,
 )
 from bulrushhollow_core.domain.placement import (
@@ -102,8 +103,11 @@
         self._propose_crashes(now, wall)
         if self._shared.pending_ends and now >= self._ends_due:
             self._ends_due = Seconds(now + MIN_END_PROPOSAL_INTERVAL)
-            self._shared.proposals.append(EndRuns(tuple(self._shared.pending_ends), wall))
+            commands = end_commands(self._shared.pending_ends, wall)
+            self._shared.proposals.extend(commands)
             self._shared.pending_ends = []
+            # What was listed is recorded, and may be acknowledged, with the last of the commands.
+            self._dispatcher.listed_ends_by_proposal.extend({} for _ in commands[1:])
             self._dispatcher.listed_ends_by_proposal.append(
                 {
                     life: worker.last_listed_end
--- a/packages/core/src/bulrushhollow_core/domain/model/__init__.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/__init__.py
@@ -61,6 +61,8 @@
     SubmitJob,
     decode_commands,
     encode_commands,
+    end_commands,
+    start_commands,
 )
 from bulrushhollow_core.domain.model._configuration import (
     CallLimits,
@@ -225,6 +227,8 @@
     "decode_commands",
     "detached_copy",
     "encode_commands",
+    "end_commands",
+    "start_commands",
     "find_announcement_error",
     "find_life_error",
     "find_invalidity",
--- a/packages/core/src/bulrushhollow_core/domain/model/_commands.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_commands.py
@@ -6,7 +6,9 @@
 of commands.
 """
 
+from collections.abc import Iterable
 from enum import Enum
+from typing import TypeVar
 
 import msgspec
 
@@ -153,6 +155,12 @@
     | ForgetWorker
 )
 
+MAX_COMMAND_BYTES = 524_288
+"""Bytes above which the starts or the ends of one step become several commands; half of what one
+entry of the log can hold."""
+
+ItemType = TypeVar("ItemType")
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(list[Command])
 
@@ -162,6 +170,29 @@
     return _encoder.encode(commands)
 
 
+def start_commands(starts: Iterable[Start]) -> list[StartRuns]:
+    """Return the commands that record starts, in order; an entry of the log can hold each."""
+    return [StartRuns(batch) for batch in _split_by_size(starts)]
+
+
+def end_commands(ends: Iterable[RunEnd], ended_at: WallTime) -> list[EndRuns]:
+    """Return the commands that record ends, in order; an entry of the log can hold each."""
+    return [EndRuns(batch, ended_at) for batch in _split_by_size(ends)]
+
+
+def _split_by_size(items: Iterable[ItemType]) -> list[tuple[ItemType, ...]]:
+    batches: list[list[ItemType]] = []
+    size = MAX_COMMAND_BYTES
+    for item in items:
+        length = len(_encoder.encode(item))
+        if size + length > MAX_COMMAND_BYTES:
+            batches.append([])
+            size = 0
+        batches[-1].append(item)
+        size += length
+    return list(map(tuple, batches))
+
+
 def decode_commands(payload: bytes) -> list[Command]:
     """Return the commands of one entry of the log."""
     return _decoder.decode(payload)
--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -25,13 +25,13 @@
     Queue,
     RunNumber,
     Start,
-    StartRuns,
     StepRef,
     TaskRef,
     WallTime,
     WorkerLife,
     detached_copy,
     log_event,
+    start_commands,
 )
 from bulrushhollow_core.domain.placement._caps import CapLedger, CapReporter, build_cap_ledger
 from bulrushhollow_core.domain.placement._delay_cost import DelayPricer
@@ -444,8 +444,7 @@
                 self._shared.proposed_runs_by_task[placement.task] = run
                 starts.append(Start(placement.task, number, worker.life, worker.address))
             self._log_placement(demand, len(placements), gang_run, now)
-        if starts:
-            self._shared.proposals.append(StartRuns(tuple(starts)))
+        self._shared.proposals.extend(start_commands(starts))
 
     def _expected_duration(
         self, demand: Demand, placements: list[Placement], worker: Worker
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -21,12 +21,15 @@
     Command,
     DomainSettings,
     DrainWorker,
+    EndRuns,
+    ListedEnd,
     ListedRun,
     Malformed,
     Occurrence,
     OrderResult,
     OrderStart,
     OrderStop,
+    Outcome,
     Poll,
     PollAnswered,
     PutConfiguration,
@@ -256,5 +259,49 @@
                     self.assertEqual({LIFE}, self.run_leader(harness, 160))
 
 
+class ProposalSizeTest(unittest.TestCase):
+    """Starts and ends that, taken together, are larger than an entry of the log."""
+
+    # Guards against commands of a leader that no entry can hold, and that hold up all others.
+    def test_the_starts_of_a_plan_with_long_names_fit_into_entries(self) -> None:
+        harness = SchedulerHarness()
+        work = Work("spec", (Step(200, Resources(1, 1, 0), Seconds(1.0)),))
+        job = JobId("j" * 8_000)
+        harness.commit([SubmitJob(job, queue("usual", 1), WorkspaceId("team"), work, WALL)])
+        proposals = [p for p in harness.plan() if isinstance(p, StartRuns)]
+        self.assertEqual(200, sum(len(proposal.starts) for proposal in proposals))
+        self.assertLess(max(map(len, _split_into_entries(proposals))), MAX_PAYLOAD_BYTES)
+        harness.commit(proposals)
+        orders = [a for a in harness.scheduler.take_actions() if isinstance(a, OrderStart)]
+        self.assertEqual(200, len(orders))
+
+    # Guards against commands of a leader that no entry can hold, and that hold up all others.
+    def test_the_ends_of_a_long_list_fit_into_entries_and_are_acknowledged_last(self) -> None:
+        harness = SchedulerHarness()
+        work = Work("spec", (Step(200, Resources(1, 1, 0), Seconds(1.0)),))
+        harness.submit(work)
+        harness.commit(harness.plan())
+        runs = list(harness.scheduler._shared.runs())
+        self.assertGreater(len(runs), 100)
+        for start in harness.scheduler.take_actions():
+            if isinstance(start, OrderStart):
+                harness.accept(start)
+        ends = tuple(
+            ListedEnd(number, run.task, run.number, Outcome.STOPPED, "c" * 16_000)
+            for number, run in enumerate(runs, 1)
+        )
+        answer = PollAnswered(LIFE, OrderResult.ACCEPTED, Seconds(51.0), ended=ends)
+        harness.scheduler.poll_answered(answer, harness.now)
+        worker = harness.scheduler._shared.fleet.get(LIFE)
+        assert worker is not None
+        proposals = [p for p in harness.plan() if isinstance(p, EndRuns)]
+        self.assertEqual(len(runs), sum(len(proposal.ends) for proposal in proposals))
+        self.assertLess(max(map(len, _split_into_entries(proposals))), MAX_PAYLOAD_BYTES)
+        for proposal in proposals:
+            self.assertEqual(0, worker.last_recorded_end)
+            harness.commit([proposal])
+        self.assertEqual(len(runs), worker.last_recorded_end)
+
+
 if __name__ == "__main__":
     unittest.main()
