--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -180,22 +180,23 @@
                     self.assertEqual([], self.harness.ends())
 
 
+def lead(commands: Iterable[Command], from_snapshot: bool) -> SchedulerHarness:
+    """Return a new leader after some commands."""
+    harness = SchedulerHarness()
+    state = DomainState()
+    for command in (PutConfiguration(configuration(1)), RegisterWorker(announcement(1))):
+        state.apply(command)
+    for payload in _split_into_entries(list(commands)):
+        for command in msgspec.msgpack.decode(payload, type=list[Command]):
+            state.apply(command)
+    harness.state = DomainState.decode(state.encode()) if from_snapshot else state
+    harness.scheduler = Scheduler(harness.state, Term(4), DomainSettings(), harness.now)
+    return harness
+
+
 class RecordedEntryTest(unittest.TestCase):
     """Odd entries that are in a log or a snapshot already."""
 
-    def lead(self, commands: Iterable[Command], from_snapshot: bool) -> SchedulerHarness:
-        """Return a new leader after some commands."""
-        harness = SchedulerHarness()
-        state = DomainState()
-        for command in (PutConfiguration(configuration(1)), RegisterWorker(announcement(1))):
-            state.apply(command)
-        for payload in _split_into_entries(list(commands)):
-            for command in msgspec.msgpack.decode(payload, type=list[Command]):
-                state.apply(command)
-        harness.state = DomainState.decode(state.encode()) if from_snapshot else state
-        harness.scheduler = Scheduler(harness.state, Term(4), DomainSettings(), harness.now)
-        return harness
-
     def run_leader(self, harness: SchedulerHarness, steps: int) -> set[WorkerLife]:
         """Let only the usual worker answer; return the lives on which runs were started."""
         started: set[WorkerLife] = set()
@@ -236,7 +237,7 @@
             for from_snapshot in (False, True):
                 with self.subTest(name, from_snapshot=from_snapshot):
                     commands = [RegisterWorker(news), DrainWorker(WorkerLife(WorkerId(""), UINT64))]
-                    harness = self.lead(commands, from_snapshot)
+                    harness = lead(commands, from_snapshot)
                     harness.submit(SINGLE_TASK)
                     self.assertEqual({LIFE}, self.run_leader(harness, 40))
                     self.assertEqual({LIFE}, {run.life for run in harness.scheduler._shared.runs()})
@@ -255,7 +256,7 @@
                         Start(unknown, number, ODD_LIFE, address),
                         Start(task, number, ODD_LIFE, address),
                     )
-                    harness = self.lead([submitted, StartRuns(starts)], from_snapshot=True)
+                    harness = lead([submitted, StartRuns(starts)], from_snapshot=True)
                     self.assertEqual({LIFE}, self.run_leader(harness, 160))
 
 
