--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -1,23 +1,114 @@
 """One odd row, number or text in the answers of workers and of the advice service."""
 
 import unittest
+from unittest import mock
 
 from bulrushhollow_core.domain import (
+    AdviceAnswered,
+    AskAdvice,
     Occurrence,
     OrderResult,
+    OrderStart,
+    OrderStop,
+    Poll,
     PollAnswered,
     RunNumber,
+    StartAnswered,
+    StepRef,
+    StopAnswered,
     TaskRef,
     WorkerLife,
 )
 from bulrushhollow_core.domain.model import Start, StartRuns, SubmitJob
-from bulrushhollow_core.ids import JobId, Seconds, WorkerId, WorkspaceId
+from bulrushhollow_core.ids import JobId, Seconds, Term, WorkerId, WorkspaceId
 from bulrushhollow_platform._translation import decode_running_row
+from bulrushhollow_platform._workers import HttpWorkerClient, _Reply
 from standins.domain_site import queue
 from tests.test_domain_scheduler import SINGLE_TASK, WALL
-from tests.test_odd_entries import lead
+from tests.test_odd_entries import DEEP, ODD_NUMBERS, lead
 
 LIFE = WorkerLife(WorkerId("w"), 1)
+RUNNING = '["j.0.0.1",3,"",40,7]'
+ENDED = '[7,"j.0.0.2",1,"done",""]'
+LONG = "c" * 2_000_000
+WALL_MS = 1_790_000_000_000
+
+ODD_ROWS = (
+    *(DEEP, "null", "7", '"j.0.0.1"', "{}", "[]", '{"a":' + DEEP + "}"),
+    *(f'["j.0.0.8",{number},"",5]' for number in ODD_NUMBERS),
+    *(f'[{number},"j.0.0.8",1,"done",""]' for number in ODD_NUMBERS),
+    *(f'["j.0.0.{number}",1,"",5]' for number in ODD_NUMBERS),
+    *(f'[8,"j.{number}.0.0",1,"done",""]' for number in ODD_NUMBERS),
+    *('["j.0.0.8",1,"",null]', '["j.0.0.8",1,"","5"]', '[8,"j.0.0.8",1,"odd",""]'),
+    *(f"[{deep},1,{deep},5]" for deep in (DEEP, "[" * 900 + "]" * 900)),
+    *(f'[8,{deep},1,{deep},""]' for deep in (DEEP, "[" * 900 + "]" * 900)),
+)
+"""Rows that name no run, as raw JSON."""
+
+
+def hold(running: str = RUNNING, finished: str = ENDED, **changes: str) -> bytes:
+    """Return the lists of a worker with raw JSON in place of some fields."""
+    fields = {"time-ms": "482113", "running": f"[{running}]", "finished": f"[{finished}]"}
+    fields |= {name.replace("_", "-"): text for name, text in changes.items()}
+    return ("{" + ",".join(f'"{name}":{text}' for name, text in fields.items()) + "}").encode()
+
+
+class AnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Answers to orders."""
+
+    async def answer(
+        self, order: OrderStart | OrderStop | Poll | AskAdvice, body: bytes, status: int = 200
+    ) -> StartAnswered | StopAnswered | PollAnswered | AdviceAnswered:
+        """Return what a client makes of an answer with a body."""
+        client = HttpWorkerClient("10.0.0.1:80")
+        reply = mock.AsyncMock(return_value=_Reply(status, body))
+        carry_out = {
+            OrderStart: client.start,
+            OrderStop: client.stop,
+            Poll: client.poll,
+            AskAdvice: client.advise,
+        }[type(order)]
+        with mock.patch.object(client, "_post", reply):
+            return await carry_out(order)  # type: ignore[operator, no-any-return]
+
+    async def poll(self, body: bytes) -> PollAnswered:
+        order = Poll(LIFE, "10.0.0.2:80", Term(3), 0, None, Seconds(0.0))
+        answer = await self.answer(order, body)
+        assert isinstance(answer, PollAnswered)
+        return answer
+
+    # Guards against one odd row that hides the others, so that their runs count as lost.
+    async def test_an_odd_row_leaves_the_other_rows_of_a_list(self) -> None:
+        usual = await self.poll(hold())
+        self.assertEqual((1, 1), (len(usual.running), len(usual.ended)))
+        for row in ODD_ROWS:
+            for rows in (
+                {"running": f"{row},{RUNNING}"},
+                {"running": f"{RUNNING},{row}"},
+                {"finished": f"{row},{ENDED}"},
+                {"finished": f"{ENDED},{row}"},
+            ):
+                with self.subTest(row=row[:30], list=next(iter(rows))):
+                    self.assertEqual(usual, await self.poll(hold(**rows)))
+
+    # Guards against unknown fields, which other versions may add, that hide the lists.
+    async def test_an_odd_field_that_is_not_used_leaves_the_lists(self) -> None:
+        usual = await self.poll(hold())
+        for text in (DEEP, '{"a":' * 5_000 + "1" + "}" * 5_000, *ODD_NUMBERS[:5]):
+            with self.subTest(text[:20]):
+                self.assertEqual(usual, await self.poll(hold(unknown=text)))
+
+    async def test_an_odd_answer_of_the_advice_service_is_none(self) -> None:
+        question = AskAdvice(StepRef(JobId("j"), Occurrence(0), 0), (LIFE,))
+        for text in (DEEP, *ODD_NUMBERS[3:]):
+            for body in (
+                f'{{"allowed":[["w","t"]],"valid-ms":{text}}}',
+                f'{{"allowed":[["w",{text}]],"valid-ms":1}}',
+                f'{{"allowed":[{text}],"valid-ms":1}}',
+            ):
+                with self.subTest(body[:50]):
+                    answer = await self.answer(question, body.encode())
+                    self.assertEqual(AdviceAnswered(question.step, (LIFE,), None), answer)
 
 
 class ProgressTest(unittest.TestCase):
