Disregard clocks, start times and checkpoints of workers that are too large

Callers saw: an answer with `time-ms` 1e40 set the leader's estimate of that worker's clock for good: after a usual answer too, the next poll granted a lease that ends at 1e40. What a worker makes of such a deadline is not known. A list with `born` 2**62 moved its runs to a life that no later one can replace, as heartbeats did. A checkpoint of 2,000,000 characters went into a command that the log refuses, which holds up the commands after it.

Cause: any finite clock, any start time of 64 bits and any text of a row were taken as they are; a checkpoint of another type was turned into a text.

A list with such a clock or start time is no answer, an answer to a start or a stop with such a clock tells no clock, and such a checkpoint is none.

--- a/packages/core/src/bulrushhollow_core/domain/__init__.py
+++ b/packages/core/src/bulrushhollow_core/domain/__init__.py
@@ -19,6 +19,7 @@
     StopRequested,
 )
 from bulrushhollow_core.domain.model import (
+    MAX_CLOCK,
     AdviceAnswered,
     Announce,
     AnnounceBatch,
@@ -95,6 +96,7 @@
 )
 
 __all__ = [
+    "MAX_CLOCK",
     "AdviceAnswered",
     "Announce",
     "AnnounceBatch",
--- a/packages/core/src/bulrushhollow_core/domain/model/__init__.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/__init__.py
@@ -7,6 +7,7 @@
 """
 
 from bulrushhollow_core.domain.model._announcements import (
+    MAX_CLOCK,
     Availability,
     WorkerNews,
     find_announcement_error,
@@ -133,6 +134,7 @@
 )
 
 __all__ = [
+    "MAX_CLOCK",
     "AdviceAnswered",
     "Announce",
     "AnnounceBatch",
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -60,7 +60,7 @@
         self, order: OrderStart | OrderStop | Poll | AskAdvice, body: bytes, status: int = 200
     ) -> StartAnswered | StopAnswered | PollAnswered | AdviceAnswered:
         """Return what a client makes of an answer with a body."""
-        client = HttpWorkerClient("10.0.0.1:80")
+        client = HttpWorkerClient("10.0.0.1:80", wall_time=lambda: WALL_MS / 1000)
         reply = mock.AsyncMock(return_value=_Reply(status, body))
         carry_out = {
             OrderStart: client.start,
@@ -98,6 +98,36 @@
             with self.subTest(text[:20]):
                 self.assertEqual(usual, await self.poll(hold(unknown=text)))
 
+    # Guards against a clock, or a start time, that no later order can use.
+    async def test_lists_with_an_odd_clock_or_start_time_are_no_answer(self) -> None:
+        odd = (DEEP, "null", '"5"', *ODD_NUMBERS)
+        cases = [
+            *({"time_ms": text} for text in (*odd, "1e308", "-1e300")),
+            *({"born": text} for text in (*odd[2:], "5.5", str(2**62), str(2**53))),
+        ]
+        for changes in cases:
+            with self.subTest(str(changes)[:60]):
+                self.assertEqual(OrderResult.NO_ANSWER, (await self.poll(hold(**changes))).result)
+        for body in (b'{"time-ms":1,"running":7}', b'{"time-ms":1,"finished":{}}', b"[]", b"\xff"):
+            self.assertEqual(OrderResult.NO_ANSWER, (await self.poll(body)).result)
+        successor = (await self.poll(hold(born=str(WALL_MS)))).successor
+        self.assertEqual(WorkerLife(LIFE.id, WALL_MS), successor)
+
+    async def test_an_odd_answer_to_a_start_or_a_stop_has_no_clock(self) -> None:
+        task = TaskRef(JobId("j"), Occurrence(0), 0, 0)
+        orders = (
+            OrderStart(LIFE, "10.0.0.2:80", task, RunNumber(1), "", Seconds(9.0), Term(3), ""),
+            OrderStop(LIFE, "10.0.0.2:80", task, RunNumber(1), Term(3)),
+        )
+        for text in (DEEP, *ODD_NUMBERS, "1e308"):
+            for order in orders:
+                for status in (200, 409):
+                    with self.subTest(text=text[:20], order=type(order).__name__, status=status):
+                        body = b'{"time-ms":%s,"reason":"old"}' % text.encode()
+                        answer = await self.answer(order, body, status)
+                        assert isinstance(answer, StartAnswered | StopAnswered)
+                        self.assertIsNone(answer.clock)
+
     async def test_an_odd_answer_of_the_advice_service_is_none(self) -> None:
         question = AskAdvice(StepRef(JobId("j"), Occurrence(0), 0), (LIFE,))
         for text in (DEEP, *ODD_NUMBERS[3:]):
@@ -110,6 +140,18 @@
                     answer = await self.answer(question, body.encode())
                     self.assertEqual(AdviceAnswered(question.step, (LIFE,), None), answer)
 
+    # Guards against a checkpoint that no entry of the log can hold.
+    async def test_a_checkpoint_that_is_no_text_or_too_long_is_none(self) -> None:
+        for checkpoint in (f'"{LONG}"', "7", "null", '["c"]', "[" * 500 + "]" * 500):
+            with self.subTest(checkpoint[:20]):
+                running, ended = (
+                    f'["j.0.0.1",3,{checkpoint},40]',
+                    f'[7,"j.0.0.2",1,"done",{checkpoint}]',
+                )
+                answer = await self.poll(hold(running, ended))
+                self.assertEqual([""], [row.checkpoint for row in answer.running])
+                self.assertEqual([""], [row.checkpoint for row in answer.ended])
+
 
 class ProgressTest(unittest.TestCase):
     # Guards against a leader that ends while it computes with a progress that is too large.
