Connect only incarnations that belong to their address

Callers saw: an instance that describes itself by an incarnation of another address, or by a text that is none, counted as connected. A leader makes such peers learners, and perhaps voters, of the log, and then adds the address of the member to those that every instance tries for good; no message could reach it.

Cause: the incarnation in the answer to a delivery was believed.

Evidence: test_an_incarnation_that_does_not_belong_to_its_address_is_not_connected fails on the code before in all six cases. Not reproduced: odd addresses among the members, the seeds and the known addresses of a peer kept no instance from the others, and odd leaders or instances named to a caller hid no leader.

Such an answer counts as a failed delivery and is named once in the line peer_refused.

--- a/packages/daemon/src/bulrushhollow_daemon/domain/_peers.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_peers.py
@@ -37,6 +37,9 @@
 MAX_FAILED_DELIVERIES = 120
 """Failed deliveries in a row after which an address that is known only by gossip is dropped."""
 
+MAX_LOGGED_TEXT = 80
+"""Characters of a text from another instance that are logged."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -175,7 +178,7 @@
         ):
             messages = await peer.next_batch() if peer.instance is not None else ()
             batch = MessageBatch(self._describe_self(), peer.instance, messages)
-            result = await peer.client.deliver(batch, DELIVER_TIMEOUT)
+            result = _check_address(peer, await peer.client.deliver(batch, DELIVER_TIMEOUT))
             if isinstance(result, CallFailure):
                 was_reachable = peer.instance is not None
                 self._mark_unreachable(peer, result.detail, has_ended=result.is_refused)
@@ -207,3 +210,16 @@
         peer.instance, peer.lost_instance = None, None if has_ended else instance
         peer.clear_queue()
         self._observer.peer_disconnected(instance, has_ended)
+
+
+def _check_address(peer: _Peer, result: PeerInfo | CallFailure) -> PeerInfo | CallFailure:
+    """
+    Return the result of a delivery; it has failed if an incarnation answers whose name is not the
+    address. As a member of the log, such an incarnation could not be reached under its name.
+    """
+    if isinstance(result, CallFailure) or name_of(result.instance) == peer.address:
+        return result
+    if peer.failed_deliveries == 0:
+        fields = {"address": peer.address, "peer": result.instance[:MAX_LOGGED_TEXT]}
+        logger.warning("peer_refused", extra={**fields, "reason": "it has another address"})
+    return CallFailure(was_sent=True, detail="an incarnation of another address answered")
--- a/tests/test_odd_instances.py
+++ b/tests/test_odd_instances.py
@@ -1,10 +1,33 @@
 """One odd address or message among those by which the instances of a domain know each other."""
 
+import asyncio
 import unittest
+from collections.abc import Iterable
+from unittest import mock
 
+import anyio
+import msgspec
+
+from bulrushhollow_core.domain import Done, NotLeader, Probe, Refused, Serving
+from bulrushhollow_core.ids import InstanceId, Seconds
+from bulrushhollow_daemon import clock
+from bulrushhollow_daemon.domain import _peers
+from bulrushhollow_daemon.domain._leader import LeaderClient
+from bulrushhollow_daemon.domain._peers import Peers
+from bulrushhollow_daemon.domain._rpc import (
+    CallFailure,
+    PeerInfo,
+    RpcClient,
+)
 from bulrushhollow_platform._settings import decode_settings
+from tests.test_domain_peers import Observer
 from tests.test_platform_translation import SETTINGS
 
+ME = PeerInfo(InstanceId("127.0.0.1.1"), "127.0.0.1", ())
+ODD_HOSTS = (
+    *("", " ", "rack7-node3", "a..b", "\x00", "x" * 1000, "10.0.0.9:70000", "99999999999"),
+    *("10.0.0.999", "-1", "[::1]", "[" * 1000),
+)
 ODD_SEEDS = (
     *("rack7-node3:80", "10.0.0.9", ":80", "10.0.0.9:70000", "10.0.0.9:-1", "10.0.0.9:0", " "),
     *("10.0.0.9:" + "9" * 5000, "[" * 1000, "!:80", "10.0.0.9:1e400", "0:0"),
@@ -25,5 +48,98 @@
                     self.assertTrue(settings.is_founder)
 
 
+class AddressTest(unittest.TestCase):
+    """Addresses that come from members of the log, seeds and what other instances know."""
+
+    def exchange(self, addresses: Iterable[str], infos: dict[str, PeerInfo]) -> list[object]:
+        """Return what is reported while each address answers with its description."""
+        observer = Observer()
+
+        async def deliver(client: RpcClient, *arguments: object) -> PeerInfo | CallFailure:
+            await anyio.sleep(0.001)
+            return infos.get(client._host) or CallFailure(False, "not reached")
+
+        async def run() -> None:
+            async with anyio.create_task_group() as tasks:
+                peers = Peers(ME.address, 7000, lambda: ME, observer)
+                peers.start(tasks)
+                peers.add_addresses(addresses, permanent=True)
+                peers.add_sender(msgspec.structs.replace(ME, address="", known_addresses=ODD_HOSTS))
+                await anyio.sleep(0.1)
+                tasks.cancel_scope.cancel()
+
+        with (
+            mock.patch.object(RpcClient, "deliver", deliver),
+            mock.patch.object(_peers, "KEEPALIVE_INTERVAL", 0.01),
+            mock.patch.object(_peers, "RECONNECT_INTERVAL", 0.01),
+        ):
+            asyncio.run(run())
+        return observer.events
+
+    # Guards against members of the log that no message can reach.
+    def test_an_incarnation_that_does_not_belong_to_its_address_is_not_connected(self) -> None:
+        good = PeerInfo(InstanceId("10.0.0.2.1"), "10.0.0.2", ())
+        for name in ("", "x", "10.0.0.9", "10.0.0.9.1", ".1", "10.0.0.30.1"):
+            with self.subTest(name):
+                odd = PeerInfo(InstanceId(name), "10.0.0.3", ODD_HOSTS)
+                infos = {"10.0.0.2": good, "10.0.0.3": odd}
+                connected = ("connected", good.instance)
+                self.assertEqual([connected], self.exchange(infos, infos))
+
+    def test_odd_addresses_leave_the_connection_to_the_others(self) -> None:
+        good = PeerInfo(InstanceId("10.0.0.2.1"), "10.0.0.2", ODD_HOSTS)
+        events = self.exchange([*ODD_HOSTS, "10.0.0.2"], {"10.0.0.2": good})
+        self.assertEqual([("connected", good.instance)], events)
+
+
+class OddLeader(LeaderClient):
+    """Finds the leader among instances, one of which names odd addresses."""
+
+    def __init__(self, answers: dict[str, object]) -> None:
+        super().__init__(7000)
+        self.answers = answers
+        self.called: list[str] = []
+        self.add_candidates(answers)
+
+    async def _ask_at(self, address: str, call: object, timeout: Seconds) -> object:  # type: ignore[override]
+        self.called.append(address)
+        await anyio.sleep(0.001)
+        return self.answers.get(address) or CallFailure(False, "not reached")
+
+
+class LeaderTest(unittest.TestCase):
+    def test_an_instance_that_names_an_odd_leader_does_not_hide_the_leader(self) -> None:
+        for host in ODD_HOSTS:
+            with self.subTest(host[:20]):
+                answers = {"10.0.0.1": NotLeader(host, True), "10.0.0.2": Done("10.0.0.2")}
+                leader = OddLeader(answers)
+
+                async def ask(leader: OddLeader = leader) -> object:
+                    return await leader.ask(Probe(), Seconds(clock.now() + 1.0))
+
+                self.assertEqual(Done("10.0.0.2"), asyncio.run(ask()))
+
+    def test_a_leader_that_knows_odd_instances_is_still_followed(self) -> None:
+        serving = Serving("10.0.0.1", None, (*ODD_HOSTS, "10.0.0.2"))
+        leader = OddLeader({"10.0.0.1": serving})
+
+        async def run() -> object:
+            await leader.probe()
+            # The leader is lost; one of the instances that it knew leads now.
+            leader.answers = {"10.0.0.2": Done("10.0.0.2")}
+            leader.address = None
+            return await leader.ask(Probe(), Seconds(clock.now() + 1.0))
+
+        self.assertEqual(Done("10.0.0.2"), asyncio.run(run()))
+
+    def test_without_a_usable_instance_a_call_is_refused(self) -> None:
+        leader = OddLeader(dict.fromkeys(ODD_HOSTS))
+
+        async def ask() -> object:
+            return await leader.ask(Probe(), Seconds(clock.now() + 0.3))
+
+        self.assertIsInstance(asyncio.run(ask()), Refused)
+
+
 if __name__ == "__main__":
     unittest.main()
