Look up no names of instances, and name deep messages as such

Callers saw nothing but delay: an instance that learned a name, an empty text or an address with a port as the address of another instance looked it up for each attempt, four times a second, in a thread that a resolver out of reach holds for seconds. A message that nests too deeply raised RecursionError, which the callers of the codec don't expect.

Cause: only msgspec.DecodeError was documented and handled, and the host of a call was passed on unchecked.

Undecodable messages to a server ended only their call before: not reproduced.

A call to a host that is no IP address fails without being sent, and the codec reports a message that nests too deeply like any other that can't be decoded.

--- a/packages/daemon/src/bulrushhollow_daemon/codec.py
+++ b/packages/daemon/src/bulrushhollow_daemon/codec.py
@@ -43,4 +43,7 @@
         :raises msgspec.DecodeError: if the bytes are not a message of this type.
         """
         self.received_bytes += len(data) + FRAME_HEADER_BYTES
-        return _decoder(message_type).decode(data)
+        try:
+            return _decoder(message_type).decode(data)
+        except RecursionError as error:
+            raise msgspec.DecodeError("the message nests too deeply") from error
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_rpc.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_rpc.py
@@ -21,6 +21,7 @@
 
 from bulrushhollow_core.consensus import ConsensusMessage
 from bulrushhollow_core.domain import NEVER, Answer, Call, Expired, Probe, is_dated
+from bulrushhollow_core.endpoints import is_host
 from bulrushhollow_core.ids import InstanceId, Seconds
 from bulrushhollow_daemon import clock
 from bulrushhollow_daemon.codec import StructCodec
@@ -301,6 +302,8 @@
         Make one call in its own task. When a connection is lost, grpclib cancels the task that
         uses the stream, and the cancellation can arrive after that call has ended.
         """
+        if not is_host(self._host):
+            return CallFailure(was_sent=False, detail="the host is no IP address")
         channel = self._channel
         if channel is None:
             channel = grpclib.client.Channel(self._host, self._port, codec=self._codec)
--- a/tests/test_odd_instances.py
+++ b/tests/test_odd_instances.py
@@ -1,23 +1,32 @@
 """One odd address or message among those by which the instances of a domain know each other."""
 
 import asyncio
+import socket
 import unittest
 from collections.abc import Iterable
 from unittest import mock
 
 import anyio
+import grpclib.client
 import msgspec
 
 from bulrushhollow_core.domain import Done, NotLeader, Probe, Refused, Serving
 from bulrushhollow_core.ids import InstanceId, Seconds
 from bulrushhollow_daemon import clock
+from bulrushhollow_daemon.codec import StructCodec
 from bulrushhollow_daemon.domain import _peers
 from bulrushhollow_daemon.domain._leader import LeaderClient
 from bulrushhollow_daemon.domain._peers import Peers
 from bulrushhollow_daemon.domain._rpc import (
+    ASK_METHOD,
+    DELIVER_METHOD,
+    AskRequest,
+    AskResponse,
     CallFailure,
+    MessageBatch,
     PeerInfo,
     RpcClient,
+    RpcServer,
 )
 from bulrushhollow_platform._settings import decode_settings
 from tests.test_domain_peers import Observer
@@ -34,6 +43,12 @@
 )
 
 
+def with_deep_value(message: msgspec.Struct) -> bytes:
+    """Return an encoded message with one more value, as of a later version, that nests deeply."""
+    data = msgspec.msgpack.encode(message)
+    return bytes([data[0] + 1]) + data[1:] + b"\x91" * 200_000 + b"\x01"
+
+
 class SeedTest(unittest.TestCase):
     # Guards against an odd seed, since only the instance with the lowest seed founds the log.
     def test_an_odd_seed_leaves_the_others_and_the_founder(self) -> None:
@@ -92,6 +107,76 @@
         self.assertEqual([("connected", good.instance)], events)
 
 
+class CallTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against lookups of names, which wait in threads, and against calls to this machine.
+    async def test_a_call_to_an_odd_address_fails_at_once(self) -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            port = listener.getsockname()[1]
+            for host in ODD_HOSTS:
+                with self.subTest(host[:20]), mock.patch.object(loop, "getaddrinfo") as lookup:
+                    answer = await RpcClient(host, port).ask(Probe(), Seconds(0.5))
+                    assert isinstance(answer, CallFailure)
+                    self.assertFalse(answer.was_sent)
+                    lookup.assert_not_called()
+
+    async def test_messages_that_cannot_be_decoded_end_only_their_call(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as probe:
+            port = probe.getsockname()[1]
+
+        async def answer(request: AskRequest) -> AskResponse:
+            return AskResponse(Done("10.0.0.1"))
+
+        server = RpcServer(lambda batch: ME, answer)
+        await server.start("127.0.0.1", port)
+        deep = b"\x91" * 200_000 + b"\x01"
+        huge = b"\xcf" + b"\xff" * 8
+        bodies = [deep, huge, b"\xff", b"", b"\x91\xc1"]
+        bodies += map(with_deep_value, (AskRequest(Probe()), MessageBatch(ME, None, ())))
+        try:
+            for method in (ASK_METHOD, DELIVER_METHOD):
+                for body in bodies:
+                    with self.subTest(method=method, body=body[:4]):
+                        failure = await RawClient("127.0.0.1", port).send(method, body)
+                        self.assertIsInstance(failure, Exception)
+            good = RpcClient("127.0.0.1", port)
+            self.assertEqual(Done("10.0.0.1"), await good.ask(Probe(), Seconds(1.0)))
+            good.close()
+        finally:
+            await server.close()
+
+    # Guards against errors of the codec that are not those that its callers handle.
+    def test_a_message_that_nests_deeply_is_no_message(self) -> None:
+        for message in (AskRequest(Probe()), AskResponse(Done("")), ME, MessageBatch(ME, None, ())):
+            with self.assertRaises(msgspec.DecodeError):
+                StructCodec().decode(with_deep_value(message), type(message))
+
+
+class RawCodec(StructCodec):
+    """Sends bytes as they are."""
+
+    def encode(self, message: bytes, message_type: object) -> bytes:
+        return message
+
+
+class RawClient:
+    """Sends bytes to a method."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self._channel = grpclib.client.Channel(host, port, codec=RawCodec())
+
+    async def send(self, method: str, body: bytes) -> Exception | None:
+        """Return the error of a call, or None."""
+        call = grpclib.client.UnaryUnaryMethod(self._channel, method, bytes, AskResponse)
+        try:
+            await call(body, timeout=2.0)
+        except Exception as error:
+            return error
+        finally:
+            self._channel.close()
+        return None
+
+
 class OddLeader(LeaderClient):
     """Finds the leader among instances, one of which names odd addresses."""
 
