Keep the streams to other peers when one of them fails oddly

Callers saw: the daemon of a data centre ended if a message of its own had a number that no message can hold, such as the sum of the capacities of three workers that report 2**63 - 1 accelerators each, or if the port of one peer did not exist. It ended again after each start.

Cause: only errors of streams and undecodable messages were expected in the task that keeps a stream open. Any other error ended the task group of the process.

The codec reports what it can't encode as msgspec.EncodeError, and the transport drops that message alone, with the line message_dropped. An unforeseen error of one peer is logged, and that peer is dialled again.

--- a/packages/daemon/src/bulrushhollow_daemon/codec.py
+++ b/packages/daemon/src/bulrushhollow_daemon/codec.py
@@ -31,8 +31,15 @@
         self.received_bytes = 0
 
     def encode(self, message: Any, message_type: Any) -> bytes:
-        """Encode one message."""
-        data = self._encoder.encode(message)
+        """
+        Encode one message.
+
+        :raises msgspec.EncodeError: if it holds a value that no message can hold.
+        """
+        try:
+            data = self._encoder.encode(message)
+        except (OverflowError, UnicodeError, RecursionError) as error:
+            raise msgspec.EncodeError(str(error)) from error
         self.sent_bytes += len(data) + FRAME_HEADER_BYTES
         return data
 
--- a/packages/daemon/src/bulrushhollow_daemon/transport.py
+++ b/packages/daemon/src/bulrushhollow_daemon/transport.py
@@ -30,6 +30,7 @@
 from bulrushhollow_daemon.codec import StructCodec
 from bulrushhollow_daemon.exceptions import PeerRefusedError
 from bulrushhollow_daemon.settings import PeerAddress, Settings
+from bulrushhollow_daemon.supervision import keep_running
 
 EXCHANGE_METHOD = "/bulrushhollow.Peer/Exchange"
 STREAM_ERRORS = (OSError, GRPCError, StreamTerminatedError, ProtocolError, H2Error)
@@ -173,7 +174,7 @@
     def _start_connecting(self, tasks: TaskGroup) -> None:
         for peer in self._settings.peers:
             if self._settings.name < peer.name:
-                tasks.start_soon(self._keep_connected, peer)
+                tasks.start_soon(keep_running, self._keep_connected, peer)
 
     def send(self, to: InstanceId, message: PeerMessage) -> None:
         """Queue a message if a stream to exactly this incarnation is open; otherwise drop it."""
@@ -287,7 +288,7 @@
             while True:
                 batch = await link.next_batch()
                 if link.hello.name not in self.cut_peers:
-                    await stream.send_message(Envelope(messages=batch))
+                    await _send_batch(stream, batch)
         except STREAM_ERRORS:
             scope.cancel()
 
@@ -309,6 +310,19 @@
                 self._observer.messages_received(link.hello.instance, envelope.messages)
 
 
+async def _send_batch(stream: Any, batch: tuple[PeerMessage, ...]) -> None:
+    """Send messages in one envelope, without those that can't be encoded."""
+    try:
+        await stream.send_message(Envelope(messages=batch))
+    except msgspec.EncodeError as error:
+        if len(batch) == 1:
+            fields = {"kind": type(batch[0]).__name__, "reason": str(error)}
+            logger.error("message_dropped", extra=fields)
+            return
+        for message in batch:
+            await _send_batch(stream, (message,))
+
+
 def _family(host: str) -> socket.AddressFamily:
     return socket.AF_INET6 if ":" in host else socket.AF_INET
 
