Read the reports of a worker platform one by one if need be

Callers saw: one odd worker in an answer of the platform made the whole answer unusable: nested 100,000 deep, with a number too large, a field missing or of another type, or a state that isn't named. The platform repeats it, so the data centre followed no worker any more and started no job. A capacity of -1 or of 2**63 - 1 counted as such.

Cause: an answer was decoded as a whole, and any error made it none.

A report without a worker's id, or with a capacity that no worker has, is left out with the line report_refused.

--- a/packages/core/src/bulrushhollow_core/platform.py
+++ b/packages/core/src/bulrushhollow_core/platform.py
@@ -113,6 +113,24 @@
     ready: bool = True
 
 
+MAX_AMOUNT = 10**9
+"""Largest amount of a resource of one worker; sums over all workers must fit into messages."""
+
+MAX_ID_LENGTH = 1024
+"""Most characters of the id of a worker; entries of the log name several."""
+
+
+def find_report_error(report: WorkerReport) -> str:
+    """Return why a report names no worker to use, or an empty text if it does."""
+    capacity = report.capacity
+    amounts = (capacity.accelerators, capacity.cores, capacity.memory_mb)
+    if not 1 <= len(report.worker) <= MAX_ID_LENGTH:
+        return f"its id has not 1 to {MAX_ID_LENGTH} characters"
+    if not all(0 <= amount <= MAX_AMOUNT for amount in amounts):
+        return f"an amount of its capacity is not 0 to {MAX_AMOUNT}"
+    return ""
+
+
 class PlatformCall(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """
     One batch from the holder of the data centre's lease: ``POST /v1/sync`` with a JSON body.
--- a/tests/test_odd_data_centre.py
+++ b/tests/test_odd_data_centre.py
@@ -1,8 +1,10 @@
 """One odd entry among the messages, reports and announcements that a data centre's daemon reads."""
 
+import json
 import unittest
 from contextlib import AsyncExitStack
 from typing import Any
+from unittest import mock
 
 import anyio
 
@@ -15,8 +17,15 @@
 )
 from bulrushhollow_core.jobs import DataCentreLoad
 from bulrushhollow_core.node import LoadReport, PeerMessage
+from bulrushhollow_core.platform import (
+    PlatformAnswer,
+    PlatformCall,
+)
 from bulrushhollow_daemon.codec import StructCodec
+from bulrushhollow_daemon.exceptions import PlatformUnreachableError
+from bulrushhollow_daemon.platform_client import PlatformClient
 from bulrushhollow_daemon.transport import Envelope
+from tests.test_odd_entries import DEEP, ODD_NUMBERS
 from tests.test_transport import RecordingObserver, make_peer, make_transport, wait_until
 
 NORTH = DataCentreId("north")
@@ -30,6 +39,14 @@
 }
 """Messages that no version sends, each with what is odd."""
 
+USUAL_WORKER = {
+    "worker": "w1",
+    "rack": "r1",
+    "capacity": {"accelerators": 8, "cores": 64, "memory_mb": 256_000},
+    "used": {},
+    "tasks": [{"task": "j/1/0", "state": "running"}],
+}
+
 
 class OddCodec(StructCodec):
     """Sends odd bytes in place of the next messages."""
@@ -108,5 +125,66 @@
         anyio.run(run)
 
 
+class PlatformAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """The list of workers that the platform of a data centre reports."""
+
+    async def sync(self, workers: list[str], **fields: str) -> PlatformAnswer:
+        texts = {"highest_epoch": "1", "fenced": "false", "cursor": "5"} | fields
+        texts["workers"] = f"[{','.join(workers)}]"
+        body = "{" + ",".join(f'"{name}":{text}' for name, text in texts.items()) + "}"
+        client = PlatformClient("http://127.0.0.1:1")
+        response = mock.MagicMock()
+        response.__aenter__.return_value.status = 200
+        with (
+            mock.patch.object(client._pool, "stream", return_value=response),
+            mock.patch.object(client, "_read_body", return_value=body.encode()),
+        ):
+            return await client.sync(PlatformCall(Epoch(1)))
+
+    def odd_workers(self) -> dict[str, str]:
+        """Return entries that name no worker to use."""
+        usual = {name: json.dumps(value) for name, value in USUAL_WORKER.items()}
+        usual["worker"] = '"odd"'
+        numbers = (*ODD_NUMBERS, "-1", str(2**63 - 1), "0.5", '"8"', "null")
+        changes = [
+            *({name: DEEP} for name in ("worker", "rack", "capacity", "used", "tasks")),
+            *({"capacity": f'{{"cores":{number}}}'} for number in numbers),
+            *({"used": f'{{"cores":{number}}}'} for number in ODD_NUMBERS),
+            *({"tasks": f'[{{"task":"j/1/0","state":{text}}}]'} for text in (DEEP, '"odd"', "1")),
+            *({name: "null"} for name in usual),
+            *({"worker": text} for text in ("7", '""', "{}")),
+        ]
+        entries = {str(change)[:50]: object_of({**usual, **change}) for change in changes}
+        entries |= {text[:20]: text for text in (DEEP, "null", "[]", "{}", "7", '"w"')}
+        return entries
+
+    # Guards against one entry that hides all workers of the data centre.
+    async def test_an_odd_worker_leaves_the_others_of_the_list(self) -> None:
+        usual = json.dumps(USUAL_WORKER)
+        expected = await self.sync([usual])
+        self.assertEqual(["w1"], [report.worker for report in expected.workers])
+        for name, odd in self.odd_workers().items():
+            for workers in ([odd, usual], [usual, odd]):
+                with self.subTest(name, first=workers[0] == odd):
+                    self.assertEqual(expected, await self.sync(workers))
+
+    async def test_an_odd_field_of_the_answer_is_ignored_or_makes_it_no_answer(self) -> None:
+        usual = json.dumps(USUAL_WORKER)
+        expected = await self.sync([usual])
+        self.assertEqual(expected, await self.sync([usual], unknown=DEEP))
+        for name in ("highest_epoch", "cursor", "number", "clock", "fenced"):
+            for text in (DEEP, "null", '"x"', *ODD_NUMBERS[3:]):
+                with (
+                    self.subTest(name, value=text[:10]),
+                    self.assertRaises(PlatformUnreachableError),
+                ):
+                    await self.sync([usual], **{name: text})
+
+
+def object_of(texts: dict[str, str]) -> str:
+    """Return a JSON object with raw JSON as its values."""
+    return "{" + ",".join(f'"{name}":{text}' for name, text in texts.items()) + "}"
+
+
 if __name__ == "__main__":
     unittest.main()
