Limit the digits of the attempt in the id of a task

Callers saw: a worker that listed a task named j/N/0, where N has 5,000 digits, ended the daemon of the data centre that held the lease, and then that of the next holder.

Cause: int() raises ValueError for more than 4,300 digits, in the step of the node that reads the reports.

Evidence: test_a_scheduler_reads_the_reports_beside_an_odd_one and three cases of test_the_id_of_a_task_with_an_odd_number_names_no_attempt fail on the code before.

Such an id names no attempt, like any other id of another form.

--- a/packages/core/src/bulrushhollow_core/jobs/_runs.py
+++ b/packages/core/src/bulrushhollow_core/jobs/_runs.py
@@ -19,6 +19,9 @@
 
 NO_DEADLINE = Seconds(float("inf"))
 
+MAX_DIGITS = 18
+"""Most digits of the number of an attempt in the id of a task; ids come from the platform."""
+
 
 class Phase(Enum):
     """
@@ -201,11 +204,15 @@
 def parse_task_id(task: TaskId) -> AttemptKey | None:
     """Return the attempt that a task id belongs to, or None if the id has another format."""
     parts = task.rsplit("/", 2)
-    if len(parts) != 3 or not parts[1].isdecimal():
+    if len(parts) != 3 or not _is_short_number(parts[1]):
         return None
     return AttemptKey(JobId(parts[0]), Attempt(int(parts[1])))
 
 
+def _is_short_number(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+
+
 def update_task_state(task: GangTask, state: TaskState) -> None:
     """Apply a reported state, unless the task is already in a final state."""
     if task.state in FINAL_TASK_STATES:
--- a/tests/test_odd_data_centre.py
+++ b/tests/test_odd_data_centre.py
@@ -1,25 +1,37 @@
 """One odd entry among the messages, reports and announcements that a data centre's daemon reads."""
 
 import json
+import random
 import unittest
 from contextlib import AsyncExitStack
 from typing import Any
 from unittest import mock
 
 import anyio
+import msgspec
 
 from bulrushhollow_core.configuration import AppliedVersion
 from bulrushhollow_core.ids import (
     DataCentreId,
     Epoch,
     InstanceId,
+    JobId,
+    RackId,
+    Seconds,
+    TaskId,
     Version,
+    WorkerId,
 )
-from bulrushhollow_core.jobs import DataCentreLoad
+from bulrushhollow_core.jobs import DataCentreLoad, Scheduler
+from bulrushhollow_core.jobs._runs import AttemptKey, parse_task_id
+from bulrushhollow_core.models import Resources
 from bulrushhollow_core.node import LoadReport, PeerMessage
 from bulrushhollow_core.platform import (
     PlatformAnswer,
     PlatformCall,
+    TaskReport,
+    TaskState,
+    WorkerReport,
 )
 from bulrushhollow_daemon.codec import StructCodec
 from bulrushhollow_daemon.exceptions import PlatformUnreachableError
@@ -186,5 +198,32 @@
     return "{" + ",".join(f'"{name}":{text}' for name, text in texts.items()) + "}"
 
 
+class SchedulerTest(unittest.TestCase):
+    # Guards against the id of a task, as a worker lists it, that ends the process.
+    def test_the_id_of_a_task_with_an_odd_number_names_no_attempt(self) -> None:
+        for number in ("9" * 5000, "1" + "0" * 40, "", "-1", "1e400", "²", "٣", "0x1", DEEP):
+            with self.subTest(number[:10]):
+                self.assertIsNone(parse_task_id(TaskId(f"j/{number}/0")))
+        self.assertEqual(AttemptKey(JobId("j/9"), 2), parse_task_id(TaskId("j/9/2/0")))
+
+    def test_a_scheduler_reads_the_reports_beside_an_odd_one(self) -> None:
+        capacity = Resources(8, 64, 256_000)
+        usual = WorkerReport(WorkerId("w1"), RackId("r1"), capacity, Resources())
+        names = ("j/" + "9" * 5000 + "/0", "j/1/" + "9" * 5000, "", "/", "x" * 10_000)
+        tasks = tuple(TaskReport(TaskId(name), TaskState.RUNNING) for name in names)
+        for is_usual_first in (False, True):
+            scheduler = Scheduler(NORTH, random.Random(1))
+            scheduler.activate(Epoch(1), Seconds(0.0))
+            scheduler.next_call(Epoch(1), Seconds(5.0), Seconds(0.0))
+            odd = WorkerReport(WorkerId("odd"), RackId(""), capacity, Resources(), tasks)
+            workers = (usual, odd) if is_usual_first else (odd, usual)
+            answer = PlatformAnswer(Epoch(1), False, 5, workers, 1)
+            scheduler.platform_answered(answer, Seconds(0.1))
+            for step in range(100):
+                scheduler.tick(Seconds(0.2 + step / 10))
+                msgspec.msgpack.encode(scheduler.load(Seconds(0.2 + step / 10)))
+            self.assertEqual(2, scheduler.worker_count)
+
+
 if __name__ == "__main__":
     unittest.main()
