Check announcements of endpoints that other instances pass on

Callers saw: an endpoint with an address that does not exist, without slots or with 2**63 - 1, got requests if another instance passed its announcement on. One with an age that is no number, or is negative, stayed known for good.

Cause: only the instance that receives an announcement from its endpoint checked it; an instance of another version may check less.

Announcements that are passed on get the same check, and an age must be a number that is not negative.

--- a/packages/core/src/bulrushhollow_core/requests/_directory.py
+++ b/packages/core/src/bulrushhollow_core/requests/_directory.py
@@ -8,6 +8,7 @@
 instance that missed an announcement queries its peers for it.
 """
 
+import math
 import random
 
 import msgspec
@@ -328,13 +329,16 @@
     ) -> list[msgspec.Struct]:
         if peer.stamp is None or update.stamp > peer.stamp:
             peer.stamp = update.stamp
-        echo = UNDATED if update.echo is None else min(update.echo, now)
+        echo = UNDATED
+        if update.echo is not None and not math.isnan(update.echo):
+            echo = min(update.echo, now)
         for aged in update.announcements:
-            self._table.update(aged.announcement, Seconds(echo - aged.age))
+            if aged.age >= 0 and self._validate(aged.announcement) is None:
+                self._table.update(aged.announcement, Seconds(echo - aged.age))
         unknown = tuple(
             refresh.endpoint
             for refresh in update.refreshes
-            if not self._table.refresh(refresh, Seconds(echo - refresh.age))
+            if refresh.age >= 0 and not self._table.refresh(refresh, Seconds(echo - refresh.age))
         )
         if peer.data_centre != self._data_centre:
             peer.loads_by_service = {load.service: load for load in update.loads}
--- a/tests/test_odd_data_centre.py
+++ b/tests/test_odd_data_centre.py
@@ -1,6 +1,7 @@
 """One odd entry among the messages, reports and announcements that a data centre's daemon reads."""
 
 import json
+import math
 import random
 import unittest
 from contextlib import AsyncExitStack
@@ -11,10 +12,13 @@
 import msgspec
 
 from bulrushhollow_core.configuration import AppliedVersion
+from bulrushhollow_core.endpoints import Announcement
 from bulrushhollow_core.ids import (
     DataCentreId,
+    EndpointId,
     Epoch,
     InstanceId,
+    InstanceName,
     JobId,
     RackId,
     Seconds,
@@ -33,11 +37,13 @@
     TaskState,
     WorkerReport,
 )
+from bulrushhollow_core.requests import EndpointDirectory, EndpointUpdate
+from bulrushhollow_core.requests._gossip import AgedAnnouncement, AnnouncementRefresh
 from bulrushhollow_daemon.codec import StructCodec
 from bulrushhollow_daemon.exceptions import PlatformUnreachableError
 from bulrushhollow_daemon.platform_client import PlatformClient
 from bulrushhollow_daemon.transport import Envelope
-from tests.test_odd_entries import DEEP, ODD_NUMBERS
+from tests.test_odd_entries import DEEP, ODD_ADDRESSES, ODD_NUMBERS
 from tests.test_transport import RecordingObserver, make_peer, make_transport, wait_until
 
 NORTH = DataCentreId("north")
@@ -225,5 +231,47 @@
             self.assertEqual(2, scheduler.worker_count)
 
 
+class GossipTest(unittest.TestCase):
+    """Announcements of endpoints that an instance of another version passes on."""
+
+    # Guards against an endpoint that is used, or never forgotten, because of an odd entry.
+    def test_an_odd_announcement_leaves_the_others_of_an_update(self) -> None:
+        usual = Announcement(EndpointId("e1"), NORTH, 1, 1, "127.0.0.1:9000", "grip", 8, 64)
+        odd = msgspec.structs.replace(usual, endpoint=EndpointId("odd"))
+        cases = [
+            *((odd, age) for age in map(Seconds, (math.nan, math.inf, -math.inf, -1e300))),
+            *((msgspec.structs.replace(odd, address=text), Seconds(0.0)) for text in ODD_ADDRESSES),
+            *((msgspec.structs.replace(odd, slots=n), Seconds(0.0)) for n in (2**63 - 1, -1, 0)),
+            (msgspec.structs.replace(odd, connections=2**63 - 1), Seconds(0.0)),
+            (msgspec.structs.replace(odd, data_centre=DataCentreId("")), Seconds(0.0)),
+            (msgspec.structs.replace(odd, endpoint=EndpointId("")), Seconds(0.0)),
+        ]
+        for announcement, age in cases:
+            name = f"{announcement.address[:20]} {announcement.slots} {age}"
+            for is_first in (False, True):
+                with self.subTest(name, is_first=is_first):
+                    aged = [
+                        AgedAnnouncement(usual, Seconds(0.0)),
+                        AgedAnnouncement(announcement, age),
+                    ]
+                    entries = aged[::-1] if is_first else aged
+                    update = EndpointUpdate(
+                        Seconds(5.0), Seconds(10.0), tuple(entries), digest=2**64 - 1
+                    )
+                    peers = {InstanceName("n1"): NORTH, InstanceName("n2"): NORTH}
+                    directory = EndpointDirectory(
+                        InstanceName("n1"), NORTH, peers, random.Random(1), Seconds(0.0)
+                    )
+                    directory.receive(InstanceId("n2.00000001"), update, Seconds(10.0))
+                    refreshed = AnnouncementRefresh(
+                        usual.endpoint, 1, 2**64 - 1, 0, Seconds(-1e300)
+                    )
+                    update = EndpointUpdate(Seconds(6.0), Seconds(10.0), (), (refreshed,))
+                    directory.receive(InstanceId("n2.00000001"), update, Seconds(10.0))
+                    self.assertEqual((usual,), directory.usable_endpoints("grip", Seconds(11.0)))
+                    directory.tick(Seconds(100.0))
+                    self.assertEqual((), directory.status(Seconds(100.0)))
+
+
 if __name__ == "__main__":
     unittest.main()
