Report odd ports in flags and deep answers as what they are

Callers saw: an address in a flag with a port of 5,000 digits ended the daemon with a traceback instead of the reason, and one with brackets or a scope of any length was accepted. An answer of another instance, or a question for a placement, that nests too deeply failed as an unexpected error.

Cause: int() raises ValueError beyond 4,300 digits, and the decoder raises RecursionError, which neither place expected.

Evidence: two tests of tests.test_odd_data_centre fail on the code before, with 3 cases of flags and 1 of an answer. The question for a placement uses the same list of errors and has no test of its own.

--- a/packages/daemon/src/bulrushhollow_daemon/dispatch/_dispatcher.py
+++ b/packages/daemon/src/bulrushhollow_daemon/dispatch/_dispatcher.py
@@ -35,6 +35,7 @@
     Connection,
     ConnectionPool,
 )
+from bulrushhollow_daemon.json_lists import DECODE_ERRORS
 
 PRUNE_INTERVAL = Seconds(1.0)
 """Seconds between two prunes of idle connections."""
@@ -281,7 +282,7 @@
         return _complete_answer(head, body)
     try:
         refusal = msgspec.json.decode(body, type=Refusal)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return _malformed_answer(InvalidAnswer("the other instance's answer is malformed"))
     end = AttemptEnd.REFUSED if refusal.execution is Execution.NOT_RUN else AttemptEnd.LOST
     result = AttemptResult(
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_placement.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_placement.py
@@ -27,6 +27,7 @@
 from bulrushhollow_core.placements import JobBody, PlacementQuestion, StepBody
 from bulrushhollow_daemon import clock
 from bulrushhollow_daemon.http_messages import Request, Response, refusal_response
+from bulrushhollow_daemon.json_lists import DECODE_ERRORS
 
 MAX_QUESTION_BYTES = 256 * 1024
 """Largest body of a question; by default no larger job can be submitted."""
@@ -64,7 +65,7 @@
             return refusal_response(body)
         try:
             question = self._decoder.decode(body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             return Response(BAD_REQUEST, _error_body("malformed", str(error)))
         # Configurations hold the host names of queues in lower case.
         call = ExplainPlacement(
--- a/packages/daemon/src/bulrushhollow_daemon/settings.py
+++ b/packages/daemon/src/bulrushhollow_daemon/settings.py
@@ -6,7 +6,6 @@
 or written, and an error names the flag and the values that it accepts.
 """
 
-import ipaddress
 import pathlib
 import re
 from collections.abc import Iterable
@@ -14,6 +13,7 @@
 
 import msgspec
 
+from bulrushhollow_core.endpoints import MAX_ADDRESS_LENGTH, MAX_PORT, is_host
 from bulrushhollow_core.ids import DataCentreId, InstanceName, Seconds
 from bulrushhollow_daemon.exceptions import SettingsError
 
@@ -133,11 +133,9 @@
     :raises SettingsError: if it is not an IP address and a port from 0 to 65535.
     """
     host, _, port = text.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
-        raise SettingsError(flag, f"{text!r} is not IP:PORT with an IP address") from None
-    if not port.isascii() or not port.isdigit() or int(port) > 65535:
+    if len(text) > MAX_ADDRESS_LENGTH or not is_host(host.strip("[]")):
+        raise SettingsError(flag, f"{text!r} is not IP:PORT with an IP address")
+    if not (port.isascii() and port.isdigit() and len(port) <= 5) or int(port) > MAX_PORT:
         raise SettingsError(flag, f"{text!r} does not end in a port from 0 to 65535")
     return Address(host.strip("[]"), int(port))
 
--- a/tests/test_odd_data_centre.py
+++ b/tests/test_odd_data_centre.py
@@ -30,6 +30,7 @@
 from bulrushhollow_core.jobs._runs import AttemptKey, parse_task_id
 from bulrushhollow_core.models import Resources
 from bulrushhollow_core.node import LoadReport, PeerMessage
+from bulrushhollow_core.outcomes import Reason
 from bulrushhollow_core.platform import (
     PlatformAnswer,
     PlatformCall,
@@ -40,8 +41,11 @@
 from bulrushhollow_core.requests import EndpointDirectory, EndpointUpdate
 from bulrushhollow_core.requests._gossip import AgedAnnouncement, AnnouncementRefresh
 from bulrushhollow_daemon.codec import StructCodec
-from bulrushhollow_daemon.exceptions import PlatformUnreachableError
+from bulrushhollow_daemon.dispatch._checks import AnswerHead
+from bulrushhollow_daemon.dispatch._dispatcher import _read_forwarded_answer
+from bulrushhollow_daemon.exceptions import PlatformUnreachableError, SettingsError
 from bulrushhollow_daemon.platform_client import PlatformClient
+from bulrushhollow_daemon.settings import parse_address, parse_peer, parse_url
 from bulrushhollow_daemon.transport import Envelope
 from tests.test_odd_entries import DEEP, ODD_ADDRESSES, ODD_NUMBERS
 from tests.test_transport import RecordingObserver, make_peer, make_transport, wait_until
@@ -273,5 +277,28 @@
                     self.assertEqual((), directory.status(Seconds(100.0)))
 
 
+class SettingsTest(unittest.TestCase):
+    # Guards against a flag that ends the process with a traceback instead of a reason.
+    def test_an_odd_address_in_a_flag_is_refused_with_its_name(self) -> None:
+        odd = (*(a for a in ODD_ADDRESSES if not a.endswith(":0")), "10.0.0.9:" + "9" * 5000)
+        for address in odd:
+            with self.subTest(address[:20]):
+                with self.assertRaises(SettingsError):
+                    parse_address("--http", address)
+                with self.assertRaises(SettingsError):
+                    parse_peer("--peer", f"b=north={address}")
+                with self.assertRaises(SettingsError):
+                    parse_url("--platform", f"http://{address}")
+
+
+class ForwardedAnswerTest(unittest.TestCase):
+    # Guards against an answer of another instance whose error ends its request unexpectedly.
+    def test_an_answer_that_nests_deeply_is_malformed(self) -> None:
+        head = AnswerHead(503, {}, None)
+        for body in (DEEP, f'{{"detail":{DEEP}}}', f'{{"x":{DEEP}}}'):
+            result = _read_forwarded_answer(head, body.encode()).result
+            self.assertIs(Reason.ANSWER_MALFORMED, result.reason)
+
+
 if __name__ == "__main__":
     unittest.main()
