--- a/packages/core/src/bulrushhollow_core/domain/model/_announcements.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_announcements.py
@@ -21,7 +21,8 @@
 """Largest integer of an announcement, in magnitude; the log stores none that is larger."""
 
 MAX_CLOCK = Seconds(2**53 / 1000)
-"""Largest reading of a worker's clock, in magnitude; leases that end later have no number."""
+"""Largest reading of a worker's clock, in magnitude; JSON has no exact numbers for
+leases that end later."""
 
 MAX_BORN_AHEAD = Seconds(366 * 86_400.0)
 """Seconds by which the clock of a worker's machine may be ahead of that of the leader. It is long,
