Refuse messages of the log with numbers after which there is none

Cause: terms and indexes of other instances were taken as any number that a message can hold.

Evidence: test_a_message_of_the_log_with_a_number_out_of_range_is_no_message fails on the code before in its 60 cases with numbers above 2**63 and below 0.

Terms, indexes and lengths in messages are limited to 2**53 where they are decoded, so that such a batch fails like any other that can't be read.

--- a/packages/core/src/bulrushhollow_core/consensus/_messages.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_messages.py
@@ -6,11 +6,21 @@
 logs that were bootstrapped separately never mix.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from bulrushhollow_core.consensus._types import LogEntry, LogId, Members
 from bulrushhollow_core.ids import LogIndex, Seconds, Term
 
+COUNT = msgspec.Meta(ge=0, le=2**53)
+"""Range of terms, indexes and lengths in a message. The next term must fit into messages and
+records too, or no instance could stand for it."""
+
+MessageTerm = Annotated[Term, COUNT]
+MessageIndex = Annotated[LogIndex, COUNT]
+ByteCount = Annotated[int, COUNT]
+
 
 class ClockReading(msgspec.Struct, frozen=True, array_like=True):
     """
@@ -38,9 +48,9 @@
     """
 
     log_id: LogId
-    term: Term
-    last_index: LogIndex
-    last_term: Term
+    term: MessageTerm
+    last_index: MessageIndex
+    last_term: MessageTerm
     is_pre_vote: bool = False
     is_transfer: bool = False
 
@@ -53,7 +63,7 @@
     """
 
     log_id: LogId
-    term: Term
+    term: MessageTerm
     granted: bool
     is_pre_vote: bool = False
 
@@ -72,10 +82,10 @@
     """
 
     log_id: LogId
-    term: Term
-    previous_index: LogIndex
-    previous_term: Term
-    commit: LogIndex
+    term: MessageTerm
+    previous_index: MessageIndex
+    previous_term: MessageTerm
+    commit: MessageIndex
     sent_at: Seconds
     quorum_age: Seconds
     entries: tuple[LogEntry, ...] = ()
@@ -94,10 +104,10 @@
     """
 
     log_id: LogId
-    term: Term
+    term: MessageTerm
     success: bool
-    index: LogIndex
-    previous_index: LogIndex
+    index: MessageIndex
+    previous_index: MessageIndex
     sent_at: Seconds
     clock_reading: ClockReading
 
@@ -113,12 +123,12 @@
     """
 
     log_id: LogId
-    term: Term
-    snapshot_index: LogIndex
-    snapshot_term: Term
+    term: MessageTerm
+    snapshot_index: MessageIndex
+    snapshot_term: MessageTerm
     members: Members
-    offset: int
-    total: int
+    offset: ByteCount
+    total: ByteCount
     data: bytes
     sent_at: Seconds
     quorum_age: Seconds
@@ -135,9 +145,9 @@
     """
 
     log_id: LogId
-    term: Term
-    snapshot_index: LogIndex
-    received: int
+    term: MessageTerm
+    snapshot_index: MessageIndex
+    received: ByteCount
     installed: bool
     sent_at: Seconds
     clock_reading: ClockReading
@@ -147,7 +157,7 @@
     """Request from the leader to the receiver to start an election at once."""
 
     log_id: LogId
-    term: Term
+    term: MessageTerm
 
 
 ConsensusMessage = (
--- a/tests/test_odd_instances.py
+++ b/tests/test_odd_instances.py
@@ -10,8 +10,19 @@
 import grpclib.client
 import msgspec
 
+from bulrushhollow_core.consensus._messages import (
+    Append,
+    AppendAnswer,
+    ClockReading,
+    RequestVote,
+    SnapshotAnswer,
+    SnapshotChunk,
+    TimeoutNow,
+    VoteAnswer,
+)
+from bulrushhollow_core.consensus._types import LogId, Members
 from bulrushhollow_core.domain import Done, NotLeader, Probe, Refused, Serving
-from bulrushhollow_core.ids import InstanceId, Seconds
+from bulrushhollow_core.ids import InstanceId, LogIndex, Seconds, Term
 from bulrushhollow_daemon import clock
 from bulrushhollow_daemon.codec import StructCodec
 from bulrushhollow_daemon.domain import _peers
@@ -152,6 +163,43 @@
                 StructCodec().decode(with_deep_value(message), type(message))
 
 
+class ConsensusMessageTest(unittest.TestCase):
+    # Guards against a term after which there is none: every instance that adopts it ends.
+    def test_a_message_of_the_log_with_a_number_out_of_range_is_no_message(self) -> None:
+        log_id, zero = LogId(7), LogIndex(0)
+        term, reading = Term(1), ClockReading(1, Seconds(0.0))
+        members = Members(frozenset(), frozenset())
+        at = Seconds(0.0)
+        usual = (
+            RequestVote(log_id, term, zero, term),
+            VoteAnswer(log_id, term, granted=False),
+            Append(log_id, term, zero, term, zero, at, at),
+            AppendAnswer(log_id, term, False, zero, zero, at, reading),
+            SnapshotChunk(log_id, term, zero, term, members, 0, 0, b"", at, at),
+            SnapshotAnswer(log_id, term, zero, 0, False, at, reading),
+            TimeoutNow(log_id, term),
+        )
+        fields = ("term", "last_index", "last_term", "previous_index", "previous_term", "commit")
+        fields += ("index", "snapshot_index", "snapshot_term", "offset", "total", "received")
+        for message in usual:
+            batch = MessageBatch(ME, None, (message,))
+            self.assertEqual(batch, decode(batch))
+            for field in filter(message.__struct_fields__.__contains__, fields):
+                for number in (2**64 - 1, 2**63, -1):
+                    with self.subTest(message=type(message).__name__, field=field, number=number):
+                        odd = msgspec.structs.replace(message, **{field: number})
+                        with self.assertRaises(msgspec.DecodeError):
+                            decode(MessageBatch(ME, None, (odd,)))
+
+
+def decode(batch: MessageBatch) -> MessageBatch:
+    """Return what the recipient of a batch reads."""
+    codec = StructCodec()
+    decoded = codec.decode(codec.encode(batch, MessageBatch), MessageBatch)
+    assert isinstance(decoded, MessageBatch)
+    return decoded
+
+
 class RawCodec(StructCodec):
     """Sends bytes as they are."""
 
