Test that instances replay logs with odd entries

Registrations and starts as earlier builds may have recorded them: addresses without a port that exists, numbers up to 2**64 - 1, clocks that are no number. Instances that are killed and replay the log elect a leader and run a new job.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -22,6 +22,7 @@
     DomainSettings,
     DrainWorker,
     EndRuns,
+    JobState,
     ListedEnd,
     ListedRun,
     Malformed,
@@ -46,11 +47,13 @@
     Work,
     WorkerLife,
     WorkerNews,
+    encode_commands,
 )
 from bulrushhollow_core.domain.replica import DomainState
 from bulrushhollow_core.ids import JobId, RackId, Seconds, Term, WorkerId, WorkspaceId
 from bulrushhollow_platform._translation import Unreadable, decode_heartbeat
 from standins.domain_site import configuration, queue
+from tests.domain_world import World
 from tests.test_domain_hostile_messages import HEARTBEAT
 from tests.test_domain_proposals import SoleLeader
 from tests.test_domain_scheduler import SINGLE_TASK, WALL, SchedulerHarness, announcement
@@ -260,6 +263,39 @@
                     self.assertEqual({LIFE}, self.run_leader(harness, 160))
 
 
+class RestartTest(unittest.TestCase):
+    # Guards against a log from which no instance starts again, or from which none can lead.
+    def test_instances_that_replay_odd_entries_go_on(self) -> None:
+        lives = [
+            WorkerLife(WorkerId(f"odd-{number}"), news.life.born)
+            for number, news in enumerate(ODD_NEWS.values())
+        ]
+        odd = [
+            RegisterWorker(msgspec.structs.replace(news, life=life))
+            for life, news in zip(lives, ODD_NEWS.values(), strict=True)
+        ]
+        odd = [command for command in odd if len(encode_commands([command])) < MAX_PAYLOAD_BYTES]
+        task = TaskRef(JobId("unknown"), Occurrence(UINT64), UINT64, UINT64)
+        starts = [Start(task, RunNumber(UINT64), ODD_LIFE, address) for address in ODD_ADDRESSES]
+        world = World(5)
+        world.run_until(lambda: world.leader() is not None, 10)
+        world.run(2)
+        self.assertTrue(world.put_configuration(configuration(1)))
+        leader = world.leader()
+        assert leader is not None
+        leader.node._scheduler_commands += [*odd, StartRuns(tuple(starts))]
+        world.run(1)
+        for instance in world.instances:
+            self.assertIn(lives[-1], instance.node.state.announcements_by_life)
+            instance.kill()
+        for instance in world.instances:
+            instance.start()
+        world.submit("a" * 16, "usual", SINGLE_TASK, 1.0)
+        job = JobId("a" * 16)
+        self.assertTrue(world.run_until(lambda: job in world.accepted, 10))
+        self.assertTrue(world.run_until(lambda: world.read(job, "usual") is JobState.DONE, 20))
+
+
 class ProposalSizeTest(unittest.TestCase):
     """Starts and ends that, taken together, are larger than an entry of the log."""
 
