--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -197,43 +197,44 @@
     return harness
 
 
+def run_leader(harness: SchedulerHarness, steps: int) -> set[WorkerLife]:
+    """Let only the usual worker answer; return the lives on which runs were started."""
+    started: set[WorkerLife] = set()
+    scheduler = harness.scheduler
+    for number in range(steps):
+        news = announcement(1, 10 + number, clock=harness.now + 40)
+        scheduler.worker_announced(news, harness.now)
+        harness.commit(harness.plan())
+        for order in scheduler.take_actions():
+            clock = Seconds(harness.now + 40)
+            accepted = OrderResult.ACCEPTED if getattr(order, "life", None) == LIFE else None
+            match order:
+                case OrderStart(life=life, task=task, run=run) if accepted:
+                    started.add(life)
+                    answer = StartAnswered(life, task, run, accepted, clock)
+                    scheduler.start_answered(answer, harness.now)
+                case OrderStop(life=life, task=task, run=run) if accepted:
+                    answer = StopAnswered(life, task, run, accepted, clock)
+                    scheduler.stop_answered(answer, harness.now)
+                case Poll(life=life) if accepted:
+                    worker = scheduler._shared.fleet.get(life)
+                    assert worker is not None
+                    runs = worker.runs_by_task.values()
+                    listed = tuple(ListedRun(run.task, run.number, "", 5) for run in runs)
+                    polled = PollAnswered(life, accepted, clock, running=listed)
+                    scheduler.poll_answered(polled, harness.now)
+                case OrderStart():
+                    scheduler.start_answered(no_answer_to(order), harness.now)
+                case OrderStop():
+                    scheduler.stop_answered(no_answer_to(order), harness.now)
+                case Poll():
+                    scheduler.poll_answered(no_answer_to(order), harness.now)
+    return started
+
+
 class RecordedEntryTest(unittest.TestCase):
     """Odd entries that are in a log or a snapshot already."""
 
-    def run_leader(self, harness: SchedulerHarness, steps: int) -> set[WorkerLife]:
-        """Let only the usual worker answer; return the lives on which runs were started."""
-        started: set[WorkerLife] = set()
-        scheduler = harness.scheduler
-        for number in range(steps):
-            news = announcement(1, 10 + number, clock=harness.now + 40)
-            scheduler.worker_announced(news, harness.now)
-            harness.commit(harness.plan())
-            for order in scheduler.take_actions():
-                clock = Seconds(harness.now + 40)
-                accepted = OrderResult.ACCEPTED if getattr(order, "life", None) == LIFE else None
-                match order:
-                    case OrderStart(life=life, task=task, run=run) if accepted:
-                        started.add(life)
-                        answer = StartAnswered(life, task, run, accepted, clock)
-                        scheduler.start_answered(answer, harness.now)
-                    case OrderStop(life=life, task=task, run=run) if accepted:
-                        answer = StopAnswered(life, task, run, accepted, clock)
-                        scheduler.stop_answered(answer, harness.now)
-                    case Poll(life=life) if accepted:
-                        worker = scheduler._shared.fleet.get(life)
-                        assert worker is not None
-                        runs = worker.runs_by_task.values()
-                        listed = tuple(ListedRun(run.task, run.number, "", 5) for run in runs)
-                        polled = PollAnswered(life, accepted, clock, running=listed)
-                        scheduler.poll_answered(polled, harness.now)
-                    case OrderStart():
-                        scheduler.start_answered(no_answer_to(order), harness.now)
-                    case OrderStop():
-                        scheduler.stop_answered(no_answer_to(order), harness.now)
-                    case Poll():
-                        scheduler.poll_answered(no_answer_to(order), harness.now)
-        return started
-
     # Guards against a registration from which no new leader recovers.
     def test_a_leader_uses_the_other_workers_beside_an_odd_registration(self) -> None:
         for name, news in ODD_NEWS.items():
@@ -242,7 +243,7 @@
                     commands = [RegisterWorker(news), DrainWorker(WorkerLife(WorkerId(""), UINT64))]
                     harness = lead(commands, from_snapshot)
                     harness.submit(SINGLE_TASK)
-                    self.assertEqual({LIFE}, self.run_leader(harness, 40))
+                    self.assertEqual({LIFE}, run_leader(harness, 40))
                     self.assertEqual({LIFE}, {run.life for run in harness.scheduler._shared.runs()})
 
     # Guards against a recorded start from which no new leader recovers.
@@ -260,7 +261,7 @@
                         Start(task, number, ODD_LIFE, address),
                     )
                     harness = lead([submitted, StartRuns(starts)], from_snapshot=True)
-                    self.assertEqual({LIFE}, self.run_leader(harness, 160))
+                    self.assertEqual({LIFE}, run_leader(harness, 160))
 
 
 class RestartTest(unittest.TestCase):
