--- a/packages/daemon/src/bulrushhollow_daemon/domain/_placement.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_placement.py
@@ -26,7 +26,12 @@
 from bulrushhollow_core.outcomes import Refusal
 from bulrushhollow_core.placements import JobBody, PlacementQuestion, StepBody
 from bulrushhollow_daemon import clock
-from bulrushhollow_daemon.http_messages import Request, Response, refusal_response
+from bulrushhollow_daemon.http_messages import (
+    Request,
+    Response,
+    limit_retry_after,
+    refusal_response,
+)
 from bulrushhollow_daemon.json_lists import DECODE_ERRORS
 
 MAX_QUESTION_BYTES = 256 * 1024
@@ -111,7 +116,7 @@
 
 
 def _unavailable(reason: str, retry_after: Seconds) -> Response:
-    header = ("retry-after", str(max(1, math.ceil(retry_after))))
+    header = ("retry-after", str(math.ceil(limit_retry_after(retry_after))))
     return Response(UNAVAILABLE, _error_body(reason, ""), headers=(header,))
 
 
--- a/packages/daemon/src/bulrushhollow_daemon/http_messages.py
+++ b/packages/daemon/src/bulrushhollow_daemon/http_messages.py
@@ -49,6 +49,9 @@
 
 SERVICE_UNAVAILABLE = 503
 
+MAX_RETRY_AFTER = 86_400.0
+"""Seconds after which callers are told to retry at most."""
+
 EOF_TURNS = 4
 """Turns of the event loop in which the end of a connection is read that has arrived already."""
 
@@ -153,12 +156,17 @@
     return msgspec.structs.replace(response, headers=(*response.headers, ("connection", "close")))
 
 
+def limit_retry_after(seconds: float) -> float:
+    """Return after how many seconds to retry; another instance may state any number, or none."""
+    return min(MAX_RETRY_AFTER, max(1.0, seconds))
+
+
 def refusal_response(refusal: Refusal) -> Response:
     """Return a refusal as JSON, with headers that state whether the work ran."""
     status = STATUS_BY_REASON.get(refusal.reason, SERVICE_UNAVAILABLE)
     headers = [("execution", refusal.execution.value), ("reason", refusal.reason.value)]
     if refusal.retry_after is not None:
-        headers.append(("retry-after", str(max(1, round(refusal.retry_after)))))
+        headers.append(("retry-after", str(round(limit_retry_after(refusal.retry_after)))))
     return Response(status, msgspec.json.encode(refusal), headers=tuple(headers))
 
 
--- a/tests/test_odd_instances.py
+++ b/tests/test_odd_instances.py
@@ -1,14 +1,18 @@
 """One odd address or message among those by which the instances of a domain know each other."""
 
 import asyncio
+import json
+import math
 import socket
 import unittest
 from collections.abc import Iterable
+from typing import Any
 from unittest import mock
 
 import anyio
 import grpclib.client
 import msgspec
+from prometheus_client import CollectorRegistry
 
 from bulrushhollow_core.consensus._messages import (
     Append,
@@ -21,11 +25,12 @@
     VoteAnswer,
 )
 from bulrushhollow_core.consensus._types import LogId, Members
-from bulrushhollow_core.domain import Done, NotLeader, Probe, Refused, Serving
+from bulrushhollow_core.domain import Done, NotLeader, Probe, RefusalReason, Refused, Serving
 from bulrushhollow_core.ids import InstanceId, LogIndex, Seconds, Term
+from bulrushhollow_core.outcomes import Reason, Refusal
 from bulrushhollow_daemon import clock
 from bulrushhollow_daemon.codec import StructCodec
-from bulrushhollow_daemon.domain import _peers
+from bulrushhollow_daemon.domain import CallMetrics, _peers
 from bulrushhollow_daemon.domain._leader import LeaderClient
 from bulrushhollow_daemon.domain._peers import Peers
 from bulrushhollow_daemon.domain._rpc import (
@@ -39,7 +44,11 @@
     RpcClient,
     RpcServer,
 )
+from bulrushhollow_daemon.http_messages import refusal_response
+from bulrushhollow_platform._answers import to_response
+from bulrushhollow_platform._control import ControlApplication
 from bulrushhollow_platform._settings import decode_settings
+from tests.test_domain_hostile_messages import heartbeat
 from tests.test_domain_peers import Observer
 from tests.test_platform_translation import SETTINGS
 
@@ -163,6 +172,47 @@
                 StructCodec().decode(with_deep_value(message), type(message))
 
 
+class AnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Answers of a leader, as another instance passes them on."""
+
+    async def send_heartbeat(self, answer: Done) -> tuple[int, dict[str, str]]:
+        """Return the response to a heartbeat that the leader answers in this way."""
+        leader = mock.Mock(address="", ask=mock.AsyncMock(return_value=answer))
+        application = ControlApplication(leader, CallMetrics(CollectorRegistry()), 8080)
+        sent: list[dict[str, Any]] = []
+        receive = mock.AsyncMock(return_value={"type": "http.request", "body": heartbeat()})
+        scope = {
+            "method": "POST",
+            "path": "/Instances.Heartbeat/w",
+            "headers": [],
+            "query_string": b"",
+        }
+        await application(scope, receive, mock.AsyncMock(side_effect=sent.append))
+        return sent[0]["status"], json.loads(sent[1]["body"])
+
+    # Guards against an address for heartbeats at which nobody listens.
+    async def test_odd_addresses_of_instances_are_not_passed_on_to_workers(self) -> None:
+        for host in ODD_HOSTS:
+            with self.subTest(host[:20]):
+                self.assertEqual((200, {}), await self.send_heartbeat(Done(host)))
+                relays = Done(host, (host, "10.0.0.2", host))
+                expected = (200, {"beat-addr": "10.0.0.2:8080"})
+                self.assertEqual(expected, await self.send_heartbeat(relays))
+                expected = (200, {"beat-addr": "10.0.0.1:8080"})
+                relays = Done("10.0.0.1", (host,))
+                self.assertEqual(expected, await self.send_heartbeat(relays))
+
+    # Guards against a refusal whose odd number ends the call without an answer.
+    def test_an_odd_time_to_retry_is_limited(self) -> None:
+        for seconds in (math.nan, math.inf, -math.inf, -1.0, 0.0, 1e308):
+            with self.subTest(seconds):
+                response = to_response(Refused(RefusalReason.NO_LEADER, Seconds(seconds)))
+                [(_, value)] = response.headers
+                self.assertIn(int(value), range(1, 86_401))
+                refusal = Refusal(Reason.DEADLINE, retry_after=seconds)
+                self.assertIn(("retry-after", value), refusal_response(refusal).headers)
+
+
 class ConsensusMessageTest(unittest.TestCase):
     # Guards against a term after which there is none: every instance that adopts it ends.
     def test_a_message_of_the_log_with_a_number_out_of_range_is_no_message(self) -> None:
