Limit what instances of a site count up in their messages

A number of an announcement above 2**63 - 1 was passed on in a message that the next instance can't decode, which ends the stream between two sound instances.

Cause: epochs, versions, numbers of announcements and slots of other instances were taken as any number that a message can hold.

Such numbers are limited to 2**53, those of announcements to 64 bits, where the messages are decoded. A message with a larger one ends its stream, like any other that can't be read.

--- a/packages/core/src/bulrushhollow_core/authority/_messages.py
+++ b/packages/core/src/bulrushhollow_core/authority/_messages.py
@@ -6,10 +6,15 @@
 between them and the leader of the log.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from bulrushhollow_core.changes import ChangeConfiguration
-from bulrushhollow_core.ids import DataCentreId, Epoch, InstanceId, Seconds, Version
+from bulrushhollow_core.ids import COUNT, DataCentreId, Epoch, InstanceId, Seconds, Version
+
+MessageEpoch = Annotated[Epoch, COUNT]
+MessageVersion = Annotated[Version, COUNT]
 
 
 class LocalOrder(msgspec.Struct, frozen=True):
@@ -39,11 +44,11 @@
     """
 
     data_centre: DataCentreId
-    epoch: Epoch
+    epoch: MessageEpoch
     sent_at: Seconds
     is_pre_vote: bool = False
     is_holder: bool = False
-    version: Version = Version(0)
+    version: MessageVersion = Version(0)
     orders: tuple[LocalOrder, ...] = ()
 
 
@@ -55,10 +60,10 @@
     :param orders: local orders that the voter knows, including those of the request.
     """
 
-    epoch: Epoch
+    epoch: MessageEpoch
     sent_at: Seconds
     is_pre_vote: bool = False
-    highest_epoch: Epoch = Epoch(0)
+    highest_epoch: MessageEpoch = Epoch(0)
     orders: tuple[LocalOrder, ...] = ()
 
 
@@ -70,8 +75,8 @@
     :param wait: seconds for which the voter stays bound to another instance.
     """
 
-    epoch: Epoch
-    highest_epoch: Epoch = Epoch(0)
+    epoch: MessageEpoch
+    highest_epoch: MessageEpoch = Epoch(0)
     wait: Seconds = Seconds(0.0)
 
 
@@ -82,7 +87,7 @@
     :param successor: instance that may request votes first, if the sender chose one.
     """
 
-    epoch: Epoch
+    epoch: MessageEpoch
     successor: InstanceId | None = None
 
 
@@ -90,7 +95,7 @@
     """Request to the log's leader for the witness vote; see :class:`AuthorityRequest`."""
 
     data_centre: DataCentreId
-    epoch: Epoch
+    epoch: MessageEpoch
     sent_at: Seconds
     is_pre_vote: bool = False
 
@@ -98,17 +103,17 @@
 class WitnessGrant(msgspec.Struct, frozen=True, array_like=True, tag="witness_grant"):
     """A granted witness vote; see :class:`AuthorityGrant`."""
 
-    epoch: Epoch
+    epoch: MessageEpoch
     sent_at: Seconds
     is_pre_vote: bool = False
-    highest_epoch: Epoch = Epoch(0)
+    highest_epoch: MessageEpoch = Epoch(0)
 
 
 class WitnessDenial(msgspec.Struct, frozen=True, array_like=True, tag="witness_denial"):
     """A denied witness vote; see :class:`AuthorityDenial`."""
 
-    epoch: Epoch
-    highest_epoch: Epoch = Epoch(0)
+    epoch: MessageEpoch
+    highest_epoch: MessageEpoch = Epoch(0)
     wait: Seconds = Seconds(0.0)
 
 
@@ -116,7 +121,7 @@
     """The sender releases an epoch of a data centre for good; see :class:`AuthorityRelease`."""
 
     data_centre: DataCentreId
-    epoch: Epoch
+    epoch: MessageEpoch
 
 
 AuthorityMessage = (
--- a/packages/core/src/bulrushhollow_core/configuration/_rollout.py
+++ b/packages/core/src/bulrushhollow_core/configuration/_rollout.py
@@ -6,11 +6,13 @@
 version that it has applied to all others, at once when it changes and then at fixed intervals.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from bulrushhollow_core.actions import Send
 from bulrushhollow_core.configuration._history import VersionHistory
-from bulrushhollow_core.ids import InstanceId, InstanceName, Seconds, Version, name_of
+from bulrushhollow_core.ids import COUNT, InstanceId, InstanceName, Seconds, Version, name_of
 
 ROLLOUT_INTERVAL = Seconds(1.0)
 """Seconds between two reports to a peer while the version stays the same."""
@@ -19,7 +21,7 @@
 class AppliedVersion(msgspec.Struct, frozen=True, array_like=True, tag="configuration_applied"):
     """A report to a peer: the newest version that the sender has applied."""
 
-    version: Version
+    version: Annotated[Version, COUNT]
 
 
 class RolloutProgress(msgspec.Struct, frozen=True):
--- a/packages/core/src/bulrushhollow_core/consensus/_messages.py
+++ b/packages/core/src/bulrushhollow_core/consensus/_messages.py
@@ -11,11 +11,7 @@
 import msgspec
 
 from bulrushhollow_core.consensus._types import LogEntry, LogId, Members
-from bulrushhollow_core.ids import LogIndex, Seconds, Term
-
-COUNT = msgspec.Meta(ge=0, le=2**53)
-"""Range of terms, indexes and lengths in a message. The next term must fit into messages and
-records too, or no instance could stand for it."""
+from bulrushhollow_core.ids import COUNT, LogIndex, Seconds, Term
 
 MessageTerm = Annotated[Term, COUNT]
 MessageIndex = Annotated[LogIndex, COUNT]
--- a/packages/core/src/bulrushhollow_core/ids.py
+++ b/packages/core/src/bulrushhollow_core/ids.py
@@ -15,6 +15,10 @@
 Int64 = Annotated[int, INT64]
 """An integer that is read from outside the process."""
 
+COUNT = msgspec.Meta(ge=0, le=2**53)
+"""Range of what is counted up, in messages of other instances. The next number must fit into
+messages and records too, or no instance could go on from it."""
+
 InstanceId = NewType("InstanceId", str)
 """Incarnation of an instance; an instance that lost its disk restarts with a new id."""
 
--- a/packages/core/src/bulrushhollow_core/node/_messages.py
+++ b/packages/core/src/bulrushhollow_core/node/_messages.py
@@ -5,12 +5,14 @@
 Messages between instances.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from bulrushhollow_core.authority import AuthorityMessage
 from bulrushhollow_core.configuration import AppliedVersion
 from bulrushhollow_core.consensus import ConsensusMessage
-from bulrushhollow_core.ids import Epoch
+from bulrushhollow_core.ids import COUNT, Epoch
 from bulrushhollow_core.jobs import DataCentreLoad
 from bulrushhollow_core.requests import DirectoryMessage, ShareMessage
 
@@ -34,7 +36,7 @@
     """
 
     load: DataCentreLoad
-    epoch: Epoch
+    epoch: Annotated[Epoch, COUNT]
     workers: int = 0
 
 
--- a/packages/core/src/bulrushhollow_core/requests/_gossip.py
+++ b/packages/core/src/bulrushhollow_core/requests/_gossip.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from bulrushhollow_core.endpoints import Announcement
-from bulrushhollow_core.ids import EndpointId, Seconds
+from bulrushhollow_core.ids import EndpointId, Int64, Seconds
 
 
 class AnnouncementRefresh(msgspec.Struct, frozen=True, array_like=True):
@@ -22,8 +22,8 @@
     """
 
     endpoint: EndpointId
-    incarnation: int
-    sequence: int
+    incarnation: Int64
+    sequence: Int64
     checksum: int
     age: Seconds
 
--- a/packages/core/src/bulrushhollow_core/requests/_share_messages.py
+++ b/packages/core/src/bulrushhollow_core/requests/_share_messages.py
@@ -5,9 +5,11 @@
 Messages by which the lease holder of a data centre divides the slots of its endpoints.
 """
 
+from typing import Annotated
+
 import msgspec
 
-from bulrushhollow_core.ids import EndpointId, Epoch, Seconds
+from bulrushhollow_core.ids import COUNT, EndpointId, Epoch, Seconds
 
 
 class HeldSlots(msgspec.Struct, frozen=True, array_like=True):
@@ -18,7 +20,7 @@
     """
 
     endpoint: EndpointId
-    slots: int
+    slots: Annotated[int, COUNT]
 
 
 class ServiceDemand(msgspec.Struct, frozen=True, array_like=True):
@@ -29,7 +31,7 @@
     """
 
     service: str
-    requests: int
+    requests: Annotated[int, COUNT]
 
 
 class ShareReport(msgspec.Struct, frozen=True, array_like=True, tag="requests_share_report"):
@@ -44,8 +46,8 @@
     :param demand: its demand by service.
     """
 
-    epoch: Epoch
-    number: int
+    epoch: Annotated[Epoch, COUNT]
+    number: Annotated[int, COUNT]
     uptime: Seconds
     held_slots: tuple[HeldSlots, ...] = ()
     demand: tuple[ServiceDemand, ...] = ()
@@ -59,7 +61,7 @@
     """
 
     endpoint: EndpointId
-    slots: int
+    slots: Annotated[int, COUNT]
 
 
 class ShareGrant(msgspec.Struct, frozen=True, array_like=True, tag="requests_share_grant"):
@@ -70,8 +72,8 @@
     :param number: number of the report.
     """
 
-    epoch: Epoch
-    number: int
+    epoch: Annotated[Epoch, COUNT]
+    number: Annotated[int, COUNT]
     grants: tuple[SlotGrant, ...] = ()
 
 
