--- a/packages/core/src/bulrushhollow_core/domain/__init__.py
+++ b/packages/core/src/bulrushhollow_core/domain/__init__.py
@@ -19,6 +19,7 @@
     StopRequested,
 )
 from bulrushhollow_core.domain.model import (
+    MAX_CLOCK,
     AdviceAnswered,
     Announce,
     AnnounceBatch,
@@ -88,12 +89,14 @@
     announcement_target,
     find_announcement_error,
     find_invalidity,
+    find_life_error,
     is_dated,
     log_event,
     no_answer_to,
 )
 
 __all__ = [
+    "MAX_CLOCK",
     "AdviceAnswered",
     "Announce",
     "AnnounceBatch",
@@ -174,5 +177,6 @@
     "is_dated",
     "log_event",
     "find_announcement_error",
+    "find_life_error",
     "no_answer_to",
 ]
--- a/packages/core/src/bulrushhollow_core/domain/model/__init__.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/__init__.py
@@ -7,9 +7,11 @@
 """
 
 from bulrushhollow_core.domain.model._announcements import (
+    MAX_CLOCK,
     Availability,
     WorkerNews,
     find_announcement_error,
+    find_life_error,
 )
 from bulrushhollow_core.domain.model._calls import (
     Announce,
@@ -60,6 +62,8 @@
     SubmitJob,
     decode_commands,
     encode_commands,
+    end_commands,
+    start_commands,
 )
 from bulrushhollow_core.domain.model._configuration import (
     CallLimits,
@@ -130,6 +134,7 @@
 )
 
 __all__ = [
+    "MAX_CLOCK",
     "AdviceAnswered",
     "Announce",
     "AnnounceBatch",
@@ -224,7 +229,10 @@
     "decode_commands",
     "detached_copy",
     "encode_commands",
+    "end_commands",
+    "start_commands",
     "find_announcement_error",
+    "find_life_error",
     "find_invalidity",
     "is_dated",
     "log_event",
--- a/packages/core/src/bulrushhollow_core/domain/model/_announcements.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_announcements.py
@@ -11,17 +11,26 @@
 import msgspec
 
 from bulrushhollow_core.domain.model._configuration import ServiceName
-from bulrushhollow_core.domain.model._jobs import Resources, WorkerLife
+from bulrushhollow_core.domain.model._jobs import Resources, WallTime, WorkerLife
+from bulrushhollow_core.endpoints import has_port
 from bulrushhollow_core.ids import DataCentreId, RackId, Seconds
 
+MS_PER_SECOND = 1000.0
+
 MAX_INTEGER = 2**63 - 1
 """Largest integer of an announcement, in magnitude; the log stores none that is larger."""
 
-MAX_TEXT_LENGTH = 16_384
-"""Most characters in all texts of an announcement together; the log stores each announcement."""
+MAX_CLOCK = Seconds(2**53 / 1000)
+"""Largest reading of a worker's clock, in magnitude; JSON has no exact numbers for
+leases that end later."""
 
-MAX_LABELS = 1024
-"""Most labels of an announcement, of which each takes space in the log even if it is empty."""
+MAX_BORN_AHEAD = Seconds(366 * 86_400.0)
+"""Seconds by which the clock of a worker's machine may be ahead of that of the leader. It is long,
+since a leader with a wrong clock must still have workers."""
+
+MAX_TEXT_LENGTH = 16_384
+"""Most characters in all texts of an announcement together, each with a terminator; the log stores
+each announcement."""
 
 
 class Availability(Enum):
@@ -69,18 +78,33 @@
     Other systems may send announcements too, and the log of an earlier version may hold some.
     """
     life, capacity = announcement.life, announcement.capacity
-    texts = (life.id, announcement.service, announcement.address, announcement.data_centre)
+    texts = (
+        *(life.id, announcement.service, announcement.address, announcement.data_centre),
+        *(announcement.rack, *announcement.labels),
+    )
     amounts = (capacity.cpu, capacity.memory, capacity.accelerators)
     if not life.id or not announcement.address:
         return "it names no worker or no address"
-    if sum(map(len, (*texts, *announcement.labels))) > MAX_TEXT_LENGTH:
+    if sum(map(len, texts)) + len(texts) > MAX_TEXT_LENGTH:
         return f"its texts have more than {MAX_TEXT_LENGTH} characters"
-    if len(announcement.labels) > MAX_LABELS:
-        return f"it has more than {MAX_LABELS} labels"
+    if not has_port(announcement.address):
+        return "its address has no port that exists"
     if any(abs(number) > MAX_INTEGER for number in (life.born, announcement.sequence, *amounts)):
         return "a number is out of range"
     if any(amount < 0 for amount in amounts):
         return "its capacity is negative"
     if not (math.isfinite(announcement.clock) and math.isfinite(announcement.remaining)):
         return "a time is not finite"
+    if abs(announcement.clock) > MAX_CLOCK:
+        return "a time is out of range"
     return ""
+
+
+def find_life_error(life: WorkerLife, wall: WallTime) -> str:
+    """
+    Return why a worker cannot have started when it says, or an empty text if it can.
+
+    A life that starts later replaces the earlier ones, and no life could replace one of the future.
+    """
+    is_future = life.born > (wall + MAX_BORN_AHEAD) * MS_PER_SECOND
+    return "it says that it started in the future" if is_future else ""
--- a/packages/daemon/src/bulrushhollow_daemon/codec.py
+++ b/packages/daemon/src/bulrushhollow_daemon/codec.py
@@ -31,8 +31,15 @@
         self.received_bytes = 0
 
     def encode(self, message: Any, message_type: Any) -> bytes:
-        """Encode one message."""
-        data = self._encoder.encode(message)
+        """
+        Encode one message.
+
+        :raises msgspec.EncodeError: if it holds a value that no message can hold.
+        """
+        try:
+            data = self._encoder.encode(message)
+        except (OverflowError, UnicodeError, RecursionError) as error:
+            raise msgspec.EncodeError(str(error)) from error
         self.sent_bytes += len(data) + FRAME_HEADER_BYTES
         return data
 
@@ -43,4 +50,7 @@
         :raises msgspec.DecodeError: if the bytes are not a message of this type.
         """
         self.received_bytes += len(data) + FRAME_HEADER_BYTES
-        return _decoder(message_type).decode(data)
+        try:
+            return _decoder(message_type).decode(data)
+        except RecursionError as error:
+            raise msgspec.DecodeError("the message nests too deeply") from error
