Propose each command of the scheduler once

Where the log took some entries of a step and refused a later one, the leader kept all commands of the step and proposed those that it had taken again, in each step until the refusal ended. Each commit of an EndRuns releases the oldest entry of the queue of acknowledgements, so that the second commit of one released the acknowledgement of the next one, whose ends no log had: their workers would discard them, and a later leader starts the tasks again.

The log refuses a step halfway only for a command above MAX_PAYLOAD_BYTES, and an EndRuns stands before one only after a transfer of the leadership that was abandoned.

Now exactly the commands that the log has not taken are kept, in their order. The ends of one leader then commit once and in the order of the queue.

--- a/packages/core/src/bulrushhollow_core/domain/_node.py
+++ b/packages/core/src/bulrushhollow_core/domain/_node.py
@@ -9,6 +9,7 @@
 import math
 import random
 from collections.abc import Sequence
+from itertools import chain
 
 import msgspec
 
@@ -188,7 +189,7 @@
         self._actions: list[msgspec.Struct] = []
         self._call_commands: list[Command] = []
         self._scheduler_commands: list[Command] = []
-        """Commands of the scheduler; they are kept and proposed again if the log rejects them."""
+        """Commands of the scheduler; those that the log rejects are kept and proposed again."""
         self._unproposed_calls: list[_PendingCall] = []
         self._voters: frozenset[InstanceId] = frozenset()
         self._connected_peers: set[InstanceId] = set()
@@ -323,23 +324,24 @@
         pending, self._unproposed_calls = self._unproposed_calls, []
         if commands:
             self._append_to_log(commands, pending, now)
-        if self._scheduler_commands and self._append_to_log(self._scheduler_commands, [], now):
-            self._scheduler_commands = []
+        if self._scheduler_commands:
+            self._scheduler_commands = self._append_to_log(self._scheduler_commands, [], now)
 
     def _append_to_log(
         self, commands: list[Command], pending: list[_PendingCall], now: Seconds
-    ) -> bool:
-        """Propose commands to the log; return whether it accepted all of them."""
-        for number, payload in enumerate(_split_into_entries(commands)):
-            proposed = self._log.propose(payload, now)
+    ) -> list[Command]:
+        """Propose commands to the log; return those that it has not accepted."""
+        entries = _split_into_entries(commands)
+        for number, entry in enumerate(entries):
+            proposed = self._log.propose(encode_commands(entry), now)
             if not isinstance(proposed, Proposed):
                 self._reply_not_proposed(pending, proposed, is_partly_proposed=number > 0)
-                return False
+                return list(chain.from_iterable(entries[number:]))
             last_proposed = proposed
             self._handle_log_actions(proposed.actions, now)
         if pending:
             self._pending_calls_by_index[last_proposed.index] = (last_proposed.term, pending)
-        return True
+        return []
 
     def _reply_not_proposed(
         self, pending: list[_PendingCall], reason: msgspec.Struct, is_partly_proposed: bool
@@ -448,17 +450,15 @@
         return self._log.status(now)
 
 
-def _split_into_entries(commands: list[Command]) -> list[bytes]:
-    """Return entry payloads of bounded size, in order; one large command may exceed the bound."""
-    payloads: list[bytes] = []
-    batch: list[Command] = []
+def _split_into_entries(commands: list[Command]) -> list[list[Command]]:
+    """Return the commands of each entry, of bounded size; one large command may exceed it."""
+    entries: list[list[Command]] = [[]]
     size = 0
     for command in commands:
         length = len(encode_commands([command]))
-        if batch and size + length > MAX_ENTRY_BYTES:
-            payloads.append(encode_commands(batch))
-            batch, size = [], 0
-        batch.append(command)
+        if entries[-1] and size + length > MAX_ENTRY_BYTES:
+            entries.append([])
+            size = 0
+        entries[-1].append(command)
         size += length
-    payloads.append(encode_commands(batch))
-    return payloads
+    return entries
