Refuse announcements with more labels than the log can hold

A heartbeat within the 4 MiB that must be answered may carry 1.39 million empty labels. They have no characters, so it passed the limit on texts and was acknowledged, and its record of 1,390,097 bytes (a heartbeat of 4,170,219) was above the 1,048,576 that one entry can hold. The log refused that record in each step, and with it every later start and end: the leader went on answering, and no task began or ended any more. The next leader would stand still at the next such heartbeat.

The number of labels is limited now, as the texts are. The new test failed before: the announcement was acknowledged, and no start was ordered of a job that was submitted after it. No real process was run.

--- a/packages/core/src/bulrushhollow_core/domain/model/_announcements.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_announcements.py
@@ -20,6 +20,9 @@
 MAX_TEXT_LENGTH = 16_384
 """Most characters in all texts of an announcement together; the log stores each announcement."""
 
+MAX_LABELS = 1024
+"""Most labels of an announcement, of which each takes space in the log even if it is empty."""
+
 
 class Availability(Enum):
     """Whether a worker accepts runs, as it announces."""
@@ -72,6 +75,8 @@
         return "it names no worker or no address"
     if sum(map(len, (*texts, *announcement.labels))) > MAX_TEXT_LENGTH:
         return f"its texts have more than {MAX_TEXT_LENGTH} characters"
+    if len(announcement.labels) > MAX_LABELS:
+        return f"it has more than {MAX_LABELS} labels"
     if any(abs(number) > MAX_INTEGER for number in (life.born, announcement.sequence, *amounts)):
         return "a number is out of range"
     if any(amount < 0 for amount in amounts):
--- a/tests/test_domain_proposals.py
+++ b/tests/test_domain_proposals.py
@@ -20,6 +20,7 @@
     DomainSettings,
     Done,
     ListedEnd,
+    Malformed,
     NotLeader,
     OrderResult,
     OrderStart,
@@ -118,6 +119,16 @@
         self.assertIsInstance(leader.answers_by_call[CallId(2)], NotLeader)
         self.assertEqual({}, leader.node.state.jobs_by_id)
 
+    # Guards against one heartbeat that keeps a leader from recording any start or end.
+    def test_an_announcement_that_no_entry_can_hold_is_refused(self) -> None:
+        leader = SoleLeader()
+        leader.announce("w")
+        leader.announce("x", labels=("",) * MAX_PAYLOAD_BYTES)
+        self.assertIsInstance(list(leader.answers_by_call.values())[-1], Malformed)
+        leader.step(submit(2, 100))
+        leader.step()
+        self.assertEqual(1, len(leader.starts()))
+
     # Guards against commands that commit once a step, since a later one of their batch was refused.
     def test_commands_that_the_log_has_accepted_are_not_proposed_again(self) -> None:
         leader = SoleLeader()
