--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,4 +1,6 @@
 import errno
+import itertools
+import os
 import pathlib
 import tempfile
 import unittest
@@ -19,6 +21,9 @@
 
 NAME = InstanceName("a1")
 
+OPERATIONS = 22
+"""Operations of the test of power losses that reach the disk."""
+
 
 def entry(index: int, payload: bytes = b"payload") -> EntriesRecord:
     return EntriesRecord((LogEntry(index, 1, payload),))
@@ -47,6 +52,60 @@
         super().sync_folder(folder)
 
 
+class PowerLostError(Exception):
+    """The power was lost; the program handles no error then."""
+
+
+class FailingPower(DiskFileSystem):
+    """
+    A file system that loses power at one of its operations.
+
+    :param lost_at: number of that operation, from 0 on.
+    :param kept: share of the unsynced bytes that is kept; an unsynced rename only if it is 1.
+    """
+
+    def __init__(self, lost_at: int, kept: float) -> None:
+        self.operations_left = lost_at
+        self.kept = kept
+        self.synced_sizes: dict[int, int] = {}
+        self.replaced: tuple[pathlib.Path, pathlib.Path, bytes] | None = None
+
+    def write(self, descriptor: int, data: bytes) -> int:
+        self.synced_sizes.setdefault(descriptor, os.fstat(descriptor).st_size)
+        written = super().write(descriptor, data)
+        self.count()
+        return written
+
+    def sync(self, descriptor: int) -> None:
+        self.count()
+        super().sync(descriptor)
+        self.synced_sizes.pop(descriptor, None)
+
+    def replace(self, source: pathlib.Path, target: pathlib.Path) -> None:
+        self.replaced = (source, target, target.read_bytes())
+        super().replace(source, target)
+        self.count()
+
+    def sync_folder(self, folder: pathlib.Path) -> None:
+        self.count()
+        super().sync_folder(folder)
+        self.replaced = None
+
+    def count(self) -> None:
+        """Count an operation; at the last one, lose what is not synced and fail."""
+        self.operations_left -= 1
+        if self.operations_left >= 0:
+            return
+        for descriptor, synced in self.synced_sizes.items():
+            unsynced = os.fstat(descriptor).st_size - synced
+            os.ftruncate(descriptor, synced + int(self.kept * unsynced))
+        if self.replaced is not None and self.kept < 1:
+            source, target, content = self.replaced
+            target.rename(source)
+            target.write_bytes(content)
+        raise PowerLostError
+
+
 class JournalTest(unittest.TestCase):
     def setUp(self) -> None:
         temporary = tempfile.TemporaryDirectory()
@@ -179,6 +238,29 @@
             self.assertFalse((self.folder / "journal.new").exists())
             self.path.unlink()
 
+    # Guards against records that were synced, and so acknowledged, and are gone after a power loss.
+    def test_a_power_loss_at_any_moment_loses_no_synced_record(self) -> None:
+        for lost_at, kept in itertools.product(range(30), (0.0, 0.3, 0.9, 1.0)):
+            with self.subTest(lost_at=lost_at, kept=kept):
+                self.write([entry(1)])
+                journal = self.open(file_system=FailingPower(lost_at, kept))
+                synced, pending = list(journal.replay()), []
+                is_lost = False
+                try:
+                    for index in range(2, 8):
+                        pending = [entry(index, b"x" * 700)]
+                        journal.append(pending)
+                        synced += pending
+                        if index % 3 == 0:
+                            pending = []
+                            journal.rewrite(synced)
+                except PowerLostError:
+                    is_lost = True
+                journal.close()
+                self.assertIn(self.replayed(), (synced, synced + pending))
+                self.assertEqual(lost_at < OPERATIONS, is_lost)
+                self.path.unlink()
+
     def test_nothing_is_appended_before_the_replay_has_ended(self) -> None:
         self.write([entry(1)])
         with self.assertRaises(JournalFailedError):
