Test that acknowledged ends outlive lost power, disks and leaders

No worker starts again, so that it can't fail for orders to an earlier life. The model of the log has the same loss of power and disks, with the leader cut off after any of its actions.

--- a/tests/domain_world.py
+++ b/tests/domain_world.py
@@ -2,9 +2,10 @@
 Simulates the instances and workers of a domain in virtual time, with an oracle that checks the
 domain's invariants.
 
-Tests inject the faults: instances die, lose their disks, freeze and are partitioned; workers crash,
-return under their old id and are partitioned; orders are answered late, lost, carried out without
-an answer, or carried out seconds after they have timed out.
+Tests inject the faults: instances die, lose power while they write, lose their disks, hand over,
+freeze and are partitioned; workers crash, return under their old id and are partitioned; orders are
+answered late, lost, carried out without an answer, or carried out seconds after they have timed
+out.
 """
 
 import itertools
@@ -30,12 +31,14 @@
     Done,
     JobShown,
     JobState,
+    ListedEnd,
     LogEvent,
     MessageReceived,
     NoSuchJob,
     NotLeader,
     OrderStart,
     OrderStop,
+    Outcome,
     OutcomeUnknown,
     PeerConnected,
     PeerDisconnected,
@@ -46,6 +49,7 @@
     Refused,
     Reply,
     Resources,
+    StopRequested,
     Submit,
     TaskRef,
     WallTime,
@@ -113,6 +117,7 @@
             data_centre_of(self.address),
         )
         self.is_up = True
+        self.is_losing_power = False
         self.generation += 1
         self.inbox = []
         self.calls = {}
@@ -123,6 +128,20 @@
     def kill(self) -> None:
         self.is_up = False
 
+    def lose_power(self) -> None:
+        """Lose power at once, or while the records of the next step are written."""
+        self.is_losing_power = self.world.rng.random() < 0.5
+        self.is_up = self.is_losing_power
+
+    def lose_disk(self) -> None:
+        """Lose the disk; the next start begins a new incarnation."""
+        self.is_up = False
+        self.incarnation = 0
+
+    def request_stop(self) -> None:
+        """Have it hand over its leadership, as before a planned stop."""
+        self.post(StopRequested())
+
     def tick(self, generation: int) -> None:
         if not self.is_up or generation != self.generation:
             return
@@ -159,12 +178,16 @@
     def step(self) -> None:
         batch, self.inbox = self.inbox, []
         actions = self.node.step(batch, Seconds(self.world.now), self.world.wall)
+        if self.is_losing_power:
+            # Its records are synced up to one of them, and none of its messages is sent.
+            self.is_up = False
+            actions = actions[: self.world.rng.randint(0, len(actions))]
         for action in actions:
             if isinstance(action, Persist):
                 self.records.append(action.record)
             elif isinstance(action, RewriteJournal):
                 self.records = list(action.records)
-        for action in actions:
+        for action in actions if self.is_up else ():
             self.perform(action)
 
     def perform(self, action: msgspec.Struct) -> None:
@@ -183,6 +206,21 @@
                 self.world.log.append(json.dumps({"instance": self.address, **line}))
 
 
+class WorldOracle(Oracle):
+    """An oracle that tells its world of the next end that is acknowledged as done."""
+
+    def __init__(self, world: "World") -> None:
+        super().__init__(world)
+        self.after_next_acknowledgement: list[Callable[[], None]] = []
+
+    def end_acknowledged(self, worker: Worker, row: ListedEnd) -> None:
+        super().end_acknowledged(worker, row)
+        if row.outcome is Outcome.DONE:
+            callbacks, self.after_next_acknowledgement = self.after_next_acknowledgement, []
+            for callback in callbacks:
+                callback()
+
+
 class World(VirtualTime):
     """The instances, workers, network and callers of a domain, in virtual time."""
 
@@ -193,6 +231,7 @@
         workers: int = 12,
         late_order_rate: float = 0.0,
         lost_answer_rate: float = 0.0,
+        voters: int = 3,
     ) -> None:
         super().__init__()
         self.rng = random.Random(seed)
@@ -201,7 +240,9 @@
         self.late_order_rate = late_order_rate
         self.lost_answer_rate = lost_answer_rate
         self.settings = DomainSettings(
-            longest_lease=LONGEST_LEASE, heartbeat_interval=Seconds(HEARTBEAT_INTERVAL)
+            longest_lease=LONGEST_LEASE,
+            heartbeat_interval=Seconds(HEARTBEAT_INTERVAL),
+            voter_count=voters,
         )
         self.cuts: set[frozenset[str]] = set()
         self.announced_lives: set[WorkerLife] = set()
@@ -211,7 +252,7 @@
         self.accepted: dict[JobId, float] = {}
         self.refused: set[JobId] = set()
         self.cancelled_jobs: set[JobId] = set()
-        self.oracle = Oracle(self)
+        self.oracle = WorldOracle(self)
         self.worker_pool = WorkerPool(
             self, self.oracle, self.oracle.step, self.duration_of, self.rng
         )
--- a/tests/test_consensus_machine.py
+++ b/tests/test_consensus_machine.py
@@ -120,6 +120,31 @@
             self.cluster.lose_disk(node)
             self.cluster.run(wait)
 
+    # Guards against the loss of a committed entry when disks are lost in a loss of power.
+    @precondition(lambda self: len(self.cluster.members().voters) >= 3 and self.is_stable())
+    @rule(
+        which=WHICH,
+        actions=st.integers(0, 12),
+        downtimes=st.lists(st.sampled_from([0.0, 0.1, 1.0, 3.0]), min_size=8, max_size=8),
+    )
+    def lose_power_and_disks(self, which: int, actions: int, downtimes: list[float]) -> None:
+        """All instances lose power, one while it writes, and as many disks as are tolerated."""
+        voters = sorted(self.cluster.members().voters)
+        wiped = {voters[(which + n) % len(voters)] for n in range((len(voters) - 1) // 2)}
+        leader = self.cluster.leader()
+        if leader:
+            leader.actions_until_crash = actions
+            self.cluster.propose(leader, self.payloads(2))
+        nodes = list(self.cluster.nodes_by_id.values())
+        for node in nodes:
+            self.cluster.crash(node)
+        for node, downtime in zip(nodes, downtimes, strict=False):
+            self.cluster.run(downtime)
+            if node.me in wiped:
+                self.cluster.lose_disk(node)
+            else:
+                self.cluster.restart(node)
+
     @precondition(lambda self: len(self.cluster.members().voters) >= 4 and self.is_stable())
     @rule(which=WHICH)
     def remove_member(self, which: int) -> None:
--- a/tests/test_domain_machine.py
+++ b/tests/test_domain_machine.py
@@ -1,9 +1,13 @@
 """Runs a whole domain under random faults; the oracle of tests.domain_world checks it."""
 
+import contextlib
 import os
 import random
 import unittest
+from collections.abc import Iterator, Sequence
+from unittest import mock
 
+from bulrushhollow_core.consensus import Consensus, NotLeader, Proposed, TooLarge
 from bulrushhollow_core.domain import (
     Availability,
     JobState,
@@ -12,11 +16,12 @@
     Step,
     TaskRef,
     Work,
+    _node,
 )
 from bulrushhollow_core.ids import JobId, Seconds
 from standins.domain_site import QUEUES, configuration
 from standins.domain_workers import Crash, Worker
-from tests.domain_world import World
+from tests.domain_world import Instance, World
 
 SEEDS = (1, 2, 3, 4, 5, 9, 27, 148)
 """Seeds of every test run. 4, 27 and 148 guard against a start without an answer that is carried
@@ -29,6 +34,9 @@
 WORKER_SEEDS = (1, 2, 3, 4)
 """Seeds of the runs in which workers shrink and grow, and tasks crash them."""
 
+LOG_SEEDS = (1, 2, 3, 4)
+"""Seeds of the runs in which instances lose power and disks, and hand over."""
+
 LOST_ANSWER_SEEDS = (1, 2, 3, 4)
 """Seeds of the runs in which workers carry out orders and their answers are lost."""
 
@@ -38,8 +46,16 @@
     late_order_rate: float = 0.0,
     lost_answer_rate: float = 0.0,
     checks_admission: bool = True,
+    instances: int = 4,
+    voters: int = 3,
 ) -> World:
-    world = World(seed, late_order_rate=late_order_rate, lost_answer_rate=lost_answer_rate)
+    world = World(
+        seed,
+        instances,
+        late_order_rate=late_order_rate,
+        lost_answer_rate=lost_answer_rate,
+        voters=voters,
+    )
     world.run(4)
     assert world.put_configuration(configuration(1, checks_admission=checks_admission))
     world.run(1)
@@ -133,12 +149,73 @@
         self.world.worker_pool.crashes_by_task[task] = crash
 
 
+FAULT_KINDS = (
+    "kill",
+    "wipe",
+    "freeze",
+    "cut",
+    "split",
+    "herd",
+    "crash",
+    "reborn",
+    "cut_worker",
+    "drain",
+    "drain",
+    "grey",
+)
+"""Faults of instances and workers."""
+
+LOG_FAULT_KINDS = (
+    "kill",
+    "wipe",
+    "freeze",
+    "cut",
+    "split",
+    "herd",
+    "power",
+    "wipe_and_power",
+    "wipe_and_power",
+    "stop",
+    "stop",
+    "cut_worker",
+    "grey",
+)
+"""Faults that may lose entries of the log, and faults of workers that go on in the same life."""
+
+
+REFUSED_SHARE = 0.05
+"""Share of the entries that the log refuses in the runs with faults of the log."""
+
+
+@contextlib.contextmanager
+def strained_log(seed: int) -> Iterator[None]:
+    """Have instances write many small entries and snapshots, and the log refuse some entries."""
+    rng = random.Random(seed * 49979687)
+    propose = Consensus.propose
+
+    def propose_or_refuse(
+        log: Consensus, payload: bytes, now: Seconds
+    ) -> Proposed | NotLeader | TooLarge:
+        is_refused = rng.random() < REFUSED_SHARE
+        return NotLeader(None) if is_refused else propose(log, payload, now)
+
+    with (
+        mock.patch.object(Consensus, "propose", propose_or_refuse),
+        mock.patch.object(_node, "MAX_ENTRIES_SINCE_SNAPSHOT", 100),
+        mock.patch.object(_node, "MAX_ENTRY_BYTES", 300),
+    ):
+        yield
+
+
 class Faults:
     """Injects faults one by one, and repairs each after a while."""
 
-    def __init__(self, world: World, rng: random.Random) -> None:
+    def __init__(
+        self, world: World, rng: random.Random, kinds: tuple[str, ...] = FAULT_KINDS
+    ) -> None:
         self.world = world
         self.rng = rng
+        self.kinds = kinds
         self.wiped_at = -100.0
 
     def inject(self) -> None:
@@ -146,22 +223,7 @@
         instance = rng.choice(world.instances)
         worker = rng.choice(world.worker_pool.workers)
         addresses = [each.address for each in world.instances]
-        kind = rng.choice(
-            (
-                "kill",
-                "wipe",
-                "freeze",
-                "cut",
-                "split",
-                "herd",
-                "crash",
-                "reborn",
-                "cut_worker",
-                "drain",
-                "drain",
-                "grey",
-            )
-        )
+        kind = rng.choice(self.kinds)
         if kind == "kill" and instance.is_up:
             instance.kill()
             world.call_later(rng.uniform(0.2, 4), lambda: instance.is_up or instance.start())
@@ -190,6 +252,18 @@
                 each.kill()
             for each in world.instances:
                 world.call_later(rng.uniform(0.2, 2), lambda e=each: e.is_up or e.start())
+        elif kind == "power":
+            self.lose_power(())
+        elif kind == "wipe_and_power":
+            after = rng.choice((0.0, 0.002, 0.02, 0.2))
+            world.oracle.after_next_acknowledgement = [
+                lambda: world.call_later(after, self.lose_power_and_disks)
+            ]
+        elif kind == "stop":
+            leader = world.leader() or instance
+            leader.request_stop()
+            if rng.random() < 0.5:
+                world.call_later(rng.uniform(0.1, 2), lambda: self.restart_instance(leader))
         elif kind in ("crash", "reborn") and worker.is_up:
             worker.crash()
             born = worker.life.born + 1
@@ -205,6 +279,31 @@
             world.cut(worker.address, addresses)
             world.call_later(rng.uniform(1, 9), world.heal)
 
+    def lose_power_and_disks(self) -> None:
+        """Have all instances lose power and as many as are tolerated lose their disks as well."""
+        world = self.world
+        are_calm = not world.cuts and all(
+            each.is_up and world.now >= each.frozen_until for each in world.instances
+        )
+        if are_calm and world.now - self.wiped_at > 12:
+            self.wiped_at = world.now
+            self.lose_power(self.rng.sample(world.instances, world.settings.voter_count // 2))
+
+    def lose_power(self, wiped: Sequence[Instance]) -> None:
+        """Have all instances lose power; some return without their disks."""
+        for each in self.world.instances:
+            if each in wiped:
+                each.lose_disk()
+            elif each.is_up:
+                each.lose_power()
+            delay = self.rng.uniform(0.2, 2)
+            self.world.call_later(delay, lambda e=each: self.restart_instance(e))
+
+    def restart_instance(self, instance: Instance) -> None:
+        """Restart an instance, which may be up again already."""
+        instance.kill()
+        instance.start()
+
     def restart(self, worker: Worker) -> None:
         """End the life of a drained worker, and begin a new one under the same id."""
         if worker.is_up:
@@ -221,11 +320,15 @@
     changes_caps: bool = False,
     changes_capacities: bool = False,
     has_crashing_tasks: bool = False,
+    log_faults: bool = False,
 ) -> World:
     """Submit jobs and inject faults, then repair everything and check that every job has ended."""
-    world = start_domain(seed, late_order_rate, lost_answer_rate, not changes_capacities)
+    instances, voters = (8, 5) if log_faults else (4, 3)
+    world = start_domain(
+        seed, late_order_rate, lost_answer_rate, not changes_capacities, instances, voters
+    )
     rng = random.Random(seed * 7919)
-    faults = Faults(world, rng)
+    faults = Faults(world, rng, LOG_FAULT_KINDS if log_faults else FAULT_KINDS)
     cap_changes = CapChanges(world, seed)
     capacity_changes = CapacityChanges(world, seed) if changes_capacities else None
     crashing_tasks = CrashingTasks(world, seed) if has_crashing_tasks else None
@@ -333,6 +436,15 @@
             with self.subTest(seed=seed):
                 run_seed(seed, changes_capacities=True, has_crashing_tasks=True)
 
+    # Guards against an end that is acknowledged to its worker and that no later leader's log has.
+    def test_acknowledged_ends_are_kept_when_power_and_disks_are_lost(self) -> None:
+        first = int(os.environ.get("FUZZ_SEED", "0"))
+        count = int(os.environ.get("FUZZ_STEPS", "0")) // 1000
+        seeds = range(first, first + count) if first and count else LOG_SEEDS
+        for seed in seeds:
+            with self.subTest(seed=seed), strained_log(seed):
+                run_seed(seed, lost_answer_rate=0.3 * (seed % 2), log_faults=True)
+
     def test_invariants_hold_when_answers_of_workers_are_lost(self) -> None:
         first = int(os.environ.get("FUZZ_SEED", "0"))
         count = int(os.environ.get("FUZZ_STEPS", "0")) // 1000
