Keep new incarnations on their side of a partition in the model

An instance that lost its disk in a partition came back under a new id, which no cut link names, so both sides reached it, while the check counts only the instances of a side.

A partition is one of machines: the next incarnation now takes the place of the one before it, and the check includes it.

--- a/tests/consensus_cluster.py
+++ b/tests/consensus_cluster.py
@@ -122,14 +122,26 @@
         self._numbers = itertools.count(1)
         self.largest_message_bytes = 0
 
-    def add(self, name: str, has_disk: bool = True) -> Node:
+    def add(self, name: str, has_disk: bool = True, earlier: InstanceId | None = None) -> Node:
+        """Add an instance, in the place of its earlier incarnation if there is one."""
         me = InstanceId(f"{name}.{next(self._numbers):08x}")
+        if earlier is not None:
+            self._inherit_cuts(earlier, me)
         node = Node(me, has_disk, self.rng, self.timing)
         self.nodes_by_id[node.me] = node
         node.boot(self.now)
         self.connect_all()
         return node
 
+    def _inherit_cuts(self, earlier: InstanceId, later: InstanceId) -> None:
+        """Keep an incarnation on the side of the partition that the one before it was on."""
+        cut_off = [link - {earlier} for link in self.cut_links if earlier in link]
+        self.cut_links |= {link | {later} for link in cut_off}
+        if earlier in self.side_by_id:
+            side = self.side_by_id[earlier] | {later}
+            self.side_by_id.update(dict.fromkeys(side, side))
+            self.partitioned_since_by_id[later] = self.partitioned_since_by_id[earlier]
+
     def running_nodes(self) -> list[Node]:
         return [node for node in self.nodes_by_id.values() if node.core]
 
@@ -196,7 +208,7 @@
     def restart(self, node: Node) -> None:
         if not node.has_disk:
             del self.nodes_by_id[node.me]
-            self.add(name_of(node.me), has_disk=False)
+            self.add(name_of(node.me), has_disk=False, earlier=node.me)
             return
         node.boot(self.now)
         self.connect_all()
@@ -204,7 +216,7 @@
     def lose_disk(self, node: Node) -> Node:
         self.crash(node)
         del self.nodes_by_id[node.me]
-        return self.add(name_of(node.me))
+        return self.add(name_of(node.me), earlier=node.me)
 
     def propose(self, node: Node, payloads: list[bytes]) -> None:
         """Propose several payloads as one batch."""
