Show a leader that records nothing after many ends at one moment

All ends since the last proposal form one command. From about 12,000 ends on, or fewer with long checkpoints, no entry of the log can hold it; it is kept and blocks all later commands of the scheduler, also under the next leader, which proposes the same ends. The test fails on this code.

--- a/tests/test_domain_proposals.py
+++ b/tests/test_domain_proposals.py
@@ -31,6 +31,7 @@
     PutConfig,
     Reply,
     Resources,
+    RunNumber,
     StartAnswered,
     Step,
     Submit,
@@ -149,6 +150,29 @@
         lives = [command.announcement.life.id for command in accepted]
         self.assertEqual(["w0", "w1", "w2", "w3"], lives)
 
+    # Guards against a leader that records nothing any more, since the ends of all runs that were
+    # lost at one moment are proposed as one command that no entry can hold.
+    def test_many_ends_at_one_moment_are_recorded(self) -> None:
+        leader = SoleLeader()
+        leader.announce("w")
+        leader.step(submit(2, 100))
+        leader.step()
+        [start] = leader.starts()
+        listed = tuple(
+            ListedEnd(number, start.task, RunNumber(1 + number), Outcome.STOPPED, "x" * 100)
+            for number in range(1, 10_001)
+        )
+        done = ListedEnd(10_001, start.task, start.run, Outcome.DONE, "")
+        leader.orders.clear()
+        leader.step(
+            PollAnswered(start.life, OrderResult.ACCEPTED, Seconds(50.0), ended=(*listed, done))
+        )
+        leader.step()
+        leader.step()
+        self.assertTrue(leader.node.state.jobs_by_id[start.task.job].has_ended)
+        acknowledged = [order.acknowledged for order in leader.orders if isinstance(order, Poll)]
+        self.assertEqual([10_001], acknowledged)
+
     # Guards against an end that is acknowledged to its worker when another worker's end commits
     # for the second time, before its own record has committed.
     def test_an_end_is_acknowledged_only_once_its_own_record_has_committed(self) -> None:
