Bound the ends in one command

Cause: all ends since the last proposal formed one command; one that no entry can hold is never accepted and blocks all later commands of the scheduler. Now at most 1,000 ends form a command. The last of them acknowledges the ends of all, so that the queue of acknowledgements keeps in step with the commands.

--- a/packages/core/src/bulrushhollow_core/domain/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler.py
@@ -64,6 +64,9 @@
 MIN_END_PROPOSAL_INTERVAL = Seconds(0.02)
 """Minimum seconds between two proposals of ends; each costs every voter a disk sync."""
 
+MAX_ENDS_PER_COMMAND = 1000
+"""Maximum number of ends in one command, which must fit into one entry of the log."""
+
 
 class Scheduler:
     """
@@ -102,8 +105,15 @@
         self._propose_crashes(now, wall)
         if self._shared.pending_ends and now >= self._ends_due:
             self._ends_due = Seconds(now + MIN_END_PROPOSAL_INTERVAL)
-            self._shared.proposals.append(EndRuns(tuple(self._shared.pending_ends), wall))
+            ends = self._shared.pending_ends
+            batches = [
+                tuple(ends[first : first + MAX_ENDS_PER_COMMAND])
+                for first in range(0, len(ends), MAX_ENDS_PER_COMMAND)
+            ]
+            self._shared.proposals.extend(EndRuns(batch, wall) for batch in batches)
             self._shared.pending_ends = []
+            # The last command acknowledges the ends of all.
+            self._dispatcher.listed_ends_by_proposal.extend({} for _ in batches[1:])
             self._dispatcher.listed_ends_by_proposal.append(
                 {
                     life: worker.last_listed_end
