Show a task that starts while the end of its late run is being recorded

The late run of a task is listed as done just after the hold of the task has ended, and the next plan starts the task before the end has committed.

--- a/tests/test_domain_late_starts.py
+++ b/tests/test_domain_late_starts.py
@@ -6,6 +6,7 @@
 
 from bulrushhollow_core.domain import JobState, OrderStart
 from bulrushhollow_core.domain._scheduler import Scheduler
+from bulrushhollow_core.domain.execution._answers import MAX_START_ATTEMPTS
 from bulrushhollow_core.domain.fleet import LATE_ORDER_WINDOW
 from bulrushhollow_core.domain.model import (
     DomainSettings,
@@ -16,6 +17,7 @@
     PollAnswered,
     Resources,
     RunEnd,
+    StartRuns,
     Step,
     StopAnswered,
     Work,
@@ -112,6 +114,51 @@
         self.assertEqual([], world.oracle.violations)
 
 
+class HeldTaskTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.harness = SchedulerHarness()
+        self.harness.submit(SINGLE_TASK)
+        self.start = self.harness.launch()
+
+    def give_up_start(self, was_sent: bool) -> RunEnd:
+        """Leave the start without an answer, and return the end of its run."""
+        harness, start = self.harness, self.start
+        for _ in range(MAX_START_ATTEMPTS):
+            harness.scheduler.start_answered(no_answer_to(start, was_sent), harness.now)
+        stopped = StopAnswered(
+            start.life, start.task, start.run, OrderResult.ACCEPTED, Seconds(50.3)
+        )
+        harness.scheduler.stop_answered(stopped, harness.now)
+        for _ in range(2):
+            harness.now = Seconds(harness.now + 0.1)
+            empty = PollAnswered(start.life, OrderResult.ACCEPTED, Seconds(50.4))
+            harness.scheduler.poll_answered(empty, harness.now)
+        [ends] = harness.scheduler.take_proposals(Seconds(harness.now + 1), WALL)
+        assert isinstance(ends, EndRuns)
+        harness.commit([ends])
+        [end] = ends.ends
+        return end
+
+    def test_a_task_whose_start_was_never_sent_does_not_wait(self) -> None:
+        self.assertFalse(self.give_up_start(was_sent=False).may_start_late)
+
+    # Guards against a done task that starts again (TWICE): a plan was made after the end of its
+    # late run was listed, and before that was recorded.
+    def test_a_task_does_not_start_while_an_end_of_it_is_being_recorded(self) -> None:
+        self.assertTrue(self.give_up_start(was_sent=True).may_start_late)
+        harness, start = self.harness, self.start
+        harness.now = Seconds(harness.now + LATE_ORDER_WINDOW + 1.0)
+        news = announcement(2, clock=9.0)
+        harness.scheduler.worker_announced(news, harness.now)
+        row = ListedEnd(1, start.task, start.run, Outcome.DONE, "")
+        listed = PollAnswered(news.life, OrderResult.ACCEPTED, Seconds(9.0), ended=(row,))
+        harness.scheduler.poll_answered(listed, harness.now)
+        proposals = [*harness.plan(), *harness.plan()]
+        self.assertEqual([], [each for each in proposals if isinstance(each, StartRuns)])
+        harness.commit(proposals)
+        self.assertTrue(harness.state.jobs_by_id[start.task.job].has_ended)
+
+
 class GangTest(unittest.TestCase):
     """A member of a gang fails, and the other one, whose start has no answer yet, is stopped."""
 
