Start no task while an end of it is being recorded

Cause: a plan reads the replicated state, which learns of a listed end only when it has committed. A task that waits could start in between although its last run is listed as done. The tasks of ends that are being recorded now count as busy, which ends with the commit that the acknowledgement waits for too.

--- a/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
@@ -6,6 +6,7 @@
 the workers, and its decisions that have not been handed over yet.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Iterator, Set
 
 import msgspec
@@ -82,6 +83,8 @@
         self.admission = AdmissionController(state, settings, self.fleet, self.rate_meter)
         self.proposals: list[Command] = []
         self.pending_ends: list[RunEnd] = []
+        self.unrecorded_ends_by_task: Counter[TaskRef] = Counter()
+        """Number of ends of each task that are to be recorded and not yet committed."""
         self.pending_crashes: list[Worker] = []
         """Workers whose crash is to be proposed."""
         self.outbox: list[msgspec.Struct] = []
@@ -178,6 +181,7 @@
     def propose(self, end: RunEnd) -> None:
         """Propose an end to the log, and write it to the decision log."""
         self.pending_ends.append(end)
+        self.unrecorded_ends_by_task[end.task] += 1
         task, run, outcome = end.task, end.run, end.outcome
         record = self.state.find_task(task)
         worker = record.worker if record is not None and record.run == run else None
@@ -192,6 +196,12 @@
             )
         )
 
+    def end_recorded(self, end: RunEnd) -> None:
+        """Record that a proposed end has committed."""
+        self.unrecorded_ends_by_task[end.task] -= 1
+        if self.unrecorded_ends_by_task[end.task] <= 0:
+            del self.unrecorded_ends_by_task[end.task]
+
     def request_plan(self, now: Seconds) -> None:
         """Request a plan from the next tick."""
         self.plan_due = min(self.plan_due, now)
--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -228,14 +228,20 @@
         )
 
     def _busy_tasks(self, now: Seconds) -> Set[TaskRef]:
-        """Return the tasks whose start is proposed, or that a late order may still start."""
+        """
+        Return the tasks whose start is proposed, that a late order may still start, or of which an
+        end is being recorded: it may show that the task is done.
+        """
         possibly_started = (
             worker.possibly_started_tasks(now)
             for worker in self._shared.fleet.workers_by_life.values()
             if worker.pending_stops or worker.accepted_stops
         )
         return set().union(
-            self._shared.proposed_runs_by_task, self._shared.held_tasks(now), *possibly_started
+            self._shared.proposed_runs_by_task,
+            self._shared.held_tasks(now),
+            self._shared.unrecorded_ends_by_task,
+            *possibly_started,
         )
 
     def _forget_waiting_times(self, still_waiting: set[StepRef]) -> None:
