--- a/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
@@ -376,6 +376,8 @@
         other_lives = self.lives_of(worker.life.id) - {worker.life}
         if any(self.workers_by_life[life].fence >= worker.fence for life in other_lives):
             worker.fence = self._token_issuer.issue(worker.life.id)
+            # The answer to a poll with the earlier token no longer counts.
+            worker.is_poll_in_flight = False
 
     def record_announcement(self, worker: Worker, announcement: WorkerNews, now: Seconds) -> None:
         """Record the latest announcement of a worker."""
