Record the ends of a list in the order of their numbers

Callers would see a done task start again: an end counted as read if its number was at or below the last one that was handled, and the next acknowledgement covered it. A list that has a lower number after a higher one so loses the lower one.

test_each_end_of_an_unsorted_list_is_recorded failed before: only the later end was proposed.

--- a/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
@@ -210,7 +210,8 @@
         self._log_discarded_ends(worker, answer.ended)
         worker.has_answered_poll = True
         listed_runs = {(ended_run.task, ended_run.run) for ended_run in answer.ended}
-        for ended_run in answer.ended:
+        # Rows may come in any order, and a number at or below the last one counts as read.
+        for ended_run in sorted(answer.ended, key=lambda end: end.number):
             self._handle_listed_end(worker, ended_run, now)
         for running in answer.running:
             listed_runs.add((running.task, running.run))
--- a/tests/test_domain_next_life.py
+++ b/tests/test_domain_next_life.py
@@ -180,6 +180,16 @@
         self.answer(PollAnswered(self.start.life, OrderResult.ACCEPTED, Seconds(54.0)))
         self.assertEqual(7, self.take_poll().acknowledged)
 
+    # Guards against ends that are acknowledged unread since a list had them after later ones.
+    def test_each_end_of_an_unsorted_list_is_recorded(self) -> None:
+        other = self.start.task.step_ref.task(1)
+        ends = (
+            ListedEnd(8, other, self.start.run, Outcome.FAILED, ""),
+            ListedEnd(7, self.start.task, self.start.run, Outcome.DONE, ""),
+        )
+        self.answer(PollAnswered(self.start.life, OrderResult.ACCEPTED, Seconds(51.0), ended=ends))
+        self.assertEqual([Outcome.DONE, Outcome.FAILED], self.harness.ends())
+
     # Guards against ends that a worker lists forever, since the poll that acknowledged them was
     # lost and the polls of a silent worker acknowledge nothing.
     def test_a_lost_acknowledgement_is_repeated(self) -> None:
