Hold only tasks whose starts an earlier leader recorded lately

Cause: a new leader knew nothing of the age of the starts that it found in the log.

Change: every instance remembers for 14 s when it applied the start of a run, long enough for the repetitions of an order and its delay.

--- a/packages/core/src/bulrushhollow_core/domain/_node.py
+++ b/packages/core/src/bulrushhollow_core/domain/_node.py
@@ -29,7 +29,7 @@
 )
 from bulrushhollow_core.domain._call_handler import CallHandler, DeferredAnswer, ImmediateAnswer
 from bulrushhollow_core.domain._scheduler import Scheduler
-from bulrushhollow_core.domain.fleet import TERM_SPACING
+from bulrushhollow_core.domain.fleet import LATE_ORDER_WINDOW, TERM_SPACING
 from bulrushhollow_core.domain.model import (
     AdviceAnswered,
     Answer,
@@ -46,13 +46,14 @@
     RefusalReason,
     Refused,
     StartAnswered,
+    StartRuns,
     StopAnswered,
     WallTime,
     decode_commands,
     encode_commands,
     log_event,
 )
-from bulrushhollow_core.domain.replica import DomainState
+from bulrushhollow_core.domain.replica import DomainState, RecentStarts
 from bulrushhollow_core.ids import InstanceId, LogIndex, Seconds, Term, name_of
 
 TIMING = Timing(
@@ -71,6 +72,10 @@
 """Seconds since the last contact with a majority for which a leader answers calls and sends orders.
 This is shorter than the shortest election timeout, so no other instance leads in that time."""
 
+RECENT_START_AGE = Seconds(LATE_ORDER_WINDOW + 2.0)
+"""Seconds after a start was recorded in which an order for it may still be carried out; it may be
+sent a few times."""
+
 MAX_ENTRIES_SINCE_SNAPSHOT = 2000
 """Entries since the last snapshot at which the log is compacted."""
 
@@ -192,6 +197,7 @@
         self._scheduler_commands: list[Command] = []
         """Commands of the scheduler; those that the log rejects are kept and proposed again."""
         self._unproposed_calls: list[_PendingCall] = []
+        self._recent_starts = RecentStarts(RECENT_START_AGE)
         self._voters: frozenset[InstanceId] = frozenset()
         self._connected_peers: set[InstanceId] = set()
         self._configured_at: Seconds | None = None
@@ -376,6 +382,10 @@
             for command in decode_commands(entry.payload):
                 previous = self.state.configuration
                 self.state.apply(command)
+                if isinstance(command, StartRuns):
+                    self._recent_starts.record(
+                        ((start.task, start.run) for start in command.starts), now
+                    )
                 if self.state.configuration is not previous:
                     self._configured_at = now
                 if self.scheduler is not None:
@@ -391,6 +401,9 @@
 
     def _restore_snapshot(self, restored: SnapshotRestored, now: Seconds) -> None:
         self.state = DomainState.decode(restored.state)
+        # The age of the starts in a snapshot is unknown.
+        active = ((ref, task.run) for ref, task in self.state.active_tasks())
+        self._recent_starts.record(active, now)
         self._configured_at = now if self.state.configuration else None
         self.scheduler = None
         self._scheduler_commands = []
@@ -420,7 +433,13 @@
         status = self._log.status(now)
         if status.role is Role.LEADER:
             if status.caught_up_age < TIMING.silence_timeout:
-                self.scheduler = Scheduler(self.state, status.term, self._settings, now)
+                self.scheduler = Scheduler(
+                    self.state,
+                    status.term,
+                    self._settings,
+                    now,
+                    self._recent_starts.end_by_run(now),
+                )
                 taken = log_event(Event.LEADERSHIP_TAKEN, term=status.term, applied=self._applied)
                 self._actions.append(taken)
             return
--- a/packages/core/src/bulrushhollow_core/domain/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from collections.abc import Mapping
 
 import msgspec
 
@@ -31,11 +32,13 @@
     PutConfiguration,
     RecordCrash,
     RegisterWorker,
+    RunNumber,
     SetEvacuation,
     StartAnswered,
     StartRuns,
     StopAnswered,
     SubmitJob,
+    TaskRef,
     WallTime,
     WorkerLife,
     WorkerNews,
@@ -73,13 +76,20 @@
     :param state: replicated state; its owner applies the committed commands to it.
     :param fence: lowest fencing token of this leader, its term.
     :param now: when this instance began to lead.
+    :param late_until_by_run: until when orders of earlier leaders to start runs may be carried out,
+        for the runs of which they may; None if that is unknown.
     """
 
     def __init__(
-        self, state: DomainState, fence: Term, settings: DomainSettings, now: Seconds
+        self,
+        state: DomainState,
+        fence: Term,
+        settings: DomainSettings,
+        now: Seconds,
+        late_until_by_run: Mapping[tuple[TaskRef, RunNumber], Seconds] | None = None,
     ) -> None:
         """Create a scheduler and adopt every run that is recorded as active."""
-        self._shared = SchedulerState(state, fence, settings, now)
+        self._shared = SchedulerState(state, fence, settings, now, late_until_by_run)
         self._dispatcher = OrderDispatcher(self._shared)
         self._loss_handler = WorkerLossHandler(self._shared, self._dispatcher)
         self._answer_handler = OrderAnswerHandler(
--- a/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
@@ -7,7 +7,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Iterator, Set
+from collections.abc import Iterable, Iterator, Mapping, Set
 
 import msgspec
 
@@ -50,16 +50,24 @@
     :param state: replicated state; its owner applies the committed commands to it.
     :param fence: lowest fencing token of this leader, its term.
     :param now: when this instance began to lead.
+    :param late_until_by_run: until when orders of earlier leaders to start runs may be carried out,
+        for the runs of which they may; None if that is unknown.
     """
 
     def __init__(
-        self, state: DomainState, fence: Term, settings: DomainSettings, now: Seconds
+        self,
+        state: DomainState,
+        fence: Term,
+        settings: DomainSettings,
+        now: Seconds,
+        late_until_by_run: Mapping[tuple[TaskRef, RunNumber], Seconds] | None = None,
     ) -> None:
         """Create the state and adopt every run that is recorded as active."""
         self.state = state
         self.fence = fence
         self.settings = settings
         self.leading_since = now
+        self._late_until_by_run = late_until_by_run
         self.plan_due = now
         self.fleet = Fleet(fence)
         self.proposed_runs_by_task: dict[TaskRef, Run] = {}
@@ -92,9 +100,10 @@
         self.pending_registrations: set[WorkerLife] = set()
         """Workers whose registration is proposed to the log and not yet committed."""
         self._adopt_workers(now)
-        self.held_until_by_task: dict[TaskRef, Seconds] = dict.fromkeys(
-            state.tasks_that_may_start_late(), Seconds(now + LATE_ORDER_WINDOW)
-        )
+        self.held_until_by_task: dict[TaskRef, Seconds] = {
+            ref: self._earlier_start_until(ref, run)
+            for ref, run in state.runs_that_may_start_late()
+        }
         """Until when tasks wait whose last start may still be carried out."""
         for ref, task in state.active_tasks():
             if task.worker is not None:
@@ -167,10 +176,15 @@
         if start is not None:
             return Seconds(start.timed_out_at + LATE_ORDER_WINDOW)
         if run.is_adopted and not run.has_been_listed:
-            # The earlier leader may have ordered it just before this one began to lead.
-            return Seconds(self.leading_since + LATE_ORDER_WINDOW)
+            return self._earlier_start_until(run.task, run.number)
         return now
 
+    def _earlier_start_until(self, task: TaskRef, number: RunNumber) -> Seconds:
+        """Return until when the order of an earlier leader to start a run may be carried out."""
+        if self._late_until_by_run is None:
+            return Seconds(self.leading_since + LATE_ORDER_WINDOW)
+        return self._late_until_by_run.get((task, number), self.leading_since)
+
     def held_tasks(self, now: Seconds) -> Set[TaskRef]:
         """Return the tasks whose last start may still be carried out."""
         over = [task for task, until in self.held_until_by_task.items() if now >= until]
--- a/packages/core/src/bulrushhollow_core/domain/replica/__init__.py
+++ b/packages/core/src/bulrushhollow_core/domain/replica/__init__.py
@@ -13,12 +13,16 @@
     isolation_of,
     losses_of,
 )
+from bulrushhollow_core.domain.replica._recent_starts import (
+    RecentStarts,
+)
 from bulrushhollow_core.domain.replica._state import (
     DomainState,
 )
 
 __all__ = [
     "DomainState",
+    "RecentStarts",
     "awaits_evidence",
     "crash_count",
     "crashes_workers",
--- a/packages/core/src/bulrushhollow_core/domain/replica/_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/replica/_state.py
@@ -28,6 +28,7 @@
     RecordCrash,
     RegisterWorker,
     RunEnd,
+    RunNumber,
     SetEvacuation,
     Start,
     StartRuns,
@@ -125,12 +126,12 @@
         for job in self.active_jobs_by_id.values():
             yield from _active_tasks(job)
 
-    def tasks_that_may_start_late(self) -> Iterator[TaskRef]:
-        """Yield the waiting tasks whose last start may still be carried out."""
+    def runs_that_may_start_late(self) -> Iterator[tuple[TaskRef, RunNumber]]:
+        """Yield the last run of each waiting task whose start may still be carried out."""
         for job in self.active_jobs_by_id.values():
             for ref, task in _tasks_of(job):
                 if task.may_start_late and task.state is TaskState.WAITING:
-                    yield ref
+                    yield ref, task.run
 
     def jobs_lost_with(self, worker: WorkerLife) -> list[Job]:
         """Return the jobs with runs that were lost with a worker."""
--- a/tests/test_domain_late_starts.py
+++ b/tests/test_domain_late_starts.py
@@ -17,13 +17,16 @@
     PollAnswered,
     Resources,
     RunEnd,
+    RunNumber,
     StartRuns,
     Step,
     StopAnswered,
+    TaskRef,
     Work,
     WorkerLife,
     no_answer_to,
 )
+from bulrushhollow_core.domain.replica import RecentStarts
 from bulrushhollow_core.ids import JobId, Seconds, Term, WorkerId
 from standins.domain_site import configuration
 from standins.domain_workers import Worker
@@ -236,5 +239,52 @@
         self.assertTrue(end.may_start_late)
 
 
+class EarlierLeaderTest(unittest.TestCase):
+    """A new leader knows how long ago it applied the start of each run."""
+
+    def setUp(self) -> None:
+        self.harness = SchedulerHarness()
+        self.harness.submit(SINGLE_TASK)
+        self.start = self.harness.launch()
+        self.run = (self.start.task, self.start.run)
+
+    def lead(self, late_until_by_run: dict[tuple[TaskRef, RunNumber], Seconds]) -> None:
+        harness = self.harness
+        harness.scheduler = Scheduler(
+            harness.state, Term(4), DomainSettings(), harness.now, late_until_by_run
+        )
+
+    def end_by_empty_list(self) -> RunEnd:
+        harness = self.harness
+        empty = PollAnswered(self.start.life, OrderResult.ACCEPTED, Seconds(51.0))
+        harness.scheduler.poll_answered(empty, harness.now)
+        [ends] = harness.scheduler.take_proposals(Seconds(harness.now + 1), WALL)
+        assert isinstance(ends, EndRuns)
+        return ends.ends[0]
+
+    # Guards against tasks that wait after a change of leader although their starts are long past.
+    def test_only_recent_starts_of_earlier_leaders_hold_their_tasks(self) -> None:
+        for late_until_by_run, is_held in (({}, False), ({self.run: Seconds(99.0)}, True)):
+            with self.subTest(is_held=is_held):
+                self.lead(late_until_by_run)
+                self.assertEqual(is_held, self.end_by_empty_list().may_start_late)
+
+    # Guards against a hold that each new leader begins anew.
+    def test_a_hold_of_an_earlier_leader_is_not_extended(self) -> None:
+        harness = self.harness
+        self.lead({self.run: Seconds(harness.now + 3.0)})
+        harness.commit([EndRuns((self.end_by_empty_list(),), WALL)])
+        self.lead({self.run: Seconds(harness.now + 3.0)})
+        held = harness.scheduler._shared.held_tasks
+        self.assertIn(self.start.task, held(Seconds(harness.now + 2.9)))
+        self.assertNotIn(self.start.task, held(Seconds(harness.now + 3.0)))
+
+    def test_starts_are_recent_for_a_limited_time(self) -> None:
+        recent = RecentStarts(Seconds(14.0))
+        recent.record([self.run], Seconds(1.0))
+        self.assertEqual({self.run: 15.0}, recent.end_by_run(Seconds(15.0)))
+        self.assertEqual({}, recent.end_by_run(Seconds(15.1)))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_domain_state.py
+++ b/tests/test_domain_state.py
@@ -72,10 +72,10 @@
         end = RunEnd(task, RunNumber(1), Outcome.NEVER_STARTED, may_start_late=True)
         fixture.state.apply(EndRuns((end,), AT))
         copy = DomainState.decode(fixture.state.encode())
-        self.assertEqual([task], list(copy.tasks_that_may_start_late()))
+        self.assertEqual([task], [ref for ref, _ in copy.runs_that_may_start_late()])
         fixture.start(run=2)
         fixture.end(task, Outcome.LOST, run=2)
-        self.assertEqual([], list(fixture.state.tasks_that_may_start_late()))
+        self.assertEqual([], list(fixture.state.runs_that_may_start_late()))
 
     # Guards against a done task that starts again (TWICE): the end of a run that had been given up
     # was acknowledged and changed nothing.
