--- a/packages/core/src/bulrushhollow_core/domain/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler.py
@@ -74,7 +74,7 @@
     Schedules the jobs of a domain on its workers while this instance leads.
 
     :param state: replicated state; its owner applies the committed commands to it.
-    :param fence: lowest fencing token of this leader, its term.
+    :param term: term of this leader, which is its lowest fencing token.
     :param now: when this instance began to lead.
     :param late_until_by_run: until when orders of earlier leaders to start runs may be carried out,
         for the runs of which they may; None if that is unknown.
@@ -83,13 +83,13 @@
     def __init__(
         self,
         state: DomainState,
-        fence: Term,
+        term: Term,
         settings: DomainSettings,
         now: Seconds,
         late_until_by_run: Mapping[tuple[TaskRef, RunNumber], Seconds] | None = None,
     ) -> None:
         """Create a scheduler and adopt every run that is recorded as active."""
-        self._shared = SchedulerState(state, fence, settings, now, late_until_by_run)
+        self._shared = SchedulerState(state, term, settings, now, late_until_by_run)
         self._dispatcher = OrderDispatcher(self._shared)
         self._loss_handler = WorkerLossHandler(self._shared, self._dispatcher)
         self._answer_handler = OrderAnswerHandler(
--- a/packages/core/src/bulrushhollow_core/domain/execution/_losses.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_losses.py
@@ -151,7 +151,7 @@
                 survived=round(run.survived, 3),
                 tries=run.start_attempts,
                 runs_of_other_jobs=len(ordered),
-                term=self._shared.fence,
+                term=self._shared.term,
             )
         )
 
--- a/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
@@ -48,7 +48,7 @@
     Volatile state of a leader's scheduler, next to the replicated state.
 
     :param state: replicated state; its owner applies the committed commands to it.
-    :param fence: lowest fencing token of this leader, its term.
+    :param term: term of this leader, which is its lowest fencing token.
     :param now: when this instance began to lead.
     :param late_until_by_run: until when orders of earlier leaders to start runs may be carried out,
         for the runs of which they may; None if that is unknown.
@@ -57,19 +57,19 @@
     def __init__(
         self,
         state: DomainState,
-        fence: Term,
+        term: Term,
         settings: DomainSettings,
         now: Seconds,
         late_until_by_run: Mapping[tuple[TaskRef, RunNumber], Seconds] | None = None,
     ) -> None:
         """Create the state and adopt every run that is recorded as active."""
         self.state = state
-        self.fence = fence
+        self.term = term
         self.settings = settings
         self.leading_since = now
         self._late_until_by_run = late_until_by_run
         self.plan_due = now
-        self.fleet = Fleet(fence)
+        self.fleet = Fleet(term)
         self.proposed_runs_by_task: dict[TaskRef, Run] = {}
         """Runs whose start is proposed to the log and not yet committed."""
         self.withdrawn_starts: set[TaskRef] = set()
--- a/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
@@ -44,8 +44,7 @@
 
 
 LATE_ORDER_WINDOW = Seconds(12.0)
-"""Seconds from the timeout of an order until it can no longer be carried out; the platform carries
-out late orders up to twelve seconds after they were sent."""
+"""Seconds from the timeout of an order until it can no longer be carried out."""
 
 NO_FENCE = FencingToken(0)
 """Fencing token that no worker refuses before it has seen another; the lowest one."""
