Write events about one life of a worker in one way

The new lines repeated how an event names its worker and life. worker_lost has also how long the leader has led, which tells a lease of an earlier leader from one of its own. No decision changes.

--- a/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
@@ -221,16 +221,13 @@
         self._dispatcher.poll(worker, now)
 
     def _log_unanswered_poll(self, worker: Worker, result: OrderResult, now: Seconds) -> None:
-        self._shared.outbox.append(
-            log_event(
-                Event.POLL_UNANSWERED,
-                worker=worker.life.id,
-                born=worker.life.born,
-                result=result.value,
-                acknowledged=worker.last_acknowledged_end,
-                waited=round(now - worker.polled_at, 3),
-                fence=worker.fence,
-            )
+        self._shared.log_worker_event(
+            Event.POLL_UNANSWERED,
+            worker,
+            result=result.value,
+            acknowledged=worker.last_acknowledged_end,
+            waited=round(now - worker.polled_at, 3),
+            fence=worker.fence,
         )
 
     def _log_discarded_ends(self, worker: Worker, ends: Sequence[ListedEnd]) -> None:
@@ -240,32 +237,23 @@
             return
         missing = min(new_numbers) - worker.last_listed_end - 1
         if missing > 0:
-            self._shared.outbox.append(
-                log_event(
-                    Event.ENDS_DISCARDED,
-                    worker=worker.life.id,
-                    born=worker.life.born,
-                    count=missing,
-                    before=worker.last_listed_end,
-                )
+            self._shared.log_worker_event(
+                Event.ENDS_DISCARDED, worker, count=missing, before=worker.last_listed_end
             )
 
     def _log_outdated_end(self, worker: Worker, end: ListedEnd) -> None:
         task = self._shared.state.find_task(end.task)
         if task is None or (task.state is TaskState.ACTIVE and task.run == end.run):
             return
-        self._shared.outbox.append(
-            log_event(
-                Event.END_OUTDATED,
-                task=end.task,
-                run=end.run,
-                outcome=end.outcome.value,
-                worker=worker.life.id,
-                born=worker.life.born,
-                number=end.number,
-                present_run=task.run,
-                state=task.state.name.lower(),
-            )
+        self._shared.log_worker_event(
+            Event.END_OUTDATED,
+            worker,
+            task=end.task,
+            run=end.run,
+            outcome=end.outcome.value,
+            number=end.number,
+            present_run=task.run,
+            state=task.state.name.lower(),
         )
 
     def _handle_listed_end(self, worker: Worker, ended_run: ListedEnd, now: Seconds) -> None:
@@ -355,15 +343,12 @@
                 self._shared.request_plan(now)
 
     def _log_unlisted_run(self, worker: Worker, run: Run, outcome: Outcome) -> None:
-        self._shared.outbox.append(
-            log_event(
-                Event.RUN_UNLISTED,
-                task=run.task,
-                run=run.number,
-                worker=worker.life.id,
-                born=worker.life.born,
-                phase=run.phase.value,
-                outcome=outcome.value,
-                last_listed_end=worker.last_listed_end,
-            )
+        self._shared.log_worker_event(
+            Event.RUN_UNLISTED,
+            worker,
+            task=run.task,
+            run=run.number,
+            phase=run.phase.value,
+            outcome=outcome.value,
+            last_listed_end=worker.last_listed_end,
         )
--- a/packages/core/src/bulrushhollow_core/domain/execution/_dispatch.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_dispatch.py
@@ -188,15 +188,12 @@
                 self.poll(worker, now)
 
     def _log_acknowledgement(self, worker: Worker) -> None:
-        self._shared.outbox.append(
-            log_event(
-                Event.ENDS_ACKNOWLEDGED,
-                worker=worker.life.id,
-                born=worker.life.born,
-                before=worker.last_acknowledged_end,
-                end=worker.last_recorded_end,
-                fence=worker.fence,
-            )
+        self._shared.log_worker_event(
+            Event.ENDS_ACKNOWLEDGED,
+            worker,
+            before=worker.last_acknowledged_end,
+            end=worker.last_recorded_end,
+            fence=worker.fence,
         )
 
     def log_stop(self, run: Run, reason: str) -> None:
--- a/packages/core/src/bulrushhollow_core/domain/execution/_losses.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_losses.py
@@ -51,15 +51,13 @@
 
         :param is_life_over: whether this life of the worker has ended, so that it is forgotten.
         """
-        self._shared.outbox.append(
-            log_event(
-                Event.WORKER_LOST,
-                worker=worker.life.id,
-                born=worker.life.born,
-                reason=reason,
-                runs=len(worker.runs_by_task),
-                silent=round(now - worker.last_contact_at, 3),
-            )
+        self._shared.log_worker_event(
+            Event.WORKER_LOST,
+            worker,
+            reason=reason,
+            runs=len(worker.runs_by_task),
+            silent=round(now - worker.last_contact_at, 3),
+            led=round(now - self._shared.leading_since, 3),
         )
         cause = self._cause_of_loss(worker, is_life_over)
         self._propose_crash(worker, cause, now)
@@ -140,19 +138,16 @@
             for other in worker.runs_by_task.values()
             if other.phase is not RunPhase.PROPOSED and other.task.job != run.task.job
         ]
-        self._shared.outbox.append(
-            log_event(
-                Event.RUN_LOST,
-                task=run.task,
-                run=run.number,
-                worker=worker.life.id,
-                born=worker.life.born,
-                cause=cause.value,
-                survived=round(run.survived, 3),
-                tries=run.start_attempts,
-                runs_of_other_jobs=len(ordered),
-                term=self._shared.term,
-            )
+        self._shared.log_worker_event(
+            Event.RUN_LOST,
+            worker,
+            task=run.task,
+            run=run.number,
+            cause=cause.value,
+            survived=round(run.survived, 3),
+            tries=run.start_attempts,
+            runs_of_other_jobs=len(ordered),
+            term=self._shared.term,
         )
 
     def may_blame_worker(self, task: TaskRef) -> bool:
--- a/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
@@ -216,6 +216,11 @@
         if self.unrecorded_ends_by_task[end.task] <= 0:
             del self.unrecorded_ends_by_task[end.task]
 
+    def log_worker_event(self, event: Event, worker: Worker, **fields: object) -> None:
+        """Write an event about one life of a worker to the decision log."""
+        life = worker.life
+        self.outbox.append(log_event(event, worker=life.id, born=life.born, **fields))
+
     def request_plan(self, now: Seconds) -> None:
         """Request a plan from the next tick."""
         self.plan_due = min(self.plan_due, now)
