Don't take the recent starts of an earlier leader for runs that had started

Callers would see a job shown as failed although none of its tasks has failed: losses under a task count as crashes, and three are enough if its starts are known to have arrived. A new leader took each run that it found in the log for such a start, also one that its worker had never answered.

The new test failed before: has_started of a recent start is True.

Change: a run whose start was recorded so recently that its order may still be on its way counts as not known to have started; four such losses are needed, as within one leadership.

--- a/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
@@ -141,6 +141,7 @@
         run = Run(ref, number, life, step.needs, now, step.estimate, step.is_gang)
         run.phase = RunPhase.ADOPTED
         run.is_adopted = True
+        run.has_uncertain_start = (ref, number) in (self._late_until_by_run or {})
         self.fleet.place(worker, run)
         worker.poll_due = now
 
--- a/packages/core/src/bulrushhollow_core/domain/fleet/_runs.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_runs.py
@@ -101,6 +101,8 @@
         self.phase = RunPhase.PROPOSED
         self.is_adopted = False
         """Whether an earlier leader started it."""
+        self.has_uncertain_start = False
+        """Whether an earlier leader recorded its start so recently that it may not have arrived."""
         self.started_at = now
         self.start_attempts = 0
         self.awaits_start_answer = False
@@ -162,10 +164,11 @@
     @property
     def has_started(self) -> bool:
         """
-        Return whether its worker is known to have started it. What an earlier leader recorded was
-        ordered before the change of leader, as a rule.
+        Return whether its worker is known to have started it. What an earlier leader recorded long
+        ago was ordered and started, as a rule.
         """
-        return self.is_adopted or min(self.accepted_at, self.first_listed_at) < math.inf
+        is_known = self.is_adopted and not self.has_uncertain_start
+        return is_known or min(self.accepted_at, self.first_listed_at) < math.inf
 
     def lose(self) -> None:
         """Record that it is lost with its worker."""
--- a/tests/test_domain_late_starts.py
+++ b/tests/test_domain_late_starts.py
@@ -279,6 +279,30 @@
         self.assertIn(self.start.task, held(Seconds(harness.now + 2.9)))
         self.assertNotIn(self.start.task, held(Seconds(harness.now + 3.0)))
 
+    # Guards against jobs that are given up for crashes under tasks whose starts never arrived: a
+    # new leader took each recorded run for one that had started.
+    def test_a_recent_start_of_an_earlier_leader_is_not_known_to_have_started(self) -> None:
+        for late_until_by_run, has_started in (({self.run: Seconds(99.0)}, False), ({}, True)):
+            with self.subTest(has_started=has_started):
+                self.lead(late_until_by_run)
+                self.harness.scheduler.worker_announced(announcement(2), self.harness.now)
+                life = announcement(2).life
+                for clock in (51.0, 51.1):
+                    stopped = StopAnswered(
+                        life, self.start.task, self.start.run, OrderResult.ACCEPTED, Seconds(clock)
+                    )
+                    self.harness.scheduler.stop_answered(stopped, self.harness.now)
+                    self.harness.now = Seconds(self.harness.now + 0.1)
+                    self.harness.scheduler.tick(self.harness.now, WALL)
+                    empty = PollAnswered(life, OrderResult.ACCEPTED, Seconds(clock))
+                    self.harness.scheduler.poll_answered(empty, self.harness.now)
+                proposals = self.harness.scheduler.take_proposals(
+                    Seconds(self.harness.now + 1), WALL
+                )
+                [end] = [e for p in proposals if isinstance(p, EndRuns) for e in p.ends]
+                assert end.loss is not None
+                self.assertEqual(has_started, end.loss.has_started)
+
     def test_starts_are_recent_for_a_limited_time(self) -> None:
         recent = RecentStarts(Seconds(14.0))
         recent.record([self.run], Seconds(1.0))
