--- a/standins/_children.py
+++ b/standins/_children.py
@@ -26,6 +26,10 @@
 """Seconds between two checks of a condition that is waited for."""
 
 
+MAX_SHOWN_OUTPUT = 4000
+"""Characters of a child's output that an error shows."""
+
+
 class ChildError(Exception):
     """A child process did not start, become ready or stop."""
 
@@ -52,6 +56,7 @@
     def __init__(self, name: str, command: Sequence[str], log: Path | None = None) -> None:
         """Start the process."""
         self.name = name
+        self._log_path = log
         self._log = log.open("wb") if log else None
         self._process = subprocess.Popen(
             command,
@@ -96,12 +101,19 @@
         deadline = time.monotonic() + seconds
         while time.monotonic() < deadline:
             if self._process.poll() is not None:
-                raise ChildError(f"{self.name} ended with code {self._process.returncode}")
+                code = self._process.returncode
+                raise ChildError(f"{self.name} ended with code {code}{self._last_output()}")
             if _get_status(f"{url}/readyz") == 200:
                 return
             time.sleep(POLL_INTERVAL)
         raise ChildError(f"{self.name} was not ready within {seconds:g} s")
 
+    def _last_output(self) -> str:
+        """Return the end of the log, from which the reason of a failure can be told."""
+        if self._log_path is None:
+            return ""
+        return ":\n" + self._log_path.read_text(errors="replace")[-MAX_SHOWN_OUTPUT:]
+
     def stop(self) -> int:
         """Stop the process by a graceful shutdown and return its exit code."""
         self._process.terminate()
