Log why a step waits while nothing of its job runs

step_waiting names, at most each second for each workspace, the step that has waited longest of those whose jobs have had nothing running for 2 s, and why it does not start: the cap or a reservation of it, racks, tickets, workers to stay away from, room taken or held by work served before it, or what holds the task if the planner does not see it. The plan is only observed.

tests.test_domain_wait_reports: 17 passed.

--- a/packages/core/src/bulrushhollow_core/domain/model/_events.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_events.py
@@ -64,6 +64,9 @@
     CAP_REACHED = "cap_reached"
     """Tasks of a workspace wait because of its cap; written at most each second for each one. The
     usage includes tasks that the plan holds room for until stops have ended."""
+    STEP_WAITING = "step_waiting"
+    """Nothing of a job has run for a while although a task's turn has come; written at most each
+    second for each workspace, with why the step that has waited longest does not start."""
     SHARE_EXCEEDED = "share_exceeded"
     """A workspace has begun or ceased to wait for more than its share."""
     PLACEMENT_EXPLAINED = "placement_explained"
--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -49,6 +49,7 @@
 from bulrushhollow_core.domain.placement._plan import Placement, Plan
 from bulrushhollow_core.domain.placement._planner import Planner
 from bulrushhollow_core.domain.placement._running_work import RunningWork
+from bulrushhollow_core.domain.placement._wait_reports import WaitReporter
 from bulrushhollow_core.domain.queueing import (
     LOCALITY_WAIT_FACTOR,
     ClaimRegister,
@@ -116,6 +117,7 @@
         self._host_view = HostView(shared)
         self._claims = ClaimRegister(shared.settings.stop_timeout)
         self._cap_reporter = CapReporter()
+        self._wait_reporter = WaitReporter(shared)
         self._recent_work = RecentWorkCache()
         self._pricer: DelayPricer | None = None
         """Prices of delays in the current plan; None while delays have no price."""
@@ -138,15 +140,20 @@
                 queue.waiting, lambda job: self._current_queue(job.queue).service, now
             )
             self._log_capacity(queue.hosts, queue.waiting, now)
+        watch = self._wait_reporter.watch(queue.waiting, queue.hosts, now, wall)
         if not queue.hosts:
+            self._shared.outbox.extend(self._wait_reporter.report(watch, None, now, wall))
             self._shared.admission.clear_plan()
             return bool(queue.waiting)
         prepared = self.prepare(queue, now, wall)
-        plan = prepared.planner.make_plan(prepared.demands)
+        plan = prepared.planner.make_plan(
+            watch.observe(prepared.demands, prepared.planner.plan, prepared.caps)
+        )
         prepared.caps.record_holds(self._shared.cap_holds_since, now)
         self._prefetch_advice(prepared.waiting, queue.hosts, now)
         self._execute_plan(plan, now)
         self._shared.outbox.extend(self._cap_reporter.report(plan.held_back, prepared.caps, now))
+        self._shared.outbox.extend(self._wait_reporter.report(watch, plan, now, wall))
         placed_by_step = {demand.ref: len(placed) for demand, placed in plan.placements}
         self._shared.admission.record_plan(queue.hosts, prepared.waiting, placed_by_step, now, wall)
         for demand in plan.blocked:
--- a/packages/core/src/bulrushhollow_core/domain/replica/__init__.py
+++ b/packages/core/src/bulrushhollow_core/domain/replica/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from bulrushhollow_core.domain.replica._crashes import (
+    EVIDENCE_WAIT,
     awaits_evidence,
     crash_count,
     crashes_workers,
@@ -22,6 +23,7 @@
 
 __all__ = [
     "DomainState",
+    "EVIDENCE_WAIT",
     "RecentStarts",
     "awaits_evidence",
     "crash_count",
