--- a/packages/daemon/src/bulrushhollow_daemon/domain/_metrics.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_metrics.py
@@ -117,6 +117,12 @@
             PREFIX + "stops", "Runs told to stop, by reason.", ["reason"], registry=registry
         )
 
+        self._step_waits = Counter(
+            PREFIX + "step_waits",
+            "Lines about steps that wait while nothing of their jobs runs, by reason.",
+            ["reason"],
+            registry=registry,
+        )
         self._refused_submissions = Counter(
             PREFIX + "refused_submissions",
             "Submissions refused, by reason.",
@@ -168,6 +174,8 @@
             self._starts.labels(str(log_event.fields["result"])).inc()
         elif log_event.event is Event.STEP_PLACED:
             self._queue_wait_seconds.observe(float(log_event.fields["waited"]))
+        elif log_event.event is Event.STEP_WAITING:
+            self._step_waits.labels(str(log_event.fields["reason"])).inc()
         elif log_event.event is Event.SUBMISSION_REFUSED:
             self._refused_submissions.labels(_refusal_label(str(log_event.fields["reason"]))).inc()
         elif log_event.event is Event.RUN_STOPPED:
--- a/tests/test_domain_metrics.py
+++ b/tests/test_domain_metrics.py
@@ -69,6 +69,7 @@
         self.core_metrics.count_decision(log_event(Event.START_ANSWERED, result="accepted"))
         self.core_metrics.count_decision(log_event(Event.RUN_STOPPED, reason="preempted for j"))
         self.core_metrics.count_decision(log_event(Event.SUBMISSION_REFUSED, reason="overloaded"))
+        self.core_metrics.count_decision(log_event(Event.STEP_WAITING, reason="cap"))
         self.process_metrics.count_unwritten_lines({"run_ended": 1}, 0)
         return render_metrics(self.registry).decode()
 
@@ -92,6 +93,12 @@
         self.assertEqual(1, self.sample_value("refused_submissions_total", reason="overloaded"))
         self.assertEqual(2, self.sample_value("refused_submissions_total", reason="malformed"))
 
+    def test_lines_about_waiting_steps_are_counted_by_event_and_by_reason(self) -> None:
+        for reason in ("cap", "held", "cap"):
+            self.core_metrics.count_decision(log_event(Event.STEP_WAITING, reason=reason))
+        self.assertEqual(3, self.sample_value("decisions_total", event="step_waiting"))
+        self.assertEqual(2, self.sample_value("step_waits_total", reason="cap"))
+
     def test_readiness_is_read_when_the_metric_is_collected(self) -> None:
         self.assertEqual(0, self.sample_value("ready"))
         self.is_ready = True
