Serve steps that have waited beside spare capacity before all others

What callers saw: accepted jobs with nothing running, although there was room for them, their workspace used under half of its cap and the service was less than half in use.

Cause: preferences that hold work back had no limit in time, or one of their own that did not follow the promise. A gang's reservation of the cap yielded only to work of which twice the needs fit beside twice the usage; its reservation of workers never yielded, nor did room held for stops; a gang that asks for one rack was spread only if no rack could ever hold it; tasks waited for the rack of their data for twice their duration; and a new leader began every wait anew.

Change: the leader records since when each step has waited beside spare capacity while nothing of its job runs. After 2 s it is overdue: a gang or one of its tasks is placed before any reservation of the plan, within the cap, wherever there is room; racks are a preference. What is left is served at its usual position. A new leader counts the steps of earlier jobs from their submission. Starts without an answer and runs that no worker has listed to this leader don't count towards half of a cap; the cap itself still counts them, so that no start exceeds it.

--- a/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
@@ -28,6 +28,7 @@
     Event,
     ForgetWorker,
     Outcome,
+    Queue,
     RegisterWorker,
     RunEnd,
     RunNumber,
@@ -311,6 +312,12 @@
         job = self.state.jobs_by_id.get(job_id)
         return job.workspace if job is not None else None
 
+    def current_queue(self, queue: Queue) -> Queue:
+        """Return a job's queue as the configuration in force defines it."""
+        index = self.state.configuration_index
+        current = index.queues_by_name.get(queue.name) if index is not None else None
+        return current or queue
+
     def ends_soon(self, run: Run, now: Seconds) -> bool:
         """Return whether a run is expected to end by itself within the time that a stop takes."""
         ends_within = run.ends_within(self.settings.stop_timeout, now)
--- a/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_fleet.py
@@ -405,6 +405,10 @@
         """Return the runs of a job that take resources."""
         return list(self._runs_by_job.get(job, {}).values())
 
+    def has_runs(self, job: JobId) -> bool:
+        """Return whether any run of a job takes resources."""
+        return job in self._runs_by_job
+
     def find_run(self, worker_id: WorkerId, task: TaskRef, number: RunNumber) -> Run | None:
         """
         Return a run that takes resources of any life under an id, or None. Orders name only the id,
--- a/packages/core/src/bulrushhollow_core/domain/model/_resources.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_resources.py
@@ -30,6 +30,17 @@
             and self.accelerators <= free.accelerators
         )
 
+    def is_below(self, share: float, limits: "Resources") -> bool:
+        """Return whether it is less than a share of each limit; 0 means no limit on a resource."""
+        return all(
+            limit == 0 or amount < share * limit
+            for amount, limit in (
+                (self.cpu, limits.cpu),
+                (self.memory, limits.memory),
+                (self.accelerators, limits.accelerators),
+            )
+        )
+
     def plus(self, other: "Resources") -> "Resources":
         """Return the sum of both, resource by resource."""
         return Resources(
--- a/packages/core/src/bulrushhollow_core/domain/placement/_caps.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_caps.py
@@ -7,12 +7,13 @@
 still be carried out.
 """
 
+import itertools
 import math
 from collections.abc import Callable, Iterable, Mapping, Sequence, Set
 from typing import NamedTuple
 
 from bulrushhollow_core.domain.execution import SchedulerState
-from bulrushhollow_core.domain.fleet import Host
+from bulrushhollow_core.domain.fleet import Host, RunPhase
 from bulrushhollow_core.domain.model import (
     NO_RESOURCES,
     ConfigurationIndex,
@@ -48,6 +49,9 @@
         """Create an account without any usage."""
         self.cap = cap
         self.used = NO_RESOURCES
+        self.unconfirmed = NO_RESOURCES
+        """Part of the usage of which no worker has shown that it runs: starts that went unanswered,
+        and runs of an earlier leader that have not been listed yet."""
         self.ending = NO_RESOURCES
         """Part of the usage that ends soon, by a stop or by itself. What ended soon before the plan
         is counted once urgent work is held back, and the plan's own stops when it decides them."""
@@ -79,6 +83,11 @@
         self.is_holding = True
         return count
 
+    @property
+    def confirmed(self) -> Resources:
+        """Return the usage without runs that may never have started."""
+        return self.used.minus(self.unconfirmed)
+
     @property
     def used_after_stops(self) -> Resources:
         """Return the usage once every run that is being stopped has ended."""
@@ -136,6 +145,11 @@
         """Return the account of a workspace; None if it has no cap."""
         return self._accounts_by_workspace.get(workspace) if workspace is not None else None
 
+    def has_spare_capacity(self, workspace: WorkspaceId | None, share: float) -> bool:
+        """Return whether a workspace uses less than a share of its cap, or has none."""
+        account = self.account_of(workspace)
+        return account is None or account.confirmed.is_below(share, account.cap)
+
     def startable_count(self, demand: Demand) -> int:
         """Return how many tasks of a demand its workspace may start now."""
         wanted = len(demand.task_indexes)
@@ -308,6 +322,8 @@
     workspaces = accounts_by_workspace.keys()
     for workspace, parts in _usage_by_workspace(shared, workspaces, now).items():
         accounts_by_workspace[workspace].used = total_of((part, 1) for part in parts)
+    for workspace, parts in _unconfirmed_by_workspace(shared, workspaces, now).items():
+        accounts_by_workspace[workspace].unconfirmed = total_of((part, 1) for part in parts)
     ledger = CapLedger(
         accounts_by_workspace, busy_services(hosts), lambda: _find_ending(shared, workspaces, now)
     )
@@ -332,6 +348,27 @@
     return usage
 
 
+def _unconfirmed_by_workspace(
+    shared: SchedulerState, workspaces: Set[WorkspaceId], now: Seconds
+) -> dict[WorkspaceId, list[Resources]]:
+    """Return the part of the usage of which no worker has shown that it runs."""
+    usage: dict[WorkspaceId, list[Resources]] = {workspace: [] for workspace in workspaces}
+    for worker in shared.fleet.workers_by_life.values():
+        possible = (
+            (ref.task.job, start.needs) for ref, start in worker.possible_starts(now).items()
+        )
+        adopted = (
+            (task.job, run.needs)
+            for task, run in worker.runs_by_task.items()
+            if run.phase is RunPhase.ADOPTED
+        )
+        for job, needs in itertools.chain(possible, adopted):
+            workspace = shared.workspace_of(job)
+            if workspace in usage:
+                usage[workspace].append(needs)
+    return usage
+
+
 def _find_ending(
     shared: SchedulerState, workspaces: Set[WorkspaceId], now: Seconds
 ) -> dict[WorkspaceId, Resources]:
--- a/packages/core/src/bulrushhollow_core/domain/placement/_demands.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_demands.py
@@ -71,6 +71,8 @@
         its victims.
     :param is_reclaiming: whether its guarantee is due, so that any victim may be evicted.
     :param delay_cost: value that its job loses by being late; None while delays have no price.
+    :param is_overdue: whether it has waited beside spare capacity for so long that it starts before
+        all others, wherever there is room.
     """
 
     urgency: int
@@ -79,6 +81,7 @@
     may_evict: bool = True
     is_reclaiming: bool = False
     delay_cost: float | None = None
+    is_overdue: bool = False
 
 
 class HostLimits(NamedTuple):
@@ -187,6 +190,12 @@
             dict(self.placed_by_worker),
         )
 
+    def as_overdue(self) -> "Demand":
+        """Return this demand as that of an overdue step."""
+        overdue = self.for_tasks(self.task_indexes)
+        overdue.standing = self.standing._replace(is_overdue=True)
+        return overdue
+
     def max_tasks_on(self, host: Host) -> int:
         """Return how many of its tasks a host may take under the step's limit per worker."""
         if self.step.max_per_worker == 0:
--- /dev/null
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_overdue.py
@@ -0,0 +1,121 @@
+"""
+bulrushhollow_core.domain.placement._overdue
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Steps that are overdue: nothing of their job has run for some time, although their workspace and
+their service had capacity to spare. Reservations, racks and the order of the queue are preferences;
+an overdue step is served before all of them.
+"""
+
+from collections.abc import Iterable, Set
+
+from bulrushhollow_core.domain.execution import SchedulerState
+from bulrushhollow_core.domain.fleet import Worker
+from bulrushhollow_core.domain.model import (
+    Resources,
+    ServiceName,
+    StepRef,
+    WallTime,
+    total_of,
+)
+from bulrushhollow_core.domain.placement._caps import CapLedger
+from bulrushhollow_core.domain.queueing import WaitingStep
+from bulrushhollow_core.ids import Seconds
+
+OVERDUE_AFTER = Seconds(2.0)
+"""Seconds for which a step may wait beside spare capacity. It must start within 3 s; the rest is
+for the interval between plans, the commit and the start."""
+
+SPARE_LIMIT = 0.55
+"""Share in use, of a cap or of a service, below which there is capacity to spare. The promise is
+given below half, as observers count; a leader counts starts earlier and ends later than they do."""
+
+
+class OverdueSteps:
+    """Finds the waiting steps that are overdue."""
+
+    def __init__(self) -> None:
+        """Start without any waiting step."""
+        self._since_by_step: dict[StepRef, Seconds] = {}
+        """Since when each step has waited beside spare capacity, without a break."""
+
+    def update(
+        self,
+        shared: SchedulerState,
+        waiting: Iterable[WaitingStep],
+        caps: CapLedger,
+        now: Seconds,
+        wall: WallTime,
+    ) -> list[WaitingStep]:
+        """
+        Return the overdue steps among the waiting ones, in the same order.
+
+        :param caps: usage of the workspaces before the plan.
+        """
+        spare_services = _services_with_spare_capacity(shared)
+        standing = [
+            waiting_step
+            for waiting_step in waiting
+            if _has_spare_capacity(shared, waiting_step, caps, spare_services)
+        ]
+        self._since_by_step = {
+            waiting_step.ref: self._since_by_step.get(
+                waiting_step.ref, _first_seen_since(shared, waiting_step, now, wall)
+            )
+            for waiting_step in standing
+        }
+        return [
+            waiting_step
+            for waiting_step in standing
+            if now - self._since_by_step[waiting_step.ref] >= OVERDUE_AFTER
+        ]
+
+
+def _first_seen_since(
+    shared: SchedulerState, waiting_step: WaitingStep, now: Seconds, wall: WallTime
+) -> Seconds:
+    """
+    Return since when a step that was not among the standing ones counts as standing. A new leader
+    does not know how long steps have stood, so those of earlier jobs count from their submission.
+    """
+    if now - shared.leading_since >= OVERDUE_AFTER:
+        return now
+    return Seconds(now - max(0.0, wall - waiting_step.job.submitted_at))
+
+
+def _has_spare_capacity(
+    shared: SchedulerState,
+    waiting_step: WaitingStep,
+    caps: CapLedger,
+    spare_services: Set[ServiceName],
+) -> bool:
+    """Return whether nothing of a step's job runs beside spare capacity."""
+    job, ref = waiting_step.job, waiting_step.ref
+    # Each long-running task must be available, whether others of its job run or not.
+    if job.work.steps[ref.step].is_long_running:
+        return caps.has_spare_capacity(job.workspace, SPARE_LIMIT)
+    return (
+        shared.current_queue(job.queue).service in spare_services
+        and not shared.fleet.has_runs(job.id)
+        and caps.has_spare_capacity(job.workspace, SPARE_LIMIT)
+    )
+
+
+def _services_with_spare_capacity(shared: SchedulerState) -> Set[ServiceName]:
+    """Return the services of whose known workers less than the limit of any resource is in use."""
+    workers_by_service: dict[ServiceName, list[Worker]] = {}
+    for worker in shared.fleet.workers_by_life.values():
+        if worker.announcement is not None:
+            workers_by_service.setdefault(worker.announcement.service, []).append(worker)
+    return {
+        service
+        for service, workers in workers_by_service.items()
+        if _allocated_to(workers).is_below(
+            SPARE_LIMIT, total_of((worker.capacity, 1) for worker in workers)
+        )
+    }
+
+
+def _allocated_to(workers: Iterable[Worker]) -> Resources:
+    """Return what the runs on workers take."""
+    return total_of((worker.capacity.minus(worker.free), 1) for worker in workers)
--- a/packages/core/src/bulrushhollow_core/domain/placement/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planner.py
@@ -20,7 +20,7 @@
     isolation_key,
     slots_in,
 )
-from bulrushhollow_core.domain.model import Resources, ServiceName
+from bulrushhollow_core.domain.model import Resources, ServiceName, StepRef
 from bulrushhollow_core.domain.placement._caps import CapLedger
 from bulrushhollow_core.domain.placement._demands import Demand, Victim
 from bulrushhollow_core.domain.placement._expected_room import ExpectedRoom
@@ -133,21 +133,33 @@
         self._total_accelerators = sum(host.capacity.accelerators for host in hosts)
         self._headroom = min(headroom, int(HEADROOM_SHARE * self._total_accelerators))
         self._reservation_count = 0
+        self._overdue_placements_by_step: dict[StepRef, list[Placement]] = {}
         self.plan = Plan()
 
     def make_plan(self, demands: Iterable[Demand]) -> Plan:
-        """Return the plan for demands, which are served in the given order."""
+        """
+        Return the plan for demands, which are served in the given order. Those of overdue steps
+        come first, and once more at their own position for the tasks that are left.
+        """
         for demand in demands:
-            hosts = self._eligible_hosts(demand)
-            startable_count = self._caps.startable_count(demand)
-            if startable_count < len(demand.task_indexes):
-                self._place_under_cap(demand, hosts, startable_count)
-            elif demand.step.is_gang:
-                self._place_gang(demand, hosts)
-            else:
-                self._place_independent(demand, hosts)
+            if demand.standing.is_overdue:
+                self._start_overdue(demand)
+                continue
+            remaining = self._without_overdue_starts(demand)
+            if remaining.task_indexes:
+                self._serve(remaining)
         return self.plan
 
+    def _serve(self, demand: Demand) -> None:
+        hosts = self._eligible_hosts(demand)
+        startable_count = self._caps.startable_count(demand)
+        if startable_count < len(demand.task_indexes):
+            self._place_under_cap(demand, hosts, startable_count)
+        elif demand.step.is_gang:
+            self._place_gang(demand, hosts)
+        else:
+            self._place_independent(demand, hosts)
+
     @property
     def victim_searches(self) -> int:
         """Return the number of demands outside any guarantee for which victims were searched."""
@@ -182,6 +194,48 @@
             return hosts
         return [host for host in hosts if host.life not in demand.limits.excluded_workers]
 
+    # Overdue steps.
+
+    def _start_overdue(self, demand: Demand) -> None:
+        """
+        Start a gang, one independent task, or all long-running ones wherever there is room under
+        their cap. Nothing is reserved yet, and the racks that the step asks for come first but are
+        no condition.
+        """
+        hosts = self._eligible_hosts(demand)
+        startable_count = self._caps.startable_count(demand)
+        placements: list[Placement] = []
+        if not demand.step.is_gang:
+            count = startable_count if demand.step.is_long_running else min(1, startable_count)
+            placements = self._place_tasks(demand, _local_hosts(demand, hosts).hosts, count)
+            placements = placements or self._place_tasks(demand, hosts, count)
+        elif startable_count == len(demand.task_indexes):
+            group = self._overdue_group(demand, hosts)
+            if group is not None:
+                placements = self._place_in_group(demand, group, include_stopping=False)
+        if placements:
+            self.plan.placements.append((demand, placements))
+            self._overdue_placements_by_step[demand.ref] = placements
+
+    def _overdue_group(self, demand: Demand, hosts: list[Host]) -> HostGroup | None:
+        """Return where an overdue gang has room, on one rack and preferred workers if it can."""
+        preferred = [host for host in hosts if host.life not in demand.limits.avoided_workers]
+        choices = (self._groups_for(demand, preferred), self._groups_for(demand, hosts), [hosts])
+        groups = (best_group(demand, choice, include_stopping=False) for choice in choices)
+        return next((group for group in groups if group is not None), None)
+
+    def _without_overdue_starts(self, demand: Demand) -> Demand:
+        """Return a demand for the tasks that have not started as those of an overdue step."""
+        placements = self._overdue_placements_by_step.get(demand.ref)
+        if placements is None:
+            return demand
+        placed = {placement.task.member for placement in placements}
+        remaining = demand.for_tasks([each for each in demand.task_indexes if each not in placed])
+        placed_by_worker = Counter(demand.placed_by_worker)
+        placed_by_worker.update(placement.life for placement in placements)
+        remaining.placed_by_worker = dict(placed_by_worker)
+        return remaining
+
     # Demands that did not fit before.
 
     def _is_known_not_to_fit(
--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -6,6 +6,7 @@
 and turns the plan into proposed starts and stop orders.
 """
 
+import itertools
 import math
 from collections import Counter
 from collections.abc import Iterator, Set
@@ -22,7 +23,6 @@
 from bulrushhollow_core.domain.model import (
     Event,
     Job,
-    Queue,
     RunNumber,
     Start,
     StepRef,
@@ -46,6 +46,7 @@
 )
 from bulrushhollow_core.domain.placement._exclusions import ExcludedStep, find_exclusions
 from bulrushhollow_core.domain.placement._host_view import HostView
+from bulrushhollow_core.domain.placement._overdue import OverdueSteps
 from bulrushhollow_core.domain.placement._plan import Placement, Plan
 from bulrushhollow_core.domain.placement._planner import Planner
 from bulrushhollow_core.domain.placement._running_work import RunningWork
@@ -95,7 +96,8 @@
     A planner and the demands that it is to serve.
 
     :param waiting: waiting steps in the order in which they are served.
-    :param demands: their demands; each is built once those before it are served.
+    :param demands: their demands, those of overdue steps once more before all others; each is built
+        once those before it are served.
     """
 
     waiting: list[WaitingStep]
@@ -116,6 +118,7 @@
         """When each waiting step first waited for fast workers; a new leader starts anew."""
         self._host_view = HostView(shared)
         self._claims = ClaimRegister(shared.settings.stop_timeout)
+        self._overdue_steps = OverdueSteps()
         self._cap_reporter = CapReporter()
         self._wait_reporter = WaitReporter(shared)
         self._recent_work = RecentWorkCache()
@@ -137,7 +140,7 @@
         if queue.waiting:
             # Those that are released get work from the next plan on.
             self._host_view.release_needed_workers(
-                queue.waiting, lambda job: self._current_queue(job.queue).service, now
+                queue.waiting, lambda job: self._shared.current_queue(job.queue).service, now
             )
             self._log_capacity(queue.hosts, queue.waiting, now)
         watch = self._wait_reporter.watch(queue.waiting, queue.hosts, now, wall)
@@ -154,7 +157,9 @@
         self._execute_plan(plan, now)
         self._shared.outbox.extend(self._cap_reporter.report(plan.held_back, prepared.caps, now))
         self._shared.outbox.extend(self._wait_reporter.report(watch, plan, now, wall))
-        placed_by_step = {demand.ref: len(placed) for demand, placed in plan.placements}
+        placed_by_step: Counter[StepRef] = Counter()
+        for demand, placed in plan.placements:
+            placed_by_step[demand.ref] += len(placed)
         self._shared.admission.record_plan(queue.hosts, prepared.waiting, placed_by_step, now, wall)
         for demand in plan.blocked:
             if demand.ref in expired_claims:
@@ -171,6 +176,7 @@
         clone._shared = shared
         clone._host_view = self._host_view.detached(shared)
         clone._claims = detached_copy(self._claims)
+        clone._overdue_steps = detached_copy(self._overdue_steps)
         clone._recent_work = detached_copy(self._recent_work)
         return clone
 
@@ -203,9 +209,14 @@
         )
         racks = {host.rack for host in hosts}
         suspects = [host for host in hosts if host.is_suspect]
-        demands = (
-            self._build_demand(waiting_step, hosts, racks, suspects, guaranteed, now, wall)
-            for waiting_step in waiting
+        overdue = self._overdue_steps.update(self._shared, waiting, caps, now, wall)
+
+        def build_demand(waiting_step: WaitingStep) -> Demand:
+            return self._build_demand(waiting_step, hosts, racks, suspects, guaranteed, now, wall)
+
+        demands = itertools.chain(
+            (build_demand(waiting_step).as_overdue() for waiting_step in overdue),
+            map(build_demand, waiting),
         )
         return PreparedPlan(waiting, demands, planner, caps)
 
@@ -269,7 +280,7 @@
         job, ref = waiting_step.job, waiting_step.ref
         step = job.work.steps[ref.step]
         waiting_since = self._waiting_since_by_step.setdefault(ref, now)
-        service = self._current_queue(job.queue).service
+        service = self._shared.current_queue(job.queue).service
         allowed_workers = self._allowed_workers(waiting_step, hosts, now)
         is_last_attempt = self._is_last_attempt(waiting_step)
         exclusions = find_exclusions(
@@ -366,14 +377,14 @@
         Return the workers that the queue's policy allows for a step; None if it allows all. Also
         request advice about further workers.
         """
-        if not self._current_queue(waiting_step.job.queue).needs_advice:
+        if not self._shared.current_queue(waiting_step.job.queue).needs_advice:
             return None
         self._request_advice(waiting_step.ref, waiting_step.job, hosts, now)
         return self._shared.advice.allowed_workers(waiting_step.ref, now)
 
     def _request_advice(self, ref: StepRef, job: Job, hosts: list[Host], now: Seconds) -> None:
         step = job.work.steps[ref.step]
-        service = self._current_queue(job.queue).service
+        service = self._shared.current_queue(job.queue).service
         fitting_hosts = [
             host
             for host in hosts
@@ -385,7 +396,7 @@
     def _prefetch_advice(self, waiting: list[WaitingStep], hosts: list[Host], now: Seconds) -> None:
         """Ask for advice on later steps of waiting jobs, after all steps that can start now."""
         for job in {waiting_step.job.id: waiting_step.job for waiting_step in waiting}.values():
-            if not self._current_queue(job.queue).needs_advice:
+            if not self._shared.current_queue(job.queue).needs_advice:
                 continue
             for occurrence, records in job.occurrences_by_number.items():
                 for number, record in enumerate(records):
@@ -394,14 +405,6 @@
                     if is_later and not self._shared.advice.allowed_workers(ref, now):
                         self._request_advice(ref, job, hosts, now)
 
-    def _current_queue(self, queue: Queue) -> Queue:
-        """Return a job's queue as the configuration in force defines it."""
-        configuration_index = self._shared.state.configuration_index
-        current = (
-            configuration_index.queues_by_name.get(queue.name) if configuration_index else None
-        )
-        return current or queue
-
     def _count_placed_by_worker(self, ref: StepRef) -> dict[WorkerLife, int]:
         """Return how many tasks of a step each worker has, including proposed starts."""
         runs = self._shared.fleet.runs_of(ref.job)
@@ -537,6 +540,7 @@
                 waited=round(now - waiting_since, 3),
                 guaranteed=demand.standing.is_guaranteed,
                 isolated=demand.limits.is_isolated,
+                overdue=demand.standing.is_overdue,
                 version=(
                     self._shared.state.configuration.version
                     if self._shared.state.configuration
