Show a job that stands since few workers may get new work

An accepted job has nothing running for 20 s although there is room for it twice over, its workspace uses under half of its cap and a quarter of the service is in use. Half of the workers are in evacuated data centres, a gang of the workspace waits for the cap, and the leader counts as busy a service of whose usable workers half are in use, so the gang's reservation never yields.

The test fails on this code: 20.0 s instead of under 3.0 s.

--- /dev/null
+++ b/tests/test_domain_standing_jobs.py
@@ -0,0 +1,70 @@
+"""Accepted jobs with nothing running, although there is room for them twice over."""
+
+import unittest
+
+from bulrushhollow_core.domain import (
+    Answer,
+    Evacuate,
+    Resources,
+    Step,
+    Work,
+)
+from bulrushhollow_core.ids import DataCentreId, JobId, Seconds
+from standins.domain_site import configuration
+from tests.domain_world import World
+
+MAX_STANDING = 3.0
+"""Seconds for which an accepted job may stand while there is room; the platform's figure."""
+
+
+def tasks(count: int, accelerators: int = 1, is_gang: bool = False) -> Work:
+    needs = Resources(1000, 1000, accelerators)
+    return Work("spec", (Step(count, needs, Seconds(30.0), is_gang=is_gang),))
+
+
+class Site(World):
+    """A domain of 12 workers with eight accelerators each, in four data centres."""
+
+    def __init__(self, cap: int = 0) -> None:
+        super().__init__(1)
+        self.run(4)
+        assert self.put_configuration(configuration(1, cap=Resources(0, 0, cap)))
+        self.run(2)
+
+    def evacuate(self, data_centre: str) -> None:
+        answers: list[Answer | None] = []
+        self.send_call(Evacuate(DataCentreId(data_centre), True), answers.append)
+        self.run_until(lambda: bool(answers), 3)
+
+    def running_count(self, job: str) -> int:
+        runs = (task for worker in self.worker_pool.workers for task in worker.runs)
+        return sum(task.job == job for task in runs)
+
+    def seconds_standing(self, job: str, limit: float = 20.0) -> float:
+        """Return the time from now until anything of a job runs."""
+        since = self.now
+        self.run_until(lambda: self.running_count(job) > 0, limit)
+        return self.now - since
+
+
+class CapacityOfServiceTest(unittest.TestCase):
+    # Guards against an accepted job with nothing running (LOST): a gang's reservation of the cap
+    # did not yield, since half of the workers that may get new work were in use, though far less
+    # than half of the service was.
+    def test_a_job_starts_although_few_workers_may_get_new_work(self) -> None:
+        site = Site(cap=52)
+        for data_centre in ("dc0", "dc1"):
+            site.evacuate(data_centre)
+        site.submit("a" * 16, "usual", tasks(24), 60.0)
+        site.run(2.0)
+        self.assertEqual(24, site.running_count("a" * 16))
+        site.submit("b" * 16, "usual", tasks(32, is_gang=True), 60.0)
+        site.run(0.5)
+        site.submit("c" * 16, "later", tasks(1), 60.0)
+        site.run_until(lambda: JobId("c" * 16) in site.accepted, 1.0)
+        self.assertLess(site.seconds_standing("c" * 16), MAX_STANDING)
+        self.assertEqual(0, site.running_count("b" * 16))
+
+
+if __name__ == "__main__":
+    unittest.main()
