Count all known workers of a service when a reservation yields

What callers saw: an accepted job with nothing running, its workspace under half of its cap and the service under half in use.

Cause: whether a gang's reservation of the cap yields depends on how much of the service is in use, and that was counted on the workers that may get new work. With workers in evacuated data centres, draining, in quarantine or out of reach, half of the rest is less than half of the service, and the reservation never yielded. A data centre that seems silent for a moment also changed the answer from plan to plan.

Change: the capacity of all known workers of the service counts, with what runs there. That can only make a reservation yield sooner; starts are still bounded by the cap and by the free room of the usable workers.

--- a/packages/core/src/bulrushhollow_core/domain/placement/_caps.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_caps.py
@@ -8,11 +8,10 @@
 """
 
 import math
-from collections.abc import Callable, Iterable, Mapping, Sequence, Set
-from typing import NamedTuple
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence, Set
+from typing import NamedTuple, Protocol
 
 from bulrushhollow_core.domain.execution import SchedulerState
-from bulrushhollow_core.domain.fleet import Host
 from bulrushhollow_core.domain.model import (
     NO_RESOURCES,
     ConfigurationIndex,
@@ -295,12 +294,34 @@
 # The ledger of a plan.
 
 
-def build_cap_ledger(shared: SchedulerState, hosts: Sequence[Host], now: Seconds) -> CapLedger:
+class ServicePart(Protocol):
+    """One worker as a part of its service."""
+
+    @property
+    def service(self) -> ServiceName:
+        """Return the service that it belongs to."""
+
+    @property
+    def capacity(self) -> Resources:
+        """Return its resources."""
+
+    @property
+    def free(self) -> Resources:
+        """Return the resources that no run takes."""
+
+
+class WorkerPart(NamedTuple):
+    """A known worker as a part of its service, whether it may get new work or not."""
+
+    service: ServiceName
+    capacity: Resources
+    free: Resources
+
+
+def build_cap_ledger(shared: SchedulerState, now: Seconds) -> CapLedger:
     """
     Return the usage of the workspaces with a cap: of all runs that take resources, and of starts
     that may still be carried out.
-
-    :param hosts: workers that may get new work.
     """
     accounts_by_workspace = _open_accounts(shared.state.configuration_index)
     if not accounts_by_workspace:
@@ -309,7 +330,9 @@
     for workspace, parts in _usage_by_workspace(shared, workspaces, now).items():
         accounts_by_workspace[workspace].used = total_of((part, 1) for part in parts)
     ledger = CapLedger(
-        accounts_by_workspace, busy_services(hosts), lambda: _find_ending(shared, workspaces, now)
+        accounts_by_workspace,
+        busy_services(_worker_parts(shared)),
+        lambda: _find_ending(shared, workspaces, now),
     )
     ledger.apply_holds(shared.cap_holds_since, now)
     return ledger
@@ -357,18 +380,28 @@
     }
 
 
-def busy_services(hosts: Sequence[Host]) -> frozenset[ServiceName]:
+def _worker_parts(shared: SchedulerState) -> Iterator[WorkerPart]:
+    """
+    Yield the known workers with their services. Those that may get no new work now count as well:
+    what runs there is in use, and the rest is capacity of the service.
+    """
+    for worker in shared.fleet.workers_by_life.values():
+        if worker.announcement is not None:
+            yield WorkerPart(worker.announcement.service, worker.capacity, worker.free)
+
+
+def busy_services(parts: Iterable[ServicePart]) -> frozenset[ServiceName]:
     """Return the services of whose workers at least half of any resource is in use."""
-    hosts_by_service: dict[ServiceName, list[Host]] = {}
-    for host in hosts:
-        hosts_by_service.setdefault(host.service, []).append(host)
-    return frozenset(service for service, group in hosts_by_service.items() if _is_busy(group))
+    parts_by_service: dict[ServiceName, list[ServicePart]] = {}
+    for part in parts:
+        parts_by_service.setdefault(part.service, []).append(part)
+    return frozenset(service for service, group in parts_by_service.items() if _is_busy(group))
 
 
-def _is_busy(hosts: Sequence[Host]) -> bool:
+def _is_busy(parts: Sequence[ServicePart]) -> bool:
     """Return whether at least half of any resource that the workers have is in use."""
-    capacity = total_of((host.capacity, 1) for host in hosts)
-    free = total_of((host.free, 1) for host in hosts)
+    capacity = total_of((part.capacity, 1) for part in parts)
+    free = total_of((part.free, 1) for part in parts)
     return (
         0 < capacity.cpu >= 2 * free.cpu
         or 0 < capacity.memory >= 2 * free.memory
@@ -381,7 +414,7 @@
     Withdraw the proposed starts of workspaces that exceed a cap which has just come into force.
     They were planned under an earlier cap, and are not yet ordered.
     """
-    ledger = build_cap_ledger(shared, (), now)
+    ledger = build_cap_ledger(shared, now)
     for task in shared.proposed_runs_by_task:
         account = ledger.account_of(shared.workspace_of(task.job))
         if account is not None and not is_within(account.used, account.cap):
--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -183,7 +183,7 @@
                     waiting_step.job.id, peak_accelerators(waiting_step.job), now
                 )
         self._shared.advice.clear_requests()
-        caps = build_cap_ledger(self._shared, hosts, now)
+        caps = build_cap_ledger(self._shared, now)
         self._pricer = self._create_pricer(now, wall)
         running_work = RunningWork(self._shared, self._pricer, now, wall)
         planner = Planner(
