Show a job that stands while all free workers are in quarantine

Five of twelve workers are full and the others are in quarantines of 48 s. A job for which there is room on those stands until the quarantines are over, although under half of the service is in use: a quarantine ends early only for a step that no other worker could run if it were empty.

--- a/tests/test_domain_standing_jobs.py
+++ b/tests/test_domain_standing_jobs.py
@@ -66,5 +66,40 @@
         self.assertEqual(0, site.running_count("b" * 16))
 
 
+class QuarantineTest(unittest.TestCase):
+    def put_into_quarantine(self) -> None:
+        """Put seven of the twelve workers into long quarantines, and fill the others."""
+        self.site = Site()
+        leader = self.site.leader()
+        assert leader is not None and leader.node.scheduler is not None
+        workers = leader.node.scheduler._shared.fleet.workers_by_life.values()
+        self.quarantined = sorted(workers, key=lambda worker: worker.life.id)[:7]
+        for worker in self.quarantined:
+            for _ in range(4):
+                worker.quarantine(Seconds(self.site.now))
+                worker.release_from_quarantine(Seconds(self.site.now))
+            worker.quarantine(Seconds(self.site.now))
+        self.site.submit("a" * 16, "usual", tasks(5, accelerators=8), 60.0)
+        self.site.run(3.0)
+        self.assertEqual(5, self.site.running_count("a" * 16))
+
+    # Guards against an accepted job with nothing running (LOST): all workers with room for it were
+    # in quarantine, which ended early only for steps that no other worker could ever run.
+    def test_a_job_starts_although_all_free_workers_are_in_quarantine(self) -> None:
+        for count, is_gang in ((2, False), (3, True)):
+            with self.subTest(is_gang=is_gang):
+                self.put_into_quarantine()
+                self.site.submit("b" * 16, "usual", tasks(count, 8, is_gang), 1.0)
+                self.assertLess(self.site.seconds_standing("b" * 16, 60.0), MAX_STANDING)
+
+    # Guards against quarantines that no longer keep anything away.
+    def test_a_job_that_has_just_come_ends_no_quarantine(self) -> None:
+        self.put_into_quarantine()
+        self.site.submit("b" * 16, "usual", tasks(2, accelerators=8), 1.0)
+        self.site.run_until(lambda: JobId("b" * 16) in self.site.accepted, 1.0)
+        self.site.run(0.5)
+        self.assertTrue(all(w.quarantined_until > self.site.now for w in self.quarantined))
+
+
 if __name__ == "__main__":
     unittest.main()
