End quarantines early for steps that find no room elsewhere

What callers saw: an accepted job with nothing running, with under half of the service in use and room for it twice over, on workers in quarantine.

Cause: a quarantine, of up to 48 s, ended early only for a step that the other workers could not run if they were empty. Workers that are full counted as if the step could go there.

Change: on a service that is not busy, what is free on the other workers counts once a step has waited for 2 s.

--- a/packages/core/src/bulrushhollow_core/domain/placement/_caps.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_caps.py
@@ -331,7 +331,7 @@
         accounts_by_workspace[workspace].used = total_of((part, 1) for part in parts)
     ledger = CapLedger(
         accounts_by_workspace,
-        busy_services(_worker_parts(shared)),
+        busy_services(service_parts(shared)),
         lambda: _find_ending(shared, workspaces, now),
     )
     ledger.apply_holds(shared.cap_holds_since, now)
@@ -380,7 +380,7 @@
     }
 
 
-def _worker_parts(shared: SchedulerState) -> Iterator[WorkerPart]:
+def service_parts(shared: SchedulerState) -> Iterator[WorkerPart]:
     """
     Yield the known workers with their services. Those that may get no new work now count as well:
     what runs there is in use, and the rest is capacity of the service.
--- a/packages/core/src/bulrushhollow_core/domain/placement/_host_view.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_host_view.py
@@ -5,7 +5,7 @@
 The workers that may get new work, with their free resources, as one plan starts from them.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Self
 
 from bulrushhollow_core.domain.execution import SchedulerState
@@ -15,14 +15,20 @@
     Event,
     Job,
     ServiceName,
+    StepRef,
     WorkerNews,
     detached_copy,
     log_event,
 )
+from bulrushhollow_core.domain.placement._caps import busy_services, service_parts
 from bulrushhollow_core.domain.placement._exclusions import exclusion_time
 from bulrushhollow_core.domain.queueing import WaitingStep
 from bulrushhollow_core.ids import DataCentreId, Seconds
 
+QUARANTINE_YIELD = Seconds(2.0)
+"""Seconds that a step waits for room on other workers before quarantines end early on a service
+that is not busy. It must start within 3 s; the rest is for the plan, the commit and the start."""
+
 
 class HostView:
     """Builds the hosts of each plan from what is known of the workers."""
@@ -43,11 +49,16 @@
         return clone
 
     def release_needed_workers(
-        self, steps: Iterable[WaitingStep], service_of: Callable[[Job], ServiceName], now: Seconds
+        self,
+        steps: Iterable[WaitingStep],
+        service_of: Callable[[Job], ServiceName],
+        waiting_since_by_step: Mapping[StepRef, Seconds],
+        now: Seconds,
     ) -> None:
         """
         End quarantines early if a waiting step has no other worker, as all that may run it have
-        failed. Steps without a worker would otherwise wait for as long as the quarantines last.
+        failed. Steps without a worker would otherwise wait for as long as the quarantines last. On
+        a service that is not busy, workers without room do not count as other workers for long.
         """
         workers = self._shared.fleet.workers_by_life.values()
         if all(now >= worker.quarantined_until for worker in workers):
@@ -58,6 +69,7 @@
             if worker.announcement is not None
             and self._is_eligible(worker, worker.announcement, now)
         ]
+        busy = busy_services(service_parts(self._shared))
         for waiting_step in steps:
             job = waiting_step.job
             step = job.work.steps[waiting_step.ref.step]
@@ -74,17 +86,21 @@
                 key=lambda worker: worker.quarantined_at,
             )
             wait = exclusion_time(step.is_long_running, is_last_attempt=False)
+            waited = now - waiting_since_by_step.get(waiting_step.ref, now)
+            counts_room = service not in busy and waited >= QUARANTINE_YIELD
             # A gang needs room for all of its members at the same time.
             missing = len(waiting_step.task_indexes) if step.is_gang else 1
             for worker in capable:
                 if now >= worker.quarantined_until:
-                    missing -= slots_in(worker.capacity, step.needs, missing)
+                    room = worker.free if counts_room else worker.capacity
+                    missing -= slots_in(room, step.needs, missing)
             for worker in capable:
                 if missing <= 0:
                     break
                 if worker.quarantined_at + wait <= now < worker.quarantined_until:
                     worker.release_from_quarantine(now)
-                    missing -= slots_in(worker.capacity, step.needs, missing)
+                    room = worker.free if counts_room else worker.capacity
+                    missing -= slots_in(room, step.needs, missing)
 
     def usable_hosts(self, now: Seconds) -> list[Host]:
         """Return the workers that may get new work."""
--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -135,7 +135,10 @@
         if queue.waiting:
             # Those that are released get work from the next plan on.
             self._host_view.release_needed_workers(
-                queue.waiting, lambda job: self._current_queue(job.queue).service, now
+                queue.waiting,
+                lambda job: self._current_queue(job.queue).service,
+                self._waiting_since_by_step,
+                now,
             )
             self._log_capacity(queue.hosts, queue.waiting, now)
         if not queue.hosts:
