--- a/packages/core/src/bulrushhollow_core/domain/placement/_caps.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_caps.py
@@ -7,13 +7,12 @@
 still be carried out.
 """
 
-import itertools
 import math
-from collections.abc import Callable, Iterable, Mapping, Sequence, Set
-from typing import NamedTuple
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence, Set
+from typing import NamedTuple, Protocol
 
 from bulrushhollow_core.domain.execution import SchedulerState
-from bulrushhollow_core.domain.fleet import Host, RunPhase
+from bulrushhollow_core.domain.fleet import RunPhase
 from bulrushhollow_core.domain.model import (
     NO_RESOURCES,
     ConfigurationIndex,
@@ -42,6 +41,10 @@
 within 3 s; the rest is for the interval between plans, the commit and the start."""
 
 
+BUSY_SHARE = 0.5
+"""Share of a service in use from which on a reservation need not yield."""
+
+
 class CapAccount:
     """The cap of one workspace, and what its tasks take."""
 
@@ -309,64 +312,79 @@
 # The ledger of a plan.
 
 
-def build_cap_ledger(shared: SchedulerState, hosts: Sequence[Host], now: Seconds) -> CapLedger:
+class ServicePart(Protocol):
+    """One worker as a part of its service."""
+
+    @property
+    def service(self) -> ServiceName:
+        """Return the service that it belongs to."""
+
+    @property
+    def capacity(self) -> Resources:
+        """Return its resources."""
+
+    @property
+    def free(self) -> Resources:
+        """Return the resources that no run takes."""
+
+
+class WorkerPart(NamedTuple):
+    """A known worker as a part of its service, whether it may get new work or not."""
+
+    service: ServiceName
+    capacity: Resources
+    free: Resources
+
+
+def build_cap_ledger(
+    shared: SchedulerState, busy: frozenset[ServiceName], now: Seconds
+) -> CapLedger:
     """
     Return the usage of the workspaces with a cap: of all runs that take resources, and of starts
     that may still be carried out.
 
-    :param hosts: workers that may get new work.
+    :param busy: services of which half or more is in use.
     """
     accounts_by_workspace = _open_accounts(shared.state.configuration_index)
     if not accounts_by_workspace:
         return CapLedger()
     workspaces = accounts_by_workspace.keys()
-    for workspace, parts in _usage_by_workspace(shared, workspaces, now).items():
-        accounts_by_workspace[workspace].used = total_of((part, 1) for part in parts)
-    for workspace, parts in _unconfirmed_by_workspace(shared, workspaces, now).items():
-        accounts_by_workspace[workspace].unconfirmed = total_of((part, 1) for part in parts)
-    ledger = CapLedger(
-        accounts_by_workspace, busy_services(hosts), lambda: _find_ending(shared, workspaces, now)
-    )
+    for workspace, usage in _usage_by_workspace(shared, workspaces, now).items():
+        account = accounts_by_workspace[workspace]
+        account.unconfirmed = total_of((part, 1) for part in usage.unconfirmed)
+        account.used = total_of((part, 1) for part in usage.known).plus(account.unconfirmed)
+    ledger = CapLedger(accounts_by_workspace, busy, lambda: _find_ending(shared, workspaces, now))
     ledger.apply_holds(shared.cap_holds_since, now)
     return ledger
 
 
+class _Usage(NamedTuple):
+    """
+    What runs and possible starts of a workspace take.
+
+    :param unconfirmed: the part of which no worker has shown that it runs.
+    """
+
+    known: list[Resources]
+    unconfirmed: list[Resources]
+
+
 def _usage_by_workspace(
     shared: SchedulerState, workspaces: Set[WorkspaceId], now: Seconds
-) -> dict[WorkspaceId, list[Resources]]:
+) -> dict[WorkspaceId, _Usage]:
     """Return what each run and each possible start takes, for the given workspaces."""
-    usage: dict[WorkspaceId, list[Resources]] = {workspace: [] for workspace in workspaces}
+    usage_by_workspace = {workspace: _Usage([], []) for workspace in workspaces}
     for worker in shared.fleet.workers_by_life.values():
         for task, run in worker.runs_by_task.items():
             workspace = shared.workspace_of(task.job)
-            if workspace in usage:
-                usage[workspace].append(run.needs)
+            if workspace in usage_by_workspace:
+                known, unconfirmed = usage_by_workspace[workspace]
+                (unconfirmed if run.phase is RunPhase.ADOPTED else known).append(run.needs)
         for ref, start in worker.possible_starts(now).items():
             workspace = shared.workspace_of(ref.task.job)
-            if workspace in usage:
-                usage[workspace].append(start.needs)
-    return usage
-
-
-def _unconfirmed_by_workspace(
-    shared: SchedulerState, workspaces: Set[WorkspaceId], now: Seconds
-) -> dict[WorkspaceId, list[Resources]]:
-    """Return the part of the usage of which no worker has shown that it runs."""
-    usage: dict[WorkspaceId, list[Resources]] = {workspace: [] for workspace in workspaces}
-    for worker in shared.fleet.workers_by_life.values():
-        possible = (
-            (ref.task.job, start.needs) for ref, start in worker.possible_starts(now).items()
-        )
-        adopted = (
-            (task.job, run.needs)
-            for task, run in worker.runs_by_task.items()
-            if run.phase is RunPhase.ADOPTED
-        )
-        for job, needs in itertools.chain(possible, adopted):
-            workspace = shared.workspace_of(job)
-            if workspace in usage:
-                usage[workspace].append(needs)
-    return usage
+            if workspace in usage_by_workspace:
+                usage_by_workspace[workspace].unconfirmed.append(start.needs)
+    return usage_by_workspace
 
 
 def _find_ending(
@@ -394,23 +412,48 @@
     }
 
 
-def busy_services(hosts: Sequence[Host]) -> frozenset[ServiceName]:
-    """Return the services of whose workers at least half of any resource is in use."""
-    hosts_by_service: dict[ServiceName, list[Host]] = {}
-    for host in hosts:
-        hosts_by_service.setdefault(host.service, []).append(host)
-    return frozenset(service for service, group in hosts_by_service.items() if _is_busy(group))
+def service_parts(shared: SchedulerState) -> Iterator[WorkerPart]:
+    """
+    Yield the known workers with their services. Those that may get no new work now count as well:
+    what runs there is in use, and the rest is capacity of the service.
+    """
+    for worker in shared.fleet.workers_by_life.values():
+        if worker.announcement is not None:
+            yield WorkerPart(worker.announcement.service, worker.capacity, worker.free)
 
 
-def _is_busy(hosts: Sequence[Host]) -> bool:
-    """Return whether at least half of any resource that the workers have is in use."""
-    capacity = total_of((host.capacity, 1) for host in hosts)
-    free = total_of((host.free, 1) for host in hosts)
-    return (
-        0 < capacity.cpu >= 2 * free.cpu
-        or 0 < capacity.memory >= 2 * free.memory
-        or 0 < capacity.accelerators >= 2 * free.accelerators
-    )
+class ServiceLoads:
+    """
+    How much of each service is in use.
+
+    :param parts: workers with their services.
+    """
+
+    def __init__(self, parts: Iterable[ServicePart]) -> None:
+        """Add up the capacity and the usage of the workers of each service."""
+        self._totals_by_service: dict[ServiceName, list[int]] = {}
+        for part in parts:
+            capacity, free = part.capacity, part.free
+            totals = self._totals_by_service.setdefault(part.service, [0] * 6)
+            totals[0] += capacity.cpu
+            totals[1] += capacity.memory
+            totals[2] += capacity.accelerators
+            totals[3] += capacity.cpu - free.cpu
+            totals[4] += capacity.memory - free.memory
+            totals[5] += capacity.accelerators - free.accelerators
+
+    def busy(self, share: float) -> frozenset[ServiceName]:
+        """Return the services of whose workers at least a share of any resource is in use."""
+        return frozenset(
+            service
+            for service, totals in self._totals_by_service.items()
+            if not Resources(*totals[3:]).is_below(share, Resources(*totals[:3]))
+        )
+
+
+def busy_services(parts: Iterable[ServicePart]) -> frozenset[ServiceName]:
+    """Return the services of whose workers at least half of any resource is in use."""
+    return ServiceLoads(parts).busy(BUSY_SHARE)
 
 
 def withdraw_starts_over_cap(shared: SchedulerState, now: Seconds) -> None:
@@ -418,7 +461,7 @@
     Withdraw the proposed starts of workspaces that exceed a cap which has just come into force.
     They were planned under an earlier cap, and are not yet ordered.
     """
-    ledger = build_cap_ledger(shared, (), now)
+    ledger = build_cap_ledger(shared, frozenset(), now)
     for task in shared.proposed_runs_by_task:
         account = ledger.account_of(shared.workspace_of(task.job))
         if account is not None and not is_within(account.used, account.cap):
--- a/packages/core/src/bulrushhollow_core/domain/placement/_overdue.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_overdue.py
@@ -10,14 +10,7 @@
 from collections.abc import Iterable, Set
 
 from bulrushhollow_core.domain.execution import SchedulerState
-from bulrushhollow_core.domain.fleet import Worker
-from bulrushhollow_core.domain.model import (
-    Resources,
-    ServiceName,
-    StepRef,
-    WallTime,
-    total_of,
-)
+from bulrushhollow_core.domain.model import ServiceName, StepRef, WallTime
 from bulrushhollow_core.domain.placement._caps import CapLedger
 from bulrushhollow_core.domain.queueing import WaitingStep
 from bulrushhollow_core.ids import Seconds
@@ -44,6 +37,7 @@
         shared: SchedulerState,
         waiting: Iterable[WaitingStep],
         caps: CapLedger,
+        busy: Set[ServiceName],
         now: Seconds,
         wall: WallTime,
     ) -> list[WaitingStep]:
@@ -51,12 +45,12 @@
         Return the overdue steps among the waiting ones, in the same order.
 
         :param caps: usage of the workspaces before the plan.
+        :param busy: services without capacity to spare.
         """
-        spare_services = _services_with_spare_capacity(shared)
         standing = [
             waiting_step
             for waiting_step in waiting
-            if _has_spare_capacity(shared, waiting_step, caps, spare_services)
+            if _has_spare_capacity(shared, waiting_step, caps, busy)
         ]
         self._since_by_step = {
             waiting_step.ref: self._since_by_step.get(
@@ -87,7 +81,7 @@
     shared: SchedulerState,
     waiting_step: WaitingStep,
     caps: CapLedger,
-    spare_services: Set[ServiceName],
+    busy: Set[ServiceName],
 ) -> bool:
     """Return whether nothing of a step's job runs beside spare capacity."""
     job, ref = waiting_step.job, waiting_step.ref
@@ -95,27 +89,7 @@
     if job.work.steps[ref.step].is_long_running:
         return caps.has_spare_capacity(job.workspace, SPARE_LIMIT)
     return (
-        shared.current_queue(job.queue).service in spare_services
+        shared.current_queue(job.queue).service not in busy
         and not shared.fleet.has_runs(job.id)
         and caps.has_spare_capacity(job.workspace, SPARE_LIMIT)
     )
-
-
-def _services_with_spare_capacity(shared: SchedulerState) -> Set[ServiceName]:
-    """Return the services of whose known workers less than the limit of any resource is in use."""
-    workers_by_service: dict[ServiceName, list[Worker]] = {}
-    for worker in shared.fleet.workers_by_life.values():
-        if worker.announcement is not None:
-            workers_by_service.setdefault(worker.announcement.service, []).append(worker)
-    return {
-        service
-        for service, workers in workers_by_service.items()
-        if _allocated_to(workers).is_below(
-            SPARE_LIMIT, total_of((worker.capacity, 1) for worker in workers)
-        )
-    }
-
-
-def _allocated_to(workers: Iterable[Worker]) -> Resources:
-    """Return what the runs on workers take."""
-    return total_of((worker.capacity.minus(worker.free), 1) for worker in workers)
--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -33,7 +33,14 @@
     log_event,
     start_commands,
 )
-from bulrushhollow_core.domain.placement._caps import CapLedger, CapReporter, build_cap_ledger
+from bulrushhollow_core.domain.placement._caps import (
+    BUSY_SHARE,
+    CapLedger,
+    CapReporter,
+    ServiceLoads,
+    build_cap_ledger,
+    service_parts,
+)
 from bulrushhollow_core.domain.placement._delay_cost import DelayPricer
 from bulrushhollow_core.domain.placement._demands import (
     UNLIMITED_TIME,
@@ -46,7 +53,7 @@
 )
 from bulrushhollow_core.domain.placement._exclusions import ExcludedStep, find_exclusions
 from bulrushhollow_core.domain.placement._host_view import HostView
-from bulrushhollow_core.domain.placement._overdue import OverdueSteps
+from bulrushhollow_core.domain.placement._overdue import SPARE_LIMIT, OverdueSteps
 from bulrushhollow_core.domain.placement._plan import Placement, Plan
 from bulrushhollow_core.domain.placement._planner import Planner
 from bulrushhollow_core.domain.placement._running_work import RunningWork
@@ -140,7 +147,10 @@
         if queue.waiting:
             # Those that are released get work from the next plan on.
             self._host_view.release_needed_workers(
-                queue.waiting, lambda job: self._shared.current_queue(job.queue).service, now
+                queue.waiting,
+                lambda job: self._shared.current_queue(job.queue).service,
+                self._waiting_since_by_step,
+                now,
             )
             self._log_capacity(queue.hosts, queue.waiting, now)
         watch = self._wait_reporter.watch(queue.waiting, queue.hosts, now, wall)
@@ -196,7 +206,8 @@
                     waiting_step.job.id, peak_accelerators(waiting_step.job), now
                 )
         self._shared.advice.clear_requests()
-        caps = build_cap_ledger(self._shared, hosts, now)
+        loads = ServiceLoads(service_parts(self._shared))
+        caps = build_cap_ledger(self._shared, loads.busy(BUSY_SHARE), now)
         self._pricer = self._create_pricer(now, wall)
         running_work = RunningWork(self._shared, self._pricer, now, wall)
         planner = Planner(
@@ -209,7 +220,9 @@
         )
         racks = {host.rack for host in hosts}
         suspects = [host for host in hosts if host.is_suspect]
-        overdue = self._overdue_steps.update(self._shared, waiting, caps, now, wall)
+        overdue = self._overdue_steps.update(
+            self._shared, waiting, caps, loads.busy(SPARE_LIMIT), now, wall
+        )
 
         def build_demand(waiting_step: WaitingStep) -> Demand:
             return self._build_demand(waiting_step, hosts, racks, suspects, guaranteed, now, wall)
--- a/packages/core/src/bulrushhollow_core/domain/placement/_wait_reports.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_wait_reports.py
@@ -9,7 +9,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence, Set
 from enum import Enum
 from typing import NamedTuple
 
@@ -34,6 +34,7 @@
     CapLedger,
     busy_services,
     is_within,
+    service_parts,
 )
 from bulrushhollow_core.domain.placement._demands import Demand
 from bulrushhollow_core.domain.placement._groups import can_ever_hold
@@ -165,18 +166,23 @@
 
     :param reports_by_step: reports that are due; the plan is not observed if there are none.
     :param hosts: workers that may get new work, as the plan starts from them.
+    :param busy: services of which half or more is in use.
     """
 
-    def __init__(self, reports_by_step: Mapping[StepRef, _Report], hosts: Sequence[Host]) -> None:
+    def __init__(
+        self,
+        reports_by_step: Mapping[StepRef, _Report],
+        hosts: Sequence[Host],
+        busy: Set[ServiceName] = frozenset(),
+    ) -> None:
         """Remember the free resources before the plan changes them."""
         self.reports_by_step = reports_by_step
         self.hosts = hosts
         self.views_by_step: dict[StepRef, _View] = {}
         self.free_by_life: dict[WorkerLife, Resources] = {}
-        self.busy_services: frozenset[ServiceName] = frozenset()
+        self.busy_services = busy
         if reports_by_step:
             self.free_by_life = {host.life: host.free for host in hosts}
-            self.busy_services = busy_services(hosts)
 
     def observe(self, demands: Iterator[Demand], plan: Plan, caps: CapLedger) -> Iterator[Demand]:
         """Return the demands; those to be reported are looked at when the plan serves them."""
@@ -239,7 +245,8 @@
                 sum(len(step.task_indexes) for step in steps) - len(first.task_indexes),
                 total_of(uncertain_by_workspace.get(workspace, {}).items()),
             )
-        return PlanWatch(reports_by_step, hosts)
+        busy = busy_services(service_parts(self._shared)) if reports_by_step else frozenset()
+        return PlanWatch(reports_by_step, hosts, busy)
 
     def report(
         self, watch: PlanWatch, plan: Plan | None, now: Seconds, wall: WallTime
