Add failing tests of steps that no question to the advice service names

The cache asks for the first step of the plan's order and renews expired tickets first, also of steps without room or under a full cap, so steps behind them are never asked about: 20 gangs that cannot start keep a job of one task with free workers from starting for 3 s. Requests of an earlier plan are asked again, also for steps that have started.

--- a/tests/test_domain_advice.py
+++ b/tests/test_domain_advice.py
@@ -1,6 +1,7 @@
 """Tests of steps whose workers are selected by the advice service."""
 
 import asyncio
+import random
 import unittest
 
 import msgspec
@@ -13,10 +14,15 @@
     OrderResult,
     OrderStart,
     Outcome,
+    Poll,
+    PollAnswered,
     PutConfiguration,
+    Resources,
     StartAnswered,
     StartRuns,
+    Step,
     SubmitJob,
+    Work,
     WorkerLife,
 )
 from bulrushhollow_core.ids import JobId, Seconds, WorkerId, WorkspaceId
@@ -26,8 +32,8 @@
 from bulrushhollow_platform._translation import decode_configuration
 from bulrushhollow_platform._workers import HttpWorkerClient
 from standins.advice import AdviceService
-from standins.domain_site import configuration, queue
-from tests.test_domain_scheduler import SINGLE_TASK, WALL, SchedulerHarness
+from standins.domain_site import NO_CAP, configuration, queue
+from tests.test_domain_scheduler import SINGLE_TASK, WALL, SchedulerHarness, announcement
 
 STEP = StepRef(JobId("j"), Occurrence(0), 0)
 LIVES = [WorkerLife(WorkerId(f"w{number}"), 1) for number in range(50)]
@@ -167,6 +173,182 @@
         self.assertEqual((order.life,), harness.question().workers)
 
 
+class FleetHarness(SchedulerHarness):
+    """
+    A scheduler with many workers and an advice service that answers one question at a time, in
+    virtual time. All queues need advice.
+
+    :param share: one in so many workers may run a step.
+    :param cap: cap of the only workspace.
+    """
+
+    def __init__(self, worker_count: int = 60, share: int = 3, cap: Resources = NO_CAP) -> None:
+        super().__init__()
+        self._share = share
+        config = configuration(2, cap=cap)
+        self.queues_by_name = {
+            each.name: msgspec.structs.replace(each, needs_advice=True) for each in config.queues
+        }
+        queues = tuple(self.queues_by_name.values())
+        self.commit([PutConfiguration(msgspec.structs.replace(config, queues=queues))])
+        self._worker_count = 0
+        self.add_workers(worker_count)
+        self.asked: list[tuple[float, AskAdvice]] = []
+        """Every question with the time since the first one could be asked."""
+        self.started_at_by_job: dict[JobId, float] = {}
+        self._answers: list[tuple[float, AdviceAnswered]] = []
+        """Answers that are on their way, with the time of arrival."""
+        self._began = self.now
+
+    def add_workers(self, count: int) -> None:
+        for number in range(self._worker_count, self._worker_count + count):
+            self._announce(number)
+        self._worker_count += count
+
+    def enqueue(self, job: str, step: Step, queue_name: str = "usual") -> None:
+        advised = self.queues_by_name[queue(queue_name, 1).name]
+        command = SubmitJob(JobId(job), advised, WorkspaceId("team"), Work("spec", (step,)), WALL)
+        self.commit([command])
+
+    def run(self, seconds: float) -> None:
+        """Let the scheduler work; messages to workers and the log take no time."""
+        for _ in range(round(seconds / 0.01)):
+            self.now = Seconds(self.now + 0.01)
+            for number in range(round(self.now / 0.01) % 100, self._worker_count, 100):
+                self._announce(number)
+            while self._answers and self._answers[0][0] <= self.now:
+                self.scheduler.advice_answered(self._answers.pop(0)[1], self.now)
+            self.scheduler.tick(self.now, WALL)
+            self.commit(self.scheduler.take_proposals(self.now, WALL))
+            for action in self.scheduler.take_actions():
+                clock = Seconds(40.0 + self.now)
+                match action:
+                    case AskAdvice():
+                        self.asked.append((self.now - self._began, action))
+                        self._answers.append((self.now + 0.11, self._answer_to(action)))
+                    case Poll(life=life):
+                        answer = PollAnswered(life, OrderResult.ACCEPTED, clock)
+                        self.scheduler.poll_answered(answer, self.now)
+                    case OrderStart(life=life, task=task, run=run):
+                        self.started_at_by_job.setdefault(task.job, self.now - self._began)
+                        accepted = StartAnswered(life, task, run, OrderResult.ACCEPTED, clock)
+                        self.scheduler.start_answered(accepted, self.now)
+
+    def _announce(self, number: int) -> None:
+        news = announcement(1, round(self.now / 0.01), f"o{number}:1", 40.0 + self.now)
+        life = WorkerLife(WorkerId(f"o{number}"), 1)
+        self.scheduler.worker_announced(msgspec.structs.replace(news, life=life), self.now)
+
+    def _answer_to(self, question: AskAdvice) -> AdviceAnswered:
+        allowed = [life for life in question.workers if hash_of(life.id) % self._share == 0]
+        tickets = tuple(IssuedTicket(life.id, f"t-{life.id}") for life in allowed)
+        return AdviceAnswered(question.step, question.workers, tickets, Seconds(3.0))
+
+
+def hash_of(worker: str) -> int:
+    """Return a number by which the simulated service decides about a worker."""
+    return sum(worker.encode())
+
+
+WHOLE_WORKER = Resources(64_000, 256_000, 8)
+
+
+class FairnessTest(unittest.TestCase):
+    # Guards against accepted work that stands beside free workers, since tickets for other steps,
+    # which cannot start, are renewed for ever.
+    def test_a_step_is_asked_about_before_the_tickets_of_others_are_renewed(self) -> None:
+        lives = [WorkerLife(WorkerId(f"w{number}"), 1) for number in range(350)]
+        steps = [StepRef(JobId(f"j{number}"), Occurrence(0), 0) for number in range(5)]
+        advice = AdviceCache()
+        asked = []
+        for tenth in range(30):
+            now = Seconds(NOW + 0.11 * tenth)
+            advice.clear_requests()
+            for step in steps:
+                advice.request(step, lives, now)
+            question = advice.next_question(now)
+            assert question is not None
+            asked.append(question.step)
+            advice.handle_answer(answer_to(question, 10), Seconds(now + 0.11))
+        self.assertEqual(steps, asked[: len(steps)])
+
+    # The same fault on the whole scheduler: the gangs need more workers than there are.
+    def test_a_job_with_room_starts_beside_gangs_without_room(self) -> None:
+        harness = FleetHarness()
+        for number in range(20):
+            harness.enqueue(f"gang{number}", Step(64, WHOLE_WORKER, Seconds(1.0), is_gang=True))
+        harness.enqueue("single", Step(1, Resources(1000, 100, 1), Seconds(10.0)))
+        harness.run(3.0)
+        self.assertLess(harness.started_at_by_job.get(JobId("single"), 9.9), 1.0)
+
+    # The same fault with gangs that are held back by the cap of their workspace.
+    def test_a_job_with_room_starts_beside_gangs_that_a_cap_holds_back(self) -> None:
+        harness = FleetHarness(cap=Resources(0, 0, 16))
+        for number in range(20):
+            harness.enqueue(f"gang{number}", Step(3, WHOLE_WORKER, Seconds(1.0), is_gang=True))
+        harness.enqueue("single", Step(1, Resources(1000, 100, 1), Seconds(10.0)))
+        harness.run(3.0)
+        self.assertLess(harness.started_at_by_job.get(JobId("single"), 9.9), 1.0)
+
+    # The same fault in random queues: each step that could start is asked about once before any is
+    # asked about again, whatever the plan's order.
+    def test_the_first_question_about_a_step_waits_for_one_about_each_other_step(self) -> None:
+        for seed in range(12):
+            with self.subTest(seed=seed):
+                rng = random.Random(seed)
+                harness = FleetHarness()
+                singles = [f"single{number}" for number in range(rng.randint(1, 8))]
+                jobs = [f"gang{number}" for number in range(rng.randint(5, 25))] + singles
+                rng.shuffle(jobs)
+                for job in jobs:
+                    duration = Seconds(rng.uniform(1.0, 10.0))
+                    if job in singles:
+                        harness.enqueue(job, Step(1, Resources(1000, 100, 1), duration))
+                    else:
+                        harness.enqueue(job, Step(64, WHOLE_WORKER, duration, is_gang=True))
+                harness.run(1.5)
+                started = [harness.started_at_by_job.get(JobId(job), 9.9) for job in singles]
+                self.assertLess(max(started), 0.11 * len(singles) + 0.1)
+
+
+class PriceTest(unittest.TestCase):
+    # Guards against calls that tell nothing new and delay the questions about other steps.
+    def test_no_worker_is_asked_about_again_while_the_answer_holds(self) -> None:
+        harness = FleetHarness(worker_count=59, share=7)
+        for number in range(8):
+            harness.enqueue(f"gang{number}", Step(12, WHOLE_WORKER, Seconds(1.0), is_gang=True))
+            harness.run(0.1)
+        harness.run(1.5)
+        named = [
+            (question.step, life) for _, question in harness.asked for life in question.workers
+        ]
+        self.assertLessEqual(8 * 59, len(set(named)))
+        self.assertEqual(len(set(named)), len(named))
+
+    # Guards against the same for a step whose tasks have all been placed.
+    def test_a_step_that_has_started_is_not_asked_about(self) -> None:
+        harness = FleetHarness()
+        harness.enqueue("single", Step(1, Resources(1000, 100, 1), Seconds(10.0)))
+        harness.run(2.0)
+        self.assertEqual(1, len(harness.started_at_by_job))
+        self.assertEqual(1, len(harness.asked))
+
+    # Guards against tickets of gangs without room that are renewed for ever.
+    def test_tickets_are_renewed_only_for_a_step_that_could_start(self) -> None:
+        harness = FleetHarness(worker_count=20, share=1)
+        harness.enqueue("gang", Step(64, WHOLE_WORKER, Seconds(1.0), is_gang=True))
+        harness.run(10.0)
+        self.assertEqual(1, len(harness.asked))
+
+    def test_expired_tickets_are_renewed_once_a_gang_has_room(self) -> None:
+        harness = FleetHarness(worker_count=20, share=1)
+        harness.enqueue("gang", Step(30, WHOLE_WORKER, Seconds(1.0), is_gang=True))
+        harness.run(4.0)
+        harness.add_workers(10)
+        harness.run(0.5)
+        self.assertEqual([JobId("gang")], list(harness.started_at_by_job))
+
+
 class AdviceServiceTest(unittest.TestCase):
     def test_the_client_asks_the_service_over_http(self) -> None:
         async def run() -> tuple[AdviceAnswered, AdviceAnswered, AdviceService]:
