Ask for advice on steps that could start, each in its turn

Cause: the next question went to the first step of the plan's order that wanted any worker, and expired tickets were asked for again first, whether the step could start or not. Requests of the last plan were asked again after an answer to them, and for steps that had been placed since.

Change: the workers of a question are selected when it is asked. Steps with room that their cap does not hold back come first, first questions before others, then the plan's order and the longest wait in turn. Tickets are renewed for such steps, for work that may evict, and for the two gangs that may reserve room. A gang learns of as many workers as it needs before it renews. A placed step asks for nothing; a later step until a worker is permitted; a step stays away from excluded workers here too.

--- a/packages/core/src/bulrushhollow_core/domain/execution/__init__.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/__init__.py
@@ -8,6 +8,8 @@
 from bulrushhollow_core.domain.execution._advice import (
     MAX_WORKERS_PER_QUESTION,
     AdviceCache,
+    AdviceRequest,
+    Candidate,
 )
 from bulrushhollow_core.domain.execution._answers import (
     OrderAnswerHandler,
@@ -28,6 +30,8 @@
 
 __all__ = [
     "AdviceCache",
+    "AdviceRequest",
+    "Candidate",
     "MAX_WORKERS_PER_QUESTION",
     "OrderAnswerHandler",
     "OrderDispatcher",
--- a/packages/core/src/bulrushhollow_core/domain/execution/_advice.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_advice.py
@@ -6,9 +6,15 @@
 queues. The service is slow and answers one question at a time, so steps are asked for in advance,
 with few workers per question. Whether a worker may run a step never changes, so the answers are
 kept; only the ticket that proves a permission expires.
+
+Steps that an answer may start come first, those that were never asked about before the others. No
+step keeps the service to itself: every second repeated question goes to the step whose last one is
+the longest ago. Tickets are renewed only for steps that may start or reserve room with them.
 """
 
-from collections.abc import Sequence
+import math
+from collections import Counter
+from collections.abc import Iterable, Sequence, Set
 from typing import NamedTuple
 
 from bulrushhollow_core.domain.model import AdviceAnswered, AskAdvice, StepRef, WorkerLife
@@ -24,6 +30,9 @@
 RETRY_DELAY = Seconds(0.3)
 """Seconds between an unanswered question and the next one; the service was busy or unreachable."""
 
+NEVER_ASKED = Seconds(-math.inf)
+"""Time of the last question about a step that was never asked about."""
+
 
 class Ticket(NamedTuple):
     """
@@ -36,6 +45,46 @@
     expires_at: Seconds
 
 
+class Candidate(NamedTuple):
+    """
+    A worker with room for tasks of a step.
+
+    :param slots: number of tasks that have room there now.
+    :param rack: its rack if the step asks for one rack; empty otherwise.
+    """
+
+    life: WorkerLife
+    slots: int
+    rack: str = ""
+
+
+class AdviceRequest(NamedTuple):
+    """
+    A step that waits for advice.
+
+    :param candidates: workers with room, the best first.
+    :param task_count: number of waiting tasks.
+    :param is_gang: whether the tasks start only together.
+    :param is_startable: whether tasks may start at once if enough candidates are permitted.
+    :param may_evict: whether runs may be evicted for it, so that it may start without room.
+    :param may_reserve: whether it may reserve room on workers with a ticket until it has enough.
+    """
+
+    candidates: Sequence[Candidate]
+    task_count: int
+    is_gang: bool
+    is_startable: bool
+    may_evict: bool = False
+    may_reserve: bool = False
+
+    def has_room_on(self, candidates: Iterable[Candidate]) -> bool:
+        """Return whether all tasks have room on some candidates, if asked for in one rack."""
+        slots_by_rack: Counter[str] = Counter()
+        for candidate in candidates:
+            slots_by_rack[candidate.rack] += candidate.slots
+        return any(slots >= self.task_count for slots in slots_by_rack.values())
+
+
 class AdviceCache:
     """Holds the answers of the advice service, and selects the next question to it."""
 
@@ -43,7 +92,11 @@
         """Create an empty cache."""
         self._tickets_by_step: dict[StepRef, dict[WorkerLife, Ticket]] = {}
         self._denied_workers_by_step: dict[StepRef, set[WorkerLife]] = {}
-        self._requested_workers_by_step: dict[StepRef, list[WorkerLife]] = {}
+        self._requests_by_step: dict[StepRef, AdviceRequest] = {}
+        """Requests since the last plan, in its order."""
+        self._asked_at_by_step: dict[StepRef, Seconds] = {}
+        self._serves_oldest_next = False
+        """Whether the next repeated question goes to the step whose last one is longest ago."""
         self._has_open_question = False
         self._next_question_at = Seconds(0.0)
 
@@ -61,38 +114,103 @@
         ticket = self._tickets_by_step.get(step, {}).get(life)
         return ticket.text if ticket else ""
 
+    def permits_any(self, step: StepRef) -> bool:
+        """Return whether any worker is known to be allowed to run a step, with any ticket."""
+        return bool(self._tickets_by_step.get(step))
+
     def clear_requests(self) -> None:
         """Remove all requests; each planning pass requests the waiting steps anew, in its order."""
-        self._requested_workers_by_step.clear()
+        self._requests_by_step.clear()
 
-    def request(self, step: StepRef, candidates: Sequence[WorkerLife], now: Seconds) -> None:
+    def request(self, step: StepRef, request: AdviceRequest, now: Seconds) -> None:
         """
-        Request advice for a waiting step.
-
-        :param candidates: workers with enough free resources, the best first.
+        Request advice for a waiting step. It counts as startable only if an answer is what it
+        lacks: neither room nor tickets.
         """
-        tickets = self._tickets_by_step.get(step, {})
         denied = self._denied_workers_by_step.get(step, set())
-        expired = [
-            life for life in candidates if life in tickets and not _is_usable(tickets[life], now)
+        tickets = self._tickets_by_step.get(step, {})
+        candidates = [each for each in request.candidates if each.life not in denied]
+        valid = [
+            each
+            for each in candidates
+            if each.life in tickets and _is_usable(tickets[each.life], now)
         ]
-        unknown = [life for life in candidates if life not in tickets and life not in denied]
-        selected = (expired or unknown)[:MAX_WORKERS_PER_QUESTION]
-        if selected:
-            self._requested_workers_by_step[step] = selected
+        slots = sum(candidate.slots for candidate in candidates)
+        has_room = slots >= (request.task_count if request.is_gang else 1) or request.may_evict
+        self._requests_by_step[step] = request._replace(
+            candidates=candidates,
+            is_startable=request.is_startable and has_room and not request.has_room_on(valid),
+        )
+
+    def narrow_requests(
+        self, unplaced: Set[StepRef], held_back: Set[StepRef], reserving: Set[StepRef]
+    ) -> None:
+        """
+        Adapt the requests to the plan for which they were made.
+
+        :param unplaced: steps with tasks that the plan did not place; others need no advice.
+        :param held_back: those of them that could not start if all workers were permitted, unless
+            runs are evicted for them.
+        :param reserving: those of them that may reserve room.
+        """
+        self._requests_by_step = {
+            step: request._replace(
+                is_startable=request.is_startable and (request.may_evict or step not in held_back),
+                may_reserve=step in reserving,
+            )
+            for step, request in self._requests_by_step.items()
+            if step in unplaced
+        }
 
     def next_question(self, now: Seconds) -> AskAdvice | None:
         """Return the next question, or None; at most one question is open at a time."""
-        if (
-            self._has_open_question
-            or not self._requested_workers_by_step
-            or now < self._next_question_at
-        ):
+        if self._has_open_question or not self._requests_by_step or now < self._next_question_at:
             return None
-        step, workers = next(iter(self._requested_workers_by_step.items()))
-        del self._requested_workers_by_step[step]
-        self._has_open_question = True
-        return AskAdvice(step, tuple(workers))
+        for step in sorted(self._requests_by_step, key=self._question_order):
+            request = self._requests_by_step[step]
+            workers = self._select_workers(step, request, now)
+            if workers:
+                if request.is_startable and step in self._asked_at_by_step:
+                    self._serves_oldest_next = not self._serves_oldest_next
+                self._asked_at_by_step[step] = now
+                self._has_open_question = True
+                return AskAdvice(step, tuple(workers))
+            del self._requests_by_step[step]
+        return None
+
+    def _question_order(self, step: StepRef) -> tuple[bool, Seconds]:
+        """Return the sort key of a step in the order of questions; equal ones keep the plan's."""
+        is_startable = self._requests_by_step[step].is_startable
+        asked_at = self._asked_at_by_step.get(step, NEVER_ASKED)
+        if is_startable and not self._serves_oldest_next and asked_at > NEVER_ASKED:
+            asked_at = Seconds(0.0)
+        return not is_startable, asked_at
+
+    def _select_workers(
+        self, step: StepRef, request: AdviceRequest, now: Seconds
+    ) -> list[WorkerLife]:
+        """Return the workers to name in a question about a step; none if no answer is needed."""
+        tickets = self._tickets_by_step.get(step, {})
+        denied = self._denied_workers_by_step.get(step, set())
+        known = [each for each in request.candidates if each.life in tickets]
+        valid = [each for each in known if _is_usable(tickets[each.life], now)]
+        expired = [each for each in known if not _is_usable(tickets[each.life], now)]
+        unknown = [
+            each
+            for each in request.candidates
+            if each.life not in tickets and each.life not in denied
+        ]
+        if not request.is_startable:
+            selected = unknown or (expired if request.may_reserve else [])
+        elif request.has_room_on(valid):
+            # The next plan uses the tickets.
+            selected = []
+        elif request.is_gang and not request.has_room_on(known):
+            # Tickets would expire unused while further workers are asked about.
+            selected = unknown or expired
+        else:
+            selected = expired or unknown
+        return [candidate.life for candidate in selected[:MAX_WORKERS_PER_QUESTION]]
 
     def handle_answer(self, answer: AdviceAnswered, now: Seconds) -> None:
         """Record the answer to the open question, or that it was not answered."""
@@ -122,6 +240,10 @@
             del self._tickets_by_step[step]
         for step in [step for step in self._denied_workers_by_step if step.job == job]:
             del self._denied_workers_by_step[step]
+        for step in [step for step in self._asked_at_by_step if step.job == job]:
+            del self._asked_at_by_step[step]
+        for step in [step for step in self._requests_by_step if step.job == job]:
+            del self._requests_by_step[step]
 
 
 def _is_usable(ticket: Ticket, now: Seconds) -> bool:
--- a/tests/test_domain_advice.py
+++ b/tests/test_domain_advice.py
@@ -1,15 +1,24 @@
 """Tests of steps whose workers are selected by the advice service."""
 
 import asyncio
+import itertools
 import random
 import unittest
+from collections.abc import Sequence
 
 import msgspec
 
 from bulrushhollow_core.domain import AdviceAnswered, AskAdvice, IssuedTicket, StepRef
-from bulrushhollow_core.domain.execution import MAX_WORKERS_PER_QUESTION, AdviceCache
+from bulrushhollow_core.domain.execution import (
+    MAX_WORKERS_PER_QUESTION,
+    AdviceCache,
+    AdviceRequest,
+    Candidate,
+)
 from bulrushhollow_core.domain.model import (
+    DrainWorker,
     EndRuns,
+    ListedRun,
     Occurrence,
     OrderResult,
     OrderStart,
@@ -46,13 +55,18 @@
     return AdviceAnswered(question.step, question.workers, tickets, Seconds(valid))
 
 
+def tasks_on(lives: Sequence[WorkerLife]) -> AdviceRequest:
+    """Return the request of a step with a task for each worker, and room for one on each."""
+    return AdviceRequest([Candidate(life, 1) for life in lives], len(lives), False, True)
+
+
 class AdviceCacheTest(unittest.TestCase):
     def setUp(self) -> None:
         self.advice = AdviceCache()
 
     def ask(self, now: float = NOW) -> AskAdvice | None:
         self.advice.clear_requests()
-        self.advice.request(STEP, LIVES, Seconds(now))
+        self.advice.request(STEP, tasks_on(LIVES), Seconds(now))
         return self.advice.next_question(Seconds(now))
 
     def test_one_question_is_open_at_a_time_and_names_few_workers(self) -> None:
@@ -91,6 +105,48 @@
         self.assertIsNone(self.ask(NOW + 0.1))
         self.assertEqual(question, self.ask(NOW + 0.5))
 
+    # Guards against wide gangs whose tickets are renewed while they know too few workers to start.
+    def test_a_gang_asks_about_all_the_workers_it_needs_before_it_renews_tickets(self) -> None:
+        request = AdviceRequest([Candidate(life, 1) for life in LIVES], 40, True, True)
+        self.advice.request(STEP, request, NOW)
+        first = self.advice.next_question(NOW)
+        assert first is not None
+        self.advice.handle_answer(answer_to(first, 30, valid=0.1), NOW)
+        second = self.advice.next_question(Seconds(NOW + 1))
+        assert second is not None
+        self.assertEqual(LIVES[30:], list(second.workers))
+        self.advice.handle_answer(answer_to(second, 20), Seconds(NOW + 1))
+        third = self.advice.next_question(Seconds(NOW + 2))
+        assert third is not None
+        self.assertEqual(LIVES[:30], list(third.workers))
+        self.advice.handle_answer(answer_to(third, 30), Seconds(NOW + 2))
+        self.assertIsNone(self.advice.next_question(Seconds(NOW + 2)))
+
+    # Guards against a step that waits for another reason, such as its rack, beside workers in
+    # other places of which it knows nothing.
+    def test_a_step_that_its_tickets_do_not_start_is_asked_about_other_workers(self) -> None:
+        self.advice.handle_answer(answer_to(AskAdvice(STEP, tuple(LIVES[:1])), 1), NOW)
+        request = AdviceRequest([Candidate(life, 1) for life in LIVES], 1, False, True)
+        self.advice.request(STEP, request, NOW)
+        question = self.advice.next_question(NOW)
+        assert question is not None
+        self.assertNotIn(LIVES[0], question.workers)
+
+    def renews_without_room(self, may_evict: bool, may_reserve: bool) -> bool:
+        advice = AdviceCache()
+        advice.handle_answer(answer_to(AskAdvice(STEP, tuple(LIVES[:2])), 2, valid=0.1), NOW)
+        candidates = [Candidate(life, 1) for life in LIVES[:2]]
+        advice.request(STEP, AdviceRequest(candidates, 3, True, True, may_evict), NOW)
+        advice.narrow_requests({STEP}, {STEP}, {STEP} if may_reserve else set())
+        return advice.next_question(NOW) is not None
+
+    # Guards against urgent gangs for which nothing is evicted, and gangs that reserve no room,
+    # since all their tickets have expired.
+    def test_tickets_are_renewed_without_room_only_to_evict_or_reserve(self) -> None:
+        self.assertFalse(self.renews_without_room(may_evict=False, may_reserve=False))
+        self.assertTrue(self.renews_without_room(may_evict=True, may_reserve=False))
+        self.assertTrue(self.renews_without_room(may_evict=False, may_reserve=True))
+
     def test_a_refused_ticket_is_not_used_again(self) -> None:
         question = self.ask()
         assert question is not None
@@ -186,10 +242,8 @@
         super().__init__()
         self._share = share
         config = configuration(2, cap=cap)
-        self.queues_by_name = {
-            each.name: msgspec.structs.replace(each, needs_advice=True) for each in config.queues
-        }
-        queues = tuple(self.queues_by_name.values())
+        queues = tuple(msgspec.structs.replace(each, needs_advice=True) for each in config.queues)
+        [self._queue] = [each for each in queues if each.name == "usual"]
         self.commit([PutConfiguration(msgspec.structs.replace(config, queues=queues))])
         self._worker_count = 0
         self.add_workers(worker_count)
@@ -198,6 +252,8 @@
         self.started_at_by_job: dict[JobId, float] = {}
         self._answers: list[tuple[float, AdviceAnswered]] = []
         """Answers that are on their way, with the time of arrival."""
+        self._rows_by_life: dict[WorkerLife, list[ListedRun]] = {}
+        """The runs that each worker lists; none of them ends."""
         self._began = self.now
 
     def add_workers(self, count: int) -> None:
@@ -205,10 +261,9 @@
             self._announce(number)
         self._worker_count += count
 
-    def enqueue(self, job: str, step: Step, queue_name: str = "usual") -> None:
-        advised = self.queues_by_name[queue(queue_name, 1).name]
-        command = SubmitJob(JobId(job), advised, WorkspaceId("team"), Work("spec", (step,)), WALL)
-        self.commit([command])
+    def enqueue(self, job: str, *steps: Step) -> None:
+        work = Work("spec", steps)
+        self.commit([SubmitJob(JobId(job), self._queue, WorkspaceId("team"), work, WALL)])
 
     def run(self, seconds: float) -> None:
         """Let the scheduler work; messages to workers and the log take no time."""
@@ -227,10 +282,13 @@
                         self.asked.append((self.now - self._began, action))
                         self._answers.append((self.now + 0.11, self._answer_to(action)))
                     case Poll(life=life):
-                        answer = PollAnswered(life, OrderResult.ACCEPTED, clock)
+                        rows = tuple(self._rows_by_life.get(life, ()))
+                        answer = PollAnswered(life, OrderResult.ACCEPTED, clock, running=rows)
                         self.scheduler.poll_answered(answer, self.now)
                     case OrderStart(life=life, task=task, run=run):
                         self.started_at_by_job.setdefault(task.job, self.now - self._began)
+                        row = ListedRun(task, run, "", 0)
+                        self._rows_by_life.setdefault(life, []).append(row)
                         accepted = StartAnswered(life, task, run, OrderResult.ACCEPTED, clock)
                         self.scheduler.start_answered(accepted, self.now)
 
@@ -265,13 +323,84 @@
             now = Seconds(NOW + 0.11 * tenth)
             advice.clear_requests()
             for step in steps:
-                advice.request(step, lives, now)
+                advice.request(step, tasks_on(lives), now)
             question = advice.next_question(now)
             assert question is not None
             asked.append(question.step)
             advice.handle_answer(answer_to(question, 10), Seconds(now + 0.11))
         self.assertEqual(steps, asked[: len(steps)])
 
+    # Guards against a step that keeps the service to itself by its place in the plan's order.
+    def test_every_step_is_asked_about_again_within_twice_as_many_questions(self) -> None:
+        lives = [WorkerLife(WorkerId(f"w{number}"), 1) for number in range(90)]
+        for seed in range(20):
+            rng = random.Random(seed)
+            count = rng.randint(2, 12)
+            steps = [StepRef(JobId(f"j{number}"), Occurrence(0), 0) for number in range(count)]
+            advice = AdviceCache()
+            asked = []
+            for number in range(20 * count):
+                now = Seconds(NOW + 0.11 * number)
+                advice.clear_requests()
+                for step in rng.sample(steps, count):
+                    advice.request(step, tasks_on(lives), now)
+                question = advice.next_question(now)
+                assert question is not None
+                asked.append(question.step)
+                answer = answer_to(question, rng.randint(1, 30), valid=0.1)
+                advice.handle_answer(answer, Seconds(now + 0.11))
+            for step in steps:
+                turns = [-1, *(turn for turn, each in enumerate(asked) if each == step), len(asked)]
+                gaps = [later - earlier for earlier, later in itertools.pairwise(turns)]
+                self.assertLessEqual(max(gaps), 2 * count, f"seed {seed}")
+
+    # Guards against one question that the service cannot answer and that holds up all others.
+    def test_a_step_whose_question_is_not_answered_yields_to_others(self) -> None:
+        advice = AdviceCache()
+        asked = []
+        for number in range(4):
+            now = Seconds(NOW + number)
+            advice.clear_requests()
+            for job in ("odd", "plain"):
+                step = StepRef(JobId(job), Occurrence(0), 0)
+                advice.request(step, tasks_on(LIVES), now)
+            question = advice.next_question(now)
+            assert question is not None
+            asked.append(question.step.job)
+            is_odd = question.step.job == "odd"
+            answer = answer_to(question, 1)
+            advice.handle_answer(
+                msgspec.structs.replace(answer, tickets=None) if is_odd else answer, now
+            )
+        self.assertEqual(["odd", "plain"], asked[:2])
+        self.assertEqual(2, asked.count("plain"))
+
+    # Guards against a wide gang whose first tickets have expired before it knows enough workers.
+    def test_a_gang_that_needs_many_answers_starts_beside_others(self) -> None:
+        harness = FleetHarness(worker_count=300, share=5)
+        for number in range(8):
+            step = Step(50, WHOLE_WORKER, Seconds(60.0), is_gang=True)
+            harness.enqueue(f"gang{number}", step)
+        harness.run(5.0)
+        self.assertEqual([JobId("gang0")], list(harness.started_at_by_job))
+
+    # Guards against a step that holds a ticket for a worker it stays away from, and asks no more.
+    def test_a_step_is_asked_about_beyond_the_workers_that_it_stays_away_from(self) -> None:
+        harness = FleetHarness(worker_count=59, share=1000)
+        for number in range(5):
+            harness.enqueue(f"gang{number}", Step(64, WHOLE_WORKER, Seconds(1.0), is_gang=True))
+        harness.enqueue("single", Step(1, Resources(1000, 100, 1), Seconds(10.0)))
+        step, life = StepRef(JobId("single"), Occurrence(0), 0), WorkerLife(WorkerId("o7"), 1)
+        ticket = IssuedTicket(life.id, "t")
+        answer = AdviceAnswered(step, (life,), (ticket,), Seconds(3.0))
+        harness.scheduler.advice_answered(answer, harness.now)
+        harness.scheduler._shared.exclude_worker(step.task(0), life, harness.now)
+        harness.run(0.2)
+        self.assertEqual([step, step], [question.step for _, question in harness.asked])
+        named = {life for _, question in harness.asked for life in question.workers}
+        self.assertEqual(59, len(named))
+        self.assertNotIn(life, named)
+
     # The same fault on the whole scheduler: the gangs need more workers than there are.
     def test_a_job_with_room_starts_beside_gangs_without_room(self) -> None:
         harness = FleetHarness()
@@ -340,6 +469,24 @@
         harness.run(10.0)
         self.assertEqual(1, len(harness.asked))
 
+    def test_a_later_step_is_asked_about_until_a_worker_is_permitted(self) -> None:
+        harness = FleetHarness(worker_count=59)
+        gang = Step(64, WHOLE_WORKER, Seconds(1.0), is_gang=True)
+        harness.enqueue("gang", gang, Step(1, WHOLE_WORKER, Seconds(1.0), depends_on=(0,)))
+        harness.run(10.0)
+        self.assertEqual([0, 0, 1], sorted(question.step.step for _, question in harness.asked))
+
+    # Guards against questions of an earlier plan about workers that have left since.
+    def test_nothing_is_asked_once_no_worker_can_be_used(self) -> None:
+        harness = FleetHarness(worker_count=59, share=1000)
+        harness.enqueue("single", Step(1, Resources(1000, 100, 1), Seconds(10.0)))
+        harness.run(0.05)
+        lives = list(harness.scheduler._shared.fleet.workers_by_life)
+        harness.commit([DrainWorker(life) for life in lives])
+        harness.scheduler._shared.request_plan(harness.now)
+        harness.run(0.5)
+        self.assertEqual(1, len(harness.asked))
+
     def test_expired_tickets_are_renewed_once_a_gang_has_room(self) -> None:
         harness = FleetHarness(worker_count=20, share=1)
         harness.enqueue("gang", Step(30, WHOLE_WORKER, Seconds(1.0), is_gang=True))
