Add a failing test of a question whose answer is lost

One question is open at a time, and only the timeout of its call, 10 s, ends it. Until then no step is asked about, so no waiting job of a queue with advice starts.

--- a/tests/test_domain_advice.py
+++ b/tests/test_domain_advice.py
@@ -39,7 +39,7 @@
 from bulrushhollow_daemon.http_server import bound_address, open_listener
 from bulrushhollow_daemon.settings import Address
 from bulrushhollow_platform._translation import decode_configuration
-from bulrushhollow_platform._workers import HttpWorkerClient
+from bulrushhollow_platform._workers import ADVICE_TIMEOUT, HttpWorkerClient
 from standins.advice import AdviceService
 from standins.domain_site import NO_CAP, configuration, queue
 from tests.test_domain_scheduler import SINGLE_TASK, WALL, SchedulerHarness, announcement
@@ -254,6 +254,12 @@
         """Answers that are on their way, with the time of arrival."""
         self._rows_by_life: dict[WorkerLife, list[ListedRun]] = {}
         """The runs that each worker lists; none of them ends."""
+        self.answer_time = 0.11
+        self._service_free_at = 0.0
+        self.most_open = 0
+        """Most questions that were open at a time."""
+        self.lost_questions = 0
+        """Number of the next questions of which only the timeout of the call tells the end."""
         self._began = self.now
 
     def add_workers(self, count: int) -> None:
@@ -280,7 +286,7 @@
                 match action:
                     case AskAdvice():
                         self.asked.append((self.now - self._began, action))
-                        self._answers.append((self.now + 0.11, self._answer_to(action)))
+                        self._answer(action)
                     case Poll(life=life):
                         rows = tuple(self._rows_by_life.get(life, ()))
                         answer = PollAnswered(life, OrderResult.ACCEPTED, clock, running=rows)
@@ -297,6 +303,17 @@
         life = WorkerLife(WorkerId(f"o{number}"), 1)
         self.scheduler.worker_announced(msgspec.structs.replace(news, life=life), self.now)
 
+    def _answer(self, question: AskAdvice) -> None:
+        if self.lost_questions > 0:
+            self.lost_questions -= 1
+            lost = AdviceAnswered(question.step, question.workers, None)
+            self._answers.append((self.now + ADVICE_TIMEOUT, lost))
+        else:
+            self._service_free_at = max(self._service_free_at, self.now) + self.answer_time
+            self._answers.append((self._service_free_at, self._answer_to(question)))
+        self._answers.sort(key=lambda entry: entry[0])
+        self.most_open = max(self.most_open, len(self._answers))
+
     def _answer_to(self, question: AskAdvice) -> AdviceAnswered:
         allowed = [life for life in question.workers if hash_of(life.id) % self._share == 0]
         tickets = tuple(IssuedTicket(life.id, f"t-{life.id}") for life in allowed)
@@ -440,6 +457,27 @@
                 self.assertLess(max(started), 0.11 * len(singles) + 0.1)
 
 
+class LostAnswerTest(unittest.TestCase):
+    # Guards against accepted work that stands until the call times out whose answer was lost.
+    def test_jobs_start_though_an_answer_is_lost(self) -> None:
+        harness = FleetHarness()
+        harness.lost_questions = 1
+        for job in ("first", "second"):
+            harness.enqueue(job, Step(1, Resources(1000, 100, 1), Seconds(30.0)))
+        harness.run(2.0)
+        self.assertEqual({JobId("first"), JobId("second")}, set(harness.started_at_by_job))
+
+    # Guards against ever more open questions to a service that is slower than usual.
+    def test_a_slow_service_has_few_open_questions(self) -> None:
+        harness = FleetHarness(share=1000)
+        harness.answer_time = 2.5
+        for number in range(20):
+            harness.enqueue(f"job{number}", Step(1, Resources(1000, 100, 1), Seconds(90.0)))
+        harness.run(30.0)
+        self.assertLessEqual(harness.most_open, 3)
+        self.assertLessEqual(10, len(harness.asked))
+
+
 class PriceTest(unittest.TestCase):
     # Guards against calls that tell nothing new and delay the questions about other steps.
     def test_no_worker_is_asked_about_again_while_the_answer_holds(self) -> None:
