Ask further questions when the answer to one is lost

Cause: one question is open at a time, and only the timeout of its call ends it. An answer that is lost on the network held up all steps that need advice for 10 s.

Change: an answer counts as lost after 1 s, or three times what the last one took, up to 10 s. An answer that comes late is recorded and shows that the service is slower, so that a slow service doesn't get ever more questions.

--- a/packages/core/src/bulrushhollow_core/domain/execution/_advice.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_advice.py
@@ -30,6 +30,16 @@
 RETRY_DELAY = Seconds(0.3)
 """Seconds between an unanswered question and the next one; the service was busy or unreachable."""
 
+MIN_PATIENCE = Seconds(1.0)
+"""Seconds after which an answer counts as lost, unless the service is known to be slower. Work that
+waits for advice must start within 3 s, also if one answer is lost."""
+
+PATIENCE_FACTOR = 3.0
+"""Time for an answer beyond which it counts as lost, as a multiple of that of the last one."""
+
+MAX_PATIENCE = Seconds(10.0)
+"""Longest time for an answer."""
+
 NEVER_ASKED = Seconds(-math.inf)
 """Time of the last question about a step that was never asked about."""
 
@@ -97,7 +107,9 @@
         self._asked_at_by_step: dict[StepRef, Seconds] = {}
         self._serves_oldest_next = False
         """Whether the next repeated question goes to the step whose last one is longest ago."""
-        self._has_open_question = False
+        self._open_question: AskAdvice | None = None
+        self._opened_at = Seconds(0.0)
+        self._patience = MIN_PATIENCE
         self._next_question_at = Seconds(0.0)
 
     def allowed_workers(self, step: StepRef, now: Seconds) -> frozenset[WorkerLife]:
@@ -163,8 +175,12 @@
         }
 
     def next_question(self, now: Seconds) -> AskAdvice | None:
-        """Return the next question, or None; at most one question is open at a time."""
-        if self._has_open_question or not self._requests_by_step or now < self._next_question_at:
+        """
+        Return the next question, or None. At most one question is open at a time; one that was
+        asked too long ago no longer counts.
+        """
+        is_open = self._open_question is not None and now - self._opened_at < self._patience
+        if is_open or not self._requests_by_step or now < self._next_question_at:
             return None
         for step in sorted(self._requests_by_step, key=self._question_order):
             request = self._requests_by_step[step]
@@ -173,8 +189,9 @@
                 if request.is_startable and step in self._asked_at_by_step:
                     self._serves_oldest_next = not self._serves_oldest_next
                 self._asked_at_by_step[step] = now
-                self._has_open_question = True
-                return AskAdvice(step, tuple(workers))
+                self._open_question = AskAdvice(step, tuple(workers))
+                self._opened_at = now
+                return self._open_question
             del self._requests_by_step[step]
         return None
 
@@ -213,11 +230,16 @@
         return [candidate.life for candidate in selected[:MAX_WORKERS_PER_QUESTION]]
 
     def handle_answer(self, answer: AdviceAnswered, now: Seconds) -> None:
-        """Record the answer to the open question, or that it was not answered."""
-        self._has_open_question = False
+        """Record the answer to a question, or that it was not answered."""
+        is_expected = self._open_question == AskAdvice(answer.step, answer.workers)
+        if is_expected:
+            self._open_question = None
         if answer.tickets is None:
-            self._next_question_at = Seconds(now + RETRY_DELAY)
+            if is_expected:
+                self._next_question_at = Seconds(now + RETRY_DELAY)
             return
+        took = Seconds(now - self._opened_at) if is_expected else self._patience
+        self._patience = Seconds(min(max(MIN_PATIENCE, PATIENCE_FACTOR * took), MAX_PATIENCE))
         tickets = self._tickets_by_step.setdefault(answer.step, {})
         denied = self._denied_workers_by_step.setdefault(answer.step, set())
         text_by_id = {issued.worker: issued.text for issued in answer.tickets}
