Check in the model that no accepted job stands

No oracle of the model knew the rule that an accepted job may not have nothing running for 3 s while one of its tasks could run, so nothing showed this class of fault before an operator saw it.

The check samples every 0.1 s of virtual time what workers run, what callers were told, the caps that may be in force and the faults. It draws no random number, so the runs of all seeds are as before. Spans in which a task had a reason not to start are recorded apart; the docstring lists the reasons.

The stand-in configuration takes further workspaces with caps; the oracle checks each cap by itself.

--- a/standins/domain_oracle.py
+++ b/standins/domain_oracle.py
@@ -21,7 +21,8 @@
     Work,
     WorkerLife,
 )
-from bulrushhollow_core.ids import JobId, Version
+from bulrushhollow_core.ids import JobId, Version, WorkspaceId
+from standins.domain_site import TEAM
 from standins.domain_workers import LiveRun, Worker
 
 CANCEL_GRACE = 3.0
@@ -52,14 +53,15 @@
 
 class CapRecord:
     """
-    A cap on the tasks of all jobs, as one version of the configuration sets it.
+    The cap of a workspace, as one version of the configuration sets it.
 
     :ivar replaced_at: when a later version was acknowledged.
     """
 
-    def __init__(self, version: Version, cap: Resources) -> None:
+    def __init__(self, version: Version, cap: Resources, workspace: WorkspaceId) -> None:
         self.version = version
         self.cap = cap
+        self.workspace = workspace
         self.replaced_at = math.inf
 
 
@@ -94,6 +96,8 @@
         self.count_by_outcome: dict[Outcome, int] = {}
         self.caps: list[CapRecord] = []
         """Caps that have been requested; without any, the usage is not checked."""
+        self.workspace_by_job: dict[JobId, WorkspaceId] = {}
+        """Workspaces of the jobs that are not of the usual one."""
         self.refused_jobs: set[JobId] = set()
         self.crash_count_by_task: dict[TaskRef, int] = {}
         """Workers that each task has crashed."""
@@ -204,9 +208,15 @@
 
     # Caps.
 
-    def cap_requested(self, version: Version, cap: Resources) -> None:
+    def workspace_of(self, job: JobId) -> WorkspaceId:
+        """Return the workspace of a job."""
+        return self.workspace_by_job.get(job, TEAM)
+
+    def cap_requested(
+        self, version: Version, cap: Resources, workspace: WorkspaceId = TEAM
+    ) -> None:
         """Record that a configuration with a cap may come into force from now on."""
-        self.caps.append(CapRecord(version, cap))
+        self.caps.append(CapRecord(version, cap, workspace))
 
     def cap_acknowledged(self, version: Version) -> None:
         """Record that a version is in force, so that no earlier one is."""
@@ -214,16 +224,36 @@
             if record.version < version:
                 record.replaced_at = min(record.replaced_at, self.world.now)
 
+    def _caps_of(self, workspace: WorkspaceId, grace: float) -> list[Resources]:
+        """Return the caps that may be in force, or were some seconds ago."""
+        return [
+            each.cap
+            for each in self.caps
+            if each.workspace == workspace and each.replaced_at >= self.world.now - grace
+        ]
+
+    def lowest_cap(self, workspace: WorkspaceId, grace: float) -> Resources:
+        """Return the lowest limits that may be in force, or were some seconds ago."""
+        caps = self._caps_of(workspace, grace)
+        return Resources(
+            *(
+                min((limit for cap in caps if (limit := getattr(cap, name))), default=0)
+                for name in Resources.__struct_fields__
+            )
+        )
+
     def _check_cap(self, worker: Worker, task: TaskRef) -> None:
         """Check that the running and stopping tasks stay within the highest cap in force."""
+        workspace = self.workspace_of(task.job)
         grace = LATE_CAP_GRACE if worker.is_order_delayed else CAP_GRACE
-        caps = [each.cap for each in self.caps if each.replaced_at >= self.world.now - grace]
+        caps = self._caps_of(workspace, grace)
         if not caps:
             return
         used = Resources(0, 0, 0)
         for other in worker.pool.workers:
             for run in other.runs.values():
-                if (run.order.task, run.order.run) not in self._unforeseeable_runs:
+                is_foreseeable = (run.order.task, run.order.run) not in self._unforeseeable_runs
+                if is_foreseeable and self.workspace_of(run.order.task.job) == workspace:
                     used = used.plus(run.step.needs)
         for name in ("cpu", "memory", "accelerators"):
             limits = [getattr(cap, name) for cap in caps]
--- a/standins/domain_site.py
+++ b/standins/domain_site.py
@@ -17,6 +17,7 @@
 )
 from bulrushhollow_core.ids import Seconds, Version, WorkspaceId
 
+TEAM = WorkspaceId("team")
 KEY = "k-team"
 HOST = "jobs.example"
 QUEUES = ("urgent", "usual", "later")
@@ -39,18 +40,29 @@
     )
 
 
+def key_of(workspace: WorkspaceId) -> str:
+    """Return the credential of a workspace."""
+    return f"k-{workspace}"
+
+
+def workspace_with(name: str, cap: Resources) -> Workspace:
+    """Return a further workspace of the configuration, without a guarantee."""
+    return Workspace(WorkspaceId(name), (key_of(WorkspaceId(name)),), 0, cap)
+
+
 def configuration(
     version: int,
     guaranteed: int = 16,
     cap: Resources = NO_CAP,
     checks_admission: bool = True,
+    further_workspaces: tuple[Workspace, ...] = (),
 ) -> Configuration:
-    """Return a configuration with three queues and one workspace."""
+    """Return a configuration with three queues, one workspace and further ones if any are given."""
     return Configuration(
         Version(version),
         (queue("urgent", 0), queue("usual", 1), queue("later", 2, attempts=2)),
         (Service(ServiceName("svc"), checks_admission),),
-        (Workspace(WorkspaceId("team"), (KEY,), guaranteed, cap),),
+        (Workspace(TEAM, (KEY,), guaranteed, cap), *further_workspaces),
         CallLimits(),
         b"version %d" % version,
     )
--- a/tests/domain_world.py
+++ b/tests/domain_world.py
@@ -13,7 +13,7 @@
 import json
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
 
 import msgspec
 
@@ -61,13 +61,15 @@
     WorkerLife,
     no_answer_to,
 )
-from bulrushhollow_core.ids import InstanceId, JobId, Seconds, name_of
+from bulrushhollow_core.ids import InstanceId, JobId, Seconds, WorkspaceId, name_of
 from standins.domain_oracle import Oracle
-from standins.domain_site import HOST, KEY
-from standins.domain_workers import LONGEST_LEASE, Worker, WorkerPool
+from standins.domain_site import HOST, TEAM, key_of
+from standins.domain_standing import StandingCheck, StartAttempt
+from standins.domain_workers import LONGEST_LEASE, LiveRun, Worker, WorkerPool
 from standins.virtual_time import VirtualTime
 
 TICK_INTERVAL = 0.05
+OBSERVATION_INTERVAL = 0.1
 MESSAGE_DELAY = 0.001
 ORDER_TIMEOUT = 0.5
 HEARTBEAT_INTERVAL = 1.5
@@ -233,12 +235,30 @@
 
 
 class WorldOracle(Oracle):
-    """An oracle that tells its world of the next end that is acknowledged as done."""
+    """
+    An oracle that tells its world of the next end that is acknowledged as done, and its check of
+    standing jobs of the starts and ends of runs.
+    """
 
     def __init__(self, world: "World") -> None:
         super().__init__(world)
+        self.standing_check = StandingCheck(world)
         self.after_next_acknowledgement: list[Callable[[], None]] = []
 
+    def run_started(self, worker: Worker, order: OrderStart) -> None:
+        self.standing_check.run_started(order.task)
+        super().run_started(worker, order)
+
+    def run_ended(self, worker: Worker, run: LiveRun, outcome: Outcome) -> None:
+        super().run_ended(worker, run, outcome)
+        if outcome is Outcome.LEASE_EXPIRED:
+            self.standing_check.run_lost(run.order.task, worker)
+
+    def worker_crashed(self, worker: Worker, cause: TaskRef | None) -> None:
+        super().worker_crashed(worker, cause)
+        for task in worker.runs.keys() | {row.task for row in worker.unacknowledged_ends}:
+            self.standing_check.run_lost(task, worker)
+
     def end_acknowledged(self, worker: Worker, row: ListedEnd) -> None:
         super().end_acknowledged(worker, row)
         if row.outcome is Outcome.DONE:
@@ -259,6 +279,7 @@
         lost_answer_rate: float = 0.0,
         late_announcement_rate: float = 0.0,
         voters: int = 3,
+        racks: int = 4,
     ) -> None:
         super().__init__()
         self.rng = random.Random(seed)
@@ -281,6 +302,8 @@
         self.refused: set[JobId] = set()
         self.cancelled_jobs: set[JobId] = set()
         self.oracle = WorldOracle(self)
+        self.standing_check = self.oracle.standing_check
+        self._core_seen: tuple[object, ...] = ()
         self.worker_pool = WorkerPool(
             self, self.oracle, self.oracle.step, self.duration_of, self.rng
         )
@@ -289,13 +312,14 @@
         for instance in self.instances:
             instance.start()
         self.instances[0].node.bootstrap(Seconds(self.now))
+        self.call_later(OBSERVATION_INTERVAL, self.observe)
         for number in range(workers):
-            zone = f"dc{number % 4}"
+            zone = f"dc{number % racks}"
             worker = Worker(
                 self.worker_pool,
                 f"w{number}",
                 zone,
-                f"r{number % 4}",
+                f"r{number % racks}",
                 Resources(64_000, 256_000, 8),
                 1,
             )
@@ -345,6 +369,43 @@
         if target.me == to:
             target.post(message)
 
+    # Observations of jobs that stand; they take no random number, so they change no run.
+
+    def observe(self) -> None:
+        self.call_later(OBSERVATION_INTERVAL, self.observe)
+        self.standing_check.observe()
+
+    def accepted_jobs(self) -> Iterable[JobId]:
+        return self.accepted
+
+    def has_ended(self, job: JobId) -> bool:
+        """Return whether a read, which the leader answers, would show a job as ended."""
+        leader = self.leader()
+        record = leader.node.state.jobs_by_id.get(job) if leader else None
+        return record is not None and record.has_ended
+
+    def is_core_disturbed(self) -> bool:
+        addresses = {each.address for each in self.instances}
+        leader = self.leader()
+        scheduler = leader.node.scheduler if leader else None
+        led_since = scheduler._shared.leading_since if scheduler else None
+        seen = (led_since, *(each.generation for each in self.instances))
+        has_changed, self._core_seen = seen != self._core_seen, seen
+        return (
+            has_changed
+            or leader is None
+            or not all(each.is_up and self.now >= each.frozen_until for each in self.instances)
+            or any(pair <= addresses for pair in self.cuts)
+        )
+
+    def is_cut_off(self, worker: Worker) -> bool:
+        return any(worker.address in pair for pair in self.cuts)
+
+    def held_tasks(self) -> Set[TaskRef]:
+        leader = self.leader()
+        scheduler = leader.node.scheduler if leader else None
+        return scheduler._shared.held_until_by_task.keys() if scheduler else frozenset()
+
     # Workers.
 
     def send_heartbeat(self, worker: Worker) -> None:
@@ -385,6 +446,9 @@
         worker = next((w for w in self.worker_pool.workers if w.address == order.address), None)
         state = {"answered": False}
         generation = source.generation
+        attempt = None
+        if worker is not None and isinstance(order, OrderStart):
+            attempt = self.standing_check.start_ordered(order, worker)
 
         def deliver_once(result: msgspec.Struct) -> None:
             if state["answered"] or worker is None:
@@ -394,7 +458,9 @@
             state["answered"] = True
             if isinstance(order, Poll):
                 result = msgspec.structs.replace(result, fence=order.fence)
-            self.call_later(MESSAGE_DELAY, lambda: self.deliver_answer(source, generation, result))
+            self.call_later(
+                MESSAGE_DELAY, lambda: self.deliver_answer(source, generation, result, attempt)
+            )
 
         wait = order.wait if isinstance(order, Poll) else 0.0
         self.call_later(
@@ -447,9 +513,17 @@
         self.execute_order(worker, order, lambda answer: None)
         worker.is_order_delayed = False
 
-    def deliver_answer(self, source: Instance, generation: int, result: msgspec.Struct) -> None:
+    def deliver_answer(
+        self,
+        source: Instance,
+        generation: int,
+        result: msgspec.Struct,
+        attempt: StartAttempt | None = None,
+    ) -> None:
         if source.generation == generation:
             source.post(result)
+            if attempt is not None and source.is_up and self.now >= source.frozen_until:
+                self.standing_check.start_answered(attempt)
 
     def time_out_order(
         self,
@@ -461,6 +535,9 @@
         if state["answered"]:
             return
         state["answered"] = True
+        worker = next((w for w in self.worker_pool.workers if w.address == order.address), None)
+        if worker is not None and source.generation == generation and source.is_up:
+            self.standing_check.order_unanswered(worker)
         self.deliver_answer(source, generation, no_answer_to(order))
 
     # Callers.
@@ -526,7 +603,8 @@
 
     def put_configuration(self, config: Configuration) -> bool:
         answers: list[Answer | None] = []
-        self.oracle.cap_requested(config.version, config.workspaces[0].cap)
+        for workspace in config.workspaces:
+            self.oracle.cap_requested(config.version, workspace.cap, workspace.name)
         self.send_call(PutConfig(config), answers.append)
         self.run_until(lambda: bool(answers), 3)
         is_done = bool(answers) and isinstance(answers[0], Done)
@@ -534,12 +612,20 @@
             self.oracle.cap_acknowledged(config.version)
         return is_done
 
-    def submit(self, job: str, queue_name: str, work: Work, duration: float) -> None:
+    def submit(
+        self,
+        job: str,
+        queue_name: str,
+        work: Work,
+        duration: float,
+        workspace: WorkspaceId = TEAM,
+    ) -> None:
         """Submit a job, and repeat that while the outcome is unknown or the refusal temporary."""
         job_id = JobId(job)
         self.work_by_job[job_id] = work
         self.durations[job_id] = duration
-        call = Submit(HOST, f"/{queue_name}/{job}", KEY, work)
+        self.oracle.workspace_by_job[job_id] = workspace
+        call = Submit(HOST, f"/{queue_name}/{job}", key_of(workspace), work)
         unclear_answers: list[Answer | None] = []
 
         def handle_answer(answer: Answer | None) -> None:
@@ -561,7 +647,7 @@
     def cancel(self, job: JobId, queue_name: str) -> None:
         """Cancel a job, and repeat that until it is acknowledged."""
         self.cancelled_jobs.add(job)
-        call = Cancel(HOST, f"/{queue_name}/{job}", KEY)
+        call = Cancel(HOST, f"/{queue_name}/{job}", self.key_of(job))
 
         def handle_answer(answer: Answer | None) -> None:
             if isinstance(answer, Done):
@@ -574,7 +660,7 @@
     def read(self, job: JobId, queue_name: str) -> JobState | None:
         """Return the state of a job as a caller sees it, and check it with the oracle."""
         answers: list[Answer | None] = []
-        self.send_call(Read(HOST, f"/{queue_name}/{job}", KEY), answers.append)
+        self.send_call(Read(HOST, f"/{queue_name}/{job}", self.key_of(job)), answers.append)
         self.run_until(lambda: bool(answers), 8)
         answer = answers[0] if answers else None
         if isinstance(answer, NoSuchJob):
@@ -584,6 +670,10 @@
             return answer.state
         return None
 
+    def key_of(self, job: JobId) -> str:
+        """Return the credential of a job's workspace."""
+        return key_of(self.oracle.workspace_of(job))
+
     def duration_of(self, task: TaskRef) -> float:
         return self.durations[task.job]
 
--- a/tests/test_domain_machine.py
+++ b/tests/test_domain_machine.py
@@ -408,6 +408,7 @@
     make_faults: Callable[[World, random.Random], Faults] = Faults,
     instances: int = 4,
     voters: int = 3,
+    checks_standing: bool = True,
 ) -> World:
     """Submit jobs and inject faults, then repair everything and check that every job has ended."""
     world = start_domain(
@@ -463,9 +464,20 @@
             state = world.read(job, queue)
             final_states = (JobState.DONE, JobState.FAILED, JobState.CANCELLED)
             assert state in final_states, f"seed {seed}: {job} is {state} at the end"
+    if checks_standing:
+        check_standing(world, seed)
     return world
 
 
+def check_standing(world: World, seed: int) -> None:
+    """Check that no job stood, and report how many did with an excuse if reports are asked for."""
+    check = world.standing_check
+    if os.environ.get("FUZZ_REPORT"):
+        for excused in check.standing_while_excused:
+            print(f"seed {seed}, excused: {excused}")
+    assert not check.standing, f"seed {seed}: {len(check.standing)} stood: {check.standing[0]}"
+
+
 def _has_ended(world: World, job: JobId) -> bool:
     leader = world.leader()
     record = leader.node.state.jobs_by_id.get(job) if leader else None
@@ -521,6 +533,18 @@
     # Guards against starts above the capacity of workers that shrink, and against crashes that are
     # not counted across faults of the instances.
     def test_no_worker_is_overcommitted_and_crashing_tasks_are_given_up_under_faults(self) -> None:
+        first = int(os.environ.get("FUZZ_SEED", "0"))
+        count = int(os.environ.get("FUZZ_STEPS", "0")) // 1000
+        seeds = range(first, first + count) if first and count else WORKER_SEEDS
+        for seed in seeds:
+            with self.subTest(seed=seed):
+                run_seed(
+                    seed, changes_capacities=True, has_crashing_tasks=True, checks_standing=False
+                )
+
+    # Guards against a waiting gang that keeps workers free, or waits for one rack, for seconds
+    # while under half of the service is in use.
+    def test_no_job_stands_while_workers_shrink_and_grow(self) -> None:
         first = int(os.environ.get("FUZZ_SEED", "0"))
         count = int(os.environ.get("FUZZ_STEPS", "0")) // 1000
         seeds = range(first, first + count) if first and count else WORKER_SEEDS
