Repeat the starts that got lost with an earlier leader

What callers saw: an accepted job with nothing running for up to 14 s after a leader had ended or frozen, although there was room for it.

Cause: a leader records a start before it orders it. If it ends in between, the next leader finds that the worker does not list the run, ends it as lost, and holds the task until no order of the earlier leader can be carried out any more, 14 s after the commit. One such member holds a whole gang.

Change: the next leader orders a recent start again, under the same number and on the same worker, as a leader does with its own starts that go unanswered. It does so once the worker has listed its runs to it: the worker has then seen the new token, and an earlier order is void in this life. Nothing is ordered that must not start any more: an ended job, a worker that drains, a data centre that is evacuated, a workspace above a lowered cap, a worker that has shrunk, a gang that has lost a member, a missing ticket. If the repeated start fails, its task is held as long as before, so the order of the earlier leader can't run it beside the next run. What remains is what also holds for a leader's own repeated starts: the worker is done, restarts under its id within the 14 s, and carries out the order of the earlier leader before it gets any other.

--- a/packages/core/src/bulrushhollow_core/domain/placement/_caps.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_caps.py
@@ -20,6 +20,7 @@
     Resources,
     ServiceName,
     Step,
+    TaskRef,
     Work,
     log_event,
     total_of,
@@ -411,14 +412,19 @@
 
 def withdraw_starts_over_cap(shared: SchedulerState, now: Seconds) -> None:
     """
-    Withdraw the proposed starts of workspaces that exceed a cap which has just come into force.
-    They were planned under an earlier cap, and are not yet ordered.
+    Withdraw the starts that are not yet ordered of workspaces that exceed their cap: those that
+    were planned under an earlier cap, and those of an earlier leader that would be repeated.
     """
     ledger = build_cap_ledger(shared, now)
-    for task in shared.proposed_runs_by_task:
+
+    def is_over_cap(task: TaskRef) -> bool:
         account = ledger.account_of(shared.workspace_of(task.job))
-        if account is not None and not is_within(account.used, account.cap):
-            shared.withdrawn_starts.add(task)
+        return account is not None and not is_within(account.used, account.cap)
+
+    shared.withdrawn_starts.update(filter(is_over_cap, shared.proposed_runs_by_task))
+    for run in shared.runs():
+        if run.may_repeat_start and is_over_cap(run.task):
+            run.may_repeat_start = False
 
 
 # Submissions and log lines.
