Let usual work use the room that background work must leave

Cause: background work that must leave accelerators free recorded that its shape did not fit. Usual work of the same shape, served later in the plan, was then refused the room that was left for it.

Change: what a demand must leave free is part of the key of such records.

--- a/packages/core/src/bulrushhollow_core/domain/placement/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planner.py
@@ -80,6 +80,19 @@
     speed_class: SpeedClass
 
 
+class _RejectionKey(NamedTuple):
+    """
+    What tells apart demands that did not fit.
+
+    :param include_stopping: whether the resources of runs that are being stopped counted as free.
+    :param kept_free: accelerators that the demand had to leave free.
+    """
+
+    shape: DemandShape
+    include_stopping: bool
+    kept_free: float
+
+
 class LocalHosts(NamedTuple):
     """
     The hosts that independent tasks may use because of their data.
@@ -127,9 +140,8 @@
         self._groups_by_shape: dict[tuple[DemandShape, int], list[HostGroup]] = {}
         self._speeds = SpeedProfile.of_hosts(hosts)
         self._wait_estimates = 0
-        self._smallest_rejected_by_shape: dict[tuple[DemandShape, bool], int] = {}
-        """The smallest number of tasks of each shape that did not fit. The flag is true if the
-        resources of runs that are being stopped counted as free."""
+        self._smallest_rejected_by_key: dict[_RejectionKey, int] = {}
+        """The smallest number of tasks of each shape that did not fit."""
         self._total_accelerators = sum(host.capacity.accelerators for host in hosts)
         self._headroom = min(headroom, int(HEADROOM_SHARE * self._total_accelerators))
         self._reservation_count = 0
@@ -246,10 +258,8 @@
         speed_class: SpeedClass = SpeedClass.ANY,
     ) -> bool:
         """Return whether an equal or smaller demand of this shape did not fit before."""
-        smallest = self._smallest_rejected_by_shape.get(
-            (_shape_of(demand, only_rack, speed_class), include_stopping), math.inf
-        )
-        return len(demand.task_indexes) >= smallest
+        key = self._rejection_key(demand, include_stopping, only_rack, speed_class)
+        return len(demand.task_indexes) >= self._smallest_rejected_by_key.get(key, math.inf)
 
     def _record_rejection(
         self,
@@ -260,11 +270,17 @@
         speed_class: SpeedClass = SpeedClass.ANY,
     ) -> None:
         if not demand.has_worker_constraints:
-            key = (_shape_of(demand, only_rack, speed_class), include_stopping)
-            self._smallest_rejected_by_shape[key] = min(
-                count, self._smallest_rejected_by_shape.get(key, count)
+            key = self._rejection_key(demand, include_stopping, only_rack, speed_class)
+            self._smallest_rejected_by_key[key] = min(
+                count, self._smallest_rejected_by_key.get(key, count)
             )
 
+    def _rejection_key(
+        self, demand: Demand, include_stopping: bool, only_rack: str, speed_class: SpeedClass
+    ) -> _RejectionKey:
+        kept_free = 0.0 if include_stopping else self._headroom_kept_by(demand)
+        return _RejectionKey(_shape_of(demand, only_rack, speed_class), include_stopping, kept_free)
+
     # Gangs.
 
     def _place_gang(self, demand: Demand, hosts: list[Host]) -> None:
@@ -508,14 +524,22 @@
         self._record_rejection(demand, True, len(demand.task_indexes), only_rack)
         return False
 
+    def _headroom_kept_by(self, demand: Demand) -> float:
+        """Return the accelerators that independent tasks of a demand leave free for urgent work."""
+        step = demand.step
+        is_background = demand.standing.urgency >= BACKGROUND_URGENCY
+        if not is_background or step.is_gang or step.needs.accelerators == 0:
+            return 0.0
+        minimum = 0.0 if step.is_checkpointable else HEADROOM_SHARE * self._total_accelerators
+        return max(minimum, self._headroom)
+
     def _startable_count(self, demand: Demand) -> int:
-        """Return how many tasks of a demand may start without using the headroom."""
+        """Return how many independent tasks of a demand may start without using the headroom."""
         step = demand.step
         if demand.standing.urgency < BACKGROUND_URGENCY or step.needs.accelerators == 0:
             return len(demand.task_indexes)
-        minimum = 0.0 if step.is_checkpointable else HEADROOM_SHARE * self._total_accelerators
         usable = startable_accelerators(
-            self._hosts, max(minimum, self._headroom), self._speeds.is_uneven
+            self._hosts, self._headroom_kept_by(demand), self._speeds.is_uneven
         )
         return max(0, min(len(demand.task_indexes), int(usable // step.needs.accelerators)))
 
@@ -577,7 +601,7 @@
 
     def _count_as_stopping(self, victims: Sequence[Victim]) -> None:
         """Count the resources of victims as freed soon."""
-        self._smallest_rejected_by_shape.clear()
+        self._smallest_rejected_by_key.clear()
         for victim in victims:
             victim.is_chosen = True
             self._caps.count_stop(victim)
