--- a/tests/test_domain_advice.py
+++ b/tests/test_domain_advice.py
@@ -232,17 +232,26 @@
 class FleetHarness(SchedulerHarness):
     """
     A scheduler with many workers and an advice service that answers one question at a time, in
-    virtual time. All queues need advice.
+    virtual time.
 
     :param share: one in so many workers may run a step.
     :param cap: cap of the only workspace.
+    :param needs_advice: whether the queues need advice.
     """
 
-    def __init__(self, worker_count: int = 60, share: int = 3, cap: Resources = NO_CAP) -> None:
+    def __init__(
+        self,
+        worker_count: int = 60,
+        share: int = 3,
+        cap: Resources = NO_CAP,
+        needs_advice: bool = True,
+    ) -> None:
         super().__init__()
         self._share = share
         config = configuration(2, cap=cap)
-        queues = tuple(msgspec.structs.replace(each, needs_advice=True) for each in config.queues)
+        queues = tuple(
+            msgspec.structs.replace(each, needs_advice=needs_advice) for each in config.queues
+        )
         [self._queue] = [each for each in queues if each.name == "usual"]
         self.commit([PutConfiguration(msgspec.structs.replace(config, queues=queues))])
         self._worker_count = 0
@@ -288,7 +297,7 @@
                         self.asked.append((self.now - self._began, action))
                         self._answer(action)
                     case Poll(life=life):
-                        rows = tuple(self._rows_by_life.get(life, ()))
+                        rows = tuple(map(self._progressed, self._rows_by_life.get(life, ())))
                         answer = PollAnswered(life, OrderResult.ACCEPTED, clock, running=rows)
                         self.scheduler.poll_answered(answer, self.now)
                     case OrderStart(life=life, task=task, run=run):
@@ -303,6 +312,13 @@
         life = WorkerLife(WorkerId(f"o{number}"), 1)
         self.scheduler.worker_announced(msgspec.structs.replace(news, life=life), self.now)
 
+    def _progressed(self, row: ListedRun) -> ListedRun:
+        """Return the row of a run that works as fast as its step's estimate, and never ends."""
+        step = self.state.jobs_by_id[row.task.job].work.steps[row.task.step]
+        worked = self.now - self._began - self.started_at_by_job[row.task.job]
+        share = worked / step.estimate if step.estimate else 0.0
+        return msgspec.structs.replace(row, percent=min(99, int(100 * share)))
+
     def _answer(self, question: AskAdvice) -> None:
         if self.lost_questions > 0:
             self.lost_questions -= 1
