Play workspaces with caps in the model, with gangs that wait for them

The random runs had one workspace, few workers and no load under which a gang waits for its cap for long. The new run has 24 workers in three racks and three workspaces with caps, each of which submits in turn tasks that take some of its cap, a gang that waits for the rest, and more work; caps and leaders change, then the traffic ends.

--- a/tests/test_domain_machine.py
+++ b/tests/test_domain_machine.py
@@ -1,6 +1,7 @@
 """Runs a whole domain under random faults; the oracle of tests.domain_world checks it."""
 
 import contextlib
+import itertools
 import os
 import random
 import unittest
@@ -19,8 +20,8 @@
     Work,
     _node,
 )
-from bulrushhollow_core.ids import JobId, Seconds
-from standins.domain_site import QUEUES, configuration
+from bulrushhollow_core.ids import JobId, Seconds, WorkspaceId
+from standins.domain_site import QUEUES, configuration, workspace_with
 from standins.domain_workers import Crash, Worker
 from tests.domain_world import Instance, World
 
@@ -47,6 +48,11 @@
 an earlier leader that seem to end too soon."""
 
 
+CAPPED_SEEDS = (1, 2, 14, 15)
+"""Seeds of the runs of several workspaces with caps. 14 and 15 guard against gangs that wait for a
+large part of their workspace's cap and keep the rest of it from other jobs."""
+
+
 def start_domain(
     seed: int,
     late_order_rate: float = 0.0,
@@ -469,6 +475,111 @@
     return world
 
 
+WORKSPACES = tuple(WorkspaceId(name) for name in ("team", "north", "south"))
+"""Workspaces with caps; their caps together are under the capacity of the service."""
+
+CAPS = (24, 32, 48, 64)
+"""Accelerators of a cap; a rack has 64, the service 192."""
+
+
+class CapsOfWorkspaces:
+    """Changes the caps of several workspaces at random times."""
+
+    def __init__(self, world: World, seed: int) -> None:
+        self.world = world
+        self.rng = random.Random(seed * 86028121)
+        self.version = 1
+        self.accelerators = dict.fromkeys(WORKSPACES, 48)
+        self.due = world.now + 3
+
+    def change_next(self) -> None:
+        if self.world.now < self.due:
+            return
+        self.due = self.world.now + self.rng.uniform(2, 10)
+        self.accelerators[self.rng.choice(WORKSPACES)] = self.rng.choice(CAPS)
+        self.put()
+
+    def put(self) -> bool:
+        self.version += 1
+        first, *others = (Resources(0, 0, self.accelerators[name]) for name in WORKSPACES)
+        further = tuple(map(workspace_with, WORKSPACES[1:], others))
+        config = configuration(self.version, cap=first, further_workspaces=further)
+        return self.world.put_configuration(config)
+
+
+KINDS_OF_WORK = ("filler", "wide gang", "tasks", "batch", "gang", "tasks")
+"""Work that each workspace submits in turn: some of its cap is taken, then a gang waits for the
+rest, and more work comes."""
+
+
+def capped_work(rng: random.Random, name: str, kind: str, cap: int) -> Work:
+    """Return work of a kind for a workspace that may use some accelerators."""
+    accelerators = rng.choice((1, 4, 8, 8))
+    count = rng.randint(1, 5)
+    needs = Resources(7500, 500, accelerators)
+    if kind == "filler":
+        needs = Resources(7500, 500, 1)
+        count = int(cap * rng.uniform(0.25, 0.5))
+    if kind == "batch":
+        count, needs = 12, Resources(5600, 1000, 1)
+    if kind == "wide gang":
+        count = max(2, int(cap * rng.uniform(0.5, 0.9)) // accelerators)
+    if kind == "gang":
+        count = max(2, int(cap * rng.uniform(0.2, 0.5)) // accelerators)
+    is_gang = kind.endswith("gang")
+    step = Step(
+        count,
+        needs,
+        Seconds(5.0),
+        is_gang=is_gang,
+        same_rack=is_gang and rng.random() < 0.8,
+        max_per_worker=0 if is_gang else rng.choice((0, 1)),
+        is_checkpointable=rng.random() < 0.5,
+    )
+    return Work(f"spec of {name}", (step,))
+
+
+def run_capped_seed(seed: int, seconds: float = 25.0) -> World:
+    """
+    Let workspaces with caps send gangs of about half of a cap among small tasks, while caps and
+    leaders change, then end the traffic and check that no job stands and that every job ends.
+    """
+    world = World(seed, workers=24, racks=3)
+    world.run(4)
+    rng = random.Random(seed * 7919)
+    caps = CapsOfWorkspaces(world, seed)
+    assert caps.put()
+    faults = SilenceFaults(world, rng)
+    queue_by_job: dict[JobId, str] = {}
+    end = world.now + seconds
+    next_fault = world.now + 8
+    kinds_by_workspace = {name: itertools.cycle(KINDS_OF_WORK) for name in WORKSPACES}
+    while world.now < end:
+        name = f"{len(queue_by_job):016x}"
+        queue = queue_by_job[JobId(name)] = rng.choice(QUEUES)
+        workspace = rng.choice(WORKSPACES)
+        kind = next(kinds_by_workspace[workspace])
+        work = capped_work(rng, name, kind, caps.accelerators[workspace])
+        duration = rng.uniform(8, 12) if kind == "filler" else rng.uniform(2, 8)
+        world.submit(name, queue, work, duration, workspace)
+        caps.change_next()
+        if world.now >= next_fault:
+            faults.end_leader()
+            next_fault = world.now + rng.uniform(12, 20)
+        world.run(rng.uniform(0.1, 0.8))
+    world.run(8)
+    caps.accelerators = dict.fromkeys(WORKSPACES, max(CAPS))
+    world.run_until(caps.put, 60)
+    world.run_until(lambda: all(_has_ended(world, job) for job in world.accepted), 180)
+    for job, queue in queue_by_job.items():
+        if job in world.accepted:
+            state = world.read(job, queue)
+            final_states = (JobState.DONE, JobState.FAILED, JobState.CANCELLED)
+            assert state in final_states, f"seed {seed}: {job} is {state} at the end"
+    check_standing(world, seed)
+    return world
+
+
 def check_standing(world: World, seed: int) -> None:
     """Check that no job stood, and report how many did with an excuse if reports are asked for."""
     check = world.standing_check
@@ -552,6 +663,15 @@
             with self.subTest(seed=seed):
                 run_seed(seed, changes_capacities=True, has_crashing_tasks=True)
 
+    # Guards against jobs that wait behind a gang for which their workspace's cap has no room.
+    def test_no_job_stands_while_gangs_wait_for_a_large_part_of_a_cap(self) -> None:
+        first = int(os.environ.get("FUZZ_SEED", "0"))
+        count = int(os.environ.get("FUZZ_STEPS", "0")) // 1000
+        seeds = range(first, first + count) if first and count else CAPPED_SEEDS
+        for seed in seeds:
+            with self.subTest(seed=seed):
+                run_capped_seed(seed)
+
     # Guards against an end that is acknowledged to its worker and that no later leader's log has.
     def test_acknowledged_ends_are_kept_when_power_and_disks_are_lost(self) -> None:
         first = int(os.environ.get("FUZZ_SEED", "0"))
