Request advice in a module of its own, at the cost of before

Change: AdviceRequester keeps the workers of each kind for a plan, leaves out those that are denied, excluded or full for the step, and counts the room only on permitted ones.

A step that may have few tasks on each worker no longer renews tickets of workers that are full for it, with a test.

--- a/packages/core/src/bulrushhollow_core/domain/execution/_advice.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_advice.py
@@ -59,7 +59,7 @@
     """
     A worker with room for tasks of a step.
 
-    :param slots: number of tasks that have room there now.
+    :param slots: number of tasks that have room there now; 1 until it is known to be permitted.
     :param rack: its rack if the step asks for one rack; empty otherwise.
     """
 
@@ -72,7 +72,7 @@
     """
     A step that waits for advice.
 
-    :param candidates: workers with room, the best first.
+    :param candidates: workers with room that are not known to be denied, the best first.
     :param task_count: number of waiting tasks.
     :param is_gang: whether the tasks start only together.
     :param is_startable: whether tasks may start at once if enough candidates are permitted.
@@ -121,14 +121,18 @@
         """Return whether a worker is known not to be allowed to run a step."""
         return life in self._denied_workers_by_step.get(step, ())
 
+    def denied_workers(self, step: StepRef) -> Set[WorkerLife]:
+        """Return the workers that are known not to be allowed to run a step."""
+        return self._denied_workers_by_step.get(step, frozenset())
+
     def ticket_for(self, step: StepRef, life: WorkerLife) -> str:
         """Return the ticket with which to start a step on a worker; empty for none."""
         ticket = self._tickets_by_step.get(step, {}).get(life)
         return ticket.text if ticket else ""
 
-    def permits_any(self, step: StepRef) -> bool:
-        """Return whether any worker is known to be allowed to run a step, with any ticket."""
-        return bool(self._tickets_by_step.get(step))
+    def permitted_workers(self, step: StepRef) -> Set[WorkerLife]:
+        """Return the workers that are known to be allowed to run a step, with any ticket."""
+        return self._tickets_by_step.get(step, {}).keys()
 
     def clear_requests(self) -> None:
         """Remove all requests; each planning pass requests the waiting steps anew, in its order."""
@@ -136,22 +140,16 @@
 
     def request(self, step: StepRef, request: AdviceRequest, now: Seconds) -> None:
         """
-        Request advice for a waiting step. It counts as startable only if an answer is what it
-        lacks: neither room nor tickets.
+        Request advice for a waiting step. It does not count as startable if its tickets are valid.
         """
-        denied = self._denied_workers_by_step.get(step, set())
         tickets = self._tickets_by_step.get(step, {})
-        candidates = [each for each in request.candidates if each.life not in denied]
         valid = [
             each
-            for each in candidates
+            for each in (request.candidates if tickets else ())
             if each.life in tickets and _is_usable(tickets[each.life], now)
         ]
-        slots = sum(candidate.slots for candidate in candidates)
-        has_room = slots >= (request.task_count if request.is_gang else 1) or request.may_evict
         self._requests_by_step[step] = request._replace(
-            candidates=candidates,
-            is_startable=request.is_startable and has_room and not request.has_room_on(valid),
+            is_startable=request.is_startable and not request.has_room_on(valid)
         )
 
     def narrow_requests(
--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -6,25 +6,18 @@
 and turns the plan into proposed starts and stop orders.
 """
 
-import itertools
 import math
 from collections import Counter
 from collections.abc import Iterator, Set
 from typing import NamedTuple, Self
 
-from bulrushhollow_core.domain.execution import (
-    AdviceRequest,
-    Candidate,
-    OrderDispatcher,
-    SchedulerState,
-)
+from bulrushhollow_core.domain.execution import OrderDispatcher, SchedulerState
 from bulrushhollow_core.domain.fleet import (
     NO_ISOLATION,
     Host,
     Run,
     RunPhase,
     Worker,
-    slots_in,
 )
 from bulrushhollow_core.domain.model import (
     Event,
@@ -39,6 +32,7 @@
     log_event,
     start_commands,
 )
+from bulrushhollow_core.domain.placement._advice_requests import AdviceRequester, narrow_requests
 from bulrushhollow_core.domain.placement._caps import CapLedger, CapReporter, build_cap_ledger
 from bulrushhollow_core.domain.placement._delay_cost import DelayPricer
 from bulrushhollow_core.domain.placement._demands import (
@@ -51,10 +45,9 @@
     Timing,
 )
 from bulrushhollow_core.domain.placement._exclusions import ExcludedStep, find_exclusions
-from bulrushhollow_core.domain.placement._groups import can_ever_hold
 from bulrushhollow_core.domain.placement._host_view import HostView
 from bulrushhollow_core.domain.placement._plan import Placement, Plan
-from bulrushhollow_core.domain.placement._planner import MAX_GANG_RESERVATIONS, Planner
+from bulrushhollow_core.domain.placement._planner import Planner
 from bulrushhollow_core.domain.placement._running_work import RunningWork
 from bulrushhollow_core.domain.queueing import (
     LOCALITY_WAIT_FACTOR,
@@ -152,7 +145,7 @@
         prepared = self.prepare(queue, now, wall)
         plan = prepared.planner.make_plan(prepared.demands)
         prepared.caps.record_holds(self._shared.cap_holds_since, now)
-        self._narrow_advice(plan, queue.hosts)
+        narrow_requests(self._shared.advice, plan, queue.hosts)
         self._prefetch_advice(prepared.waiting, queue.hosts, now)
         self._execute_plan(plan, now)
         self._shared.outbox.extend(self._cap_reporter.report(plan.held_back, prepared.caps, now))
@@ -205,11 +198,10 @@
         )
         racks = {host.rack for host in hosts}
         suspects = [host for host in hosts if host.is_suspect]
+        adviser = AdviceRequester(self._shared.advice, hosts, now)
         demands = (
-            self._advised(
-                self._build_demand(waiting_step, hosts, racks, suspects, guaranteed, now, wall),
-                hosts,
-                now,
+            adviser.request_for(
+                self._build_demand(waiting_step, hosts, racks, suspects, guaranteed, now, wall)
             )
             for waiting_step in waiting
         )
@@ -373,72 +365,19 @@
             return None
         return self._shared.advice.allowed_workers(waiting_step.ref, now)
 
-    def _advised(self, demand: Demand, hosts: list[Host], now: Seconds) -> Demand:
-        """Return a demand, and request advice on workers with room for it if it needs any."""
-        if demand.limits.allowed_workers is None:
-            return demand
-        step = demand.step
-        fitting_hosts = [
-            host
-            for host in hosts
-            if host.can_run(demand.service, step.required_label)
-            and step.needs.fits(host.free)
-            and host.life not in demand.limits.excluded_workers
-        ]
-        fitting_hosts.sort(key=lambda host: -host.free.accelerators)
-        candidates = [
-            Candidate(
-                host.life,
-                slots_in(host.free, step.needs, demand.max_tasks_on(host)),
-                host.rack if step.is_gang and step.same_rack else "",
-            )
-            for host in fitting_hosts
-            if demand.max_tasks_on(host) > 0
-        ]
-        request = AdviceRequest(
-            candidates,
-            len(demand.task_indexes),
-            step.is_gang,
-            is_startable=True,
-            may_evict=demand.standing.urgency == 0 and demand.standing.may_evict,
-        )
-        self._shared.advice.request(demand.ref, request, now)
-        return demand
-
-    def _narrow_advice(self, plan: Plan, hosts: list[Host]) -> None:
-        """Drop the requests for steps that the plan has placed, and put off those held back."""
-        blocked = {demand.ref for demand in plan.blocked}
-        held_back = {demand.ref for demand in plan.held_back}
-        gangs = (
-            demand.ref
-            for demand in plan.blocked
-            if demand.step.is_gang and can_ever_hold(demand, hosts)
-        )
-        reserving = set(itertools.islice(gangs, MAX_GANG_RESERVATIONS))
-        self._shared.advice.narrow_requests(blocked | held_back, held_back - blocked, reserving)
-
     def _prefetch_advice(self, waiting: list[WaitingStep], hosts: list[Host], now: Seconds) -> None:
         """Request advice on later steps of waiting jobs, until any worker is permitted."""
-        advice = self._shared.advice
+        adviser = AdviceRequester(self._shared.advice, hosts, now)
         for job in {waiting_step.job.id: waiting_step.job for waiting_step in waiting}.values():
             if not self._current_queue(job.queue).needs_advice:
                 continue
             service = self._current_queue(job.queue).service
             for occurrence, records in job.occurrences_by_number.items():
                 for number, step in enumerate(job.work.steps):
-                    ref = StepRef(job.id, occurrence, number)
-                    is_later = not all(records[earlier].is_done for earlier in step.depends_on)
-                    if not is_later or advice.permits_any(ref):
-                        continue
-                    candidates = [
-                        Candidate(host.life, 1)
-                        for host in sorted(hosts, key=lambda host: -host.free.accelerators)
-                        if host.can_run(service, step.required_label) and step.needs.fits(host.free)
-                    ]
-                    request = AdviceRequest(
-                        candidates, step.count, step.is_gang, is_startable=False
-                    )
-                    advice.request(ref, request, now)
+                    if not all(records[earlier].is_done for earlier in step.depends_on):
+                        adviser.request_for_later(
+                            StepRef(job.id, occurrence, number), service, step
+                        )
 
     def _current_queue(self, queue: Queue) -> Queue:
         """Return a job's queue as the configuration in force defines it."""
--- a/tests/test_domain_advice.py
+++ b/tests/test_domain_advice.py
@@ -434,6 +434,18 @@
         self.assertEqual(59, len(named))
         self.assertNotIn(life, named)
 
+    # Guards against tickets that are renewed for workers that have as many tasks as a step allows.
+    def test_a_step_is_asked_about_beyond_the_workers_that_are_full_for_it(self) -> None:
+        harness = FleetHarness(worker_count=90, share=30)
+        step = Step(5, Resources(1000, 100, 1), Seconds(60.0), max_per_worker=1)
+        harness.enqueue("limited", step)
+        harness.run(6.0)
+        lives = [WorkerLife(WorkerId(f"o{number}"), 1) for number in range(90)]
+        permitted = [life for life in lives if hash_of(life.id) % 30 == 0]
+        self.assertEqual(min(5, len(permitted)), len(harness._rows_by_life))
+        named = [life for _, question in harness.asked for life in question.workers]
+        self.assertEqual(len(set(named)), len(named))
+
     # The same fault on the whole scheduler: the gangs need more workers than there are.
     def test_a_job_with_room_starts_beside_gangs_without_room(self) -> None:
         harness = FleetHarness()
