Serve steps with a claim before overdue steps

Callers would have seen guarantees that are met late or not at all (RECLAIM), and background jobs that are evicted round after round: overdue steps were served before all others, also before a step for which runs had been evicted. They took the workers as these became free and were evicted in turn, until the urgent step was overdue itself, which it never is if its workspace uses half of its cap. Steps with a claim are now served first, so the room that was freed for them is taken or held before overdue steps are placed.

--- a/packages/core/src/bulrushhollow_core/domain/placement/_overdue.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_overdue.py
@@ -4,7 +4,7 @@
 
 Steps that are overdue: nothing of their job has run for some time, although their workspace and
 their service had capacity to spare. Reservations, racks and the order of the queue are preferences;
-an overdue step is served before all of them.
+an overdue step is served before all of them, but after steps for which runs were evicted.
 """
 
 from collections.abc import Iterable, Set
--- a/packages/core/src/bulrushhollow_core/domain/placement/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planner.py
@@ -151,7 +151,7 @@
     def make_plan(self, demands: Iterable[Demand]) -> Plan:
         """
         Return the plan for demands, which are served in the given order. Those of overdue steps
-        come first, and once more at their own position for the tasks that are left.
+        come early, and once more at their own position for the tasks that are left.
         """
         for demand in demands:
             if demand.standing.is_overdue:
--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -109,8 +109,8 @@
     A planner and the demands that it is to serve.
 
     :param waiting: waiting steps in the order in which they are served.
-    :param demands: their demands, those of overdue steps once more before all others; each is built
-        once those before it are served.
+    :param demands: their demands, those of steps with a claim first, and before the others those of
+        overdue steps once more; each is built once those before it are served.
     """
 
     waiting: list[WaitingStep]
@@ -228,19 +228,28 @@
         )
         racks = {host.rack for host in hosts}
         suspects = [host for host in hosts if host.is_suspect]
-        overdue = self._overdue_steps.update(
-            self._shared, waiting, caps, loads.busy(SPARE_LIMIT), now, wall
-        )
+        overdue = {
+            waiting_step.ref
+            for waiting_step in self._overdue_steps.update(
+                self._shared, waiting, caps, loads.busy(SPARE_LIMIT), now, wall
+            )
+        }
 
         def build_demand(waiting_step: WaitingStep) -> Demand:
             demand = self._build_demand(waiting_step, hosts, racks, suspects, guaranteed, now, wall)
             self._request_advice(demand, hosts, now)
             return demand
 
-        demands = itertools.chain(
-            (build_demand(waiting_step).as_overdue() for waiting_step in overdue),
-            map(build_demand, waiting),
-        )
+        def build_demands(steps: list[WaitingStep]) -> Iterator[Demand]:
+            for waiting_step in steps:
+                if waiting_step.ref in overdue:
+                    yield build_demand(waiting_step).as_overdue()
+            yield from map(build_demand, steps)
+
+        # Otherwise overdue steps would take what evictions free, and be evicted in turn.
+        claiming = [each for each in waiting if self._claims.is_held_by(each.ref)]
+        others = [each for each in waiting if not self._claims.is_held_by(each.ref)]
+        demands = itertools.chain(build_demands(claiming), build_demands(others))
         return PreparedPlan(waiting, demands, planner, caps)
 
     def _order_by_shares(
--- a/packages/core/src/bulrushhollow_core/domain/queueing/_claims.py
+++ b/packages/core/src/bulrushhollow_core/domain/queueing/_claims.py
@@ -51,6 +51,10 @@
         claim = self._claims_by_step.get(ref)
         return current if claim is None else min(claim.priority, current)
 
+    def is_held_by(self, ref: StepRef) -> bool:
+        """Return whether a step has a claim."""
+        return ref in self._claims_by_step
+
     def end(self, ref: StepRef) -> None:
         """End the claim of a step whose tasks have been placed."""
         self._claims_by_step.pop(ref, None)
