End quarantines early for long-running steps on busy services too

A long-running task stood for 6.1 s, the length of a quarantine, while the only worker with room was in quarantine: workers without room ceased to count as others only on a service that is not busy. Each long-running task must be available however busy its service is, so the condition does not apply to it.

--- a/packages/core/src/bulrushhollow_core/domain/placement/_host_view.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_host_view.py
@@ -57,8 +57,9 @@
     ) -> None:
         """
         End quarantines early if a waiting step has no other worker, as all that may run it have
-        failed. Steps without a worker would otherwise wait for as long as the quarantines last. On
-        a service that is not busy, workers without room do not count as other workers for long.
+        failed. Steps without a worker would otherwise wait for as long as the quarantines last.
+        Workers without room do not count as other workers for long on a service that is not busy,
+        and for a long-running step on any.
         """
         workers = self._shared.fleet.workers_by_life.values()
         if all(now >= worker.quarantined_until for worker in workers):
@@ -87,7 +88,8 @@
             )
             wait = exclusion_time(step.is_long_running, is_last_attempt=False)
             waited = now - waiting_since_by_step.get(waiting_step.ref, now)
-            counts_room = service not in busy and waited >= QUARANTINE_YIELD
+            must_start = step.is_long_running or service not in busy
+            counts_room = must_start and waited >= QUARANTINE_YIELD
             # A gang needs room for all of its members at the same time.
             missing = len(waiting_step.task_indexes) if step.is_gang else 1
             for worker in capable:
