--- a/packages/core/src/bulrushhollow_core/domain/placement/_overdue.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_overdue.py
@@ -4,7 +4,7 @@
 
 Steps that are overdue: nothing of their job has run for some time, although their workspace and
 their service had capacity to spare. Reservations, racks and the order of the queue are preferences;
-an overdue step is served before all of them.
+an overdue step is served before all of them, but after steps for which runs were evicted.
 """
 
 from collections.abc import Iterable, Set
@@ -40,9 +40,9 @@
         busy: Set[ServiceName],
         now: Seconds,
         wall: WallTime,
-    ) -> list[WaitingStep]:
+    ) -> Set[StepRef]:
         """
-        Return the overdue steps among the waiting ones, in the same order.
+        Return the overdue steps among the waiting ones.
 
         :param caps: usage of the workspaces before the plan.
         :param busy: services without capacity to spare.
@@ -58,11 +58,7 @@
             )
             for waiting_step in standing
         }
-        return [
-            waiting_step
-            for waiting_step in standing
-            if now - self._since_by_step[waiting_step.ref] >= OVERDUE_AFTER
-        ]
+        return {ref for ref, since in self._since_by_step.items() if now - since >= OVERDUE_AFTER}
 
 
 def _first_seen_since(
