Count what a gang reserves when the cap is freed for urgent work

What callers saw: jobs of a workspace that stood although it used under half of its cap, for as long as two urgent gangs waited, under each leader.

Cause: the search for runs to evict under a cap did not know of reservations. An urgent gang that only an earlier gang's reservation held back seemed to fit without any eviction. Each plan then charged it, held workers for it and did not start it. With that charge the workspace seemed to use more than half of its cap, so that the reservation yielded to nothing else.

Change: what is reserved counts in that search, so such a gang is held back and counts for nothing. The new test failed before: the small job did not start.

--- a/packages/core/src/bulrushhollow_core/domain/placement/_caps.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_caps.py
@@ -98,8 +98,11 @@
         return self.used.minus(self.ending)
 
     def excess_with(self, added: Resources) -> Resources:
-        """Return by how much further tasks would exceed the cap once current stops have ended."""
-        usage = self.used_after_stops.plus(added)
+        """
+        Return by how much further tasks would exceed the cap, beside what is reserved, once current
+        stops have ended.
+        """
+        usage = self.used_after_stops.plus(self.reserved).plus(added)
         return Resources(
             max(0, usage.cpu - self.cap.cpu) if self.cap.cpu else 0,
             max(0, usage.memory - self.cap.memory) if self.cap.memory else 0,
@@ -219,8 +222,9 @@
         self, demand: Demand, victims: Iterable[Victim], max_lost_work: float
     ) -> CapRelief | None:
         """
-        Return the cheapest victims that free the cap for a demand: for all tasks of a gang, or for
-        as many independent tasks as possible. None if no permitted eviction does.
+        Return the cheapest victims that free the cap for a demand beside what is reserved: for all
+        tasks of a gang, or for as many independent tasks as possible. None if no permitted eviction
+        does.
 
         :param victims: runs that may be evicted for the demand; those of other workspaces and those
             that are served before the demand are skipped.
@@ -241,9 +245,10 @@
             key=lambda victim: cost_of([victim]),
         )
         needs = demand.step.needs
+        held = account.used_after_stops.plus(account.reserved)
         task_count = _count_within(
             account.cap,
-            account.used_after_stops.minus(total_of((victim.freed, 1) for victim in candidates)),
+            held.minus(total_of((victim.freed, 1) for victim in candidates)),
             needs,
             len(demand.task_indexes),
         )
--- a/tests/test_domain_caps.py
+++ b/tests/test_domain_caps.py
@@ -184,6 +184,34 @@
             self.assertEqual({"small": 4}, placed(result), gang.ref.job)
 
 
+class ReservedCapTest(unittest.TestCase):
+    """Urgent work that fits under the cap, but for what an earlier gang of its workspace reserves."""
+
+    def plan_behind_reservation(self, victims: list[Victim], hosts: list[Host]) -> Plan:
+        waiting = [
+            demand_of(TEAM, "wide", 37, urgency=0),
+            demand_of(TEAM, "held-back", 20, urgency=0),
+            tasks_of(TEAM, "small", 1),
+        ]
+        caps = ledger(48, used=20, is_service_busy=False)
+        account = caps.account_of(TEAM)
+        assert account is not None
+        account.is_hold_over = True
+        return plan(caps, waiting, hosts, victims)
+
+    # Guards against a gang that is neither started nor waits for any stop, and that counts as usage
+    # in each plan, so that its workspace seems to use too much for any other work (LOST).
+    def test_a_gang_behind_a_reservation_does_not_count_as_usage(self) -> None:
+        hosts = [make_host(f"h{n}", "r") for n in range(10)]
+        self.assertEqual({"small": 1}, placed(self.plan_behind_reservation([], hosts)))
+
+    # Guards against runs that are evicted for a gang which then waits for the reservation.
+    def test_nothing_is_evicted_for_a_gang_that_a_reservation_holds_back(self) -> None:
+        hosts = [make_host(f"h{n}", "r") for n in range(10)]
+        victims = [victim_of(TEAM, "victim", hosts[0], accelerators=4)]
+        self.assertEqual(set(), evicted(self.plan_behind_reservation(victims, hosts)))
+
+
 class BusyServiceTest(unittest.TestCase):
     def test_a_service_is_busy_by_the_resources_that_its_own_workers_have(self) -> None:
         # Idle workers without accelerators counted as busy, and those of one service hid the load
