Let overdue steps use the workers that they stay away from

A job whose task had failed on the only worker with room stood for 10.1 s: its step stays away from that worker for 10 s as long as others could run it if nothing else ran there, and for 6 s before its last attempt. An overdue step now counts such workers as avoided: it uses them if no others have room. Both tests of it pass now.

--- a/packages/core/src/bulrushhollow_core/domain/placement/_demands.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_demands.py
@@ -191,8 +191,15 @@
         )
 
     def as_overdue(self) -> "Demand":
-        """Return this demand as that of an overdue step."""
+        """
+        Return this demand as that of an overdue step, which may use the workers that it stays away
+        from if no others have room.
+        """
         overdue = self.for_tasks(self.task_indexes)
+        overdue.limits = self.limits._replace(
+            excluded_workers=frozenset(),
+            avoided_workers=self.limits.excluded_workers | self.limits.avoided_workers,
+        )
         overdue.standing = self.standing._replace(is_overdue=True)
         return overdue
 
