Keep the wait of an overdue step while its start is under way

A job stood for 4.3 s when its worker refused the overdue start: the wait of 2 s began anew, since a step with a start under way was taken for one that runs. The wait now ends once a run of the job is known to run; until then it goes on, also if the start is refused.

--- a/packages/core/src/bulrushhollow_core/domain/placement/_overdue.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_overdue.py
@@ -12,6 +12,7 @@
 from bulrushhollow_core.domain.execution import SchedulerState
 from bulrushhollow_core.domain.model import ServiceName, StepRef, WallTime
 from bulrushhollow_core.domain.placement._caps import CapLedger
+from bulrushhollow_core.domain.placement._holds import is_known_to_run
 from bulrushhollow_core.domain.queueing import WaitingStep
 from bulrushhollow_core.ids import Seconds
 
@@ -52,7 +53,11 @@
             for waiting_step in waiting
             if _has_spare_capacity(shared, waiting_step, caps, busy)
         ]
-        self._since_by_step = {
+        # A start that is refused does not begin the wait anew.
+        starting = {
+            ref: since for ref, since in self._since_by_step.items() if _is_starting(shared, ref)
+        }
+        self._since_by_step = starting | {
             waiting_step.ref: self._since_by_step.get(
                 waiting_step.ref, _first_seen_since(shared, waiting_step, now, wall)
             )
@@ -65,6 +70,13 @@
         ]
 
 
+def _is_starting(shared: SchedulerState, ref: StepRef) -> bool:
+    """Return whether starts of a step's job are under way, none of which is known to run yet."""
+    runs = shared.fleet.runs_of(ref.job)
+    is_under_way = runs or any(task.step_ref == ref for task in shared.unrecorded_ends_by_task)
+    return bool(is_under_way) and not any(map(is_known_to_run, runs))
+
+
 def _first_seen_since(
     shared: SchedulerState, waiting_step: WaitingStep, now: Seconds, wall: WallTime
 ) -> Seconds:
