Count jobs from ahead of a new leader's clock as having waited

After a change of leader at 1.5 s a job stood for 3.7 s, as the new leader's clock was 5 s behind that of the leader which had accepted it: its age counted as 0, and the wait of 2 s began anew. A time of submission ahead of the clock only shows that the clocks differ, so the job now counts as having waited for long. Clocks that differ by less than the age of the job still shorten the counted wait by the difference.

--- a/packages/core/src/bulrushhollow_core/domain/placement/_overdue.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_overdue.py
@@ -83,10 +83,12 @@
     """
     Return since when a step that was not among the standing ones counts as standing. A new leader
     does not know how long steps have stood, so those of earlier jobs count from their submission.
+    If that lies ahead of its clock, the clocks differ, and they count as having stood for long.
     """
     if now - shared.leading_since >= OVERDUE_AFTER:
         return now
-    return Seconds(now - max(0.0, wall - waiting_step.job.submitted_at))
+    age = Seconds(wall - waiting_step.job.submitted_at)
+    return Seconds(now - (age if age >= 0.0 else OVERDUE_AFTER))
 
 
 def _has_spare_capacity(
