--- a/packages/core/src/bulrushhollow_core/domain/placement/_overdue.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_overdue.py
@@ -12,6 +12,7 @@
 from bulrushhollow_core.domain.execution import SchedulerState
 from bulrushhollow_core.domain.model import ServiceName, StepRef, WallTime
 from bulrushhollow_core.domain.placement._caps import CapLedger
+from bulrushhollow_core.domain.placement._holds import is_known_to_run
 from bulrushhollow_core.domain.queueing import WaitingStep
 from bulrushhollow_core.ids import Seconds
 
@@ -52,7 +53,11 @@
             for waiting_step in waiting
             if _has_spare_capacity(shared, waiting_step, caps, busy)
         ]
-        self._since_by_step = {
+        # A start that is refused does not begin the wait anew.
+        starting = {
+            ref: since for ref, since in self._since_by_step.items() if _is_starting(shared, ref)
+        }
+        self._since_by_step = starting | {
             waiting_step.ref: self._since_by_step.get(
                 waiting_step.ref, _first_seen_since(shared, waiting_step, now, wall)
             )
@@ -61,16 +66,25 @@
         return {ref for ref, since in self._since_by_step.items() if now - since >= OVERDUE_AFTER}
 
 
+def _is_starting(shared: SchedulerState, ref: StepRef) -> bool:
+    """Return whether starts of a step's job are under way, none of which is known to run yet."""
+    runs = shared.fleet.runs_of(ref.job)
+    is_under_way = runs or any(task.step_ref == ref for task in shared.unrecorded_ends_by_task)
+    return bool(is_under_way) and not any(map(is_known_to_run, runs))
+
+
 def _first_seen_since(
     shared: SchedulerState, waiting_step: WaitingStep, now: Seconds, wall: WallTime
 ) -> Seconds:
     """
     Return since when a step that was not among the standing ones counts as standing. A new leader
     does not know how long steps have stood, so those of earlier jobs count from their submission.
+    If that lies ahead of its clock, the clocks differ, and they count as having stood for long.
     """
     if now - shared.leading_since >= OVERDUE_AFTER:
         return now
-    return Seconds(now - max(0.0, wall - waiting_step.job.submitted_at))
+    age = Seconds(wall - waiting_step.job.submitted_at)
+    return Seconds(now - (age if age >= 0.0 else OVERDUE_AFTER))
 
 
 def _has_spare_capacity(
