Start only one overdue task while its start is under way

A step whose first overdue start is under way keeps its wait, but is not overdue meanwhile: each plan until the worker's answer would start one more of its tasks before all other work.

--- a/packages/core/src/bulrushhollow_core/domain/placement/_overdue.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_overdue.py
@@ -63,7 +63,11 @@
             )
             for waiting_step in standing
         }
-        return {ref for ref, since in self._since_by_step.items() if now - since >= OVERDUE_AFTER}
+        return {
+            waiting_step.ref
+            for waiting_step in standing
+            if now - self._since_by_step[waiting_step.ref] >= OVERDUE_AFTER
+        }
 
 
 def _is_starting(shared: SchedulerState, ref: StepRef) -> bool:
--- a/tests/test_domain_caps.py
+++ b/tests/test_domain_caps.py
@@ -185,7 +185,7 @@
 
 
 class ReservedCapTest(unittest.TestCase):
-    """Urgent work that fits under the cap, but for what an earlier gang of its workspace reserves."""
+    """Urgent work that fits under the cap, but for what an earlier gang reserves."""
 
     def plan_behind_reservation(self, victims: list[Victim], hosts: list[Host]) -> Plan:
         waiting = [
