Show a gang that stands since heartbeats come together

The 20 workers of each data centre announce themselves at the same moment. From 0.4 s after that until their next heartbeats the data centre counts as silent and its workers get no new work, so a gang that needs three of four data centres finds too few usable workers at any time. On an idle fleet it stands for over 10.1 s, the length of the test, instead of under 3.0 s.

--- a/tests/test_domain_standing_jobs.py
+++ b/tests/test_domain_standing_jobs.py
@@ -14,7 +14,8 @@
 )
 from bulrushhollow_core.ids import DataCentreId, JobId, Seconds
 from standins.domain_site import configuration
-from tests.domain_world import Instance, World
+from standins.domain_workers import Worker
+from tests.domain_world import HEARTBEAT_INTERVAL, Instance, World
 
 Order = OrderStart | OrderStop | Poll
 
@@ -145,5 +146,38 @@
                 self.assertLess(self.start_and_lose_leader(gang, lost_starts), MAX_STANDING)
 
 
+class HerdSite(World):
+    """A domain of four data centres, in each of which 20 workers announce themselves together."""
+
+    def __init__(self) -> None:
+        super().__init__(1, workers=80)
+        self.run(4)
+        assert self.put_configuration(configuration(1))
+        self.run(2)
+
+    def started_jobs(self) -> set[JobId]:
+        return {task.job for worker in self.worker_pool.workers for task in worker.runs}
+
+    def send_heartbeat(self, worker: Worker) -> None:
+        if self.now >= HEARTBEAT_INTERVAL:
+            super().send_heartbeat(worker)
+            return
+        number = int(worker.data_centre.removeprefix("dc"))
+        at = HEARTBEAT_INTERVAL * (1 + number / 4)
+        self.call_later(at - self.now, lambda: World.send_heartbeat(self, worker))
+
+
+class HerdTest(unittest.TestCase):
+    # Guards against an accepted job with nothing running (LOST): data centres counted as silent
+    # between the heartbeats of their workers, so that never enough of them were usable at once.
+    def test_a_gang_starts_on_workers_whose_heartbeats_come_together(self) -> None:
+        site = HerdSite()
+        site.submit("a" * 16, "usual", tasks(60, accelerators=8, is_gang=True), 1.0)
+        self.assertTrue(site.run_until(lambda: JobId("a" * 16) in site.accepted, 1.0))
+        since = site.now
+        started = site.run_until(lambda: JobId("a" * 16) in site.started_jobs(), 10.0)
+        self.assertTrue(started and site.now - since < MAX_STANDING, site.now - since)
+
+
 if __name__ == "__main__":
     unittest.main()
