Don't take the gap between joint heartbeats for silence

What callers saw: an accepted gang with nothing running on an idle fleet, and tasks that waited for up to 1.3 s, when the workers of a data centre announce themselves together, as after they have started together.

Cause: a data centre counts as silent once four heartbeats are missing at its usual rate, and that rate was taken as if heartbeats were spread evenly. When they come together, nothing is missing until the interval is over.

Change: as many of the workers that were heard must be due to announce themselves again, by their own last announcements.

--- a/packages/core/src/bulrushhollow_core/domain/fleet/_reachability.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_reachability.py
@@ -28,14 +28,18 @@
 instance is slow."""
 
 
-def _is_silent(contact_times: Sequence[Seconds], heartbeat_interval: Seconds, now: Seconds) -> bool:
+def _is_silent(workers: Sequence[Worker], heartbeat_interval: Seconds, now: Seconds) -> bool:
     """Return whether heartbeats of the workers of a data centre are missing, by their contacts."""
-    last_at = max(contact_times)
+    last_at = max(worker.last_contact_at for worker in workers)
     counted_from = last_at - MAX_HEARTBEAT_LATENESS * heartbeat_interval
     # Workers that had fallen silent before, such as crashed ones, are not expected to be heard.
-    heard_workers = sum(at >= counted_from for at in contact_times)
-    usual_gap = heartbeat_interval / heard_workers
-    return now - last_at > max(MIN_SILENCE, SILENT_HEARTBEATS * usual_gap)
+    heard = [worker for worker in workers if worker.last_contact_at >= counted_from]
+    usual_gap = heartbeat_interval / len(heard)
+    if now - last_at <= max(MIN_SILENCE, SILENT_HEARTBEATS * usual_gap):
+        return False
+    # Heartbeats that come together leave long gaps, in which none is missing.
+    missing = sum(worker.announced_at + heartbeat_interval <= now for worker in heard)
+    return missing >= min(SILENT_HEARTBEATS, len(heard))
 
 
 class Reachability:
@@ -56,17 +60,15 @@
         """Find the data centres that are silent now."""
         self._heard_since = Seconds(now - MAX_HEARTBEAT_LATENESS * heartbeat_interval)
         self._announced_since = Seconds(now - MAX_ANNOUNCEMENT_AGE * heartbeat_interval)
-        contact_times_by_data_centre: dict[DataCentreId, list[Seconds]] = {}
+        workers_by_data_centre: dict[DataCentreId, list[Worker]] = {}
         for worker in workers:
             if worker.announcement is not None:
                 data_centre = worker.announcement.data_centre
-                contact_times_by_data_centre.setdefault(data_centre, []).append(
-                    worker.last_contact_at
-                )
+                workers_by_data_centre.setdefault(data_centre, []).append(worker)
         self.silent_data_centres = frozenset(
             data_centre
-            for data_centre, contact_times in contact_times_by_data_centre.items()
-            if _is_silent(contact_times, heartbeat_interval, now)
+            for data_centre, group in workers_by_data_centre.items()
+            if _is_silent(group, heartbeat_interval, now)
         )
 
     def is_likely(self, worker: Worker) -> bool:
