--- a/tests/test_domain_overdue_review.py
+++ b/tests/test_domain_overdue_review.py
@@ -43,6 +43,7 @@
     Site,
     gang,
 )
+from tests.test_domain_planner import make_demand, make_host, make_planner
 from tests.test_domain_scheduler import SINGLE_TASK, WALL, SchedulerHarness
 
 MAX_RECLAIM = 2.7
@@ -364,6 +365,24 @@
         self.assertEqual(len(site.starts), len({(start.task, start.run) for start in site.starts}))
 
 
+class TwiceInPlanTest(unittest.TestCase):
+    # Guards against a task that is placed as that of an overdue step and once more at the step's
+    # own position (TWICE), and against more tasks on a worker than the step allows (ROUTE).
+    def test_an_overdue_step_places_each_task_once_within_its_limit_per_worker(self) -> None:
+        for max_per_worker, count in ((1, 3), (2, 6), (0, 6)):
+            with self.subTest(max_per_worker=max_per_worker):
+                hosts = [make_host(f"h{number}", "r", 8) for number in range(3)]
+                demand = make_demand("job", 6, 1, is_gang=False, same_rack=False)
+                step = msgspec.structs.replace(demand.step, max_per_worker=max_per_worker)
+                demand.source = demand.source._replace(step=step)
+                plan = make_planner(hosts, [], []).make_plan([demand.as_overdue(), demand])
+                placements = [each for _, placed in plan.placements for each in placed]
+                tasks = {placement.task for placement in placements}
+                lives = Counter(placement.life for placement in placements)
+                self.assertEqual((count, count), (len(placements), len(tasks)))
+                self.assertLessEqual(max(lives.values()), max_per_worker or 6)
+
+
 class RepeatedStartTest(unittest.TestCase):
     """Starts that an earlier leader recorded and that a new one repeats."""
 
