--- a/tests/test_domain_overdue_review.py
+++ b/tests/test_domain_overdue_review.py
@@ -6,7 +6,11 @@
 import unittest
 from collections import Counter
 
+import msgspec
+
+from bulrushhollow_core.domain._scheduler import Scheduler
 from bulrushhollow_core.domain.model import (
+    DomainSettings,
     ListedEnd,
     ListedRun,
     OrderResult,
@@ -16,6 +20,8 @@
     PollAnswered,
     PutConfiguration,
     Resources,
+    Service,
+    ServiceName,
     StartAnswered,
     Step,
     StopAnswered,
@@ -24,7 +30,7 @@
     Work,
     WorkerLife,
 )
-from bulrushhollow_core.ids import JobId, RackId, Seconds, WorkspaceId
+from bulrushhollow_core.ids import JobId, RackId, Seconds, Term, WorkspaceId
 from standins.domain_site import NO_CAP, TEAM, configuration, queue, workspace_with
 from tests.test_domain_overdue import (
     MAX_STAND,
@@ -37,6 +43,8 @@
     Site,
     gang,
 )
+from tests.test_domain_planner import make_demand, make_host, make_planner
+from tests.test_domain_scheduler import SINGLE_TASK, WALL, SchedulerHarness
 
 MAX_RECLAIM = 2.7
 """Seconds after which a job within its guarantee must have begun; the platform's rule RECLAIM."""
@@ -357,5 +365,72 @@
         self.assertEqual(len(site.starts), len({(start.task, start.run) for start in site.starts}))
 
 
+class TwiceInPlanTest(unittest.TestCase):
+    # Guards against a task that is placed as that of an overdue step and once more at the step's
+    # own position (TWICE), and against more tasks on a worker than the step allows (ROUTE).
+    def test_an_overdue_step_places_each_task_once_within_its_limit_per_worker(self) -> None:
+        for max_per_worker, count in ((1, 3), (2, 6), (0, 6)):
+            with self.subTest(max_per_worker=max_per_worker):
+                hosts = [make_host(f"h{number}", "r", 8) for number in range(3)]
+                demand = make_demand("job", 6, 1, is_gang=False, same_rack=False)
+                step = msgspec.structs.replace(demand.step, max_per_worker=max_per_worker)
+                demand.source = demand.source._replace(step=step)
+                plan = make_planner(hosts, [], []).make_plan([demand.as_overdue(), demand])
+                placements = [each for _, placed in plan.placements for each in placed]
+                tasks = {placement.task for placement in placements}
+                lives = Counter(placement.life for placement in placements)
+                self.assertEqual((count, count), (len(placements), len(tasks)))
+                self.assertLessEqual(max(lives.values()), max_per_worker or 6)
+
+
+class RepeatedStartTest(unittest.TestCase):
+    """Starts that an earlier leader recorded and that a new one repeats."""
+
+    def setUp(self) -> None:
+        self.harness = SchedulerHarness()
+        self.harness.submit(SINGLE_TASK)
+        self.start = self.harness.launch()
+
+    def repeated(self) -> list[OrderStart]:
+        """Return the starts that a new leader repeats when the worker lists nothing."""
+        harness, start = self.harness, self.start
+        late_until_by_run = {(start.task, start.run): Seconds(99.0)}
+        harness.scheduler = Scheduler(
+            harness.state, Term(4), DomainSettings(), harness.now, late_until_by_run
+        )
+        harness.now = Seconds(harness.now + 0.1)
+        harness.scheduler.tick(harness.now, WALL)
+        empty = PollAnswered(start.life, OrderResult.ACCEPTED, Seconds(51.0))
+        harness.scheduler.poll_answered(empty, harness.now)
+        actions = harness.scheduler.take_actions()
+        return [each for each in actions if isinstance(each, OrderStart)]
+
+    def change_queue(self, **changes: object) -> None:
+        """Store a configuration in which the job's queue has changed."""
+        present = configuration(2)
+        queues = tuple(
+            msgspec.structs.replace(each, **changes) if each.name == "usual" else each
+            for each in present.queues
+        )
+        services = (*present.services, Service(ServiceName("other"), True))
+        content = msgspec.structs.replace(present, queues=queues, services=services)
+        self.harness.commit([PutConfiguration(content)])
+
+    def test_a_start_is_repeated_while_nothing_has_changed(self) -> None:
+        self.assertEqual([self.start.task], [each.task for each in self.repeated()])
+
+    # Guards against a start on a worker of a service to which no configuration sends the queue any
+    # more (ROUTE): a repeated one may come seconds after the change.
+    def test_no_start_is_repeated_on_a_service_that_the_queue_has_left(self) -> None:
+        self.change_queue(service=ServiceName("other"))
+        self.assertEqual([], self.repeated())
+
+    # Guards against a start without a ticket, which its worker rejects, once a queue has come to
+    # need advice.
+    def test_no_start_is_repeated_without_the_ticket_that_its_queue_needs_now(self) -> None:
+        self.change_queue(needs_advice=True)
+        self.assertEqual([], self.repeated())
+
+
 if __name__ == "__main__":
     unittest.main()
