Check in the soak that no accepted job stands

The soak of real processes could not see that an accepted job has nothing running while a task could run. The same check as in the model now reads what its stand-in workers run and what its callers were told. A job may stand for 5.5 s: 3 s, and the 2.5 s within which an acknowledged configuration is in force everywhere. Nothing counts while a fault of an instance is in force, while an instance has not answered a read of the configuration for 1.5 s, or while the soak's own process was held up, nor for 4 s after. No leader tells which tasks it holds, so for 14.5 s after such a fault the jobs that were accepted before it are recorded apart. Before a job is reported, a caller reads its state.

The workspace has a cap of half of the service, and after the faults the load goes on for 12 s without any, at a third of the rate. Workers report the orders to start that they leave unanswered.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,12 +20,13 @@
 import tempfile
 import time
 
-from bulrushhollow_core.domain import JobState, Occurrence, TaskRef, Work
-from bulrushhollow_core.ids import JobId
+from bulrushhollow_core.domain import JobState, Occurrence, Resources, TaskRef, Work
+from bulrushhollow_core.ids import JobId, Version
 from bulrushhollow_platform.standin import CallResult, config_body, job_body
 from soak._faults import Faults
 from soak._fleet import Testbed, random_work
 from standins.domain_site import HOST, KEY, QUEUES, configuration
+from standins.domain_standing import Standing
 from standins.domain_workers import Crash
 
 START_TIMEOUT = 30.0
@@ -34,6 +35,15 @@
 END_TIMEOUT = 90.0
 """Seconds without new faults within which every accepted job must end."""
 
+CALM_SECONDS = 12.0
+"""Seconds of load without faults, after that with faults; a job counts as standing after 9.5 s."""
+
+CALM_FACTOR = 3.0
+"""Factor on the time between submissions without faults, so that the cap is seldom full."""
+
+CAP = Resources(0, 0, 32)
+"""Cap of the workspace; the largest gang takes 16 accelerators of it, and the service has 64."""
+
 SUBMIT_INTERVAL = 0.15
 """Seconds between two submissions, on average."""
 
@@ -73,12 +83,19 @@
         self._started_at = time.monotonic()
         self._base = pathlib.Path(base)
         self._queue_by_job: dict[JobId, str] = {}
-        self._accepted_jobs: set[JobId] = set()
+        self._accepted_jobs = self._testbed.accepted_at_by_job
+        self._confirmed_count = 0
+        """Jobs found standing of which callers were asked for the state."""
         self._may_have_run_by_refused_job: dict[JobId, bool] = {}
         self._version = 0
         self._acknowledged_version = 0
         self.count_by_answer: dict[str, int] = {}
 
+    @property
+    def excused_jobs(self) -> list[Standing]:
+        """Return the jobs that stood for a reason that is allowed."""
+        return self._testbed.standing_check.standing_while_excused
+
     def log(self, text: str) -> None:
         """Append a line with its time to the history file."""
         with (self._base / "history").open("a", encoding="utf-8") as file:
@@ -106,9 +123,9 @@
     async def _send_load(self, tasks: set[asyncio.Task[None]]) -> None:
         faults = Faults(self._testbed, self._rng, self.log)
         running: set[asyncio.Task[None]] = set()
-        deadline = time.monotonic() + self._seconds
+        faults_end = time.monotonic() + self._seconds
         next_fault = time.monotonic() + 1
-        while time.monotonic() < deadline:
+        while time.monotonic() < faults_end + CALM_SECONDS:
             running.add(asyncio.ensure_future(self._submit()))
             if self._rng.random() < 0.08:
                 running.add(asyncio.ensure_future(self._cancel()))
@@ -118,13 +135,15 @@
                 running.add(asyncio.ensure_future(self._configure(5.0)))
             if self._rng.random() < 0.2:
                 running.add(asyncio.ensure_future(self._read_configuration()))
-            if time.monotonic() >= next_fault:
+            if next_fault <= time.monotonic() < faults_end:
                 running.add(asyncio.ensure_future(faults.inject_one()))
                 next_fault = time.monotonic() + self._rng.uniform(0.3, 3)
-            await asyncio.sleep(self._rng.uniform(0, 2 * SUBMIT_INTERVAL))
+            factor = 1.0 if time.monotonic() < faults_end else CALM_FACTOR
+            await asyncio.sleep(self._rng.uniform(0, 2 * factor * SUBMIT_INTERVAL))
             for task in [task for task in running if task.done()]:
                 running.discard(task)
                 task.result()
+            await self._check_standing()
         await asyncio.gather(*running)
         for daemon in self._testbed.daemons:
             if not daemon.is_up:
@@ -166,7 +185,7 @@
         for _ in range(5):
             outcome = await self._call("POST", f"/{queue}/{job}", job_body(work))
             if outcome.status == 200:
-                self._accepted_jobs.add(job)
+                self._accepted_jobs[job] = self._testbed.now
                 return
             assert outcome.status in (0, 429, 502, 503, 504), f"{job} got {outcome}"
             may_have_run = may_have_run or outcome.status in (0, 502, 504)
@@ -198,13 +217,24 @@
             return None
         state = JobState(outcome.json_field("state"))
         self._testbed.oracle.check_shown_state(job, state)
+        if state in FINAL_STATES:
+            self._testbed.ended_jobs.add(job)
         return state
 
+    async def _check_standing(self) -> None:
+        """Check that no job stands, unless a read shows that it has ended."""
+        standing = self._testbed.standing_check.standing
+        for each in standing[self._confirmed_count :]:
+            self._confirmed_count += 1
+            state = await self._read_job(each.job)
+            assert state in FINAL_STATES, f"{each}; it is shown as {state}"
+
     async def _configure(self, timeout: float) -> None:
         """Put the next version of the configuration, repeated until it is acknowledged."""
         self._version += 1
         version = self._version
-        body = config_body(configuration(version))
+        body = config_body(configuration(version, cap=CAP))
+        self._testbed.oracle.cap_requested(Version(version), CAP)
         deadline = time.monotonic() + timeout
         while time.monotonic() < deadline:
             core = self._rng.choice(self._testbed.cores)
@@ -214,6 +244,7 @@
             )
             if outcome.status == 200:
                 self._acknowledged_version = max(self._acknowledged_version, version)
+                self._testbed.oracle.cap_acknowledged(Version(version))
                 return
             await asyncio.sleep(0.2)
         assert self._acknowledged_version, "no configuration was accepted"
@@ -236,6 +267,7 @@
             for job in sorted(pending):
                 if await self._read_job(job) in FINAL_STATES:
                     pending.discard(job)
+            await self._check_standing()
             await asyncio.sleep(0.3)
         violations = self._testbed.oracle.violations
         assert not violations, violations[0]
@@ -256,6 +288,8 @@
     except AssertionError as error:
         print(f"seed {seed}: BROKEN: {error}; logs in {base}", flush=True)
         return False
+    for each in soak.excused_jobs:
+        print(f"seed {seed}: excused: {each}", flush=True)
     answers = ", ".join(f"{key}: {count}" for key, count in sorted(soak.count_by_answer.items()))
     print(f"seed {seed}: kept every promise; {answers}", flush=True)
     shutil.rmtree(base)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -13,6 +13,9 @@
 from soak._fleet import DaemonProcess, Testbed
 from soak._proxy import Mode
 
+WORKER_FAULTS = ("crash_worker", "cut_worker", "grey_worker")
+"""Faults of workers; all others count as faults of the core, also those of entry instances."""
+
 
 class Faults:
     """
@@ -49,7 +52,14 @@
         """Inject a random fault and end it after a while."""
         kind = self._rng.choice(sorted(self._injectors_by_kind))
         self._log(f"fault {kind}")
-        await self._injectors_by_kind[kind]()
+        if kind in WORKER_FAULTS:
+            await self._injectors_by_kind[kind]()
+            return
+        self._testbed.core_faults_in_force += 1
+        try:
+            await self._injectors_by_kind[kind]()
+        finally:
+            self._testbed.core_faults_in_force -= 1
 
     def _choose_core(self) -> DaemonProcess | None:
         candidates = [core for core in self._testbed.cores if core.is_up and not core.is_restarting]
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import os
 import pathlib
 import random
@@ -15,22 +16,38 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Set
 
-from bulrushhollow_core.domain import Resources, Step, TaskRef, Work, WorkerLife
+from bulrushhollow_core.domain import Occurrence, Resources, Step, TaskRef, Work, WorkerLife
 from bulrushhollow_core.ids import JobId
 from bulrushhollow_daemon.caller_server import ServerLimits, make_caller_server
 from bulrushhollow_daemon.http_server import open_listener
 from bulrushhollow_daemon.settings import Address
 from bulrushhollow_platform.standin import Caller, WorkerServer, heartbeat_body
 from soak._proxy import Proxy
-from standins.domain_oracle import Oracle
+from standins.domain_standing import STANDING_LIMIT, StandingOracle
 from standins.domain_workers import LONGEST_LEASE, Worker, WorkerPool
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HEARTBEAT_INTERVAL = 0.75
 """Seconds between two heartbeats of a worker."""
 
+STANDING_LIMIT_OF_PROCESSES = STANDING_LIMIT + 2.5
+"""Seconds for which a job may stand: the limit itself, and the time within which an acknowledged
+configuration is in force everywhere, which a commit and its orders may take as well."""
+
+PROBE_INTERVAL = 0.25
+"""Seconds between two reads of the configuration at each core instance, which show that it runs."""
+
+MAX_PROBE_AGE = 1.5
+"""Seconds since the last answer to such a read after which an instance counts as disturbed."""
+
+OBSERVATION_INTERVAL = 0.1
+"""Seconds between two observations of what runs."""
+
+MAX_OBSERVATION_INTERVAL = 0.5
+"""Seconds between two observations from which on the stand-ins themselves were held up."""
+
 PORT_NAMES = ("front", "ready", "control", "peer")
 
 
@@ -74,6 +91,8 @@
         self._process: subprocess.Popen[bytes] | None = None
         self.bootstrap = True
         self.is_restarting = False
+        self.answered_at = -math.inf
+        """When it last answered a read of the configuration."""
 
     def write_settings(self, seed_hosts: list[str]) -> None:
         """Write its settings file."""
@@ -195,7 +214,14 @@
         self.announced_lives: set[WorkerLife] = set()
         self.cut_workers: set[str] = set()
         self.caller = Caller()
-        self.oracle = Oracle(self)
+        self.accepted_at_by_job: dict[JobId, float] = {}
+        self.ended_jobs: set[JobId] = set()
+        """Jobs that callers were told have ended."""
+        self.core_faults_in_force = 0
+        self.core_disturbed_at = -math.inf
+        self._observed_at = -math.inf
+        self.oracle = StandingOracle(self, STANDING_LIMIT_OF_PROCESSES)
+        self.standing_check = self.oracle.standing_check
         self.clock = EventLoopClock()
         self.worker_pool = WorkerPool(
             self.clock, self.oracle, self.oracle.step, self._duration_of, self.rng
@@ -224,19 +250,91 @@
         for daemon in self.daemons:
             daemon.write_settings(self.seed_hosts)
             daemon.start()
+        tasks.update(asyncio.ensure_future(self.probe(core)) for core in self.cores)
+        tasks.add(asyncio.ensure_future(self.observe()))
 
     def _add_worker(self, number: int, host: str, tasks: set[asyncio.Task[None]]) -> None:
         capacity = Resources(64_000, 256_000, 8)
         worker = Worker(self.worker_pool, f"w{number}", "z", f"r{number % 3}", capacity, 1)
         worker.address = f"{host}:{self.ports['control']}"
         server = make_caller_server(
-            WorkerServer(worker, lambda: worker.is_up and worker.name not in self.cut_workers),
+            WorkerServer(
+                worker,
+                lambda: worker.is_up and worker.name not in self.cut_workers,
+                lambda task: self._record_unanswered_start(task, worker),
+            ),
             ServerLimits(5.0, 60.0, 500),  # type: ignore[arg-type]
         )
         sock = open_listener(Address(host, self.ports["control"]))
         tasks.add(asyncio.ensure_future(server.serve([sock])))
         tasks.add(asyncio.ensure_future(self._send_heartbeats(worker)))
 
+    # Observations of jobs that stand.
+
+    @property
+    def wall(self) -> float:
+        """The time of day in seconds."""
+        return time.time()
+
+    def _record_unanswered_start(self, task: TaskRef, worker: Worker) -> None:
+        self.standing_check.start_ordered(task, worker)
+        self.standing_check.order_unanswered(worker)
+
+    def accepted_jobs(self) -> Iterable[JobId]:
+        """Return the jobs whose acceptance callers were told."""
+        return list(self.accepted_at_by_job)
+
+    def has_ended(self, job: JobId) -> bool:
+        """Return whether callers were told that a job has ended."""
+        return job in self.ended_jobs
+
+    def is_core_disturbed(self) -> bool:
+        """Return whether a fault of instances is in force, or this process was held up itself."""
+        now = self.now
+        was_held_up = now - self._observed_at > MAX_OBSERVATION_INTERVAL
+        self._observed_at = now
+        is_disturbed = (
+            was_held_up
+            or self.core_faults_in_force > 0
+            or any(now - core.answered_at > MAX_PROBE_AGE for core in self.cores)
+        )
+        if is_disturbed:
+            self.core_disturbed_at = now
+        return is_disturbed
+
+    def is_cut_off(self, worker: Worker) -> bool:
+        """Return whether a worker is cut off from all instances."""
+        return worker.name in self.cut_workers
+
+    def held_tasks(self) -> Set[TaskRef]:
+        """
+        Return the tasks that a leader may hold for starts of an earlier one: as no leader tells,
+        all of the jobs that were accepted before the last fault of an instance.
+        """
+        return {
+            TaskRef(job, Occurrence(0), number, member)
+            for job, accepted_at in self.accepted_at_by_job.items()
+            if accepted_at <= self.core_disturbed_at
+            for number, step in enumerate(self.work_by_job[job].steps)
+            for member in range(step.count)
+        }
+
+    async def observe(self) -> None:
+        """Observe what runs, for as long as the testbed is open."""
+        while True:
+            self.standing_check.observe()
+            await asyncio.sleep(OBSERVATION_INTERVAL)
+
+    async def probe(self, core: DaemonProcess) -> None:
+        """Read the configuration of a core instance over and over."""
+        while True:
+            outcome = await self.caller.call(
+                "GET", self.control_address(core), "/Config.Get", timeout=1.0
+            )
+            if outcome.status == 200:
+                core.answered_at = self.now
+            await asyncio.sleep(PROBE_INTERVAL)
+
     async def _send_heartbeats(self, worker: Worker) -> None:
         """Send the heartbeats of a worker, each to a random core instance."""
         while True:
--- a/standins/domain_standing.py
+++ b/standins/domain_standing.py
@@ -20,8 +20,8 @@
     Availability,
     Occurrence,
     OrderStart,
+    Outcome,
     Resources,
-    RunNumber,
     Step,
     StepRef,
     TaskRef,
@@ -32,7 +32,7 @@
 from bulrushhollow_core.domain.model import NO_RESOURCES, total_of
 from bulrushhollow_core.ids import JobId, WorkspaceId
 from standins.domain_oracle import Oracle
-from standins.domain_workers import LONGEST_LEASE, Worker, WorkerPool
+from standins.domain_workers import LONGEST_LEASE, LiveRun, Worker, WorkerPool
 
 Key = TypeVar("Key")
 
@@ -79,7 +79,6 @@
 
     number: int
     task: TaskRef
-    run: RunNumber
     ordered_at: float
     worker: str
     needs: Resources
@@ -171,7 +170,7 @@
     """
     Records the accepted jobs that stand.
 
-    A job stands if, for `STANDING_LIMIT` without a break, it has nothing running and one of its
+    A job stands if, for the limit without a break, it has nothing running and one of its
     steps could run:
 
     - the ends of the steps that it depends on are acknowledged, and it is due;
@@ -208,13 +207,15 @@
     A gang has the excuses of all of its tasks; an independent step has one only if all of its tasks
     do.
 
+    :param limit: seconds for which a job may stand.
     :ivar standing: jobs that stood without an excuse.
     :ivar standing_while_excused: jobs that stood, and had an excuse for at least a part of it.
     """
 
-    def __init__(self, site: ObservedSite) -> None:
+    def __init__(self, site: ObservedSite, limit: float = STANDING_LIMIT) -> None:
         """Start without any record."""
         self._site = site
+        self._limit = limit
         self.standing: list[Standing] = []
         self.standing_while_excused: list[Standing] = []
         self._open_by_job: dict[JobId, Standing] = {}
@@ -231,10 +232,10 @@
 
     # Events.
 
-    def start_ordered(self, order: OrderStart, worker: Worker) -> StartAttempt:
+    def start_ordered(self, task: TaskRef, worker: Worker) -> StartAttempt:
         """Record and return an attempt to order a start; it is unanswered at first."""
-        number, needs = next(self._attempt_numbers), self._site.oracle.step(order.task).needs
-        attempt = StartAttempt(number, order.task, order.run, self._site.now, worker.name, needs)
+        number, needs = next(self._attempt_numbers), self._site.oracle.step(task).needs
+        attempt = StartAttempt(number, task, self._site.now, worker.name, needs)
         self._unanswered_starts[number] = attempt
         return attempt
 
@@ -314,7 +315,7 @@
 
     def _is_over_limit(self, span: Standing) -> bool:
         # Sums of steps of a tenth of a second are a little short of whole seconds.
-        return span.until - span.since >= STANDING_LIMIT - 1e-6
+        return span.until - span.since >= self._limit - 1e-6
 
     def _is_new(self, span: Standing) -> bool:
         """Return whether a span has just reached the limit."""
@@ -346,6 +347,32 @@
             del self._unanswered_starts[attempt.number]
 
 
+class StandingOracle(Oracle):
+    """An oracle that also tells a check of standing jobs of the starts and ends of runs."""
+
+    def __init__(self, site: ObservedSite, limit: float = STANDING_LIMIT) -> None:
+        """Start without any record."""
+        super().__init__(site)
+        self.standing_check = StandingCheck(site, limit)
+
+    def run_started(self, worker: Worker, order: OrderStart) -> None:
+        """Check that a run may start, and record it."""
+        self.standing_check.run_started(order.task)
+        super().run_started(worker, order)
+
+    def run_ended(self, worker: Worker, run: LiveRun, outcome: Outcome) -> None:
+        """Record that a run ended."""
+        super().run_ended(worker, run, outcome)
+        if outcome is Outcome.LEASE_EXPIRED:
+            self.standing_check.run_lost(run.order.task, worker)
+
+    def worker_crashed(self, worker: Worker, cause: TaskRef | None) -> None:
+        """Record which runs and unread ends a crash loses."""
+        super().worker_crashed(worker, cause)
+        for task in worker.runs.keys() | {row.task for row in worker.unacknowledged_ends}:
+            self.standing_check.run_lost(task, worker)
+
+
 class _View:
     """
     What could start at one moment.
@@ -362,18 +389,16 @@
         self._used_by_workspace: dict[WorkspaceId, Resources] = {}
         self._late_by_workspace: dict[WorkspaceId, Resources] = {}
         self._late_by_worker: dict[str, Resources] = {}
-        running: set[tuple[TaskRef, RunNumber]] = set()
+        running = set()
         for worker in site.worker_pool.workers:
             for task, run in worker.runs.items():
-                running.add((task, run.order.run))
+                running.add((task, worker.name))
                 _add(self._used_by_workspace, site.oracle.workspace_of(task.job), run.step.needs)
         attempts = check._unanswered_starts.values()
-        last_attempts = {(each.task, each.run): each for each in attempts}
-        for ref, attempt in last_attempts.items():
-            if ref not in running:
-                workspace = site.oracle.workspace_of(attempt.task.job)
-                _add(self._late_by_workspace, workspace, attempt.needs)
-                _add(self._late_by_worker, attempt.worker, attempt.needs)
+        for task, name, needs in {(each.task, each.worker, each.needs) for each in attempts}:
+            if (task, name) not in running:
+                _add(self._late_by_workspace, site.oracle.workspace_of(task.job), needs)
+                _add(self._late_by_worker, name, needs)
         self._late_tasks = {each.task for each in attempts}
         leads_anew = site.now - check._core_disturbed_at < EARLIER_START_WINDOW
         self._held_tasks = set(site.held_tasks()) if leads_anew else set()
--- a/tests/domain_world.py
+++ b/tests/domain_world.py
@@ -62,10 +62,9 @@
     no_answer_to,
 )
 from bulrushhollow_core.ids import InstanceId, JobId, Seconds, WorkspaceId, name_of
-from standins.domain_oracle import Oracle
 from standins.domain_site import HOST, TEAM, key_of
-from standins.domain_standing import StandingCheck, StartAttempt
-from standins.domain_workers import LONGEST_LEASE, LiveRun, Worker, WorkerPool
+from standins.domain_standing import StandingOracle, StartAttempt
+from standins.domain_workers import LONGEST_LEASE, Worker, WorkerPool
 from standins.virtual_time import VirtualTime
 
 TICK_INTERVAL = 0.05
@@ -234,31 +233,13 @@
                 self.world.log.append(json.dumps({"instance": self.address, **line}))
 
 
-class WorldOracle(Oracle):
-    """
-    An oracle that tells its world of the next end that is acknowledged as done, and its check of
-    standing jobs of the starts and ends of runs.
-    """
+class WorldOracle(StandingOracle):
+    """An oracle that tells its world of the next end that is acknowledged as done."""
 
     def __init__(self, world: "World") -> None:
         super().__init__(world)
-        self.standing_check = StandingCheck(world)
         self.after_next_acknowledgement: list[Callable[[], None]] = []
 
-    def run_started(self, worker: Worker, order: OrderStart) -> None:
-        self.standing_check.run_started(order.task)
-        super().run_started(worker, order)
-
-    def run_ended(self, worker: Worker, run: LiveRun, outcome: Outcome) -> None:
-        super().run_ended(worker, run, outcome)
-        if outcome is Outcome.LEASE_EXPIRED:
-            self.standing_check.run_lost(run.order.task, worker)
-
-    def worker_crashed(self, worker: Worker, cause: TaskRef | None) -> None:
-        super().worker_crashed(worker, cause)
-        for task in worker.runs.keys() | {row.task for row in worker.unacknowledged_ends}:
-            self.standing_check.run_lost(task, worker)
-
     def end_acknowledged(self, worker: Worker, row: ListedEnd) -> None:
         super().end_acknowledged(worker, row)
         if row.outcome is Outcome.DONE:
@@ -448,7 +429,7 @@
         generation = source.generation
         attempt = None
         if worker is not None and isinstance(order, OrderStart):
-            attempt = self.standing_check.start_ordered(order, worker)
+            attempt = self.standing_check.start_ordered(order.task, worker)
 
         def deliver_once(result: msgspec.Struct) -> None:
             if state["answered"] or worker is None:
