--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -6,10 +6,9 @@
 and turns the plan into proposed starts and stop orders.
 """
 
-import itertools
 import math
 from collections import Counter
-from collections.abc import Iterator, Set
+from collections.abc import Callable, Iterator, Sequence, Set
 from typing import NamedTuple, Self
 
 from bulrushhollow_core.domain.execution import OrderDispatcher, SchedulerState
@@ -231,17 +230,25 @@
             demand = self._build_demand(waiting_step, hosts, racks, suspects, guaranteed, now, wall)
             return adviser.request_for(demand)
 
-        def build_demands(steps: list[WaitingStep]) -> Iterator[Demand]:
-            for waiting_step in steps:
-                if waiting_step.ref in overdue:
-                    yield build_demand(waiting_step).as_overdue()
-            yield from map(build_demand, steps)
+        demands = self._order_demands(waiting, overdue, build_demand)
+        return PreparedPlan(waiting, demands, planner, caps)
 
-        # Otherwise overdue steps would take what evictions free, and be evicted in turn.
+    def _order_demands(
+        self,
+        waiting: Sequence[WaitingStep],
+        overdue: Set[StepRef],
+        build_demand: Callable[[WaitingStep], Demand],
+    ) -> Iterator[Demand]:
+        """
+        Yield the demands of steps with a claim, then those of the others, and among both those of
+        overdue steps first, as such, and once more at their own position. Without claims, overdue
+        steps would take what evictions free for others, and be evicted in turn.
+        """
         claiming = [each for each in waiting if self._claims.is_held_by(each.ref)]
         others = [each for each in waiting if not self._claims.is_held_by(each.ref)]
-        demands = itertools.chain(build_demands(claiming), build_demands(others))
-        return PreparedPlan(waiting, demands, planner, caps)
+        for steps in (claiming, others):
+            yield from (build_demand(each).as_overdue() for each in steps if each.ref in overdue)
+            yield from map(build_demand, steps)
 
     def _order_by_shares(
         self, waiting: list[WaitingStep], hosts: list[Host], now: Seconds
