Try each choice of workers for an overdue step once

A plan tried the same workers for an overdue gang up to three times, and for tasks without data twice, if they had no room: nothing is avoided and no rack is asked for in the usual case. The choices that are the same are left out; no placement changes.

--- a/packages/core/src/bulrushhollow_core/domain/placement/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planner.py
@@ -219,8 +219,10 @@
         placements: list[Placement] = []
         if not demand.step.is_gang:
             count = startable_count if demand.step.is_long_running else min(1, startable_count)
-            placements = self._place_tasks(demand, _local_hosts(demand, hosts).hosts, count)
-            placements = placements or self._place_tasks(demand, hosts, count)
+            local_hosts = _local_hosts(demand, hosts).hosts
+            placements = self._place_tasks(demand, local_hosts, count)
+            if not placements and local_hosts is not hosts:
+                placements = self._place_tasks(demand, hosts, count)
         elif startable_count == len(demand.task_indexes):
             group = self._overdue_group(demand, hosts)
             if group is not None:
@@ -231,8 +233,12 @@
 
     def _overdue_group(self, demand: Demand, hosts: list[Host]) -> HostGroup | None:
         """Return where an overdue gang has room, on one rack and preferred workers if it can."""
-        preferred = [host for host in hosts if host.life not in demand.limits.avoided_workers]
-        choices = (self._groups_for(demand, preferred), self._groups_for(demand, hosts), [hosts])
+        choices = [self._groups_for(demand, hosts)]
+        if demand.limits.avoided_workers:
+            preferred = [host for host in hosts if host.life not in demand.limits.avoided_workers]
+            choices.insert(0, self._groups_for(demand, preferred))
+        if demand.step.same_rack:
+            choices.append([hosts])
         groups = (best_group(demand, choice, include_stopping=False) for choice in choices)
         return next((group for group in groups if group is not None), None)
 
