Add a failing test of a job beside a worker that is kept for a suspect task

Other jobs stay away from the worker of a task that may crash it for up to 10 s; if it is the only one with room they stand for that long. Seen: 10.0 s instead of under 3 s.

--- a/tests/test_domain_overdue_review.py
+++ b/tests/test_domain_overdue_review.py
@@ -13,6 +13,8 @@
     DomainSettings,
     ListedEnd,
     ListedRun,
+    Loss,
+    Occurrence,
     OrderResult,
     OrderStart,
     OrderStop,
@@ -30,7 +32,7 @@
     Work,
     WorkerLife,
 )
-from bulrushhollow_core.ids import JobId, RackId, Seconds, Term, WorkspaceId
+from bulrushhollow_core.ids import JobId, RackId, Seconds, Term, WorkerId, WorkspaceId
 from standins.domain_site import NO_CAP, TEAM, configuration, queue, workspace_with
 from tests.test_domain_overdue import (
     MAX_STAND,
@@ -216,6 +218,23 @@
         job = site.submit("lasting", lasting)
         self.assertLess(site.seconds_until_next_start(job), MAX_STAND)
 
+    # Guards against a job that stands while the only worker with room is kept for a task that has
+    # crashed its workers (up to 10 s).
+    def test_a_job_does_not_stand_beside_a_worker_that_is_kept_for_a_suspect_task(self) -> None:
+        site = LiveSite()
+        site.occupy("r1", WORKERS_PER_RACK - 1)
+        step = Step(1, ONE_ACCELERATOR, Seconds(9.5), required_label="r1")
+        suspect = site.submit("suspect", step)
+        task = TaskRef(suspect, Occurrence(0), 0, 0)
+        site.state.jobs_by_id[suspect].losses = [
+            Loss(task, WorkerLife(WorkerId(name), 1), site.wall, Seconds(4.0), True, True)
+            for name in ("gone", "gone-too")
+        ]
+        site.advance(0.5)
+        self.assertIn(suspect, site.started_at_by_job)
+        job = site.submit("behind", step)
+        self.assertLess(site.seconds_until_next_start(job), MAX_STAND)
+
     # Guards against a wait that begins anew because the overdue start is refused by its worker.
     def test_a_refused_start_does_not_begin_the_wait_anew(self) -> None:
         site = LiveSite(cap=Resources(0, 0, 143))
