--- a/packages/core/src/bulrushhollow_core/domain/placement/_overdue.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_overdue.py
@@ -41,9 +41,9 @@
         busy: Set[ServiceName],
         now: Seconds,
         wall: WallTime,
-    ) -> list[WaitingStep]:
+    ) -> Set[StepRef]:
         """
-        Return the overdue steps among the waiting ones, in the same order.
+        Return the overdue steps among the waiting ones.
 
         :param caps: usage of the workspaces before the plan.
         :param busy: services without capacity to spare.
@@ -63,11 +63,11 @@
             )
             for waiting_step in standing
         }
-        return [
-            waiting_step
+        return {
+            waiting_step.ref
             for waiting_step in standing
             if now - self._since_by_step[waiting_step.ref] >= OVERDUE_AFTER
-        ]
+        }
 
 
 def _is_starting(shared: SchedulerState, ref: StepRef) -> bool:
