--- a/packages/core/src/bulrushhollow_core/domain/placement/_host_view.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_host_view.py
@@ -5,7 +5,7 @@
 The workers that may get new work, with their free resources, as one plan starts from them.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from typing import Self
 
 from bulrushhollow_core.domain.execution import SchedulerState
@@ -13,8 +13,6 @@
 from bulrushhollow_core.domain.model import (
     Availability,
     Event,
-    Job,
-    ServiceName,
     StepRef,
     WorkerNews,
     detached_copy,
@@ -51,7 +49,6 @@
     def release_needed_workers(
         self,
         steps: Iterable[WaitingStep],
-        service_of: Callable[[Job], ServiceName],
         waiting_since_by_step: Mapping[StepRef, Seconds],
         now: Seconds,
     ) -> None:
@@ -74,7 +71,7 @@
         for waiting_step in steps:
             job = waiting_step.job
             step = job.work.steps[waiting_step.ref.step]
-            service = service_of(job)
+            service = self._shared.current_queue(job.queue).service
             capable = sorted(
                 (
                     worker
--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -146,12 +146,7 @@
         self._forget_waiting_times({waiting_step.ref for waiting_step in queue.waiting})
         if queue.waiting:
             # Those that are released get work from the next plan on.
-            self._host_view.release_needed_workers(
-                queue.waiting,
-                lambda job: self._shared.current_queue(job.queue).service,
-                self._waiting_since_by_step,
-                now,
-            )
+            self._host_view.release_needed_workers(queue.waiting, self._waiting_since_by_step, now)
             self._log_capacity(queue.hosts, queue.waiting, now)
         watch = self._wait_reporter.watch(queue.waiting, queue.hosts, now, wall)
         if not queue.hosts:
--- a/packages/core/src/bulrushhollow_core/domain/placement/_wait_reports.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_wait_reports.py
@@ -352,7 +352,7 @@
         step, view = report.step, watch.views_by_step.get(report.step.ref)
         shared = self._shared
         spec = step.job.work.steps[step.ref.step]
-        service = self._service_of(step.job)
+        service = shared.current_queue(step.job.queue).service
         fields: dict[str, object] = {}
         if not step.is_waiting:
             hold = find_hold(shared, step.job, step.ref, step.task_indexes, now, wall)
@@ -394,12 +394,6 @@
             leading=round(now - shared.leading_since, 3),
         )
 
-    def _service_of(self, job: Job) -> ServiceName:
-        """Return the service of a job's queue as the configuration in force defines it."""
-        index = self._shared.state.configuration_index
-        queue = index.queues_by_name.get(job.queue.name) if index else None
-        return (queue or job.queue).service
-
 
 class _Room:
     """The room that a plan had for one demand that it did not place."""
@@ -526,7 +520,7 @@
                 "used": _as_text(view.used_before),
                 "planned": _as_text(view.used.minus(view.used_before)),
                 "reserved": _as_text(view.reserved),
-                "under_half": _is_under_half(view.used_before, account.cap),
+                "under_half": view.used_before.is_below(0.5, account.cap),
             }
         return fields
 
@@ -547,12 +541,6 @@
                 yield StepRef(job.id, occurrence, number), task_indexes
 
 
-def _is_under_half(used: Resources, cap: Resources) -> bool:
-    """Return whether usage is under half of a cap; 0 means no limit on a resource."""
-    limits = ((used.cpu, cap.cpu), (used.memory, cap.memory), (used.accelerators, cap.accelerators))
-    return all(2 * taken < limit for taken, limit in limits if limit)
-
-
 def _as_text(resources: Resources) -> str:
     """Return thousandths of cores, MiB of memory and accelerators, divided by slashes."""
     return f"{resources.cpu}/{resources.memory}/{resources.accelerators}"
