Excuse jobs in the soak only if a start of them may have been recorded

For 14.5 s after a fault of an instance the soak excused every job that had been accepted before it. An instance logs a placement before it records the start, so the excuse now needs such a line in a log of any instance.

--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -10,13 +10,14 @@
 import os
 import pathlib
 import random
+import re
 import shutil
 import signal
 import socket
 import subprocess
 import sys
 import time
-from collections.abc import Callable, Iterable, Set
+from collections.abc import Callable, Iterable, Iterator, Set
 
 from bulrushhollow_core.domain import Occurrence, Resources, Step, TaskRef, Work, WorkerLife
 from bulrushhollow_core.ids import JobId
@@ -48,6 +49,9 @@
 MAX_OBSERVATION_INTERVAL = 0.5
 """Seconds between two observations from which on the stand-ins themselves were held up."""
 
+PLACED = re.compile(rb'"event": "step_placed", "job": "(\w+)"')
+"""A line of a decision log by which tasks of a job were placed."""
+
 PORT_NAMES = ("front", "ready", "control", "peer")
 
 
@@ -91,6 +95,7 @@
         self._process: subprocess.Popen[bytes] | None = None
         self.bootstrap = True
         self.is_restarting = False
+        self._log_position = 0
         self.answered_at = -math.inf
         """When it last answered a read of the configuration."""
 
@@ -132,6 +137,17 @@
                 stderr=log,
             )
 
+    def read_placed_jobs(self) -> Iterator[JobId]:
+        """Yield the jobs that its log has named as placed since the last call."""
+        with (self.folder / "log").open("rb") as log:
+            log.seek(self._log_position)
+            *lines, _ = log.read().split(b"\n")
+        self._log_position += sum(len(line) + 1 for line in lines)
+        for line in lines:
+            found = PLACED.search(line)
+            if found:
+                yield JobId(found[1].decode())
+
     @property
     def is_up(self) -> bool:
         """Whether the process runs."""
@@ -217,6 +233,7 @@
         self.accepted_at_by_job: dict[JobId, float] = {}
         self.ended_jobs: set[JobId] = set()
         """Jobs that callers were told have ended."""
+        self._placed_jobs: set[JobId] = set()
         self.core_faults_in_force = 0
         self.core_disturbed_at = -math.inf
         self._observed_at = -math.inf
@@ -308,13 +325,16 @@
 
     def held_tasks(self) -> Set[TaskRef]:
         """
-        Return the tasks that a leader may hold for starts of an earlier one: as no leader tells,
-        all of the jobs that were accepted before the last fault of an instance.
+        Return the tasks that a leader may hold for starts of an earlier one. As no leader tells,
+        these are all tasks of the jobs that were accepted before the last fault of an instance and
+        that any instance has logged as placed, which it does before it records a start.
         """
+        for core in self.cores:
+            self._placed_jobs.update(core.read_placed_jobs())
         return {
             TaskRef(job, Occurrence(0), number, member)
             for job, accepted_at in self.accepted_at_by_job.items()
-            if accepted_at <= self.core_disturbed_at
+            if accepted_at <= self.core_disturbed_at and job in self._placed_jobs
             for number, step in enumerate(self.work_by_job[job].steps)
             for member in range(step.count)
         }
--- a/tests/test_domain_machine.py
+++ b/tests/test_domain_machine.py
@@ -653,7 +653,7 @@
                     seed, changes_capacities=True, has_crashing_tasks=True, checks_standing=False
                 )
 
-    # Guards against a waiting gang that keeps workers free, or waits for one rack, for seconds
+    # Guards against waiting gangs that reserve workers for seconds, and keep them from other jobs,
     # while under half of the service is in use.
     def test_no_job_stands_while_workers_shrink_and_grow(self) -> None:
         first = int(os.environ.get("FUZZ_SEED", "0"))
