--- a/packages/core/src/bulrushhollow_core/domain/placement/_host_view.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_host_view.py
@@ -20,13 +20,10 @@
 )
 from bulrushhollow_core.domain.placement._caps import busy_services, service_parts
 from bulrushhollow_core.domain.placement._exclusions import exclusion_time
+from bulrushhollow_core.domain.placement._overdue import OVERDUE_AFTER
 from bulrushhollow_core.domain.queueing import WaitingStep
 from bulrushhollow_core.ids import DataCentreId, Seconds
 
-QUARANTINE_YIELD = Seconds(2.0)
-"""Seconds that a step waits for room on other workers before quarantines end early on a service
-that is not busy. It must start within 3 s; the rest is for the plan, the commit and the start."""
-
 
 class HostView:
     """Builds the hosts of each plan from what is known of the workers."""
@@ -86,7 +83,7 @@
             wait = exclusion_time(step.is_long_running, is_last_attempt=False)
             waited = now - waiting_since_by_step.get(waiting_step.ref, now)
             must_start = step.is_long_running or service not in busy
-            counts_room = must_start and waited >= QUARANTINE_YIELD
+            counts_room = must_start and waited >= OVERDUE_AFTER
             # A gang needs room for all of its members at the same time.
             missing = len(waiting_step.task_indexes) if step.is_gang else 1
             for worker in capable:
--- a/packages/core/src/bulrushhollow_core/domain/placement/_overdue.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_overdue.py
@@ -48,7 +48,7 @@
         :param caps: usage of the workspaces before the plan.
         :param busy: services without capacity to spare.
         """
-        standing = [
+        idle = [
             waiting_step
             for waiting_step in waiting
             if _has_spare_capacity(shared, waiting_step, caps, busy)
@@ -61,11 +61,11 @@
             waiting_step.ref: self._since_by_step.get(
                 waiting_step.ref, _first_seen_since(shared, waiting_step, now, wall)
             )
-            for waiting_step in standing
+            for waiting_step in idle
         }
         return {
             waiting_step.ref
-            for waiting_step in standing
+            for waiting_step in idle
             if now - self._since_by_step[waiting_step.ref] >= OVERDUE_AFTER
         }
 
@@ -81,9 +81,9 @@
     shared: SchedulerState, waiting_step: WaitingStep, now: Seconds, wall: WallTime
 ) -> Seconds:
     """
-    Return since when a step that was not among the standing ones counts as standing. A new leader
-    does not know how long steps have stood, so those of earlier jobs count from their submission.
-    If that lies ahead of its clock, the clocks differ, and they count as having stood for long.
+    Return since when a step that has just become idle counts as idle. A new leader does not know
+    how long steps have been idle, so those of earlier jobs count from their submission. If that
+    lies ahead of its clock, the clocks differ, and they count as idle for long.
     """
     if now - shared.leading_since >= OVERDUE_AFTER:
         return now
