Keep the order of a plan in which nothing is overdue

Steps with a claim went before all others in each plan, also before urgent work that is served earlier by its guarantee. They need to only where overdue steps would take the room that was freed for them.

--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -102,8 +102,8 @@
     A planner and the demands that it is to serve.
 
     :param waiting: waiting steps in the order in which they are served.
-    :param demands: their demands, those of steps with a claim first, and before the others those of
-        overdue steps once more; each is built once those before it are served.
+    :param demands: their demands, those of overdue steps twice; each is built once those before it
+        are served.
     """
 
     waiting: list[WaitingStep]
@@ -235,10 +235,14 @@
         build_demand: Callable[[WaitingStep], Demand],
     ) -> Iterator[Demand]:
         """
-        Yield the demands of steps with a claim, then those of the others, and among both those of
-        overdue steps first, as such, and once more at their own position. Without claims, overdue
-        steps would take what evictions free for others, and be evicted in turn.
+        Yield the demands in the order of the steps. If any are overdue, those of steps with a claim
+        come before the others, and among both those of overdue steps first, as such, and once more
+        at their own position. Otherwise overdue steps would take what evictions free for others,
+        and be evicted in turn.
         """
+        if not overdue:
+            yield from map(build_demand, waiting)
+            return
         claiming = [each for each in waiting if self._claims.is_held_by(each.ref)]
         others = [each for each in waiting if not self._claims.is_held_by(each.ref)]
         for steps in (claiming, others):
