--- a/tests/test_domain_machine.py
+++ b/tests/test_domain_machine.py
@@ -463,12 +463,7 @@
     if changes_caps:
         # Without a cap at the end, also jobs that were accepted under a higher cap can run.
         world.run_until(lambda: cap_changes.put(Resources(0, 0, 0)), 60)
-    world.run_until(lambda: all(_has_ended(world, job) for job in world.accepted), 180)
-    for job, queue in queue_by_job.items():
-        if job in world.accepted:
-            state = world.read(job, queue)
-            final_states = (JobState.DONE, JobState.FAILED, JobState.CANCELLED)
-            assert state in final_states, f"seed {seed}: {job} is {state} at the end"
+    run_to_end(world, queue_by_job, seed)
     check_standing(world, seed)
     return world
 
@@ -568,14 +563,19 @@
     world.run(8)
     caps.accelerators = dict.fromkeys(WORKSPACES, max(CAPS))
     world.run_until(caps.put, 60)
+    run_to_end(world, queue_by_job, seed)
+    check_standing(world, seed)
+    return world
+
+
+def run_to_end(world: World, queue_by_job: dict[JobId, str], seed: int) -> None:
+    """Run until every accepted job has ended, and check what their callers are told."""
     world.run_until(lambda: all(_has_ended(world, job) for job in world.accepted), 180)
     for job, queue in queue_by_job.items():
         if job in world.accepted:
             state = world.read(job, queue)
             final_states = (JobState.DONE, JobState.FAILED, JobState.CANCELLED)
             assert state in final_states, f"seed {seed}: {job} is {state} at the end"
-    check_standing(world, seed)
-    return world
 
 
 def check_standing(world: World, seed: int) -> None:
