--- a/packages/core/src/bulrushhollow_core/domain/execution/_dispatch.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_dispatch.py
@@ -97,11 +97,9 @@
         start = Start(run.task, run.number, worker.life, worker.address)
         if not (run.may_repeat_start and self._may_start(worker, start) and self._is_whole(run)):
             return False
-        queue = self._shared.current_queue(self._shared.state.jobs_by_id[run.task.job].queue)
-        if worker.announcement is not None and worker.announcement.service != queue.service:
-            return False
+        job = self._shared.state.jobs_by_id[run.task.job]
         ticket = self._shared.advice.ticket_for(run.task.step_ref, worker.life)
-        if queue.needs_advice and not ticket:
+        if job.queue.needs_advice and not ticket:
             return False
         late_until = self._shared.earlier_start_until(run.task, run.number)
         worker.unanswered_starts[RunRef(run.task, run.number)] = UnansweredStart(
