Take back the repeated starts of a new leader

A start that an earlier leader recorded was ordered again by the next one. If that run is done, its worker returns under the same id within 14 s and the order of the earlier leader is the first that it gets, the task runs again (TWICE); the model excuses such starts and can't show it. The cure of a wait must not cost that.

--- a/packages/core/src/bulrushhollow_core/domain/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler.py
@@ -102,7 +102,6 @@
         self._min_plan_interval = MIN_PLAN_INTERVAL
         self._check_due = now
         self._ends_due = now
-        withdraw_starts_over_cap(self._shared, now)
 
     def take_actions(self) -> list[msgspec.Struct]:
         """Return the orders and log lines since the last call."""
--- a/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
@@ -324,14 +324,10 @@
         """
         End the runs that are not listed and that the worker will not start. A list proves this only
         if its poll was sent after the answer to the run's order, and if no start is on its way.
-        Runs that an earlier leader recorded lately, and may not have ordered, are started now.
         """
         for run in list(worker.runs_by_task.values()):
             if (run.task, run.number) in listed_runs:
                 continue
-            if run.phase is RunPhase.ADOPTED and self._dispatcher.repeat_start(worker, run, now):
-                self._log_unlisted_run(worker, run, "repeated")
-                continue
             has_never_started = (
                 run.phase is RunPhase.STOPPING
                 and worker.polled_at > run.stop_accepted_at
@@ -343,17 +339,17 @@
                 outcome = Outcome.LOST
                 if has_never_started and run.loss is None:
                     outcome = Outcome.NEVER_STARTED
-                self._log_unlisted_run(worker, run, outcome.value)
+                self._log_unlisted_run(worker, run, outcome)
                 self._shared.propose_end_of(run, outcome, run.checkpoint, now)
                 self._shared.request_plan(now)
 
-    def _log_unlisted_run(self, worker: Worker, run: Run, outcome: str) -> None:
+    def _log_unlisted_run(self, worker: Worker, run: Run, outcome: Outcome) -> None:
         self._shared.log_worker_event(
             Event.RUN_UNLISTED,
             worker,
             task=run.task,
             run=run.number,
             phase=run.phase.value,
-            outcome=outcome,
+            outcome=outcome.value,
             last_listed_end=worker.last_listed_end,
         )
--- a/packages/core/src/bulrushhollow_core/domain/execution/_dispatch.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_dispatch.py
@@ -9,14 +9,7 @@
 from collections.abc import Iterable
 
 from bulrushhollow_core.domain.execution._scheduler_state import SchedulerState
-from bulrushhollow_core.domain.fleet import (
-    LATE_ORDER_WINDOW,
-    Run,
-    RunPhase,
-    RunRef,
-    UnansweredStart,
-    Worker,
-)
+from bulrushhollow_core.domain.fleet import Run, RunPhase, Worker
 from bulrushhollow_core.domain.model import (
     Event,
     OrderStart,
@@ -25,7 +18,6 @@
     Poll,
     RunEnd,
     Start,
-    TaskState,
     WorkerLife,
     log_event,
 )
@@ -69,7 +61,12 @@
             if self._shared.state.is_current(start):
                 self._shared.propose_end(start.task, start.run, Outcome.NEVER_STARTED)
             return
-        if is_withdrawn or not self._may_start(worker, start):
+        is_evacuated = (
+            worker.announcement is not None
+            and worker.announcement.data_centre in self._shared.state.evacuated_data_centres
+        )
+        is_blocked = is_evacuated or is_withdrawn or worker.is_overcommitted
+        if is_blocked or not self._shared.state.can_start(start):
             self._shared.fleet.release(worker, start.task)
             self._shared.propose_end(start.task, start.run, Outcome.NEVER_STARTED)
             return
@@ -77,48 +74,6 @@
         run.started_at = run.progress_at = now
         self.send_start(worker, run, now)
 
-    def _may_start(self, worker: Worker, start: Start) -> bool:
-        """Return whether a committed start may still be ordered."""
-        is_evacuated = (
-            worker.announcement is not None
-            and worker.announcement.data_centre in self._shared.state.evacuated_data_centres
-        )
-        is_blocked = is_evacuated or worker.is_overcommitted
-        return not is_blocked and self._shared.state.can_start(start)
-
-    def repeat_start(self, worker: Worker, run: Run, now: Seconds) -> bool:
-        """
-        Order the start of a run that an earlier leader recorded and whose worker does not list it,
-        under the same number. Its worker has seen the token of this leader, so that the earlier
-        leader's order is void there; in a later life it may still be carried out.
-
-        :return: False if the run must not start.
-        """
-        start = Start(run.task, run.number, worker.life, worker.address)
-        if not (run.may_repeat_start and self._may_start(worker, start) and self._is_whole(run)):
-            return False
-        job = self._shared.state.jobs_by_id[run.task.job]
-        ticket = self._shared.advice.ticket_for(run.task.step_ref, worker.life)
-        if job.queue.needs_advice and not ticket:
-            return False
-        late_until = self._shared.earlier_start_until(run.task, run.number)
-        worker.unanswered_starts[RunRef(run.task, run.number)] = UnansweredStart(
-            Seconds(late_until - LATE_ORDER_WINDOW), run.needs
-        )
-        run.start_again(now)
-        self.send_start(worker, run, now)
-        return True
-
-    def _is_whole(self, run: Run) -> bool:
-        """Return whether no member of a gang's run has ended; a run of a single task is whole."""
-        record = self._shared.state.find_step(run.task)
-        return not run.is_gang or (
-            record is not None
-            and all(
-                task.state is TaskState.ACTIVE and task.run == run.number for task in record.tasks
-            )
-        )
-
     def send_start(self, worker: Worker, run: Run, now: Seconds) -> None:
         """Send the start of a run, with a new lease."""
         run.start_attempts += 1
--- a/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
@@ -102,7 +102,8 @@
         """Workers whose registration is proposed to the log and not yet committed."""
         self._adopt_workers(now)
         self.held_until_by_task: dict[TaskRef, Seconds] = {
-            ref: self.earlier_start_until(ref, run) for ref, run in state.runs_that_may_start_late()
+            ref: self._earlier_start_until(ref, run)
+            for ref, run in state.runs_that_may_start_late()
         }
         """Until when tasks wait whose last start may still be carried out."""
         for ref, task in state.active_tasks():
@@ -142,7 +143,6 @@
         run.phase = RunPhase.ADOPTED
         run.is_adopted = True
         run.has_uncertain_start = (ref, number) in (self._late_until_by_run or {})
-        run.may_repeat_start = run.has_uncertain_start
         self.fleet.place(worker, run)
         worker.poll_due = now
 
@@ -178,10 +178,10 @@
         if start is not None:
             return Seconds(start.timed_out_at + LATE_ORDER_WINDOW)
         if run.is_adopted and not run.has_been_listed:
-            return self.earlier_start_until(run.task, run.number)
+            return self._earlier_start_until(run.task, run.number)
         return now
 
-    def earlier_start_until(self, task: TaskRef, number: RunNumber) -> Seconds:
+    def _earlier_start_until(self, task: TaskRef, number: RunNumber) -> Seconds:
         """Return until when the order of an earlier leader to start a run may be carried out."""
         if self._late_until_by_run is None:
             return Seconds(self.leading_since + LATE_ORDER_WINDOW)
--- a/packages/core/src/bulrushhollow_core/domain/fleet/_runs.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_runs.py
@@ -103,8 +103,6 @@
         """Whether an earlier leader started it."""
         self.has_uncertain_start = False
         """Whether an earlier leader recorded its start so recently that it may not have arrived."""
-        self.may_repeat_start = False
-        """Whether to order its start again if its worker does not list it to this leader."""
         self.started_at = now
         self.start_attempts = 0
         self.awaits_start_answer = False
@@ -172,12 +170,6 @@
         is_known = self.is_adopted and not self.has_uncertain_start
         return is_known or min(self.accepted_at, self.first_listed_at) < math.inf
 
-    def start_again(self, now: Seconds) -> None:
-        """Record that this leader orders the start that an earlier one recorded."""
-        self.phase = RunPhase.STARTING
-        self.is_adopted = self.has_uncertain_start = self.may_repeat_start = False
-        self.started_at = self.progress_at = now
-
     def lose(self) -> None:
         """Record that it is lost with its worker."""
         self.loss = WorkerLoss(self.life, self.survived, self.has_started)
--- a/packages/core/src/bulrushhollow_core/domain/placement/_caps.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_caps.py
@@ -21,7 +21,6 @@
     Resources,
     ServiceName,
     Step,
-    TaskRef,
     Work,
     log_event,
     total_of,
@@ -464,19 +463,14 @@
 
 def withdraw_starts_over_cap(shared: SchedulerState, now: Seconds) -> None:
     """
-    Withdraw the starts that are not yet ordered of workspaces that exceed their cap: those that
-    were planned under an earlier cap, and those of an earlier leader that would be repeated.
+    Withdraw the proposed starts of workspaces that exceed a cap which has just come into force.
+    They were planned under an earlier cap, and are not yet ordered.
     """
     ledger = build_cap_ledger(shared, frozenset(), now)
-
-    def is_over_cap(task: TaskRef) -> bool:
+    for task in shared.proposed_runs_by_task:
         account = ledger.account_of(shared.workspace_of(task.job))
-        return account is not None and not is_within(account.used, account.cap)
-
-    shared.withdrawn_starts.update(filter(is_over_cap, shared.proposed_runs_by_task))
-    for run in shared.runs():
-        if run.may_repeat_start and is_over_cap(run.task):
-            run.may_repeat_start = False
+        if account is not None and not is_within(account.used, account.cap):
+            shared.withdrawn_starts.add(task)
 
 
 # Submissions and log lines.
