Show the two mends of overdue steps that had no test

A step is not overdue while its first start is under way: without it four tasks start within 4 s instead of one. A claim does not go before a guarantee while nothing is overdue: without it the claim's four tasks start first.

--- a/tests/test_domain_overdue_review.py
+++ b/tests/test_domain_overdue_review.py
@@ -42,6 +42,8 @@
     gang,
 )
 from tests.test_domain_planner import make_demand, make_host, make_planner
+from tests.test_domain_preemption import LoadedWorker, tasks
+from tests.test_domain_scheduler import WALL
 
 MAX_RECLAIM = 2.7
 """Seconds after which a job within its guarantee must have begun; the platform's rule RECLAIM."""
@@ -379,6 +381,50 @@
         self.assertEqual(len(site.starts), len({(start.task, start.run) for start in site.starts}))
 
 
+class SilentSite(LiveSite):
+    """A site whose workers answer no start after its load has started."""
+
+    is_silent = False
+
+    def accept(self, start: OrderStart) -> None:
+        if self.is_silent:
+            self.starts.append(start)
+        else:
+            super().accept(start)
+
+
+class StartUnderWayTest(unittest.TestCase):
+    # Guards against a step that counts as overdue while its first start is under way, so that each
+    # plan starts one more of its tasks before all other work.
+    def test_an_overdue_step_starts_one_task_until_its_start_is_answered(self) -> None:
+        site = SilentSite(cap=Resources(0, 0, 143))
+        site.occupy("r1", 5)
+        site.occupy("r2", 3)
+        site.submit("waits-for-rack", gang(16, label="r1"))
+        job = site.submit("held-back", Step(9, WHOLE_WORKER, Seconds(6.8)))
+        site.is_silent = True
+        site.advance(4.0)
+        tasks = {start.task for start in site.starts if start.task.job == job}
+        self.assertEqual(1, len(tasks))
+
+
+class OrderTest(unittest.TestCase):
+    # Guards against a step with a claim that goes before work within a guarantee although nothing
+    # is overdue (RECLAIM).
+    def test_a_claim_does_not_go_before_a_guarantee_while_nothing_is_overdue(self) -> None:
+        worker = LoadedWorker()
+        worker.submit_to("later", tasks(40, 1, 4.0), "background")
+        worker.advance()
+        worker.submit_to("urgent", tasks(4, 2, 1.0, is_gang=True), "claims")
+        worker.advance()
+        self.assertEqual(8, len(worker.stopped_runs))
+        work = tasks(4, 2, 1.0, is_gang=True)
+        chosen = queue("urgent", 0)
+        worker.commit([SubmitJob(JobId("guaranteed"), chosen, TEAM, work, WALL)])
+        worker.finish_stops()
+        self.assertEqual(["guaranteed"] * 4, worker.advance())
+
+
 class TwiceInPlanTest(unittest.TestCase):
     # Guards against a task that is placed as that of an overdue step and once more at the step's
     # own position (TWICE), and against more tasks on a worker than the step allows (ROUTE).
