--- a/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
@@ -315,8 +315,7 @@
     def current_queue(self, queue: Queue) -> Queue:
         """Return a job's queue as the configuration in force defines it."""
         index = self.state.configuration_index
-        current = index.queues_by_name.get(queue.name) if index is not None else None
-        return current or queue
+        return index.current_queue(queue) if index is not None else queue
 
     def ends_soon(self, run: Run, now: Seconds) -> bool:
         """Return whether a run is expected to end by itself within the time that a stop takes."""
--- a/packages/core/src/bulrushhollow_core/domain/model/_configuration.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_configuration.py
@@ -179,6 +179,10 @@
         entry = self.workspaces_by_name.get(workspace) if workspace else None
         return entry.cap if entry else NO_RESOURCES
 
+    def current_queue(self, queue: Queue) -> Queue:
+        """Return a job's queue as this configuration defines it, or as it was at its submission."""
+        return self.queues_by_name.get(queue.name, queue)
+
     def weight_of(self, workspace: WorkspaceId | None) -> float:
         """Return the weight of a workspace; 0 if it has none."""
         entry = self.workspaces_by_name.get(workspace) if workspace else None
--- a/packages/core/src/bulrushhollow_core/domain/queueing/_admission.py
+++ b/packages/core/src/bulrushhollow_core/domain/queueing/_admission.py
@@ -372,7 +372,7 @@
 
 def service_of(job: Job, index: ConfigurationIndex) -> ServiceName:
     """Return the service whose workers run a job by the configuration in force."""
-    return index.queues_by_name.get(job.queue.name, job.queue).service
+    return index.current_queue(job.queue).service
 
 
 def may_use_any_worker(step: WaitingStep, index: ConfigurationIndex) -> bool:
@@ -381,7 +381,7 @@
     wait for a few workers while the rest has room.
     """
     task = step.job.work.steps[step.ref.step]
-    queue = index.queues_by_name.get(step.job.queue.name, step.job.queue)
+    queue = index.current_queue(step.job.queue)
     is_limited = bool(task.required_label) or task.max_per_worker > 0 or queue.needs_advice
     return not is_limited and not task.is_long_running
 
