Leave work out of each plan that only some plans need

Each plan sorted all workers for the advice on later steps, and searched the blocked gangs that might reserve, also where no queue needs advice. Overdue steps went through all ends that are being recorded for each idle step. Both are done only where they are needed, and once. No behaviour changes.

--- a/packages/core/src/bulrushhollow_core/domain/execution/_advice.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_advice.py
@@ -15,11 +15,13 @@
 import math
 from collections import Counter
 from collections.abc import Iterable, Sequence, Set
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 from bulrushhollow_core.domain.model import AdviceAnswered, AskAdvice, StepRef, WorkerLife
 from bulrushhollow_core.ids import JobId, Seconds
 
+Data = TypeVar("Data")
+
 MAX_WORKERS_PER_QUESTION = 30
 """Workers named in one question; the platform allows a step the time of one such question."""
 
@@ -119,7 +121,7 @@
 
     def is_denied(self, step: StepRef, life: WorkerLife) -> bool:
         """Return whether a worker is known not to be allowed to run a step."""
-        return life in self._denied_workers_by_step.get(step, ())
+        return life in self.denied_workers(step)
 
     def denied_workers(self, step: StepRef) -> Set[WorkerLife]:
         """Return the workers that are known not to be allowed to run a step."""
@@ -134,6 +136,11 @@
         """Return the workers that are known to be allowed to run a step, with any ticket."""
         return self._tickets_by_step.get(step, {}).keys()
 
+    @property
+    def has_requests(self) -> bool:
+        """Return whether advice has been requested for any step since the last plan."""
+        return bool(self._requests_by_step)
+
     def clear_requests(self) -> None:
         """Remove all requests; each planning pass requests the waiting steps anew, in its order."""
         self._requests_by_step.clear()
@@ -256,14 +263,15 @@
 
     def forget_job(self, job: JobId) -> None:
         """Remove the steps of a job that has ended."""
-        for step in [step for step in self._tickets_by_step if step.job == job]:
-            del self._tickets_by_step[step]
-        for step in [step for step in self._denied_workers_by_step if step.job == job]:
-            del self._denied_workers_by_step[step]
-        for step in [step for step in self._asked_at_by_step if step.job == job]:
-            del self._asked_at_by_step[step]
-        for step in [step for step in self._requests_by_step if step.job == job]:
-            del self._requests_by_step[step]
+        _forget_steps(self._tickets_by_step, job)
+        _forget_steps(self._denied_workers_by_step, job)
+        _forget_steps(self._asked_at_by_step, job)
+        _forget_steps(self._requests_by_step, job)
+
+
+def _forget_steps(data_by_step: dict[StepRef, Data], job: JobId) -> None:
+    for step in [step for step in data_by_step if step.job == job]:
+        del data_by_step[step]
 
 
 def _is_usable(ticket: Ticket, now: Seconds) -> bool:
--- a/packages/core/src/bulrushhollow_core/domain/placement/_advice_requests.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_advice_requests.py
@@ -93,6 +93,8 @@
 
 def narrow_requests(advice: AdviceCache, plan: Plan, hosts: Sequence[Host]) -> None:
     """Drop the requests for steps that a plan has placed, and put off those held back."""
+    if not advice.has_requests:
+        return
     blocked = {demand.ref for demand in plan.blocked}
     held_back = {demand.ref for demand in plan.held_back}
     gangs = (
--- a/packages/core/src/bulrushhollow_core/domain/placement/_overdue.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_overdue.py
@@ -7,9 +7,10 @@
 an overdue step is served before all of them, but after steps for which runs were evicted.
 """
 
-from collections.abc import Iterable, Set
+from collections.abc import Iterable, Sequence, Set
 
 from bulrushhollow_core.domain.execution import SchedulerState
+from bulrushhollow_core.domain.fleet import Run
 from bulrushhollow_core.domain.model import ServiceName, StepRef, WallTime
 from bulrushhollow_core.domain.placement._caps import CapLedger
 from bulrushhollow_core.domain.placement._holds import is_known_to_run
@@ -54,8 +55,11 @@
             if _has_spare_capacity(shared, waiting_step, caps, busy)
         ]
         # A start that is refused does not begin the wait anew.
+        ending = {task.step_ref for task in shared.unrecorded_ends_by_task}
         starting = {
-            ref: since for ref, since in self._since_by_step.items() if _is_starting(shared, ref)
+            ref: since
+            for ref, since in self._since_by_step.items()
+            if _is_starting(shared.fleet.runs_of(ref.job), ref in ending)
         }
         self._since_by_step = starting | {
             waiting_step.ref: self._since_by_step.get(
@@ -70,11 +74,13 @@
         }
 
 
-def _is_starting(shared: SchedulerState, ref: StepRef) -> bool:
-    """Return whether starts of a step's job are under way, none of which is known to run yet."""
-    runs = shared.fleet.runs_of(ref.job)
-    is_under_way = runs or any(task.step_ref == ref for task in shared.unrecorded_ends_by_task)
-    return bool(is_under_way) and not any(map(is_known_to_run, runs))
+def _is_starting(runs: Sequence[Run], is_ending: bool) -> bool:
+    """
+    Return whether starts of a step's job are under way, none of which is known to run yet.
+
+    :param is_ending: whether an end of one of the step's tasks is being recorded.
+    """
+    return (bool(runs) or is_ending) and not any(map(is_known_to_run, runs))
 
 
 def _first_seen_since(
--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -409,11 +409,13 @@
 
     def _prefetch_advice(self, waiting: list[WaitingStep], hosts: list[Host], now: Seconds) -> None:
         """Request advice on later steps of waiting jobs, until any worker is permitted."""
+        jobs = {waiting_step.job.id: waiting_step.job for waiting_step in waiting}.values()
+        queued = ((job, self._shared.current_queue(job.queue)) for job in jobs)
+        advised = [(job, queue.service) for job, queue in queued if queue.needs_advice]
+        if not advised:
+            return
         adviser = AdviceRequester(self._shared.advice, hosts, now)
-        for job in {waiting_step.job.id: waiting_step.job for waiting_step in waiting}.values():
-            if not self._shared.current_queue(job.queue).needs_advice:
-                continue
-            service = self._shared.current_queue(job.queue).service
+        for job, service in advised:
             for occurrence, records in job.occurrences_by_number.items():
                 for number, step in enumerate(job.work.steps):
                     if not all(records[earlier].is_done for earlier in step.depends_on):
