--- a/packages/core/src/bulrushhollow_core/domain/placement/__init__.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/__init__.py
@@ -9,7 +9,6 @@
     CAP_RETRY_AFTER,
     CapAccount,
     CapLedger,
-    busy_services,
     exceeds_cap,
     withdraw_starts_over_cap,
 )
@@ -49,6 +48,9 @@
 from bulrushhollow_core.domain.placement._running_work import (
     RunningWork,
 )
+from bulrushhollow_core.domain.placement._service_loads import (
+    busy_services,
+)
 from bulrushhollow_core.domain.placement._victim_search import (
     MAX_VICTIM_SEARCHES,
 )
--- a/packages/core/src/bulrushhollow_core/domain/placement/_host_view.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_host_view.py
@@ -18,9 +18,9 @@
     detached_copy,
     log_event,
 )
-from bulrushhollow_core.domain.placement._caps import busy_services, service_parts
 from bulrushhollow_core.domain.placement._exclusions import exclusion_time
 from bulrushhollow_core.domain.placement._overdue import OVERDUE_AFTER
+from bulrushhollow_core.domain.placement._service_loads import busy_services, service_parts
 from bulrushhollow_core.domain.queueing import WaitingStep
 from bulrushhollow_core.ids import DataCentreId, Seconds
 
--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -33,12 +33,9 @@
 )
 from bulrushhollow_core.domain.placement._advice_requests import AdviceRequester, narrow_requests
 from bulrushhollow_core.domain.placement._caps import (
-    BUSY_SHARE,
     CapLedger,
     CapReporter,
-    ServiceLoads,
     build_cap_ledger,
-    service_parts,
 )
 from bulrushhollow_core.domain.placement._delay_cost import DelayPricer
 from bulrushhollow_core.domain.placement._demands import (
@@ -56,6 +53,11 @@
 from bulrushhollow_core.domain.placement._plan import Placement, Plan
 from bulrushhollow_core.domain.placement._planner import Planner
 from bulrushhollow_core.domain.placement._running_work import RunningWork
+from bulrushhollow_core.domain.placement._service_loads import (
+    BUSY_SHARE,
+    ServiceLoads,
+    service_parts,
+)
 from bulrushhollow_core.domain.placement._wait_reports import WaitReporter
 from bulrushhollow_core.domain.queueing import (
     LOCALITY_WAIT_FACTOR,
--- a/packages/core/src/bulrushhollow_core/domain/placement/_wait_reports.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_wait_reports.py
@@ -32,15 +32,14 @@
 from bulrushhollow_core.domain.placement._caps import (
     CapAccount,
     CapLedger,
-    busy_services,
     is_within,
-    service_parts,
 )
 from bulrushhollow_core.domain.placement._demands import Demand
 from bulrushhollow_core.domain.placement._groups import can_ever_hold
 from bulrushhollow_core.domain.placement._holds import find_hold, is_known_to_run
 from bulrushhollow_core.domain.placement._plan import Plan
 from bulrushhollow_core.domain.placement._planner import BACKGROUND_URGENCY
+from bulrushhollow_core.domain.placement._service_loads import busy_services, service_parts
 from bulrushhollow_core.domain.queueing import WaitingStep, due_occurrences
 from bulrushhollow_core.ids import JobId, RackId, Seconds, WorkspaceId
 
