review: case 8, a guarantee is not given back by tasks with a limit on stops

Cause: a plan spends a step's limit on the first runs that it comes across, before it is known where room is needed, so the runs that would have to stop are no victims, in this plan and in each later one. Done: a script in which one workspace's lasting job fills idle workers of two kinds, and the other asks for a part of its guarantee.

--- a/review/harness-2/deployment.py
+++ b/review/harness-2/deployment.py
@@ -214,8 +214,14 @@
 
     # Start and end.
 
-    async def open(self, workers: int = 6, config: dict[str, Any] | None = None) -> None:
-        """Start everything, and wait until the first configuration is accepted."""
+    async def open(
+        self, workers: int = 6, config: dict[str, Any] | None = None, kinds: str = "a"
+    ) -> None:
+        """
+        Start everything, and wait until the first configuration is accepted.
+
+        :param kinds: kinds of the workers, a letter each, taken in turn.
+        """
         for program in self.programs:
             program.write_settings()
             program.start()
@@ -234,6 +240,7 @@
                 self.task_needs,
                 self.log,
             )
+            worker.kind = kinds[n % len(kinds)]
             self.workers.append(worker)
             await worker.start()
         async with asyncio.timeout(25):
--- a/review/harness-2/workers.py
+++ b/review/harness-2/workers.py
@@ -74,6 +74,7 @@
         self.heartbeat_s = heartbeat_s
         self.hold_max_ms = hold_max_ms
         self.capacity = {"cpu": 64000, "mem-mb": 256000, "gpu": 8}
+        self.kind = "a"
         self._work_s, self._needs, self._record = work_s, needs, record
         self._server = HttpServer(self._handle)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -142,7 +143,7 @@
                 "state": self.state,
                 "cold-left-ms": 0,
                 "capacity": self.capacity,
-                "labels": ["a", self.rack],
+                "labels": [self.kind, self.rack],
                 "time-ms": int(self.clock_ms(life)),
                 "seq": life.sequence,
                 "born": life.born,
