review: case 7 leaves the workers of the lasting job idle

Cause: a lease that was left from other work put off the second run of the task, so that the two runs overlapped for 0.5 to 2 s only. Done: the work beside it runs on workers of another kind.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -100,17 +100,25 @@
 
 async def play(deployment: Deployment, log: Log, has_trouble: bool) -> list[str]:
     """Submit a lasting job whose first start gets no answer, since its worker is cut off."""
-    await deployment.open(workers=8)
+    await deployment.open(workers=8, kinds="ab")
     late = LateOrder(log)
     if has_trouble:
         for worker in deployment.workers:
             worker.delay_order = late.watch(worker)
-    small = {"count": 40, "cpu": 2000, "mem-mb": 1000, "estimate-ms": 500}
-    await deployment.submit(BESIDE, {"spec": "work", "steps": [small]}, 0.5, "/b/")
-    # The workers are idle again when the lasting job comes.
-    await asyncio.sleep(1.8)
-    lasting = {"count": 1, "cpu": 2000, "mem-mb": 1000, "gpu": 8, "long-running": True}
-    body = {"spec": "serve", "steps": [{**lasting, "estimate-ms": 3000}]}
+    # Work beside it runs on workers of the other kind, so that those of the lasting job are idle.
+    small = {"count": 40, "cpu": 2000, "mem-mb": 1000, "required-label": "b", "estimate-ms": 1500}
+    await deployment.submit(BESIDE, {"spec": "work", "steps": [small]}, 1.5, "/b/")
+    await asyncio.sleep(1.0)
+    lasting = {
+        "count": 1,
+        "cpu": 2000,
+        "mem-mb": 1000,
+        "gpu": 8,
+        "required-label": "a",
+        "estimate-ms": 3000,
+        "long-running": True,
+    }
+    body = {"spec": "serve", "steps": [lasting]}
     answer = await deployment.submit(LASTING, body, math.inf, "/u/", first=1)
     log("submitted", job=LASTING, status=answer.status)
     await asyncio.sleep(16.0)
