Log how long a task waits for an unanswered start, and why that ends

Cause: `run_ended` said whether a start may still be carried out, but neither for how long its task waits nor what ends the wait.

Change: `run_ended` has `hold`, in seconds, and `start_hold_ended` follows. The holds are kept as `StartHold` with the run and the time since when.

--- a/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
@@ -8,6 +8,8 @@
 
 from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping, Set
+from enum import Enum
+from typing import NamedTuple
 
 import msgspec
 
@@ -43,6 +45,29 @@
 from bulrushhollow_core.domain.replica import DomainState
 from bulrushhollow_core.ids import JobId, Seconds, Term, WorkspaceId
 
+NO_HOLD = Seconds(0.0)
+"""Hold of a task that may start again at once."""
+
+
+class HoldEnd(Enum):
+    """Why a task no longer waits for an unanswered start."""
+
+    EXPIRED = "expired"
+
+
+class StartHold(NamedTuple):
+    """
+    Keeps a task from starting again while its last start may still be carried out.
+
+    :param run: number of the run whose start went unanswered.
+    :param since: when the end of that run was proposed, or when this instance began to lead.
+    :param until: when the hold expires.
+    """
+
+    run: RunNumber
+    since: Seconds
+    until: Seconds
+
 
 class SchedulerState:
     """
@@ -101,11 +126,11 @@
         self.pending_registrations: set[WorkerLife] = set()
         """Workers whose registration is proposed to the log and not yet committed."""
         self._adopt_workers(now)
-        self.held_until_by_task: dict[TaskRef, Seconds] = {
-            ref: self._earlier_start_until(ref, run)
+        self.start_holds_by_task: dict[TaskRef, StartHold] = {
+            ref: StartHold(run, now, self._earlier_start_until(ref, run))
             for ref, run in state.runs_that_may_start_late()
         }
-        """Until when tasks wait whose last start may still be carried out."""
+        """Tasks that wait because their last start may still be carried out."""
         for ref, task in state.active_tasks():
             if task.worker is not None:
                 self.adopt(ref, task.run, task.worker, task.address, now)
@@ -158,7 +183,7 @@
         # A lasting task that is away does more harm than a second one for a moment.
         may_start_late = now < held_until and not self.is_long_running(run)
         if may_start_late:
-            self.held_until_by_task[run.task] = held_until
+            self.start_holds_by_task[run.task] = StartHold(run.number, now, held_until)
         self.propose(
             RunEnd(
                 run.task,
@@ -168,7 +193,8 @@
                 run.survived,
                 run.loss,
                 may_start_late,
-            )
+            ),
+            Seconds(held_until - now) if may_start_late else NO_HOLD,
         )
 
     def _late_start_until(self, run: Run, now: Seconds) -> Seconds:
@@ -189,13 +215,29 @@
 
     def held_tasks(self, now: Seconds) -> Set[TaskRef]:
         """Return the tasks whose last start may still be carried out."""
-        over = [task for task, until in self.held_until_by_task.items() if now >= until]
-        for task in over:
-            del self.held_until_by_task[task]
-        return self.held_until_by_task.keys()
+        expired = [task for task, hold in self.start_holds_by_task.items() if now >= hold.until]
+        for task in expired:
+            self._end_hold(task, HoldEnd.EXPIRED, now)
+        return self.start_holds_by_task.keys()
+
+    def _end_hold(self, task: TaskRef, cause: HoldEnd, now: Seconds) -> None:
+        hold = self.start_holds_by_task.pop(task)
+        self.outbox.append(
+            log_event(
+                Event.START_HOLD_ENDED,
+                task=task,
+                run=hold.run,
+                cause=cause.value,
+                held=round(now - hold.since, 3),
+            )
+        )
 
-    def propose(self, end: RunEnd) -> None:
-        """Propose an end to the log, and write it to the decision log."""
+    def propose(self, end: RunEnd, hold: Seconds = NO_HOLD) -> None:
+        """
+        Propose an end to the log, and write it to the decision log.
+
+        :param hold: seconds for which the task waits for a start that may be carried out late.
+        """
         self.pending_ends.append(end)
         self.unrecorded_ends_by_task[end.task] += 1
         task, run, outcome = end.task, end.run, end.outcome
@@ -209,6 +251,7 @@
                 outcome=outcome.value,
                 worker=worker.id if worker else "",
                 may_start_late=end.may_start_late,
+                hold=round(hold, 3),
             )
         )
 
--- a/packages/core/src/bulrushhollow_core/domain/model/_events.py
+++ b/packages/core/src/bulrushhollow_core/domain/model/_events.py
@@ -32,6 +32,8 @@
     """A run was lost with its worker; `run_ended` follows once the worker can no longer run it."""
     RUN_UNLISTED = "run_unlisted"
     """A run ends because its worker does not list it."""
+    START_HOLD_ENDED = "start_hold_ended"
+    """A task no longer waits for an unanswered start, which could have been carried out late."""
     END_OUTDATED = "end_outdated"
     """A worker lists the end of a run that is not recorded as the active run of its task."""
     ENDS_ACKNOWLEDGED = "ends_acknowledged"
--- a/packages/core/src/bulrushhollow_core/domain/placement/_holds.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_holds.py
@@ -111,7 +111,8 @@
 
 def _late_start_until(shared: SchedulerState, task: TaskRef, now: Seconds) -> Seconds:
     """Return until when a start of a task that went unanswered may still be carried out."""
-    ends = [shared.held_until_by_task.get(task, now)]
+    hold = shared.start_holds_by_task.get(task)
+    ends = [hold.until if hold is not None else now]
     for worker in shared.fleet.workers_by_life.values():
         ends += [at for ref, at in worker.accepted_stops.items() if ref.task == task]
         ends += [
--- a/tests/test_domain_late_starts.py
+++ b/tests/test_domain_late_starts.py
@@ -11,7 +11,9 @@
 from bulrushhollow_core.domain.model import (
     DomainSettings,
     EndRuns,
+    Event,
     ListedEnd,
+    LogEvent,
     OrderResult,
     Outcome,
     PollAnswered,
@@ -303,6 +305,18 @@
                 assert end.loss is not None
                 self.assertEqual(has_started, end.loss.has_started)
 
+    # Guards against a task that waits for an unanswered start without a line that shows its end.
+    def test_the_end_of_a_hold_is_logged(self) -> None:
+        harness = self.harness
+        self.lead({self.run: Seconds(harness.now + 3.0)})
+        harness.commit([EndRuns((self.end_by_empty_list(),), WALL)])
+        harness.scheduler._shared.held_tasks(Seconds(harness.now + 3.0))
+        lines = [each for each in harness.scheduler.take_actions() if isinstance(each, LogEvent)]
+        [ended] = [each for each in lines if each.event is Event.RUN_ENDED]
+        [hold_ended] = [each for each in lines if each.event is Event.START_HOLD_ENDED]
+        self.assertEqual(3.0, ended.fields["hold"])
+        self.assertEqual(("expired", 3.0), (hold_ended.fields["cause"], hold_ended.fields["held"]))
+
     def test_starts_are_recent_for_a_limited_time(self) -> None:
         recent = RecentStarts(Seconds(14.0))
         recent.record([self.run], Seconds(1.0))
