Hold lasting tasks whose start went unanswered, until the worker's answer

Its start got no answer, its worker was cut off, crashed and came back under its id behind the cut, and carried the order out there; meanwhile the task had started elsewhere.

Cause: `propose_end_of` left lasting tasks out of the hold that all others have after an unanswered start, so that they would not be away for 12 s.

Change: lasting tasks are held, too, in `StartHolds`, and no longer than the order or its evidence asks. A list of the worker without the run ends the hold: a later life has seen a higher fencing token, and in the same life the lease of the order has run out. No hold follows a stop that the worker accepted, a list under the token of a new leader, or another worker at its address. Without an answer the hold ends 8.5 s after the order, since a lasting task may be away for nine. Workers whose list is awaited are polled every 0.3 s while they are silent.

The same on related paths: lasting gangs, starts that were on their way when the later life appeared, a new leader's holds. Tasks that end are held as before: they could start again after they were done.

--- a/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
@@ -6,11 +6,12 @@
 """
 
 import math
-from collections.abc import Sequence
+from collections.abc import Sequence, Set
 
 from bulrushhollow_core.domain.execution._dispatch import OrderDispatcher
 from bulrushhollow_core.domain.execution._losses import WorkerLossHandler
 from bulrushhollow_core.domain.execution._scheduler_state import SchedulerState
+from bulrushhollow_core.domain.execution._start_holds import StartEvidence
 from bulrushhollow_core.domain.fleet import Run, RunPhase, RunRef, Worker
 from bulrushhollow_core.domain.model import (
     Event,
@@ -20,10 +21,8 @@
     OrderStop,
     Outcome,
     PollAnswered,
-    RunNumber,
     StartAnswered,
     StopAnswered,
-    TaskRef,
     TaskState,
     log_event,
 )
@@ -196,8 +195,11 @@
                 self._log_unanswered_poll(worker, answer.result, now)
             worker.silent_since = worker.silent_since or now
             worker.last_acknowledged_end = 0
+            is_awaited = bool(worker.runs_by_task) or self._shared.start_holds.awaits_list_of(
+                worker.life.id
+            )
             worker.poll_due = Seconds(
-                now + (POLL_RETRY_INTERVAL if worker.runs_by_task else IDLE_POLL_RETRY_INTERVAL)
+                now + (POLL_RETRY_INTERVAL if is_awaited else IDLE_POLL_RETRY_INTERVAL)
             )
             return
         worker.record_contact(answer.clock, self._shared.settings.longest_lease, now)
@@ -209,13 +211,15 @@
         worker.listed_at = now
         self._log_discarded_ends(worker, answer.ended)
         worker.has_answered_poll = True
-        listed_runs = {(ended_run.task, ended_run.run) for ended_run in answer.ended}
+        listed_runs = {RunRef(ended_run.task, ended_run.run) for ended_run in answer.ended}
         # Rows may come in any order, and a number at or below the last one counts as read.
         for ended_run in sorted(answer.ended, key=lambda end: end.number):
             self._handle_listed_end(worker, ended_run, now)
+        running_runs = {RunRef(running.task, running.run) for running in answer.running}
+        listed_runs |= running_runs
         for running in answer.running:
-            listed_runs.add((running.task, running.run))
             self._handle_listed_run(worker, running, now)
+        self._shared.end_holds_by_list(worker, running_runs, now)
         if len(answer.ended) < MAX_LISTED_ENDS:
             self._end_missing_runs(worker, listed_runs, now)
         self._dispatcher.poll(worker, now)
@@ -267,7 +271,10 @@
         if run is not None:
             run.mark_listed(now)
             self._shared.fleet.release(self._shared.fleet.workers_by_life[run.life], run.task)
-            self._shared.propose_end_of(run, ended_run.outcome, ended_run.checkpoint, now)
+            # A task that has just run may be away for a while: it waits for further lives, too.
+            self._shared.propose_end_of(
+                run, ended_run.outcome, ended_run.checkpoint, now, StartEvidence.NONE
+            )
         else:
             self._shared.propose_end(
                 ended_run.task, ended_run.run, ended_run.outcome, ended_run.checkpoint
@@ -318,15 +325,13 @@
         if is_straggler:
             self._loss_handler.stop_and_quarantine(worker, run, "a run is slow", now)
 
-    def _end_missing_runs(
-        self, worker: Worker, listed_runs: set[tuple[TaskRef, RunNumber]], now: Seconds
-    ) -> None:
+    def _end_missing_runs(self, worker: Worker, listed_runs: Set[RunRef], now: Seconds) -> None:
         """
         End the runs that are not listed and that the worker will not start. A list proves this only
         if its poll was sent after the answer to the run's order, and if no start is on its way.
         """
         for run in list(worker.runs_by_task.values()):
-            if (run.task, run.number) in listed_runs:
+            if RunRef(run.task, run.number) in listed_runs:
                 continue
             has_never_started = (
                 run.phase is RunPhase.STOPPING
@@ -340,7 +345,9 @@
                 if has_never_started and run.loss is None:
                     outcome = Outcome.NEVER_STARTED
                 self._log_unlisted_run(worker, run, outcome)
-                self._shared.propose_end_of(run, outcome, run.checkpoint, now)
+                # A run that was accepted and is missing may have been in another life.
+                evidence = StartEvidence.NONE if is_lost else StartEvidence.REFUSED_BY_KNOWN_LIVES
+                self._shared.propose_end_of(run, outcome, run.checkpoint, now, evidence)
                 self._shared.request_plan(now)
 
     def _log_unlisted_run(self, worker: Worker, run: Run, outcome: Outcome) -> None:
--- a/packages/core/src/bulrushhollow_core/domain/execution/_dispatch.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_dispatch.py
@@ -134,6 +134,8 @@
         # The first poll of a life carries this leader's fence, which invalidates orders of others.
         is_useful = worker.has_confirmed_runs or has_unacknowledged or is_silent
         is_useful = is_useful or not worker.has_answered_poll
+        is_list_awaited = self._shared.start_holds.awaits_list_of(worker.life.id)
+        is_useful = is_useful or is_list_awaited
         if worker.is_poll_in_flight or not is_useful or now < worker.poll_due:
             return
         if worker.last_listed_end > worker.last_recorded_end:
@@ -152,7 +154,8 @@
         # A silent worker is to answer at once, so that its return is noticed early, and so is one
         # whose ends are to be acknowledged once its life is confirmed.
         is_confirmation = has_unacknowledged and not may_acknowledge
-        may_wait = worker.has_confirmed_runs and may_grant and not is_confirmation
+        may_wait = worker.has_confirmed_runs or is_list_awaited
+        may_wait = may_wait and may_grant and not is_confirmation
         self._shared.outbox.append(
             Poll(
                 life=worker.life,
--- a/packages/core/src/bulrushhollow_core/domain/execution/_losses.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_losses.py
@@ -9,6 +9,7 @@
 
 from bulrushhollow_core.domain.execution._dispatch import OrderDispatcher
 from bulrushhollow_core.domain.execution._scheduler_state import SchedulerState
+from bulrushhollow_core.domain.execution._start_holds import StartEvidence
 from bulrushhollow_core.domain.fleet import (
     LATE_ORDER_WINDOW,
     Run,
@@ -35,6 +36,14 @@
     """Its lease has run out; it may have crashed or only be out of reach."""
 
 
+EVIDENCE_BY_CAUSE = {
+    LossCause.CRASHED: StartEvidence.REFUSED_BY_KNOWN_LIVES,
+    LossCause.DEPARTED: StartEvidence.NONE,
+    LossCause.SILENT: StartEvidence.LEASE_EXPIRED,
+}
+"""What the loss of a worker shows about starts that it has not answered."""
+
+
 class WorkerLossHandler:
     """Ends, transfers and stops the runs of workers that are lost or untrustworthy."""
 
@@ -68,7 +77,9 @@
                     run.lose()
                 if cause is not LossCause.CRASHED and run.awaits_start_answer:
                     worker.record_unanswered_start(run, now)
-                self._shared.propose_end_of(run, Outcome.LOST, run.checkpoint, now)
+                self._shared.propose_end_of(
+                    run, Outcome.LOST, run.checkpoint, now, EVIDENCE_BY_CAUSE[cause]
+                )
                 self._shared.fleet.release(worker, run.task)
         if is_life_over:
             self._shared.departed_lives.add(worker.life)
--- a/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_scheduler_state.py
@@ -8,12 +8,19 @@
 
 from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping, Set
-from enum import Enum
-from typing import NamedTuple
 
 import msgspec
 
 from bulrushhollow_core.domain.execution._advice import AdviceCache
+from bulrushhollow_core.domain.execution._start_holds import (
+    MAX_LASTING_HOLD,
+    NO_HOLD,
+    NO_WORKER,
+    HoldEnd,
+    StartEvidence,
+    StartHold,
+    StartHolds,
+)
 from bulrushhollow_core.domain.fleet import (
     LATE_ORDER_WINDOW,
     Fleet,
@@ -45,29 +52,6 @@
 from bulrushhollow_core.domain.replica import DomainState
 from bulrushhollow_core.ids import JobId, Seconds, Term, WorkspaceId
 
-NO_HOLD = Seconds(0.0)
-"""Hold of a task that may start again at once."""
-
-
-class HoldEnd(Enum):
-    """Why a task no longer waits for an unanswered start."""
-
-    EXPIRED = "expired"
-
-
-class StartHold(NamedTuple):
-    """
-    Keeps a task from starting again while its last start may still be carried out.
-
-    :param run: number of the run whose start went unanswered.
-    :param since: when the end of that run was proposed, or when this instance began to lead.
-    :param until: when the hold expires.
-    """
-
-    run: RunNumber
-    since: Seconds
-    until: Seconds
-
 
 class SchedulerState:
     """
@@ -126,11 +110,10 @@
         self.pending_registrations: set[WorkerLife] = set()
         """Workers whose registration is proposed to the log and not yet committed."""
         self._adopt_workers(now)
-        self.start_holds_by_task: dict[TaskRef, StartHold] = {
-            ref: StartHold(run, now, self._earlier_start_until(ref, run))
-            for ref, run in state.runs_that_may_start_late()
-        }
-        """Tasks that wait because their last start may still be carried out."""
+        self.start_holds = StartHolds()
+        for ref, number in state.runs_that_may_start_late():
+            until = self._hold_limit(ref, self._earlier_start_until(ref, number), now)
+            self.start_holds.add(ref, StartHold(number, now, until))
         for ref, task in state.active_tasks():
             if task.worker is not None:
                 self.adopt(ref, task.run, task.worker, task.address, now)
@@ -177,13 +160,33 @@
         """Propose the end of a run to the log, and write it to the decision log."""
         self.propose(RunEnd(task, run, outcome, checkpoint))
 
-    def propose_end_of(self, run: Run, outcome: Outcome, checkpoint: str, now: Seconds) -> None:
-        """Propose the end of a run that was ordered; its task waits for an unanswered start."""
+    def propose_end_of(
+        self,
+        run: Run,
+        outcome: Outcome,
+        checkpoint: str,
+        now: Seconds,
+        evidence: StartEvidence,
+    ) -> None:
+        """
+        Propose the end of a run that was ordered. If its start went unanswered, its task waits
+        until the order can no longer be carried out.
+
+        A lasting task, which never ends as done, waits only for lives of its worker that are known.
+        The harm that a further one could do is a second run for a moment; that of a longer wait is
+        a service that is away.
+        """
         held_until = self._late_start_until(run, now)
-        # A lasting task that is away does more harm than a second one for a moment.
-        may_start_late = now < held_until and not self.is_long_running(run)
+        worker = NO_WORKER
+        if self.is_lasting(run.task):
+            if evidence is StartEvidence.REFUSED_BY_KNOWN_LIVES:
+                held_until = now
+            elif evidence is StartEvidence.LEASE_EXPIRED:
+                worker = run.life.id
+            held_until = self._hold_limit(run.task, held_until, run.started_at)
+        may_start_late = now < held_until
         if may_start_late:
-            self.start_holds_by_task[run.task] = StartHold(run.number, now, held_until)
+            self.start_holds.add(run.task, StartHold(run.number, now, held_until, worker))
         self.propose(
             RunEnd(
                 run.task,
@@ -213,16 +216,32 @@
             return Seconds(self.leading_since + LATE_ORDER_WINDOW)
         return self._late_until_by_run.get((task, number), self.leading_since)
 
+    def _hold_limit(self, task: TaskRef, until: Seconds, ordered_at: Seconds) -> Seconds:
+        """Return until when a task waits whose start may be carried out until a given time."""
+        if not self.is_lasting(task):
+            return until
+        return Seconds(min(until, ordered_at + MAX_LASTING_HOLD))
+
+    def end_holds_by_list(self, worker: Worker, running: Set[RunRef], now: Seconds) -> None:
+        """
+        End the holds that a list of a worker's runs refutes.
+
+        :param running: the runs that it lists.
+        """
+        ended = self.start_holds.end_by_list(worker.life.id, running)
+        if ended:
+            self._log_ended_holds(ended, HoldEnd.LISTED, now)
+            self.request_plan(now)
+
     def held_tasks(self, now: Seconds) -> Set[TaskRef]:
         """Return the tasks whose last start may still be carried out."""
-        expired = [task for task, hold in self.start_holds_by_task.items() if now >= hold.until]
-        for task in expired:
-            self._end_hold(task, HoldEnd.EXPIRED, now)
-        return self.start_holds_by_task.keys()
+        self._log_ended_holds(self.start_holds.end_expired(now), HoldEnd.EXPIRED, now)
+        return self.start_holds.tasks
 
-    def _end_hold(self, task: TaskRef, cause: HoldEnd, now: Seconds) -> None:
-        hold = self.start_holds_by_task.pop(task)
-        self.outbox.append(
+    def _log_ended_holds(
+        self, holds: Iterable[tuple[TaskRef, StartHold]], cause: HoldEnd, now: Seconds
+    ) -> None:
+        self.outbox.extend(
             log_event(
                 Event.START_HOLD_ENDED,
                 task=task,
@@ -230,6 +249,7 @@
                 cause=cause.value,
                 held=round(now - hold.since, 3),
             )
+            for task, hold in holds
         )
 
     def propose(self, end: RunEnd, hold: Seconds = NO_HOLD) -> None:
@@ -395,9 +415,11 @@
 
     def is_long_running(self, run: Run) -> bool:
         """Return whether a run lasts until its job is cancelled."""
-        job = self.state.jobs_by_id.get(run.task.job)
+        return self.is_lasting(run.task)
+
+    def is_lasting(self, task: TaskRef) -> bool:
+        """Return whether a task runs until its job is cancelled."""
+        job = self.state.jobs_by_id.get(task.job)
         return (
-            job is not None
-            and bool(job.work.steps)
-            and job.work.steps[run.task.step].is_long_running
+            job is not None and bool(job.work.steps) and job.work.steps[task.step].is_long_running
         )
--- a/packages/core/src/bulrushhollow_core/domain/placement/_holds.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_holds.py
@@ -111,7 +111,7 @@
 
 def _late_start_until(shared: SchedulerState, task: TaskRef, now: Seconds) -> Seconds:
     """Return until when a start of a task that went unanswered may still be carried out."""
-    hold = shared.start_holds_by_task.get(task)
+    hold = shared.start_holds.get(task)
     ends = [hold.until if hold is not None else now]
     for worker in shared.fleet.workers_by_life.values():
         ends += [at for ref, at in worker.accepted_stops.items() if ref.task == task]
--- a/tests/domain_world.py
+++ b/tests/domain_world.py
@@ -385,7 +385,7 @@
     def held_tasks(self) -> Set[TaskRef]:
         leader = self.leader()
         scheduler = leader.node.scheduler if leader else None
-        return scheduler._shared.start_holds_by_task.keys() if scheduler else frozenset()
+        return scheduler._shared.start_holds.tasks if scheduler else frozenset()
 
     # Workers.
 
--- a/tests/test_domain_late_starts.py
+++ b/tests/test_domain_late_starts.py
@@ -64,7 +64,8 @@
 
 def restart(worker: Worker) -> None:
     """Restart a worker under its id; its clock starts anew, so a late lease lasts longest."""
-    worker.crash()
+    if worker.is_up:
+        worker.crash()
     worker.begin_life(worker.life.born + 1)
     worker.clock_offset = 0.0
 
