Compare runs with their siblings without going through all of them

Cause: for each run in each list of a worker, `StragglerDetector` collected and sorted the durations of all siblings on other workers, once to observe the run and once to compare it. A list of n runs of a step with N tasks cost n x N.

Change: the durations of a step are kept in order, for all workers and for each one, and the median of the others is found by bisection.

--- a/packages/core/src/bulrushhollow_core/domain/fleet/_paces.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_paces.py
@@ -6,7 +6,7 @@
 inaccurate for this, so a task is compared only with tasks of the same step on other workers.
 """
 
-from statistics import median
+from bisect import bisect_left, bisect_right, insort
 from typing import NamedTuple
 
 from bulrushhollow_core.domain.fleet._runs import Run
@@ -43,12 +43,58 @@
     seconds: Seconds
 
 
+class StepDurations:
+    """
+    Projected durations of the tasks of one step, in order of size.
+
+    The order is kept as durations change, since each run is compared whenever it is listed: a
+    comparison costs far less than going through all siblings.
+    """
+
+    def __init__(self) -> None:
+        """Start without durations."""
+        self._duration_by_task: dict[TaskRef, ProjectedDuration] = {}
+        self._sorted: list[Seconds] = []
+        self._sorted_by_life: dict[WorkerLife, list[Seconds]] = {}
+
+    def record(self, task: TaskRef, duration: ProjectedDuration) -> None:
+        """Replace the duration of a task."""
+        previous = self._duration_by_task.get(task)
+        if previous is not None:
+            _remove_sorted(self._sorted, previous.seconds)
+            _remove_sorted(self._sorted_by_life[previous.life], previous.seconds)
+        self._duration_by_task[task] = duration
+        insort(self._sorted, duration.seconds)
+        insort(self._sorted_by_life.setdefault(duration.life, []), duration.seconds)
+
+    def median_elsewhere(self, life: WorkerLife) -> Seconds | None:
+        """Return the median duration of the tasks on other workers; None if these are too few."""
+        own = self._sorted_by_life.get(life, [])
+        count = len(self._sorted) - len(own)
+        if count < MIN_SIBLINGS:
+            return None
+        middle = self._nth_elsewhere(own, count // 2)
+        if count % 2:
+            return middle
+        return Seconds((self._nth_elsewhere(own, count // 2 - 1) + middle) / 2)
+
+    def _nth_elsewhere(self, own: list[Seconds], number: int) -> Seconds:
+        """Return the duration at a position, from 0 on, among those of other workers."""
+
+        def count_up_to(position: int) -> int:
+            value = self._sorted[position]
+            return bisect_right(self._sorted, value) - bisect_right(own, value)
+
+        position = bisect_left(range(len(self._sorted)), number + 1, key=count_up_to)
+        return self._sorted[position]
+
+
 class StragglerDetector:
     """Compares the durations of tasks of the same step to find slow runs and slow workers."""
 
     def __init__(self) -> None:
         """Start without samples."""
-        self._durations_by_step: dict[StepRef, dict[TaskRef, ProjectedDuration]] = {}
+        self._durations_by_step: dict[StepRef, StepDurations] = {}
         self._ratios_by_life: dict[WorkerLife, dict[TaskRef, float]] = {}
         """Ratio of the durations of a worker's latest tasks to those of their siblings."""
 
@@ -57,9 +103,8 @@
         duration = run.projected_duration()
         if duration is None:
             return
-        self._durations_by_step.setdefault(run.task.step_ref, {})[run.task] = ProjectedDuration(
-            run.life, duration
-        )
+        durations = self._durations_by_step.setdefault(run.task.step_ref, StepDurations())
+        durations.record(run.task, ProjectedDuration(run.life, duration))
         typical = self._median_of_siblings(run)
         if typical is not None:
             self._record_ratio(run, duration / typical)
@@ -93,12 +138,15 @@
 
     def _median_of_siblings(self, run: Run) -> Seconds | None:
         """Return the median duration of a run's siblings on other workers; None if too few."""
-        durations = self._durations_by_step.get(run.task.step_ref, {})
-        others = [duration.seconds for duration in durations.values() if duration.life != run.life]
-        return Seconds(median(others)) if len(others) >= MIN_SIBLINGS else None
+        durations = self._durations_by_step.get(run.task.step_ref)
+        return durations.median_elsewhere(run.life) if durations is not None else None
 
     def _record_ratio(self, run: Run, ratio: float) -> None:
         ratios = self._ratios_by_life.setdefault(run.life, {})
         ratios[run.task] = ratio
         if len(ratios) > MAX_SAMPLES:
             del ratios[next(iter(ratios))]
+
+
+def _remove_sorted(values: list[Seconds], value: Seconds) -> None:
+    del values[bisect_left(values, value)]
--- /dev/null
+++ b/tests/test_domain_step_costs.py
@@ -0,0 +1,50 @@
+"""
+What one step of a leader costs with large jobs, in instructions of the interpreter. Costs are
+compared by how they grow, which depends neither on the machine nor on its load.
+"""
+
+import unittest
+
+from bulrushhollow_core.domain import Resources, TaskRef
+from bulrushhollow_core.domain.fleet import Run, RunPhase, StragglerDetector
+from bulrushhollow_core.domain.model import Occurrence, RunNumber, WorkerLife
+from bulrushhollow_core.ids import JobId, Seconds, WorkerId
+from tests.operation_count import OperationCount
+
+JOB = JobId("a" * 16)
+
+SMALL, LARGE = 200, 800
+"""Tasks of the jobs that are compared."""
+
+MAX_SLOW_GROWTH = 2.0
+"""Growth of a cost that grows far less than the number of tasks."""
+
+
+class StragglerCostTest(unittest.TestCase):
+    def cost_of_listing(self, count: int) -> int:
+        """Return the cost of one more observation of a run that has a number of siblings."""
+        detector = StragglerDetector()
+        runs = []
+        for member in range(count):
+            task = TaskRef(JOB, Occurrence(0), 0, member)
+            life = WorkerLife(WorkerId(f"w{member % 24}"), 1)
+            run = Run(task, RunNumber(1), life, Resources(250, 10, 0), Seconds(0.0))
+            run.phase = RunPhase.RUNNING
+            run.record_progress(0, "", Seconds(0.0))
+            run.record_progress(20 + member % 30, "", Seconds(2.0))
+            detector.observe(run)
+            runs.append(run)
+        operations = OperationCount()
+        operations.measure(detector.observe, runs[-1])
+        cost = operations.last
+        operations.measure(detector.is_straggler, runs[-1], Seconds(2.0))
+        return cost + operations.last
+
+    # Guards against leaders that lose their lease over one job (LOST): each run that a worker
+    # listed was compared with all others of its step, so that a list cost the square.
+    def test_a_run_is_compared_at_a_cost_that_hardly_grows_with_its_siblings(self) -> None:
+        self.assertLess(self.cost_of_listing(LARGE) / self.cost_of_listing(SMALL), MAX_SLOW_GROWTH)
+
+
+if __name__ == "__main__":
+    unittest.main()
