Compute expected durations once for each worker of a placement

Cause: `_execute_plan` built the set of racks of all placements of a demand for each of them (and for gangs the set of workers), so a plan cost the square of the tasks that it placed. A step of 2 s outlasts the leader lease of 0.65 s, and the next leader made the same plan.

Change: racks, slowness and durations are computed once for each worker of the placement.

--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -17,7 +17,6 @@
     Host,
     Run,
     RunPhase,
-    Worker,
 )
 from bulrushhollow_core.domain.model import (
     Event,
@@ -462,19 +461,19 @@
         for demand, placements in plan.placements:
             record = self._shared.state.find_step(demand.ref)
             gang_run = RunNumber((record.highest_run if record else 0) + 1)
+            duration_by_life = self._expected_durations(demand, placements)
             for placement in placements:
                 task_record = self._shared.state.find_task(placement.task)
                 task_run = RunNumber((task_record.run if task_record else 0) + 1)
                 number = gang_run if demand.step.is_gang else task_run
                 worker = self._shared.fleet.workers_by_life[placement.life]
-                duration = self._expected_duration(demand, placements, worker)
                 run = Run(
                     placement.task,
                     number,
                     worker.life,
                     demand.step.needs,
                     now,
-                    duration,
+                    duration_by_life[worker.life],
                     demand.step.is_gang,
                     self._isolation_of(demand, placement.task),
                 )
@@ -484,24 +483,32 @@
             self._log_placement(demand, len(placements), gang_run, now)
         self._shared.proposals.extend(start_commands(starts))
 
-    def _expected_duration(
-        self, demand: Demand, placements: list[Placement], worker: Worker
-    ) -> Seconds:
+    def _expected_durations(
+        self, demand: Demand, placements: list[Placement]
+    ) -> dict[WorkerLife, Seconds]:
         """
-        Return the seconds that a task is expected to take on a worker. It takes longer outside the
-        rack of its data, and if its step asks for one rack and is spread over several.
+        Return the seconds that a task is expected to take on each worker that gets one. It takes
+        longer outside the rack of its data, and if its step asks for one rack and is spread over
+        several.
         """
-        racks = {self._rack_of(placement.life) for placement in placements}
-        rack = self._rack_of(worker.life)
-        is_spread = demand.step.same_rack and len(racks) > 1
-        is_remote = bool(demand.step.data_rack) and rack != demand.step.data_rack
-        factor = self._shared.settings.remote_factor if is_spread or is_remote else 1.0
-        # A gang ends with its slowest member.
-        lives = (
-            {placement.life for placement in placements} if demand.step.is_gang else {worker.life}
-        )
-        slowness = max(self._shared.speeds.slowness_of(life) for life in lives)
-        return Seconds(demand.step.estimate * factor * slowness)
+        step = demand.step
+        rack_by_life = {
+            life: self._rack_of(life) for life in {placement.life for placement in placements}
+        }
+        slowness_by_life = {life: self._shared.speeds.slowness_of(life) for life in rack_by_life}
+        if step.is_gang:
+            # A gang ends with its slowest member.
+            slowness_by_life = dict.fromkeys(rack_by_life, max(slowness_by_life.values()))
+        is_spread = step.same_rack and len(set(rack_by_life.values())) > 1
+
+        def factor_on(rack: RackId | None) -> float:
+            is_remote = bool(step.data_rack) and rack != step.data_rack
+            return self._shared.settings.remote_factor if is_spread or is_remote else 1.0
+
+        return {
+            life: Seconds(step.estimate * factor_on(rack) * slowness_by_life[life])
+            for life, rack in rack_by_life.items()
+        }
 
     def _isolation_of(self, demand: Demand, task: TaskRef) -> Seconds:
         """Return the seconds for which other jobs are kept away from a run."""
--- a/tests/test_domain_step_costs.py
+++ b/tests/test_domain_step_costs.py
@@ -5,21 +5,32 @@
 
 import unittest
 
-from bulrushhollow_core.domain import Resources, TaskRef
+import msgspec
+
+from bulrushhollow_core.domain import Resources, Step, TaskRef, Work
 from bulrushhollow_core.domain.fleet import Run, RunPhase, StragglerDetector
-from bulrushhollow_core.domain.model import Occurrence, RunNumber, WorkerLife
+from bulrushhollow_core.domain.model import Occurrence, RunNumber, WorkerLife, WorkerNews
 from bulrushhollow_core.ids import JobId, Seconds, WorkerId
 from tests.operation_count import OperationCount
+from tests.test_domain_scheduler import WALL, SchedulerHarness, announcement
 
 JOB = JobId("a" * 16)
 
 SMALL, LARGE = 200, 800
 """Tasks of the jobs that are compared."""
 
+MAX_GROWTH = 1.5 * LARGE / SMALL
+"""Growth of a cost that grows with the number of tasks; one with its square grows by 16."""
+
 MAX_SLOW_GROWTH = 2.0
 """Growth of a cost that grows far less than the number of tasks."""
 
 
+def worker_news(name: str) -> WorkerNews:
+    life = WorkerLife(WorkerId(name), 1)
+    return msgspec.structs.replace(announcement(1, address=f"{name}:1"), life=life)
+
+
 class StragglerCostTest(unittest.TestCase):
     def cost_of_listing(self, count: int) -> int:
         """Return the cost of one more observation of a run that has a number of siblings."""
@@ -46,5 +57,29 @@
         self.assertLess(self.cost_of_listing(LARGE) / self.cost_of_listing(SMALL), MAX_SLOW_GROWTH)
 
 
+class PlanCostTest(unittest.TestCase):
+    def cost_of_plan(self, count: int, is_gang: bool) -> int:
+        """Return the cost of the plan that places a job."""
+        harness = SchedulerHarness()
+        for number in range(1, 24):
+            harness.scheduler.worker_announced(worker_news(f"w{number}"), harness.now)
+        step = Step(count, Resources(250, 10, 0), Seconds(4.0), is_gang=is_gang, same_rack=is_gang)
+        harness.submit(Work("spec", (step,)))
+        harness.now = Seconds(harness.now + 1.0)
+        operations = OperationCount()
+        operations.measure(harness.scheduler.tick, harness.now, WALL)
+        proposals = harness.scheduler.take_proposals(harness.now, WALL)
+        self.assertTrue(proposals)
+        return operations.last
+
+    # Guards against leaders that lose their lease over one job (LOST): for each task that a plan
+    # placed it went through all others of the step.
+    def test_a_plan_costs_in_proportion_to_the_tasks_that_it_places(self) -> None:
+        for is_gang in (False, True):
+            with self.subTest(is_gang=is_gang):
+                growth = self.cost_of_plan(LARGE, is_gang) / self.cost_of_plan(SMALL, is_gang)
+                self.assertLess(growth, MAX_GROWTH)
+
+
 if __name__ == "__main__":
     unittest.main()
