Record the ends of an ended job without searching it for running tasks

Cause: at each end of a run of an ended job, `DomainState` went through all tasks of the job to see whether any was active, and the dispatcher through all of its runs to stop them. So did each end of a member of a gang. All instances apply these ends, not only the leader.

The runs of an ended job and of a broken gang are stopped once for each entry of ends.

--- a/packages/core/src/bulrushhollow_core/domain/_scheduler.py
+++ b/packages/core/src/bulrushhollow_core/domain/_scheduler.py
@@ -248,7 +248,7 @@
             case EndRuns(ends=ends, ended_at=at):
                 for end in ends:
                     self._shared.end_recorded(end)
-                    self._dispatcher.handle_recorded_end(end, now)
+                self._dispatcher.handle_recorded_ends(ends, now)
                 self._shared.forget_done_steps(dict.fromkeys(end.task.step_ref for end in ends))
                 self._log_ended_jobs({end.task.job for end in ends}, at)
                 self._dispatcher.acknowledge_ends(now)
--- a/packages/core/src/bulrushhollow_core/domain/execution/_dispatch.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_dispatch.py
@@ -6,7 +6,7 @@
 """
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from bulrushhollow_core.domain.execution._scheduler_state import SchedulerState
 from bulrushhollow_core.domain.fleet import Run, RunPhase, Worker
@@ -212,13 +212,19 @@
             )
         )
 
-    def handle_recorded_end(self, end: RunEnd, now: Seconds) -> None:
-        """Stop the other members of a gang that lost one, and the other runs of an ended job."""
+    def handle_recorded_ends(self, ends: Sequence[RunEnd], now: Seconds) -> None:
+        """Stop the other members of gangs that lost one, and the other runs of ended jobs."""
         self._shared.request_plan(now)
-        job = self._shared.state.jobs_by_id.get(end.task.job)
-        if job is None:
-            return
-        if job.has_ended:
-            self.stop_all(self._shared.fleet.runs_of(job.id), now)
-        elif end.outcome is not Outcome.DONE and job.work.steps[end.task.step].is_gang:
-            self.stop_all(self._shared.gang_members(end.task, end.run), now)
+        jobs = self._shared.state.jobs_by_id
+        ended_jobs = {end.task.job for end in ends if self._shared.has_ended(end.task.job)}
+        for job_id in sorted(ended_jobs & jobs.keys()):
+            self.stop_all(self._shared.fleet.runs_of(job_id), now)
+        broken_gangs = dict.fromkeys(
+            (end.task._replace(member=0), end.run)
+            for end in ends
+            if end.outcome is not Outcome.DONE
+            and end.task.job not in ended_jobs
+            and jobs[end.task.job].work.steps[end.task.step].is_gang
+        )
+        for task, run in broken_gangs:
+            self.stop_all(self._shared.gang_members(task, run), now)
--- a/packages/core/src/bulrushhollow_core/domain/replica/_state.py
+++ b/packages/core/src/bulrushhollow_core/domain/replica/_state.py
@@ -6,6 +6,7 @@
 commands from the log and reaches the same state; no clock is read here.
 """
 
+from collections import Counter
 from collections.abc import Iterator
 from typing import assert_never
 
@@ -102,6 +103,8 @@
         self.crashed_workers: dict[WorkerLife, None] = {}
         """Lives that have crashed, the oldest first."""
         self._accepted_count = 0
+        self._active_count_by_job: Counter[JobId] = Counter()
+        """Number of active tasks of each job that has any."""
 
     @property
     def configuration(self) -> Configuration | None:
@@ -227,7 +230,7 @@
         task = self.find_task(start.task)
         if task is None or task.state is not TaskState.WAITING or start.run <= task.run:
             return
-        task.state = TaskState.ACTIVE
+        self._change_task_state(job, task, TaskState.ACTIVE)
         task.may_start_late = False
         task.run = start.run
         task.worker = start.worker
@@ -247,7 +250,7 @@
         is_late_success = is_success and task.state is TaskState.WAITING and end.run > 0
         if task.run != end.run or not (task.state is TaskState.ACTIVE or is_late_success):
             return
-        task.state = TaskState.WAITING
+        self._change_task_state(job, task, TaskState.WAITING)
         task.worker = None
         task.address = ""
         task.may_start_late = end.may_start_late
@@ -272,6 +275,13 @@
             self._give_up_if_crashing(job, end.task, at)
         self._release_if_inactive(job)
 
+    def _change_task_state(self, job: Job, task: Task, state: TaskState) -> None:
+        """Change the state of a task; active ones are counted, so that no job is searched for."""
+        was_active, task.state = task.state is TaskState.ACTIVE, state
+        self._active_count_by_job[job.id] += (state is TaskState.ACTIVE) - was_active
+        if not self._active_count_by_job[job.id]:
+            del self._active_count_by_job[job.id]
+
     def _give_up_if_crashing(self, job: Job, task: TaskRef, at: WallTime) -> None:
         if crashes_workers(job, task) and not job.has_ended:
             self._end_job(job, JobState.FAILED, at)
@@ -282,7 +292,7 @@
         members = record.tasks if is_gang else [record.tasks[end.task.member]]
         for member in members:
             if member.state is not TaskState.DONE:
-                member.state = TaskState.DONE
+                self._change_task_state(job, member, TaskState.DONE)
                 member.worker = None
                 record.done_count += 1
         if job.losses:
@@ -317,7 +327,7 @@
 
     def _release_if_inactive(self, job: Job) -> None:
         """Drop the tasks and the work of an ended job once none of its tasks can be running."""
-        if not job.has_ended or any(_active_tasks(job)):
+        if not job.has_ended or job.id in self._active_count_by_job:
             return
         job.occurrences_by_number = {}
         job.work = Work("", ())
@@ -388,8 +398,14 @@
         if snapshot.configuration:
             state.configuration_index = ConfigurationIndex(snapshot.configuration)
         state.jobs_by_id = {job.id: job for job in snapshot.jobs}
+        for job in snapshot.jobs:
+            active_count = sum(1 for _ in _active_tasks(job))
+            if active_count:
+                state._active_count_by_job[job.id] = active_count
         state.active_jobs_by_id = {
-            job.id: job for job in snapshot.jobs if not job.has_ended or any(_active_tasks(job))
+            job.id: job
+            for job in snapshot.jobs
+            if not job.has_ended or job.id in state._active_count_by_job
         }
         state.evacuated_data_centres = set(snapshot.evacuated_data_centres)
         state.draining_workers = set(snapshot.draining_workers)
--- a/tests/test_domain_step_costs.py
+++ b/tests/test_domain_step_costs.py
@@ -7,9 +7,17 @@
 
 import msgspec
 
-from bulrushhollow_core.domain import Resources, Step, TaskRef, Work
+from bulrushhollow_core.domain import Outcome, Resources, Step, TaskRef, Work
 from bulrushhollow_core.domain.fleet import Run, RunPhase, StragglerDetector
-from bulrushhollow_core.domain.model import Occurrence, RunNumber, WorkerLife, WorkerNews
+from bulrushhollow_core.domain.model import (
+    CancelJob,
+    EndRuns,
+    Occurrence,
+    RunEnd,
+    RunNumber,
+    WorkerLife,
+    WorkerNews,
+)
 from bulrushhollow_core.ids import JobId, Seconds, WorkerId
 from tests.operation_count import OperationCount
 from tests.test_domain_scheduler import WALL, SchedulerHarness, announcement
@@ -81,5 +89,28 @@
                 self.assertLess(growth, MAX_GROWTH)
 
 
+class EndedJobCostTest(unittest.TestCase):
+    def cost_of_ends(self, count: int) -> int:
+        """Return the cost of recording the ends of the runs of a cancelled job."""
+        harness = SchedulerHarness()
+        harness.submit(Work("spec", (Step(count, Resources(50, 10, 0), Seconds(4.0)),)))
+        harness.commit(harness.plan())
+        harness.commit([CancelJob(JobId("j"), WALL)])
+        ends = tuple(
+            RunEnd(TaskRef(JobId("j"), Occurrence(0), 0, member), RunNumber(1), Outcome.STOPPED)
+            for member in range(count)
+        )
+        operations = OperationCount()
+        operations.measure(harness.commit, [EndRuns(ends, WALL)])
+        self.assertFalse(harness.state.active_jobs_by_id)
+        return operations.last
+
+    # Guards against leaders that lose their lease when a job is cancelled (LOST): at the end of
+    # each run of the job they went through all of its tasks, and through all of its runs.
+    def test_the_ends_of_a_cancelled_job_cost_in_proportion_to_its_runs(self) -> None:
+        growth = self.cost_of_ends(LARGE) / self.cost_of_ends(SMALL)
+        self.assertLess(growth, MAX_GROWTH)
+
+
 if __name__ == "__main__":
     unittest.main()
