Limit the starts that wait for answers

Cause: nothing bounded what one step plans, proposes and orders, so any accepted job that is large enough can take the lease, however cheap each task is.

Change: a plan starts tasks up to MAX_PENDING_STARTS (512) that are proposed, or ordered and not yet answered, and leaves the rest to later plans, which the answers make room for. Orders that are repeated don't count, so that silent workers don't take the limit. Gangs start as a whole. Each leadership thus commits its part. The tasks that wait are compared with the busy ones by step, not one by one.

Ruled out: a limit in seconds, since the core reads no clock within a step and a limit would then depend on the machine; heartbeats of the log from within a plan, since the others would follow a leader that answers nobody.

--- a/packages/core/src/bulrushhollow_core/domain/placement/_plan.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_plan.py
@@ -27,6 +27,7 @@
     :ivar blocked: demands of which some tasks could not be placed.
     :ivar waiting_for_fast: blocked demands that wait for fast workers and use no slow ones.
     :ivar held_back: demands whose tasks may not start now because of their workspace's cap.
+    :ivar is_cut_short: whether tasks were left to the next plan because this one starts enough.
     """
 
     def __init__(self) -> None:
@@ -36,3 +37,4 @@
         self.blocked: list[Demand] = []
         self.waiting_for_fast: list[Demand] = []
         self.held_back: list[Demand] = []
+        self.is_cut_short = False
--- a/packages/core/src/bulrushhollow_core/domain/placement/_planner.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planner.py
@@ -118,6 +118,7 @@
     :param headroom: accelerators that background work leaves free for later urgent jobs.
     :param caps: usage of the workspaces with a cap; by default there are none.
     :param now: time of the plan, on the clock of the expected ends.
+    :param max_starts: tasks after which the plan starts nothing more. A gang starts as a whole.
     """
 
     def __init__(
@@ -128,10 +129,12 @@
         headroom: int = 0,
         caps: CapLedger | None = None,
         now: Seconds = START_OF_CLOCK,
+        max_starts: int | None = None,
     ) -> None:
         """Start from the current free resources of the hosts."""
         self._hosts = hosts
         self._now = now
+        self._starts_left = math.inf if max_starts is None else max_starts
         self._hosts_by_life = {host.life: host for host in hosts}
         self._caps = caps or CapLedger()
         self._victim_search = VictimSearch(victims)
@@ -154,6 +157,9 @@
         come early, and once more at their own position for the tasks that are left.
         """
         for demand in demands:
+            if self._starts_left <= 0:
+                self.plan.is_cut_short = True
+                break
             if demand.standing.is_overdue:
                 self._start_overdue(demand)
                 continue
@@ -163,6 +169,9 @@
         return self.plan
 
     def _serve(self, demand: Demand) -> None:
+        if not demand.step.is_gang and len(demand.task_indexes) > self._starts_left:
+            self.plan.is_cut_short = True
+            demand = demand.for_tasks(demand.task_indexes[: int(self._starts_left)])
         hosts = self._eligible_hosts(demand)
         startable_count = self._caps.startable_count(demand)
         if startable_count < len(demand.task_indexes):
@@ -172,6 +181,10 @@
         else:
             self._place_independent(demand, hosts)
 
+    def _start(self, demand: Demand, placements: list[Placement]) -> None:
+        self.plan.placements.append((demand, placements))
+        self._starts_left -= len(placements)
+
     @property
     def victim_searches(self) -> int:
         """Return the number of demands outside any guarantee for which victims were searched."""
@@ -219,6 +232,7 @@
         placements: list[Placement] = []
         if not demand.step.is_gang:
             count = startable_count if demand.step.is_long_running else min(1, startable_count)
+            count = int(min(count, self._starts_left))
             local_hosts = _local_hosts(demand, hosts).hosts
             placements = self._place_tasks(demand, local_hosts, count)
             if not placements and local_hosts is not hosts:
@@ -228,7 +242,7 @@
             if group is not None:
                 placements = self._place_in_group(demand, group, include_stopping=False)
         if placements:
-            self.plan.placements.append((demand, placements))
+            self._start(demand, placements)
             self._overdue_placements_by_step[demand.ref] = placements
 
     def _overdue_group(self, demand: Demand, hosts: list[Host]) -> HostGroup | None:
@@ -325,8 +339,7 @@
         group = self._best_group(demand, groups, False, speed_class)
         if group is None:
             return False
-        placements = self._place_in_group(demand, group, include_stopping=False)
-        self.plan.placements.append((demand, placements))
+        self._start(demand, self._place_in_group(demand, group, include_stopping=False))
         return True
 
     def _await_stops(
@@ -502,7 +515,7 @@
         if not self._is_known_not_to_fit(demand, False, only_rack):
             placements = self._place_tasks(demand, hosts, self._startable_count(demand))
             if placements:
-                self.plan.placements.append((demand, placements))
+                self._start(demand, placements)
             placed = {placement.task.member for placement in placements}
             unplaced = [index for index in demand.task_indexes if index not in placed]
             if not unplaced:
--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -80,6 +80,10 @@
 """Seconds for which a job within its guarantee waits for victims that lose little work. After that
 any victim is evicted, so that the guarantee is met within its three seconds."""
 
+MAX_PENDING_STARTS = 512
+"""Starts without an answer at which no more are planned. This bounds what one step plans, proposes
+and orders; a leader whose steps outlast its lease makes no progress."""
+
 CAPACITY_LOG_INTERVAL = Seconds(1.0)
 """Seconds between two log lines about the free capacity while any step waits."""
 
@@ -171,7 +175,9 @@
         for demand in plan.blocked:
             if demand.ref in expired_claims:
                 self._log_expired_claim(demand, prepared.planner, now)
-        return bool(plan.blocked or plan.held_back)
+        if plan.is_cut_short:
+            self._shared.request_plan(now)
+        return bool(plan.blocked or plan.held_back or plan.is_cut_short)
 
     def detached(self, shared: SchedulerState) -> Self:
         """
@@ -214,6 +220,7 @@
             self._shared.headroom.required_accelerators(now),
             caps,
             now,
+            MAX_PENDING_STARTS - self._count_pending_starts(),
         )
         racks = {host.rack for host in hosts}
         suspects = [host for host in hosts if host.is_suspect]
@@ -229,6 +236,16 @@
         demands = self._order_demands(waiting, overdue, build_demand)
         return PreparedPlan(waiting, demands, planner, caps)
 
+    def _count_pending_starts(self) -> int:
+        """
+        Return how many starts are proposed, or were ordered and have no answer yet. Those that are
+        repeated don't count, since their workers may be gone.
+        """
+        awaited = sum(
+            run.awaits_start_answer and run.start_attempts == 1 for run in self._shared.runs()
+        )
+        return len(self._shared.proposed_runs_by_task) + awaited
+
     def _order_demands(
         self,
         waiting: Sequence[WaitingStep],
--- a/packages/core/src/bulrushhollow_core/domain/queueing/_queueing.py
+++ b/packages/core/src/bulrushhollow_core/domain/queueing/_queueing.py
@@ -10,7 +10,7 @@
 seconds, so that these jobs yield to more urgent ones without starving.
 """
 
-from collections.abc import Iterator, Set
+from collections.abc import Iterator, Mapping, Set
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -152,12 +152,15 @@
     :param guaranteed: jobs that fit into their workspaces' guarantees.
     """
     waiting: list[WaitingStep] = []
+    busy_members_by_step: dict[StepRef, set[int]] = {}
+    for task in busy_tasks:
+        busy_members_by_step.setdefault(task.step_ref, set()).add(task.member)
     for job in state.active_jobs_by_id.values():
         if job.has_ended:
             continue
         for occurrence in due_occurrences(job, wall):
             priority = priority_of(job, occurrence, job.id in guaranteed, wall)
-            waiting.extend(_waiting_steps_of(job, occurrence, priority, busy_tasks, wall))
+            waiting.extend(_waiting_steps_of(job, occurrence, priority, busy_members_by_step, wall))
     waiting.sort(key=lambda waiting_step: (waiting_step.priority, waiting_step.ref.step))
     return waiting
 
@@ -196,7 +199,7 @@
     job: Job,
     occurrence: Occurrence,
     priority: Priority,
-    busy_tasks: Set[TaskRef],
+    busy_members_by_step: Mapping[StepRef, Set[int]],
     wall: WallTime,
 ) -> Iterator[WaitingStep]:
     records = job.occurrences_by_number.get(occurrence)
@@ -212,12 +215,13 @@
             ):
                 continue
             task_indexes = _waiting_task_indexes(records[number])
-        task_indexes = [
-            index
-            for index in task_indexes
-            if ref.task(index) not in busy_tasks
-            and not (job.losses and awaits_evidence(job, ref.task(index), wall))
-        ]
+        busy_members = busy_members_by_step.get(ref)
+        if busy_members:
+            task_indexes = [index for index in task_indexes if index not in busy_members]
+        if job.losses:
+            task_indexes = [
+                index for index in task_indexes if not awaits_evidence(job, ref.task(index), wall)
+            ]
         is_whole = len(task_indexes) == step.count
         if task_indexes and (is_whole or not step.is_gang):
             yield WaitingStep(priority, job, ref, task_indexes)
--- a/tests/test_domain_step_costs.py
+++ b/tests/test_domain_step_costs.py
@@ -4,6 +4,7 @@
 """
 
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -13,12 +14,19 @@
     CancelJob,
     EndRuns,
     Occurrence,
+    OrderResult,
     RunEnd,
     RunNumber,
+    Start,
+    StartAnswered,
+    StartRuns,
+    SubmitJob,
     WorkerLife,
     WorkerNews,
 )
-from bulrushhollow_core.ids import JobId, Seconds, WorkerId
+from bulrushhollow_core.domain.placement import _planning
+from bulrushhollow_core.ids import JobId, Seconds, WorkerId, WorkspaceId
+from standins.domain_site import queue
 from tests.operation_count import OperationCount
 from tests.test_domain_scheduler import WALL, SchedulerHarness, announcement
 
@@ -89,6 +97,74 @@
                 self.assertLess(growth, MAX_GROWTH)
 
 
+class PendingStartsTest(unittest.TestCase):
+    LIMIT = 20
+
+    def setUp(self) -> None:
+        limit = mock.patch.object(_planning, "MAX_PENDING_STARTS", self.LIMIT)
+        limit.start()
+        self.addCleanup(limit.stop)
+        self.harness = SchedulerHarness()
+
+    def submit(self, count: int, job: str = "j", is_gang: bool = False) -> None:
+        step = Step(count, Resources(50, 10, 0), Seconds(4.0), is_gang=is_gang)
+        work = Work("spec", (step,))
+        command = SubmitJob(JobId(job), queue("usual", 1), WorkspaceId("team"), work, WALL)
+        self.harness.commit([command])
+
+    def planned_starts(self) -> list[Start]:
+        """Return the starts of the next plan, and commit them."""
+        commands = self.harness.plan()
+        self.harness.commit(commands)
+        return [s for each in commands if isinstance(each, StartRuns) for s in each.starts]
+
+    def answer(self, starts: list[Start], result: OrderResult = OrderResult.ACCEPTED) -> None:
+        for start in starts:
+            clock = Seconds(50.5) if result is OrderResult.ACCEPTED else None
+            answer = StartAnswered(start.worker, start.task, start.run, result, clock)
+            self.harness.scheduler.start_answered(answer, self.harness.now)
+
+    # Guards against leaders that lose their lease over one job (LOST): a plan placed all tasks that
+    # had room, however many there were.
+    def test_a_plan_starts_a_limited_number_of_tasks(self) -> None:
+        self.submit(5 * self.LIMIT)
+        started: list[Start] = []
+        while len(started) < 5 * self.LIMIT:
+            starts = self.planned_starts()
+            self.assertEqual(self.LIMIT, len(starts))
+            self.assertEqual([], self.planned_starts())
+            self.answer(starts)
+            started += starts
+        self.assertEqual(len(started), len({start.task for start in started}))
+
+    # Guards against a limit that a gang never fits into.
+    def test_a_gang_beyond_the_limit_starts_as_a_whole(self) -> None:
+        self.submit(3 * self.LIMIT, is_gang=True)
+        self.submit(1, job="k")
+        self.assertEqual(3 * self.LIMIT, len(self.planned_starts()))
+
+    # Guards against silent workers that take the limit and keep other work from starting (LOST).
+    def test_starts_that_are_repeated_do_not_count(self) -> None:
+        self.submit(2 * self.LIMIT)
+        starts = self.planned_starts()
+        self.assertEqual([], self.planned_starts())
+        self.harness.scheduler.worker_announced(worker_news("other"), self.harness.now)
+        self.answer(starts, OrderResult.NO_ANSWER)
+        self.assertEqual(self.LIMIT, len(self.planned_starts()))
+
+    # Guards against costs of one plan that grow with the tasks that it leaves to later ones.
+    def test_the_cost_of_a_plan_hardly_grows_beyond_the_limit(self) -> None:
+        costs = []
+        for count in (SMALL, LARGE):
+            self.harness = SchedulerHarness()
+            self.submit(count)
+            self.harness.now = Seconds(self.harness.now + 1.0)
+            operations = OperationCount()
+            operations.measure(self.harness.scheduler.tick, self.harness.now, WALL)
+            costs.append(operations.last)
+        self.assertLess(costs[1] / costs[0], MAX_SLOW_GROWTH)
+
+
 class EndedJobCostTest(unittest.TestCase):
     def cost_of_ends(self, count: int) -> int:
         """Return the cost of recording the ends of the runs of a cancelled job."""
