Send a limited number of orders to start and to stop after each step

Cause: the runtime handed all orders of a step to the network at once. Hundreds of them encode, connect and read their answers within one pass of the event loop, in which no heartbeat leaves.

Change: MAX_ORDERS_PER_STEP (32) orders to start and to stop leave after each step, in the order in which they were decided; polls leave at once, as they carry the leases. An order checks the leader lease when it leaves, and is dropped if another term has begun since.

--- a/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
@@ -8,8 +8,9 @@
 
 import logging
 import time
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Iterable
+from typing import NamedTuple
 
 import anyio
 import msgspec
@@ -54,12 +55,27 @@
 IDLE_STEP_INTERVAL = 0.05
 """Longest time, in seconds, between two steps of any other instance."""
 
+MAX_ORDERS_PER_STEP = 32
+"""Orders to start and to stop runs that leave after one step. More would keep the loop from sending
+heartbeats and reading answers; the others leave after the next steps."""
+
 SLOW_STEP = 0.1
 """Processor time of a step, in seconds, from which on it is logged; a part of the leader lease."""
 
 logger = logging.getLogger("bulrushhollow.domain")
 
 
+class _DelayedOrder(NamedTuple):
+    """
+    An order that has not left yet.
+
+    :param scheduler: scheduler that decided it; each term has its own.
+    """
+
+    scheduler: object
+    order: OrderStart | OrderStop
+
+
 class CoreRuntime:
     """
     Runs the event loop of one node: queues its inputs, steps it and executes its actions.
@@ -83,6 +99,8 @@
         self._peers: Peers | None = None
         self._tasks: TaskGroup | None = None
         self._pending_inputs: list[Input] = []
+        self._delayed_orders: deque[_DelayedOrder] = deque()
+        """Orders that leave after this or a later step, in the order in which they were decided."""
         self._wake = anyio.Event()
         self._last_call_number = 0
         self._waiters_by_call: dict[CallId, Waiter[Answer]] = {}
@@ -145,7 +163,7 @@
                     LEADER_STEP_INTERVAL if self.node.scheduler is not None else IDLE_STEP_INTERVAL
                 )
                 remaining = stepped_at + interval - clock.now()
-                if remaining <= 0 or self._pending_inputs:
+                if remaining <= 0 or self._pending_inputs or self._delayed_orders:
                     stepped_at = clock.now()
                     self._step()
                     await anyio.sleep(0)
@@ -166,12 +184,31 @@
         if seconds >= SLOW_STEP:
             self._log_slow_step(seconds, batch, actions)
         self._sync_records(actions)
-        may_order = self.node.is_leading(clock.now())
+        orders_left = MAX_ORDERS_PER_STEP
         for action in actions:
-            if isinstance(action, OrderStart | OrderStop | Poll) and not may_order:
-                self._withhold(action)
+            if isinstance(action, OrderStart | OrderStop):
+                self._delayed_orders.append(_DelayedOrder(self.node.scheduler, action))
+                orders_left -= self._send_delayed_orders(orders_left)
             else:
                 self._execute(action)
+        self._send_delayed_orders(orders_left)
+
+    def _send_delayed_orders(self, limit: int) -> int:
+        """Send the oldest orders that have not left yet, up to a limit; return their number."""
+        count = min(limit, len(self._delayed_orders))
+        for scheduler, order in [self._delayed_orders.popleft() for _ in range(count)]:
+            # Orders of an earlier term must not leave in a later one, nor their answers count.
+            if scheduler is self.node.scheduler:
+                self._send(order)
+        return count
+
+    def _send(self, order: Order) -> None:
+        """Send an order, unless the leader lease has ended; questions about advice need none."""
+        assert self._tasks is not None
+        if isinstance(order, AskAdvice) or self.node.is_leading(clock.now()):
+            self._tasks.start_soon(self._send_order, order)
+        else:
+            self._withhold(order)
 
     def _log_slow_step(
         self, seconds: float, inputs: Iterable[Input], actions: Iterable[msgspec.Struct]
@@ -188,8 +225,8 @@
 
     def _withhold(self, order: OrderStart | OrderStop | Poll) -> None:
         """
-        Record an order as unanswered instead of sending it: the leader lease ended while the
-        records of its step were synced, so another instance may lead.
+        Record an order as unanswered instead of sending it: the leader lease has ended since it was
+        decided, so another instance may lead.
         """
         logger.warning(
             "order_withheld", extra={"kind": type(order).__name__, "worker": order.life.id}
@@ -206,7 +243,7 @@
         self._metrics.observe_sync(clock.now() - started)
 
     def _execute(self, action: msgspec.Struct) -> None:
-        assert self._peers is not None and self._tasks is not None
+        assert self._peers is not None
         match action:
             case Send(to=to, message=message):
                 self._peers.send(to, message)  # type: ignore[arg-type]
@@ -217,8 +254,8 @@
             case LogEvent(event=event, fields=fields):
                 self._metrics.count_decision(action)
                 logger.info(event.value, extra=fields)
-            case OrderStart() | OrderStop() | Poll() | AskAdvice():
-                self._tasks.start_soon(self._send_order, action)
+            case Poll() | AskAdvice():
+                self._send(action)
             case _:
                 pass
 
