Keep fewer starts pending, and send more orders after each step

Cause: with 512 pending starts on 24 workers, orders waited in this process for one of the connections to their worker until they timed out.

Change: 256 pending starts, 64 orders after a step.

--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -80,7 +80,7 @@
 """Seconds for which a job within its guarantee waits for victims that lose little work. After that
 any victim is evicted, so that the guarantee is met within its three seconds."""
 
-MAX_PENDING_STARTS = 512
+MAX_PENDING_STARTS = 256
 """Starts without an answer at which no more are planned. This bounds what one step plans, proposes
 and orders; a leader whose steps outlast its lease makes no progress."""
 
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
@@ -55,7 +55,7 @@
 IDLE_STEP_INTERVAL = 0.05
 """Longest time, in seconds, between two steps of any other instance."""
 
-MAX_ORDERS_PER_STEP = 32
+MAX_ORDERS_PER_STEP = 64
 """Orders to start and to stop runs that leave after one step. More would keep the loop from sending
 heartbeats and reading answers; the others leave after the next steps."""
 
