Limit the inputs that one step takes, those of the log first

Cause: a step took all inputs that had come, however many runs they listed, and in the order of their arrival.

The rest waits for the next step, which follows at once.

Evidence: three new tests for which there was nothing to pass before: the runtime took its whole list of inputs.

--- a/packages/core/src/bulrushhollow_core/domain/__init__.py
+++ b/packages/core/src/bulrushhollow_core/domain/__init__.py
@@ -7,6 +7,7 @@
 returns actions.
 """
 
+from bulrushhollow_core.domain._inputs import InputQueue
 from bulrushhollow_core.domain._node import (
     NEVER,
     CallReceived,
@@ -121,6 +122,7 @@
     "ExplainPlacement",
     "IssuedTicket",
     "Input",
+    "InputQueue",
     "JobShown",
     "JobState",
     "Malformed",
--- a/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
+++ b/packages/daemon/src/bulrushhollow_daemon/domain/_runtime.py
@@ -27,6 +27,7 @@
     CallReceived,
     DomainNode,
     Input,
+    InputQueue,
     LogEvent,
     MessageReceived,
     Order,
@@ -98,7 +99,7 @@
         self._metrics = metrics
         self._peers: Peers | None = None
         self._tasks: TaskGroup | None = None
-        self._pending_inputs: list[Input] = []
+        self._pending_inputs = InputQueue()
         self._delayed_orders: deque[_DelayedOrder] = deque()
         """Orders that leave after this or a later step, in the order in which they were decided."""
         self._wake = anyio.Event()
@@ -144,7 +145,7 @@
 
     def post(self, node_input: Input) -> None:
         """Queue an input for the node."""
-        self._pending_inputs.append(node_input)
+        self._pending_inputs.put(node_input)
         self._wake.set()
 
     async def run(self, peers: Peers) -> None:
@@ -176,7 +177,7 @@
             await self._wake.wait()
 
     def _step(self) -> None:
-        batch, self._pending_inputs = self._pending_inputs, []
+        batch = self._pending_inputs.take()
         started = time.thread_time()
         actions = self.node.step(batch, clock.now(), WallTime(time.time()))
         seconds = time.thread_time() - started
--- a/tests/domain_world.py
+++ b/tests/domain_world.py
@@ -31,6 +31,7 @@
     DomainNode,
     DomainSettings,
     Done,
+    InputQueue,
     JobShown,
     JobState,
     ListedEnd,
@@ -100,7 +101,7 @@
         self.frozen_until = 0.0
         self.holds_orders = False
         """Whether orders leave only when it thaws, as if it froze between deciding and sending."""
-        self.inbox: list[msgspec.Struct] = []
+        self.inbox = InputQueue()
         self.generation = 0
         self.calls: dict[CallId, Callable[[Answer], None]] = {}
 
@@ -126,7 +127,7 @@
         self.is_up = True
         self.is_losing_power = False
         self.generation += 1
-        self.inbox = []
+        self.inbox = InputQueue()
         self.calls = {}
         self.connected: set[InstanceId] = set()
         generation = self.generation
@@ -185,16 +186,16 @@
         }
         running = {other.me for other in self.world.instances if other.is_up}
         for peer in sorted(self.connected - reachable):
-            self.inbox.append(PeerDisconnected(peer, has_ended=peer not in running))
+            self.inbox.put(PeerDisconnected(peer, has_ended=peer not in running))
         for peer in sorted(reachable - self.connected):
-            self.inbox.append(PeerConnected(peer, data_centre_of(str(name_of(peer)))))
+            self.inbox.put(PeerConnected(peer, data_centre_of(str(name_of(peer)))))
         self.connected = reachable
 
     def post(self, event: msgspec.Struct) -> None:
         """Queue an input; a frozen instance handles it when it thaws."""
         if not self.is_up:
             return
-        self.inbox.append(event)
+        self.inbox.put(event)
         generation = self.generation
         self.world.call_later(0.0005, lambda: self.step_if_running(generation))
 
@@ -203,8 +204,7 @@
             self.step()
 
     def step(self) -> None:
-        batch, self.inbox = self.inbox, []
-        actions = self.node.step(batch, Seconds(self.world.now), self.world.wall)
+        actions = self.node.step(self.inbox.take(), Seconds(self.world.now), self.world.wall)
         if self.is_losing_power:
             # Its records are synced up to one of them, and none of its messages is sent.
             self.is_up = False
@@ -216,6 +216,9 @@
                 self.records = list(action.records)
         for action in actions if self.is_up else ():
             self.perform(action)
+        if self.inbox:
+            generation = self.generation
+            self.world.call_later(0.0, lambda: self.step_if_running(generation))
 
     def perform(self, action: msgspec.Struct) -> None:
         match action:
--- a/tests/test_domain_runtime.py
+++ b/tests/test_domain_runtime.py
@@ -107,7 +107,7 @@
         with mock.patch.object(runtime, "_sync_records", lambda actions: synced.append(True)):
             runtime._step()
         orders = [call.args[1] for call in runtime._tasks.start_soon.call_args_list]
-        return orders, runtime._pending_inputs
+        return orders, list(runtime._pending_inputs)
 
     def test_orders_leave_while_the_lease_lasts(self) -> None:
         self.assertEqual(([START, POLL], []), self.step(leads_after_sync=True))
@@ -137,7 +137,7 @@
 
         runtime = CoreRuntime(node, mock.Mock(), mock.Mock(poll=poll), mock.Mock())
         anyio.run(runtime._send_order, POLL)
-        return runtime._pending_inputs
+        return list(runtime._pending_inputs)
 
     def test_the_answer_to_a_poll_is_an_input(self) -> None:
         self.assertEqual(1, len(self.answer_poll(leads_again=False)))
--- a/tests/test_domain_step_costs.py
+++ b/tests/test_domain_step_costs.py
@@ -8,13 +8,27 @@
 
 import msgspec
 
-from bulrushhollow_core.domain import Outcome, Resources, Step, TaskRef, Work
+from bulrushhollow_core.domain import (
+    CallReceived,
+    InputQueue,
+    MessageReceived,
+    Outcome,
+    Resources,
+    Step,
+    Submit,
+    TaskRef,
+    Work,
+)
+from bulrushhollow_core.domain._inputs import MAX_ROWS_PER_STEP
 from bulrushhollow_core.domain.fleet import Run, RunPhase, StragglerDetector
 from bulrushhollow_core.domain.model import (
+    CallId,
     CancelJob,
     EndRuns,
+    ListedRun,
     Occurrence,
     OrderResult,
+    PollAnswered,
     RunEnd,
     RunNumber,
     Start,
@@ -25,7 +39,7 @@
     WorkerNews,
 )
 from bulrushhollow_core.domain.placement import _planning
-from bulrushhollow_core.ids import JobId, Seconds, WorkerId, WorkspaceId
+from bulrushhollow_core.ids import InstanceId, JobId, Seconds, WorkerId, WorkspaceId
 from standins.domain_site import queue
 from tests.operation_count import OperationCount
 from tests.test_domain_scheduler import WALL, SchedulerHarness, announcement
@@ -188,5 +202,39 @@
         self.assertLess(growth, MAX_GROWTH)
 
 
+class InputQueueTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.queue = InputQueue()
+        rows = (ListedRun(TaskRef(JOB, Occurrence(0), 0, 0), RunNumber(1), "", 1),)
+        life = WorkerLife(WorkerId("w"), 1)
+        half = MAX_ROWS_PER_STEP // 2
+        self.list = PollAnswered(life, OrderResult.ACCEPTED, Seconds(1.0), running=rows * half)
+
+    # Guards against leaders that lose their lease while they handle lists of workers (LOST): all
+    # lists that had come were handled in one step.
+    def test_a_step_takes_a_limited_number_of_rows(self) -> None:
+        for _ in range(5):
+            self.queue.put(self.list)
+        self.assertEqual([2, 2, 1, 0], [len(self.queue.take()) for _ in range(4)])
+        self.assertFalse(self.queue)
+
+    # Guards against a list, or a submission, that is longer than the limit and never handled.
+    def test_an_input_beyond_the_limit_is_taken_by_itself(self) -> None:
+        step = Step(20 * MAX_ROWS_PER_STEP, Resources(50, 10, 0), Seconds(1.0))
+        call = CallReceived(CallId(1), Submit("host", "/usual/j", "key", Work("spec", (step,))))
+        for _ in range(2):
+            self.queue.put(call)
+        self.assertEqual([[call], [call], []], [self.queue.take() for _ in range(3)])
+
+    # Guards against acknowledgements of heartbeats that wait behind lists of runs, so that the
+    # leader lease ends.
+    def test_inputs_of_the_log_come_first(self) -> None:
+        message = MessageReceived(InstanceId("peer.1"), Resources(0, 0, 0))
+        for _ in range(5):
+            self.queue.put(self.list)
+        self.queue.put(message)
+        self.assertEqual([message, self.list, self.list], self.queue.take())
+
+
 if __name__ == "__main__":
     unittest.main()
