Start a lasting task at once when the later life has ended its run

Cause: the end of a run that is listed counted as no evidence about its start, since the next life of that worker may still carry it out. Here the next life had carried it out and refuses it by its token.

Change: a run says whether it was moved to a later life. Its listed end is evidence then.

--- a/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_answers.py
@@ -271,10 +271,11 @@
         if run is not None:
             run.mark_listed(now)
             self._shared.fleet.release(self._shared.fleet.workers_by_life[run.life], run.task)
-            # A task that has just run may be away for a while: it waits for further lives, too.
-            self._shared.propose_end_of(
-                run, ended_run.outcome, ended_run.checkpoint, now, StartEvidence.NONE
+            # A task that has just run may be away for a while, so it waits for the next life, too.
+            evidence = (
+                StartEvidence.REFUSED_BY_KNOWN_LIVES if run.is_transferred else StartEvidence.NONE
             )
+            self._shared.propose_end_of(run, ended_run.outcome, ended_run.checkpoint, now, evidence)
         else:
             self._shared.propose_end(
                 ended_run.task, ended_run.run, ended_run.outcome, ended_run.checkpoint
--- a/packages/core/src/bulrushhollow_core/domain/execution/_losses.py
+++ b/packages/core/src/bulrushhollow_core/domain/execution/_losses.py
@@ -117,6 +117,7 @@
                 run.lose()
             self._shared.fleet.release(earlier, ref)
             run.life = later.life
+            run.is_transferred = True
             run.phase = RunPhase.STOPPING
             run.awaits_start_answer = False
             self._shared.fleet.place(later, run)
--- a/packages/core/src/bulrushhollow_core/domain/fleet/_runs.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_runs.py
@@ -103,6 +103,8 @@
         """Whether an earlier leader started it."""
         self.has_uncertain_start = False
         """Whether an earlier leader recorded its start so recently that it may not have arrived."""
+        self.is_transferred = False
+        """Whether it was ordered for an earlier life of its worker than the one that it is in."""
         self.started_at = now
         self.start_attempts = 0
         self.awaits_start_answer = False
--- a/tests/test_domain_lasting_starts.py
+++ b/tests/test_domain_lasting_starts.py
@@ -102,6 +102,20 @@
                     self.world.call_later(1.0, lambda worker=worker: restart(worker))
                 self.assertLess(self.seconds_until(self.is_running), 3.0 + MAX_STANDING)
 
+    # Guards against a lasting task that stays away (LOST) although the later life, which carried
+    # the start out and has ended the run, refuses the order now.
+    def test_a_lasting_task_starts_soon_after_its_late_run_was_stopped(self) -> None:
+        self.lose_starts(lasting())
+        worker, order = self.first_worker(), self.world.lost_starts[0]
+        self.cut(worker, 2.0)
+        self.world.call_later(0.5, lambda: restart(worker))
+        self.world.call_later(1.0, lambda: self.world.execute_order_late(worker, order))
+        self.world.run(2.0)
+        self.assertTrue(self.is_running())
+        self.seconds_until(lambda: not self.is_running())
+        self.assertLess(self.seconds_until(self.is_running), 2.0 + MAX_STANDING)
+        self.assertEqual(0.0, self.overlap)
+
     # Guards against a lasting task that stays away (LOST) because its worker is gone for good.
     def test_a_lasting_task_starts_elsewhere_in_time_if_its_worker_is_gone(self) -> None:
         self.lose_starts(lasting())
