Count the available runs of a lasting step once for each plan

Cause: for each run that a plan might stop, `DisruptionBudget` counted the available runs of its whole step, so a plan that looks for room beside a large lasting job cost the square of its runs.

Change: what a step allows is computed once for each budget. The fleet does not change within a plan.

--- a/packages/core/src/bulrushhollow_core/domain/fleet/_lasting.py
+++ b/packages/core/src/bulrushhollow_core/domain/fleet/_lasting.py
@@ -38,6 +38,7 @@
         """Start with an unused budget."""
         self._fleet = fleet
         self._stops_by_step: Counter[StepRef] = Counter()
+        self._allowed_by_step: dict[StepRef, int] = {}
 
     def try_consume(self, job: Job, run: Run) -> bool:
         """Return whether a run may be stopped, and count it against the budget if so."""
@@ -45,7 +46,9 @@
         step = job.work.steps[ref.step]
         if not step.is_long_running or step.max_unavailable == 0 or not is_available(run):
             return True
-        if self._stops_by_step[ref] >= allowed_disruptions(job, ref, self._fleet):
+        if ref not in self._allowed_by_step:
+            self._allowed_by_step[ref] = allowed_disruptions(job, ref, self._fleet)
+        if self._stops_by_step[ref] >= self._allowed_by_step[ref]:
             return False
         self._stops_by_step[ref] += 1
         return True
--- a/tests/test_domain_step_costs.py
+++ b/tests/test_domain_step_costs.py
@@ -18,9 +18,10 @@
     Submit,
     TaskRef,
     Work,
+    _inputs,
 )
 from bulrushhollow_core.domain._inputs import MAX_ROWS_PER_STEP
-from bulrushhollow_core.domain.fleet import Run, RunPhase, StragglerDetector
+from bulrushhollow_core.domain.fleet import DisruptionBudget, Run, RunPhase, StragglerDetector
 from bulrushhollow_core.domain.model import (
     CallId,
     CancelJob,
@@ -40,8 +41,10 @@
 )
 from bulrushhollow_core.domain.placement import _planning
 from bulrushhollow_core.ids import InstanceId, JobId, Seconds, WorkerId, WorkspaceId
-from standins.domain_site import queue
+from standins.domain_site import configuration, queue
+from tests.domain_world import Instance, World
 from tests.operation_count import OperationCount
+from tests.test_domain_lasting import make_fleet, make_long_running_job
 from tests.test_domain_scheduler import WALL, SchedulerHarness, announcement
 
 JOB = JobId("a" * 16)
@@ -179,6 +182,23 @@
         self.assertLess(costs[1] / costs[0], MAX_SLOW_GROWTH)
 
 
+class DisruptionBudgetCostTest(unittest.TestCase):
+    def cost_of_victims(self, count: int) -> int:
+        """Return the cost of asking for each run of a lasting step whether it may be stopped."""
+        job = make_long_running_job(count, 1)
+        fleet, runs = make_fleet(job, [100] * count)
+        budget = DisruptionBudget(fleet)
+        operations = OperationCount()
+        operations.measure(lambda: [budget.try_consume(job, run) for run in runs])
+        return operations.last
+
+    # Guards against leaders that lose their lease over one lasting job (LOST): for each run that a
+    # plan might stop it counted the available runs of the whole step.
+    def test_the_runs_that_may_be_stopped_are_found_in_proportion_to_their_number(self) -> None:
+        growth = self.cost_of_victims(LARGE) / self.cost_of_victims(SMALL)
+        self.assertLess(growth, MAX_GROWTH)
+
+
 class EndedJobCostTest(unittest.TestCase):
     def cost_of_ends(self, count: int) -> int:
         """Return the cost of recording the ends of the runs of a cancelled job."""
@@ -236,5 +256,59 @@
         self.assertEqual([message, self.list, self.list], self.queue.take())
 
 
+class MeasuredSite(World):
+    """
+    A domain of 24 workers that counts the instructions of each step of its instances.
+
+    :ivar step_costs: instructions of each step since the last reset.
+    """
+
+    def __init__(self) -> None:
+        self.step_costs: list[int] = []
+        super().__init__(1, workers=24)
+        self.run(4)
+        assert self.put_configuration(configuration(1))
+        self.run(2)
+        for instance in self.instances:
+            self.measure_steps(instance)
+
+    def measure_steps(self, instance: Instance) -> None:
+        operations = OperationCount()
+        step = instance.node.step
+
+        def measured_step(*args: object) -> object:
+            actions = operations.measure(step, *args)  # type: ignore[arg-type]
+            self.step_costs.append(operations.last)
+            return actions
+
+        instance.node.step = measured_step  # type: ignore[method-assign, assignment]
+
+    def submit_job(self, count: int, duration: float) -> None:
+        step = Step(count, Resources(250, 10, 0), Seconds(duration))
+        self.submit(JOB, "usual", Work("spec", (step,)), duration)
+
+
+class LongestStepTest(unittest.TestCase):
+    def longest_step(self, count: int) -> int:
+        """Return the cost of the longest step while a job starts, runs and is cancelled."""
+        site = MeasuredSite()
+        site.submit_job(count, 60.0)
+        site.run(5.0)
+        self.assertEqual(count, sum(len(worker.runs) for worker in site.worker_pool.workers))
+        site.cancel(JOB, "usual")
+        site.run(3.0)
+        return max(site.step_costs)
+
+    # Guards against leaders that lose their lease over one job (LOST): a step did all that was due,
+    # so that any job which is large enough made one step as long as the lease.
+    def test_the_longest_step_hardly_grows_with_a_job_beyond_the_limits(self) -> None:
+        with (
+            mock.patch.object(_planning, "MAX_PENDING_STARTS", 25),
+            mock.patch.object(_inputs, "MAX_ROWS_PER_STEP", 50),
+        ):
+            growth = self.longest_step(LARGE) / self.longest_step(SMALL)
+        self.assertLess(growth, MAX_SLOW_GROWTH)
+
+
 if __name__ == "__main__":
     unittest.main()
