Let the soak submit lasting jobs

Change: six of a hundred jobs last until they are cancelled, two to eight seconds after they were accepted. Their choice has its own random numbers, so that the seeds keep their other jobs.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,8 @@
 import tempfile
 import time
 
+import msgspec
+
 from bulrushhollow_core.domain import JobState, Occurrence, Resources, TaskRef, Work
 from bulrushhollow_core.ids import JobId, Version
 from bulrushhollow_platform.standin import CallResult, config_body, job_body
@@ -47,9 +49,15 @@
 SUBMIT_INTERVAL = 0.15
 """Seconds between two submissions, on average."""
 
+UNLIMITED = 1e6
+"""Seconds of work of a task that runs until its job is cancelled."""
+
 CRASHING_SHARE = 0.03
 """Share of the jobs of which a task crashes every worker that starts it."""
 
+LASTING_SHARE = 0.06
+"""Share of the jobs that last until they are cancelled, some seconds after their submission."""
+
 REGRESSIONS = (104, 141, 2043, 2004, 3019)
 """Seeds that failed once. 104: a silent voter was removed before its successor counted, and the log
 stopped for good. 141: a list of runs from before a start was taken as proof that the run was gone.
@@ -80,6 +88,7 @@
         self._testbed = Testbed(seed, cores, entries, workers, base)
         self._rng = random.Random(seed * 31 + 7)
         self._crash_rng = random.Random(seed * 37 + 11)
+        self._lasting_rng = random.Random(seed * 41 + 13)
         self._started_at = time.monotonic()
         self._base = pathlib.Path(base)
         self._queue_by_job: dict[JobId, str] = {}
@@ -181,6 +190,25 @@
             self._make_crashing(job, work)
         self._testbed.work_by_job[job] = work
         self._testbed.duration_by_job[job] = self._rng.uniform(0.2, 2)
+        if self._lasting_rng.random() < LASTING_SHARE:
+            await self._submit_lasting(job, work)
+            return
+        await self._submit_work(job, work)
+
+    async def _submit_lasting(self, job: JobId, work: Work) -> None:
+        """Submit a job that runs until it is cancelled, and cancel it after some seconds."""
+        step = msgspec.structs.replace(work.steps[0], is_gang=False, is_long_running=True)
+        work = msgspec.structs.replace(work, steps=(step,))
+        self._testbed.work_by_job[job] = work
+        self._testbed.duration_by_job[job] = UNLIMITED
+        cancel_after = self._lasting_rng.uniform(2.0, 8.0)
+        await self._submit_work(job, work)
+        await asyncio.sleep(cancel_after)
+        while not await self._cancel_job(job):
+            await asyncio.sleep(0.5)
+
+    async def _submit_work(self, job: JobId, work: Work) -> None:
+        queue = self._queue_by_job[job]
         may_have_run = False
         for _ in range(5):
             outcome = await self._call("POST", f"/{queue}/{job}", job_body(work))
@@ -196,15 +224,19 @@
         if not self._accepted_jobs:
             return
         job = self._rng.choice(sorted(self._accepted_jobs))
-        self._testbed.cancelled_jobs.add(job)
         for _ in range(5):
-            outcome = await self._call("DELETE", f"/{self._queue_by_job[job]}/{job}")
-            if outcome.status == 200:
-                self._testbed.oracle.cancelled_at_by_job[job] = self._testbed.now
-            if outcome.status in (200, 410):
+            if await self._cancel_job(job):
                 return
             await asyncio.sleep(0.5)
 
+    async def _cancel_job(self, job: JobId) -> bool:
+        """Cancel a job; return whether that was acknowledged, or there is no such job."""
+        self._testbed.cancelled_jobs.add(job)
+        outcome = await self._call("DELETE", f"/{self._queue_by_job[job]}/{job}")
+        if outcome.status == 200:
+            self._testbed.oracle.cancelled_at_by_job[job] = self._testbed.now
+        return outcome.status in (200, 410)
+
     async def _read_any(self) -> JobState | None:
         if not self._accepted_jobs:
             return None
