Explain placements without the limit on pending starts

What operators would see: `explain-placement` says that no worker is usable for a job, while a larger job is being started.

Cause: the explanation makes its plan with the planner that's series limits; at the limit it ends before it comes to the explained job.

Change: only the plans that are carried out have the limit.

Evidence: the new test failed before ((0, no_usable_worker), not (1, None)).

--- a/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
+++ b/packages/core/src/bulrushhollow_core/domain/placement/_planning.py
@@ -158,7 +158,8 @@
             self._shared.admission.clear_plan()
             self._shared.advice.clear_requests()
             return bool(queue.waiting)
-        prepared = self.prepare(queue, now, wall)
+        max_starts = MAX_PENDING_STARTS - self._count_pending_starts()
+        prepared = self.prepare(queue, now, wall, max_starts)
         plan = prepared.planner.make_plan(
             watch.observe(prepared.demands, prepared.planner.plan, prepared.caps)
         )
@@ -199,8 +200,14 @@
         waiting = waiting_steps(self._shared.state, self._busy_tasks(now), guaranteed, wall)
         return QueueView(guaranteed, waiting, self._host_view.usable_hosts(now) if waiting else [])
 
-    def prepare(self, queue: QueueView, now: Seconds, wall: WallTime) -> PreparedPlan:
-        """Return a planner for the queue; the caller has it make the plan."""
+    def prepare(
+        self, queue: QueueView, now: Seconds, wall: WallTime, max_starts: int | None = None
+    ) -> PreparedPlan:
+        """
+        Return a planner for the queue; the caller has it make the plan.
+
+        :param max_starts: tasks after which the plan starts nothing more; None for no limit.
+        """
         guaranteed, waiting, hosts = queue
         waiting = self._order_by_claims(self._order_by_shares(waiting, hosts, now))
         for waiting_step in waiting:
@@ -220,7 +227,7 @@
             self._shared.headroom.required_accelerators(now),
             caps,
             now,
-            MAX_PENDING_STARTS - self._count_pending_starts(),
+            max_starts,
         )
         racks = {host.rack for host in hosts}
         suspects = [host for host in hosts if host.is_suspect]
--- a/tests/test_domain_step_costs.py
+++ b/tests/test_domain_step_costs.py
@@ -169,6 +169,18 @@
         self.answer(starts, OrderResult.NO_ANSWER)
         self.assertEqual(self.LIMIT, len(self.planned_starts()))
 
+    # Guards against explanations that find no worker for a job while a larger one starts.
+    def test_a_placement_is_explained_while_no_more_starts_are_planned(self) -> None:
+        self.submit(3 * self.LIMIT)
+        self.planned_starts()
+        step = Step(1, Resources(50, 10, 0), Seconds(4.0))
+        explained = SubmitJob(
+            JobId("x"), queue("usual", 1), WorkspaceId("team"), Work("spec", (step,)), WALL
+        )
+        explainer = self.harness.scheduler.explainer
+        [outlook] = explainer.explain(explained, self.harness.now, WALL).steps
+        self.assertEqual((1, None), (outlook.starting, outlook.held_by))
+
     # Guards against costs of one plan that grow with the tasks that it leaves to later ones.
     def test_the_cost_of_a_plan_hardly_grows_beyond_the_limit(self) -> None:
         costs = []
